Add the design, the common parts and the tool chain

Cause: the repository was empty. Change: the design page, the wire format, peer sessions, request streams, hybrid clock, timers, key-value interface, settings and the configuration model, with formatter, linter, strict types and tests under make test.

--- /dev/null
+++ b/src/quetzaldyke/__init__.py
@@ -0,0 +1,1 @@
+"""Online and batch inference on one shared fleet."""
--- /dev/null
+++ b/src/quetzaldyke/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line for `python -m quetzaldyke`."""
+
+from __future__ import annotations
+
+from quetzaldyke.main import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/quetzaldyke/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-commands of the executable."""
--- /dev/null
+++ b/src/quetzaldyke/connection/calls.py
@@ -0,0 +1,138 @@
+"""Requests that share one connection: each has its own ordered stream.
+
+Chunks are numbered for each request. Repeats are dropped, a gap fails the
+request, and an answer is whole only when the end mark counts the chunks
+that were seen.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+from anyio.streams.memory import (
+    MemoryObjectReceiveStream,
+    MemoryObjectSendStream,
+)
+
+from quetzaldyke.connection.messages import (
+    Cancel,
+    Chunk,
+    End,
+    Failed,
+    Message,
+    Started,
+    Submit,
+    Window,
+)
+from quetzaldyke.connection.peer import PeerSession
+
+# Chunks that a sidecar may send ahead of the caller's reading.
+WINDOW_CHUNKS: Final = 64
+
+CallEvent = Started | Chunk | End | Failed
+
+
+@dataclass(slots=True)
+class Call:
+    """One request in flight on a connection."""
+
+    submit: Submit
+    sink: MemoryObjectSendStream[CallEvent]
+    source: MemoryObjectReceiveStream[CallEvent]
+    next_seq: int = 0
+    started: bool = False
+    finished: bool = False
+
+
+@dataclass(slots=True)
+class CallTable:
+    """Requests in flight on one connection to a sidecar."""
+
+    session: PeerSession
+    calls: dict[str, Call] = field(default_factory=dict)
+
+    def begin(self, submit: Submit) -> Call:
+        """Send a request and return its stream."""
+        sink, source = anyio.create_memory_object_stream[CallEvent](math.inf)
+        call = Call(submit, sink, source)
+        self.calls[submit.request_id] = call
+        self.session.send(submit)
+        return call
+
+    def deliver(self, message: Message) -> bool:
+        """Hand a message to its request; False for other messages."""
+        if not isinstance(message, Started | Chunk | End | Failed):
+            return False
+        call = self.calls.get(message.request_id)
+        if call is None or call.finished:
+            return True
+        self.advance(call, message)
+        return True
+
+    def advance(self, call: Call, event: CallEvent) -> None:
+        """Check the order of an event and queue it for the reader."""
+        match event:
+            case Started():
+                call.started = True
+            case Chunk(seq=seq) if seq < call.next_seq:
+                return
+            case Chunk(seq=seq) if seq > call.next_seq:
+                self.close_call(call, broken(call, 'chunk missing'))
+                return
+            case Chunk():
+                call.next_seq += 1
+            case End(seq=seq) if seq != call.next_seq:
+                self.close_call(call, broken(call, 'chunk missing at end'))
+                return
+            case _:
+                self.close_call(call, event)
+                return
+        call.sink.send_nowait(event)
+
+    def close_call(self, call: Call, event: CallEvent) -> None:
+        """Queue the last event of a request."""
+        call.finished = True
+        self.calls.pop(call.submit.request_id, None)
+        call.sink.send_nowait(event)
+        call.sink.close()
+
+    def fail_all(self, reason: str) -> None:
+        """Fail every request after the connection was lost."""
+        for call in list(self.calls.values()):
+            self.close_call(call, broken(call, reason))
+
+    def abandon(self, call: Call) -> None:
+        """Stop a request whose answer nobody wants any more."""
+        if call.finished:
+            return
+        call.finished = True
+        self.calls.pop(call.submit.request_id, None)
+        self.session.send(Cancel(call.submit.request_id))
+        call.sink.close()
+
+
+def broken(call: Call, reason: str) -> Failed:
+    """Return the failure of a request that may have run."""
+    return Failed(call.submit.request_id, 'unknown', reason)
+
+
+async def read_call(table: CallTable, call: Call) -> AsyncIterator[CallEvent]:
+    """Yield the events of a request and grant the sender more chunks.
+
+    Abandons the request when the reader stops early.
+    """
+    unread = 0
+    try:
+        async for event in call.source:
+            yield event
+            unread += isinstance(event, Chunk)
+            if unread >= WINDOW_CHUNKS // 2:
+                table.session.send(Window(call.submit.request_id, unread))
+                unread = 0
+    finally:
+        table.abandon(call)
+        call.source.close()
--- /dev/null
+++ b/src/quetzaldyke/connection/links.py
@@ -0,0 +1,173 @@
+"""Runs one peer connection: handshake, reading, writing and heartbeats.
+
+Both the dialling and the listening side use the same task for a connection;
+what a message means is decided by the handler that they pass.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import (
+    ByteStream,
+    Listener,
+    SocketAttribute,
+    SocketStream,
+    TaskStatus,
+)
+
+from quetzaldyke.connection.frames import FrameError
+from quetzaldyke.connection.messages import (
+    Heartbeat,
+    Hello,
+    Message,
+)
+from quetzaldyke.connection.peer import (
+    HandshakeError,
+    PeerClosed,
+    PeerSession,
+    open_session,
+)
+from quetzaldyke.parts.hlc import HybridClock, Stamp
+
+OnOpen = Callable[[PeerSession], Awaitable[None]]
+OnMessage = Callable[[PeerSession, Message], Awaitable[None]]
+OnClose = Callable[[PeerSession], None]
+
+CONNECTION_FAULTS = (
+    OSError,
+    TimeoutError,
+    FrameError,
+    HandshakeError,
+    PeerClosed,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.IncompleteRead,
+)
+
+
+@dataclass(slots=True)
+class LinkOptions:
+    """What every connection of a process needs."""
+
+    secret: str
+    clock: HybridClock
+    make_hello: Callable[[], Hello]
+    config_version: Callable[[], int]
+    on_open: OnOpen
+    on_message: OnMessage
+    on_close: OnClose
+
+
+def stamp_row(stamp: Stamp) -> list[int | str]:
+    """Return the wire form of a stamp."""
+    return [stamp.wall_ms, stamp.counter, stamp.process]
+
+
+def observe_row(clock: HybridClock, row: list[int | str]) -> None:
+    """Advance the clock by a stamp from the wire."""
+    match row:
+        case [int(wall_ms), int(counter), str(process)]:
+            clock.observe(Stamp(wall_ms, counter, process))
+
+
+def make_heartbeat(options: LinkOptions) -> Heartbeat:
+    """Return a heartbeat with the present stamp and version."""
+    return Heartbeat(
+        stamp_row(options.clock.now()),
+        options.config_version(),
+    )
+
+
+async def serve_session(session: PeerSession, options: LinkOptions) -> None:
+    """Run an authenticated session until it ends."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(write_until_closed, session, group.cancel_scope)
+        group.start_soon(
+            session.send_heartbeats,
+            lambda: make_heartbeat(options),
+        )
+        try:
+            await options.on_open(session)
+            async for message in session.messages():
+                if isinstance(message, Heartbeat):
+                    observe_row(options.clock, message.stamp)
+                await options.on_message(session, message)
+        except CONNECTION_FAULTS:
+            pass
+        finally:
+            session.closed = True
+            options.on_close(session)
+            group.cancel_scope.cancel()
+
+
+async def write_until_closed(
+    session: PeerSession,
+    scope: anyio.CancelScope,
+) -> None:
+    """Write queued frames; a broken stream ends the session."""
+    try:
+        await session.write_queued()
+    except CONNECTION_FAULTS:
+        scope.cancel()
+
+
+async def handle_stream(
+    stream: ByteStream,
+    options: LinkOptions,
+    dialer: bool,
+) -> None:
+    """Authenticate a stream and run its session."""
+    async with stream:
+        try:
+            session = await open_session(
+                stream,
+                options.secret,
+                options.make_hello(),
+                dialer,
+            )
+        except CONNECTION_FAULTS:
+            return
+        observe_row(options.clock, session.remote.stamp)
+        await serve_session(session, options)
+
+
+async def dial(address: str, options: LinkOptions) -> bool:
+    """Connect to a peer and run the session; False when none was reached."""
+    host, _, port = address.rpartition(':')
+    try:
+        stream = await anyio.connect_tcp(host.strip('[]'), int(port))
+    except OSError:
+        return False
+    await handle_stream(stream, options, dialer=True)
+    return True
+
+
+async def listen(
+    address: str,
+    options: LinkOptions,
+    *,
+    task_status: TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accept peers until cancelled; reports the bound address."""
+    host, _, port = address.rpartition(':')
+    listener = await anyio.create_tcp_listener(
+        local_host=host.strip('[]'),
+        local_port=int(port),
+    )
+    bound = bound_port(listener.listeners[0])
+    task_status.started(f'{host}:{bound}')
+
+    async def accept(stream: ByteStream) -> None:
+        await handle_stream(stream, options, dialer=False)
+
+    async with listener:
+        await listener.serve(accept)
+
+
+def bound_port(listener: Listener[SocketStream]) -> int:
+    """Return the port that a listener got."""
+    return int(listener.extra(SocketAttribute.local_port))
--- /dev/null
+++ b/src/quetzaldyke/connection/peer.py
@@ -0,0 +1,167 @@
+"""Authenticated message session between two of the system's processes.
+
+Both sides prove knowledge of the fleet secret by an HMAC over the other's
+challenge before anything else is read. Afterwards one task reads messages
+in order and one writes what was queued, at most one flush interval later.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+from anyio.abc import ByteStream
+
+from quetzaldyke.connection.frames import (
+    MAX_FRAME_BYTES,
+    FrameError,
+    FrameReader,
+    Outbox,
+    encode_frame,
+)
+from quetzaldyke.connection.messages import (
+    PROTOCOL_VERSION,
+    Heartbeat,
+    Hello,
+    Message,
+    from_row,
+    to_row,
+)
+
+HANDSHAKE_TIMEOUT_S: Final = 5.0
+HANDSHAKE_FRAME_BYTES: Final = 4096
+CHALLENGE_BYTES: Final = 16
+FLUSH_INTERVAL_S: Final = 0.002
+HEARTBEAT_INTERVAL_S: Final = 1.0
+SILENCE_LIMIT_S: Final = 3.0
+# A peer that does not read for long has its connection closed, so that its
+# unread messages can't fill this process's memory.
+MAX_PENDING_BYTES: Final = 16_777_216
+
+
+class HandshakeError(Exception):
+    """The peer has another protocol version or no valid credentials."""
+
+
+class PeerClosed(Exception):
+    """The session has ended; queued messages may not have arrived."""
+
+
+@dataclass(slots=True)
+class PeerSession:
+    """One live connection to another process."""
+
+    stream: ByteStream
+    reader: FrameReader
+    remote: Hello
+    outbox: Outbox = field(default_factory=Outbox)
+    closed: bool = False
+
+    def send(self, message: Message) -> None:
+        """Queue a message; does nothing on a closed session."""
+        if self.closed:
+            return
+        self.outbox.put(encode_frame(to_row(message)))
+
+    async def messages(self) -> AsyncIterator[Message]:
+        """Yield messages until the peer closes or falls silent."""
+        while True:
+            row = await read_or_none(self.reader)
+            if row is None:
+                return
+            yield from_row(row)
+
+    async def write_queued(self) -> None:
+        """Write queued frames, gathered over one flush interval."""
+        while not self.closed:
+            await self.outbox.wait()
+            await anyio.sleep(FLUSH_INTERVAL_S)
+            if len(self.outbox.pending) > MAX_PENDING_BYTES:
+                raise PeerClosed('the peer does not read')
+            await self.stream.send(self.outbox.drain())
+
+    async def send_heartbeats(
+        self,
+        make_heartbeat: Callable[[], Heartbeat],
+    ) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            self.send(make_heartbeat())
+            await anyio.sleep(HEARTBEAT_INTERVAL_S)
+
+    async def flush(self) -> None:
+        """Write everything that is queued now."""
+        await self.stream.send(self.outbox.drain())
+
+
+async def read_or_none(reader: FrameReader) -> list[object] | None:
+    """Read a row; None when the stream ended or stayed silent too long."""
+    try:
+        with anyio.fail_after(SILENCE_LIMIT_S):
+            return await reader.read()
+    except (
+        TimeoutError,
+        anyio.EndOfStream,
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+        FrameError,
+    ):
+        return None
+
+
+def proof(secret: str, challenge: bytes, side: str) -> bytes:
+    """Return the HMAC that one side owes for a challenge.
+
+    The side is part of the text, so that a challenge can't be reflected.
+    """
+    text = side.encode() + challenge
+    return hmac.new(secret.encode(), text, hashlib.sha256).digest()
+
+
+async def open_session(
+    stream: ByteStream,
+    secret: str,
+    own: Hello,
+    dialer: bool,
+) -> PeerSession:
+    """Authenticate both sides and exchange Hello."""
+    reader = FrameReader(stream, max_bytes=HANDSHAKE_FRAME_BYTES)
+    with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
+        await authenticate(stream, reader, secret, dialer)
+        await stream.send(encode_frame(to_row(own)))
+        remote = from_row(await reader.read())
+    if not isinstance(remote, Hello):
+        raise HandshakeError('the first message is not Hello')
+    if remote.protocol != PROTOCOL_VERSION:
+        raise HandshakeError(f'protocol version {remote.protocol}')
+    reader.max_bytes = MAX_FRAME_BYTES
+    return PeerSession(stream, reader, remote)
+
+
+async def authenticate(
+    stream: ByteStream,
+    reader: FrameReader,
+    secret: str,
+    dialer: bool,
+) -> None:
+    """Exchange challenges and proofs."""
+    own_side, peer_side = ('d', 'l') if dialer else ('l', 'd')
+    challenge = secrets.token_bytes(CHALLENGE_BYTES)
+    await stream.send(encode_frame(['challenge', challenge]))
+    theirs = one_bytes(await reader.read(), 'challenge')
+    await stream.send(encode_frame(['proof', proof(secret, theirs, own_side)]))
+    given = one_bytes(await reader.read(), 'proof')
+    if not hmac.compare_digest(given, proof(secret, challenge, peer_side)):
+        raise HandshakeError('wrong credentials')
+
+
+def one_bytes(row: list[object], name: str) -> bytes:
+    """Return the bytes of a handshake row."""
+    if len(row) == 2 and row[0] == name and isinstance(row[1], bytes):
+        return row[1]
+    raise HandshakeError(f'expected {name}')
--- /dev/null
+++ b/src/quetzaldyke/parts/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts that can be embedded without the daemons."""
--- /dev/null
+++ b/src/quetzaldyke/parts/hlc.py
@@ -0,0 +1,71 @@
+"""Hybrid logical clock: orders events of several processes.
+
+A stamp is never below any stamp the process has seen, so an effect always
+has a later stamp than its cause even when wall clocks differ.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+MS_IN_S: Final = 1000
+
+# A peer whose clock runs ahead by more than this is not followed, so that
+# one broken clock can't move the whole fleet's stamps into the future.
+MAX_AHEAD_MS: Final = 60_000
+
+
+class Stamp(NamedTuple):
+    """Wall time in ms, a counter within that ms, and the process id."""
+
+    wall_ms: int
+    counter: int
+    process: str
+
+    def __str__(self) -> str:
+        """Return a fixed-width form whose text order is the stamp order."""
+        return f'{self.wall_ms:014d}.{self.counter:05d}@{self.process}'
+
+
+def wall_clock_ms() -> int:
+    """Return the wall time in milliseconds since 1970."""
+    return int(time.time() * MS_IN_S)
+
+
+@dataclass(slots=True)
+class HybridClock:
+    """Clock of one process.
+
+    >>> clock = HybridClock('entry-1', read_wall_ms=lambda: 5)
+    >>> clock.now() < clock.now()
+    True
+    >>> clock.observe(Stamp(9, 3, 'entry-2'))
+    >>> clock.now()
+    Stamp(wall_ms=9, counter=4, process='entry-1')
+    """
+
+    process: str
+    read_wall_ms: Callable[[], int] = wall_clock_ms
+    wall_ms: int = field(default=0, init=False)
+    counter: int = field(default=0, init=False)
+
+    def now(self) -> Stamp:
+        """Return a stamp above every stamp returned or observed before."""
+        wall_ms = self.read_wall_ms()
+        if wall_ms > self.wall_ms:
+            self.wall_ms = wall_ms
+            self.counter = 0
+        else:
+            self.counter += 1
+        return Stamp(self.wall_ms, self.counter, self.process)
+
+    def observe(self, stamp: Stamp) -> None:
+        """Advance past a stamp received from another process."""
+        if stamp.wall_ms > self.read_wall_ms() + MAX_AHEAD_MS:
+            return
+        if (stamp.wall_ms, stamp.counter) > (self.wall_ms, self.counter):
+            self.wall_ms = stamp.wall_ms
+            self.counter = stamp.counter
--- /dev/null
+++ b/src/quetzaldyke/request/__init__.py
@@ -0,0 +1,1 @@
+"""State that lives for one request."""
--- /dev/null
+++ b/src/quetzaldyke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the platform, run as ordinary processes."""
--- /dev/null
+++ b/src/quetzaldyke/version/configuration.py
@@ -0,0 +1,121 @@
+"""Document of one configuration version, validated as a whole."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import zlib
+from typing import Annotated, Final, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import ValidationError as ModelError
+from result import Err, Ok, Result
+
+from quetzaldyke.parts.errors import Errors
+
+NAME_PATTERN: Final = '^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$'
+COMPRESSION_LEVEL: Final = 6
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+KeyHash = Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+Share = Annotated[float, Field(ge=0, le=1)]
+
+
+class Strict(BaseModel):
+    """Model that refuses unknown fields."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class Pool(Strict):
+    """Endpoints that serve one model or one plain service."""
+
+    kind: Literal['engine', 'service'] = 'engine'
+    model: str = ''
+    version: str = ''
+    adapter: str = ''
+    # Replicas that placement keeps in the pool; 0 leaves the pool as it is.
+    replicas: int = Field(default=0, ge=0)
+    # Whether the endpoints themselves refuse orders with an old token.
+    engines_check_fencing: bool = False
+    # Local endpoints busier than this ratio let requests spill over to
+    # other failure domains.
+    spill_ratio: float = Field(default=0.8, gt=0, le=1)
+
+
+class Organisation(Strict):
+    """A customer and its limits over the whole fleet."""
+
+    key_sha256: KeyHash
+    requests_per_s: float = Field(default=100.0, gt=0)
+    concurrency: int = Field(default=256, ge=1)
+    weight: float = Field(default=1.0, gt=0)
+    queued_items: int = Field(default=1_000_000, ge=1)
+
+
+class LendingRule(Strict):
+    """Work of `borrower` may use this share of the lender's slots."""
+
+    borrower: Name
+    lender: Name
+    work: Literal['batch', 'online'] = 'batch'
+    when: Literal['idle', 'at_risk'] = 'idle'
+    max_share: Share = 1.0
+
+
+class WeightStore(Strict):
+    """Limits of the weight store."""
+
+    concurrent_loads: int = Field(default=2, ge=1)
+
+
+class Configuration(Strict):
+    """Everything that operators set for the fleet."""
+
+    pools: dict[Name, Pool] = Field(default_factory=dict)
+    organisations: dict[Name, Organisation] = Field(default_factory=dict)
+    lending: tuple[LendingRule, ...] = ()
+    weight_store: WeightStore = WeightStore()
+    max_item_tries: int = Field(default=5, ge=1, le=100)
+
+    @model_validator(mode='after')
+    def check_lending(self) -> Configuration:
+        """Refuse rules that name a pool that does not exist."""
+        for rule in self.lending:
+            for name in (rule.borrower, rule.lender):
+                if name not in self.pools:
+                    raise ValueError(f'lending names unknown pool {name!r}')
+        return self
+
+
+EMPTY: Final = Configuration()
+
+
+def hash_key(key: str) -> str:
+    """Return the form in which a bearer key is stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def pack_document(configuration: Configuration) -> bytes:
+    """Return the compressed form that is stored and sent."""
+    text = configuration.model_dump_json(exclude_defaults=True)
+    return zlib.compress(text.encode(), COMPRESSION_LEVEL)
+
+
+def unpack_document(raw: bytes) -> Configuration:
+    """Return the configuration of a stored document."""
+    if not raw:
+        return EMPTY
+    return Configuration.model_validate_json(zlib.decompress(raw))
+
+
+def check_document(document: object) -> Result[Configuration, Errors]:
+    """Validate an operator's document and report every finding."""
+    try:
+        return Ok(Configuration.model_validate_json(json.dumps(document)))
+    except ModelError as exc:
+        errors = Errors()
+        for one in exc.errors(include_input=False, include_url=False):
+            place = '/'.join(str(part) for part in one['loc'])
+            errors.add(f'/{place}', one['msg'])
+        return Err(errors)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,140 @@
+"""Tests of frames, messages and the peer handshake."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quetzaldyke.connection import messages, peer
+from quetzaldyke.connection.frames import FrameError, FrameReader, encode_frame
+
+SECRET = 'fleet-secret-0001'
+
+
+def hello(instance: str, protocol: int = 1) -> messages.Hello:
+    """Return a Hello of a process."""
+    return messages.Hello(protocol, 'entry', instance, 'a', 'inc')
+
+
+class PipeStream(anyio.abc.ByteStream):
+    """One end of an in-memory byte pipe."""
+
+    def __init__(self, sender, receiver) -> None:  # type: ignore[no-untyped-def]
+        self.sender = sender
+        self.receiver = receiver
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        """Return the next bytes."""
+        return bytes(await self.receiver.receive())
+
+    async def send(self, item: bytes) -> None:
+        """Send bytes."""
+        await self.sender.send(item)
+
+    async def send_eof(self) -> None:
+        """Close the sending half."""
+        await self.sender.aclose()
+
+    async def aclose(self) -> None:
+        """Close both halves."""
+        await self.sender.aclose()
+        await self.receiver.aclose()
+
+
+def pipe() -> tuple[PipeStream, PipeStream]:
+    """Return two connected streams."""
+    to_b, from_a = anyio.create_memory_object_stream[bytes](100)
+    to_a, from_b = anyio.create_memory_object_stream[bytes](100)
+    return PipeStream(to_b, from_b), PipeStream(to_a, from_a)
+
+
+@given(
+    text=st.text(),
+    seq=st.integers(0, 2**40),
+    raw=st.binary(max_size=200),
+)
+def test_messages_survive_the_wire(text: str, seq: int, raw: bytes) -> None:
+    """Guards against fields that are reordered or changed on the way."""
+    sent = messages.Chunk('r1', seq, text, 1, raw)
+    assert messages.from_row(messages.to_row(sent)) == sent
+
+
+@pytest.mark.parametrize(
+    'row',
+    [
+        [999],
+        ['text'],
+        [messages.Cancel.kind],
+        [messages.Cancel.kind, 7],
+        [messages.Cancel.kind, 'r1', 'extra'],
+        [messages.Window.kind, 'r1', 'not a number'],
+    ],
+)
+def test_malformed_rows_are_refused(row: list[object]) -> None:
+    """Guards against acting on a message of another shape."""
+    with pytest.raises(FrameError):
+        messages.from_row(row)
+
+
+@pytest.mark.parametrize(
+    ('secrets_given', 'protocol', 'accepted'),
+    [
+        ((SECRET, SECRET), 1, True),
+        ((SECRET, 'another-secret-01'), 1, False),
+        ((SECRET, SECRET), 2, False),
+    ],
+)
+def test_handshake(
+    secrets_given: tuple[str, str],
+    protocol: int,
+    accepted: bool,
+) -> None:
+    """Guards against peers without credentials or of another version."""
+
+    async def side(
+        stream: PipeStream,
+        secret: str,
+        own: messages.Hello,
+        dialer: bool,
+        outcomes: list[bool],
+    ) -> None:
+        try:
+            await peer.open_session(stream, secret, own, dialer)
+        except (peer.HandshakeError, anyio.EndOfStream):
+            outcomes.append(False)
+            await stream.aclose()
+            return
+        outcomes.append(True)
+
+    async def scenario() -> list[bool]:
+        outcomes: list[bool] = []
+        left, right = pipe()
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                side, left, secrets_given[0], hello('a'), True, outcomes
+            )
+            group.start_soon(
+                side,
+                right,
+                secrets_given[1],
+                hello('b', protocol),
+                False,
+                outcomes,
+            )
+        return outcomes
+
+    assert all(anyio.run(scenario)) is accepted
+
+
+def test_oversized_frame_before_authentication_is_refused() -> None:
+    """Guards against memory use by a stranger before it proved itself."""
+
+    async def scenario() -> None:
+        left, right = pipe()
+        await left.send(encode_frame(['challenge', b'x' * 5000]))
+        with pytest.raises(FrameError):
+            await FrameReader(right, max_bytes=4096).read()
+
+    anyio.run(scenario)
