Add the command table and the start of the two daemons

Cause: the roles need flags, environment variables and planned stops. Result: wrong settings are reported together with exit status 2.

--- /dev/null
+++ b/src/quetzaldyke/commands/daemons.py
@@ -0,0 +1,127 @@
+"""Starts the two daemons with settings from flags and the environment."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from signal import SIGINT, SIGTERM
+from typing import Any, Final, Protocol, TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err
+
+from quetzaldyke.process.logs import add_stderr_destination
+from quetzaldyke.process.settings import (
+    EntrySettings,
+    ProcessSettings,
+    SidecarSettings,
+    load_settings,
+)
+
+SETTINGS_STATUS: Final = 2
+
+Run = Callable[..., Coroutine[Any, Any, None]]
+SettingsT = TypeVar('SettingsT', bound=ProcessSettings)
+
+
+class Stoppable(Protocol):
+    """A running role."""
+
+    stopping: anyio.Event
+
+
+def parse_flags(arguments: Sequence[str]) -> dict[str, str]:
+    """Return the flags of a command line, without a library.
+
+    >>> parse_flags(['--pool', 'orders', '--max-streams=4'])
+    {'pool': 'orders', 'max_streams': '4'}
+    """
+    flags: dict[str, str] = {}
+    waiting = ''
+    for argument in arguments:
+        if waiting:
+            flags[waiting] = argument
+            waiting = ''
+            continue
+        name, equals, content = argument.partition('=')
+        key = name.removeprefix('--').replace('-', '_')
+        if equals:
+            flags[key] = content
+        else:
+            waiting = key
+    if waiting:
+        flags[waiting] = ''
+    return flags
+
+
+def settings_or_exit(
+    model: type[SettingsT],
+    flags: Mapping[str, object],
+) -> SettingsT:
+    """Return checked settings, or print every finding and exit."""
+    loaded = load_settings(model, flags)
+    if isinstance(loaded, Err):
+        sys.stderr.write(f'{loaded.err_value.render()}\n')
+        sys.exit(SETTINGS_STATUS)
+    return loaded.ok_value
+
+
+async def stop_on_signal(process: Stoppable, scope: anyio.CancelScope) -> None:
+    """Start the planned stop at SIGTERM or SIGINT; a second one ends it."""
+    with anyio.open_signal_receiver(SIGTERM, SIGINT) as signals:
+        async for _ in signals:
+            if process.stopping.is_set():
+                scope.cancel()
+            process.stopping.set()
+
+
+async def run_role(
+    run: Run,
+    settings: ProcessSettings,
+) -> None:
+    """Run a role until its planned stop is complete."""
+    async with anyio.create_task_group() as signals:
+        async with anyio.create_task_group() as group:
+            process = await start_in(group, run, settings)
+            signals.start_soon(stop_on_signal, process, group.cancel_scope)
+        signals.cancel_scope.cancel()
+
+
+async def start_in(
+    group: TaskGroup,
+    run: Run,
+    settings: ProcessSettings,
+) -> Stoppable:
+    """Start a role in a task group and return its process object."""
+    process: Stoppable = await group.start(run, settings)
+    return process
+
+
+def run_daemon(
+    module_name: str,
+    function_name: str,
+    settings: ProcessSettings,
+) -> None:
+    """Run a role on uvloop; its module is imported only here."""
+    module = importlib.import_module(f'quetzaldyke.process.{module_name}')
+    add_stderr_destination()
+    anyio.run(
+        run_role,
+        getattr(module, function_name),
+        settings,
+        backend_options={'use_uvloop': True},
+    )
+
+
+def entry(*arguments: str) -> None:
+    """Run an entry."""
+    settings = settings_or_exit(EntrySettings, parse_flags(arguments))
+    run_daemon('entry', 'run_entry', settings)
+
+
+def sidecar(*arguments: str) -> None:
+    """Run a sidecar."""
+    settings = settings_or_exit(SidecarSettings, parse_flags(arguments))
+    run_daemon('sidecar', 'run_sidecar', settings)
--- a/src/quetzaldyke/commands/table.py
+++ b/src/quetzaldyke/commands/table.py
@@ -1,8 +1,43 @@
-"""Table of the sub-commands."""
+"""Table of the sub-commands; a module is imported when it is needed.
+
+The sidecar stands beside every endpoint, so its process must not import
+what only other commands use.
+"""
 
 from __future__ import annotations
 
+import importlib
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import Final
 
-COMMANDS: Final[dict[str, Callable[..., object]]] = {}
+COMMANDS: Final = MappingProxyType(
+    {
+        'entry': 'daemons:entry',
+        'sidecar': 'daemons:sidecar',
+        'standin': 'standin:run_standin',
+        'config': 'config:CONFIG_COMMANDS',
+        'job': 'job:JOB_COMMANDS',
+        'timeline': 'timeline:timeline',
+        'explain': 'explain:explain',
+        'check-settings': 'check_settings:check_settings',
+        'demo': 'demo:demo',
+        'bench': 'bench:bench',
+        'capacity': 'capacity:capacity',
+    }
+)
+
+DAEMONS: Final = frozenset(('entry', 'sidecar'))
+
+
+def resolve(name: str) -> Callable[..., object]:
+    """Import and return a sub-command."""
+    module_name, _, attribute = COMMANDS[name].partition(':')
+    module = importlib.import_module(f'quetzaldyke.commands.{module_name}')
+    command: Callable[..., object] = getattr(module, attribute)
+    return command
+
+
+def usage() -> str:
+    """Return the list of the sub-commands."""
+    return f'usage: quetzaldyke {{{"|".join(COMMANDS)}}} [--flag value ...]'
