Space out heartbeats by the number of connections

Cause: 520 connections with a heartbeat of 40 bytes each second in both directions cost an entry 41 KB/s, six times the limit for control. Change: the interval grows so that a process sends at most 3 KB/s of heartbeats, is announced to the peer, and a heartbeat is sent only when no other message was. Before, computed for 130 connections: 5.2 KB/s sent; after: 3 KB/s at an interval of 1.73 s. Conclusion: death of a silent instance is noticed after 5.2 s instead of 3 s at that size; a closed connection is still noticed at once.

--- a/src/quetzaldyke/connection/links.py
+++ b/src/quetzaldyke/connection/links.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Final
 
 import anyio
 from anyio.abc import (
@@ -25,12 +26,20 @@
     Message,
 )
 from quetzaldyke.connection.peer import (
+    HEARTBEAT_INTERVAL_S,
+    MISSED_INTERVALS,
     HandshakeError,
     PeerClosed,
     PeerSession,
     open_session,
 )
-from quetzaldyke.parts.hlc import HybridClock, Stamp
+from quetzaldyke.parts.hlc import MS_IN_S, HybridClock, Stamp
+
+# One heartbeat with its frame, sent on each connection. A process with many
+# connections spaces them out, because all control traffic of a process has
+# to stay under 7 KB/s.
+HEARTBEAT_BYTES: Final = 40
+HEARTBEAT_BYTES_PER_S: Final = 3000
 
 OnOpen = Callable[[PeerSession], Awaitable[None]]
 OnMessage = Callable[[PeerSession, Message], Awaitable[None]]
@@ -60,6 +69,7 @@
     on_open: OnOpen
     on_message: OnMessage
     on_close: OnClose
+    open_sessions: int = 0
 
 
 def stamp_row(stamp: Stamp) -> list[int | str]:
@@ -74,16 +84,43 @@
             clock.observe(Stamp(wall_ms, counter, process))
 
 
+def heartbeat_interval_s(open_sessions: int) -> float:
+    """Return the interval that keeps heartbeats within their byte budget.
+
+    >>> heartbeat_interval_s(10), heartbeat_interval_s(150)
+    (1.0, 2.0)
+    """
+    needed_s = open_sessions * HEARTBEAT_BYTES / HEARTBEAT_BYTES_PER_S
+    return max(HEARTBEAT_INTERVAL_S, needed_s)
+
+
 def make_heartbeat(options: LinkOptions) -> Heartbeat:
-    """Return a heartbeat with the present stamp and version."""
+    """Return a heartbeat with the present stamp, version and interval."""
+    interval_s = heartbeat_interval_s(options.open_sessions)
     return Heartbeat(
         stamp_row(options.clock.now()),
         options.config_version(),
+        int(interval_s * MS_IN_S),
+    )
+
+
+def note_heartbeat(
+    session: PeerSession,
+    options: LinkOptions,
+    heartbeat: Heartbeat,
+) -> None:
+    """Follow the peer's clock and its announced interval."""
+    observe_row(options.clock, heartbeat.stamp)
+    interval_s = heartbeat.interval_ms / MS_IN_S
+    session.silence_limit_s = MISSED_INTERVALS * max(
+        interval_s,
+        HEARTBEAT_INTERVAL_S,
     )
 
 
 async def serve_session(session: PeerSession, options: LinkOptions) -> None:
     """Run an authenticated session until it ends."""
+    options.open_sessions += 1
     async with anyio.create_task_group() as group:
         group.start_soon(write_until_closed, session, group.cancel_scope)
         group.start_soon(
@@ -94,12 +131,13 @@
             await options.on_open(session)
             async for message in session.messages():
                 if isinstance(message, Heartbeat):
-                    observe_row(options.clock, message.stamp)
+                    note_heartbeat(session, options, message)
                 await options.on_message(session, message)
         except CONNECTION_FAULTS:
             pass
         finally:
             session.closed = True
+            options.open_sessions -= 1
             options.on_close(session)
             group.cancel_scope.cancel()
 
--- a/src/quetzaldyke/connection/messages.py
+++ b/src/quetzaldyke/connection/messages.py
@@ -43,11 +43,12 @@
 
 @dataclass(slots=True)
 class Heartbeat(Message):
-    """Sent each second so that silence means a dead peer."""
+    """Sent when nothing else was, so that silence means a dead peer."""
 
     kind: ClassVar[int] = 2
     stamp: list[int | str]
     config_version: int
+    interval_ms: int = 1000  # longest silence before the next message
 
 
 @dataclass(slots=True)
--- a/src/quetzaldyke/connection/peer.py
+++ b/src/quetzaldyke/connection/peer.py
@@ -32,13 +32,15 @@
     from_row,
     to_row,
 )
+from quetzaldyke.parts.hlc import MS_IN_S
 
 HANDSHAKE_TIMEOUT_S: Final = 5.0
 HANDSHAKE_FRAME_BYTES: Final = 4096
 CHALLENGE_BYTES: Final = 16
 FLUSH_INTERVAL_S: Final = 0.002
 HEARTBEAT_INTERVAL_S: Final = 1.0
-SILENCE_LIMIT_S: Final = 3.0
+# A peer that stays silent for this many of its intervals counts as dead.
+MISSED_INTERVALS: Final = 3.0
 # A peer that does not read for long has its connection closed, so that its
 # unread messages can't fill this process's memory.
 MAX_PENDING_BYTES: Final = 16_777_216
@@ -61,17 +63,21 @@
     remote: Hello
     outbox: Outbox = field(default_factory=Outbox)
     closed: bool = False
+    silence_limit_s: float = HEARTBEAT_INTERVAL_S * MISSED_INTERVALS
+    # Frames sent since the last heartbeat was due.
+    sent_frames: int = 0
 
     def send(self, message: Message) -> None:
         """Queue a message; does nothing on a closed session."""
         if self.closed:
             return
         self.outbox.put(encode_frame(to_row(message)))
+        self.sent_frames += 1
 
     async def messages(self) -> AsyncIterator[Message]:
         """Yield messages until the peer closes or falls silent."""
         while True:
-            row = await read_or_none(self.reader)
+            row = await read_or_none(self.reader, self.silence_limit_s)
             if row is None:
                 return
             yield from_row(row)
@@ -89,20 +95,32 @@
         self,
         make_heartbeat: Callable[[], Heartbeat],
     ) -> None:
-        """Send heartbeats until cancelled."""
+        """Send a heartbeat when an interval passed without a message.
+
+        A changed interval is always announced, because the peer judges
+        silence by it.
+        """
+        announced_ms = 0
         while True:
-            self.send(make_heartbeat())
-            await anyio.sleep(HEARTBEAT_INTERVAL_S)
+            heartbeat = make_heartbeat()
+            if not self.sent_frames or heartbeat.interval_ms != announced_ms:
+                self.send(heartbeat)
+                announced_ms = heartbeat.interval_ms
+            self.sent_frames = 0
+            await anyio.sleep(heartbeat.interval_ms / MS_IN_S)
 
     async def flush(self) -> None:
         """Write everything that is queued now."""
         await self.stream.send(self.outbox.drain())
 
 
-async def read_or_none(reader: FrameReader) -> list[object] | None:
+async def read_or_none(
+    reader: FrameReader,
+    limit_s: float,
+) -> list[object] | None:
     """Read a row; None when the stream ended or stayed silent too long."""
     try:
-        with anyio.fail_after(SILENCE_LIMIT_S):
+        with anyio.fail_after(limit_s):
             return await reader.read()
     except (
         TimeoutError,
