--- /dev/null
+++ b/src/quetzaldyke/process/metrics.py
@@ -0,0 +1,163 @@
+"""Counters, gauges and latency quantiles of one process.
+
+Rendered in the text exposition format. Quantiles come from one
+high-dynamic-range histogram for each series.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST: Final = 1  # us
+HIGHEST: Final = 3_600_000_000  # us, one hour
+SIGNIFICANT_DIGITS: Final = 2
+US_IN_MS: Final = 1000
+QUANTILES: Final = (0.5, 0.9, 0.95, 0.99, 0.999)
+PERCENT: Final = 100
+# A series is never forgotten, so labels must come from bounded sets. Further
+# series beyond the limit are counted under one label.
+MAX_SERIES: Final = 10_000
+OVERFLOW: Final = (('overflow', 'true'),)
+
+Labels = tuple[tuple[str, str], ...]
+Series = tuple[str, Labels]
+
+
+def render_labels(labels: Labels) -> str:
+    """Return labels in the exposition format.
+
+    >>> render_labels((('pool', 'orders'),))
+    '{pool="orders"}'
+    """
+    if not labels:
+        return ''
+    pairs = [f'{name}="{escape(text)}"' for name, text in labels]
+    return f'{{{",".join(pairs)}}}'
+
+
+def escape(text: str) -> str:
+    r"""Escape a label's text.
+
+    >>> escape('a"b')
+    'a\\"b'
+    """
+    quoted = text.replace('\\', '\\\\').replace('"', '\\"')
+    return quoted.replace('\n', '\\n')
+
+
+def series_of(name: str, labels: dict[str, str]) -> Series:
+    """Return the key of a series."""
+    return name, tuple(sorted(labels.items()))
+
+
+@dataclass(slots=True)
+class Metrics:
+    """All series of a process.
+
+    >>> metrics = Metrics()
+    >>> metrics.count('requests_total', pool='orders')
+    >>> metrics.observe_ms('ttft_ms', 12.5, pool='orders')
+    >>> print(metrics.render())
+    # TYPE requests_total counter
+    requests_total{pool="orders"} 1
+    # TYPE ttft_ms summary
+    ttft_ms{pool="orders",quantile="0.5"} 12.543
+    ttft_ms{pool="orders",quantile="0.9"} 12.543
+    ttft_ms{pool="orders",quantile="0.95"} 12.543
+    ttft_ms{pool="orders",quantile="0.99"} 12.543
+    ttft_ms{pool="orders",quantile="0.999"} 12.543
+    ttft_ms_sum{pool="orders"} 12.5
+    ttft_ms_count{pool="orders"} 1
+    <BLANKLINE>
+    """
+
+    counters: dict[Series, float] = field(default_factory=dict)
+    histograms: dict[Series, HdrHistogram] = field(default_factory=dict)
+    sums: dict[Series, float] = field(default_factory=dict)
+    gauges: dict[Series, Callable[[], float]] = field(default_factory=dict)
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        series = self.bounded(self.counters, series_of(name, labels))
+        self.counters[series] = self.counters.get(series, 0) + amount
+
+    def observe_ms(self, name: str, elapsed_ms: float, **labels: str) -> None:
+        """Record one duration."""
+        series = self.bounded(self.histograms, series_of(name, labels))
+        histogram = self.histograms.get(series)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST, HIGHEST, SIGNIFICANT_DIGITS)
+            self.histograms[series] = histogram
+        in_us = int(elapsed_ms * US_IN_MS)
+        histogram.record_value(min(max(in_us, LOWEST), HIGHEST))
+        self.sums[series] = self.sums.get(series, 0) + elapsed_ms
+
+    def gauge(
+        self, name: str, read: Callable[[], float], **labels: str
+    ) -> None:
+        """Register a value that is read when metrics are rendered."""
+        self.gauges[series_of(name, labels)] = read
+
+    def quantile_ms(self, name: str, quantile: float, **labels: str) -> float:
+        """Return a quantile of a series; 0 when nothing was recorded."""
+        histogram = self.histograms.get(series_of(name, labels))
+        return quantile_of(histogram, quantile) if histogram else 0
+
+    def bounded(self, known: dict[Series, object], series: Series) -> Series:
+        """Return the series, or the shared one when there are too many."""
+        if series in known or len(known) < MAX_SERIES:
+            return series
+        return series[0], OVERFLOW
+
+    def render(self) -> str:
+        """Return everything in the text exposition format."""
+        lines = [
+            *render_family(self.counters, 'counter'),
+            *render_family(
+                {series: read() for series, read in self.gauges.items()},
+                'gauge',
+            ),
+            *self.render_summaries(),
+        ]
+        return ''.join(f'{line}\n' for line in lines)
+
+    def render_summaries(self) -> Iterator[str]:
+        """Yield the lines of all histograms."""
+        last_name = ''
+        for series in sorted(self.histograms):
+            name, labels = series
+            if name != last_name:
+                yield f'# TYPE {name} summary'
+                last_name = name
+            histogram = self.histograms[series]
+            for quantile in QUANTILES:
+                marked = (*labels, ('quantile', f'{quantile:g}'))
+                amount = quantile_of(histogram, quantile)
+                yield f'{name}{render_labels(marked)} {amount:g}'
+            text = render_labels(labels)
+            yield f'{name}_sum{text} {self.sums[series]:.12g}'
+            yield f'{name}_count{text} {histogram.get_total_count()}'
+
+
+def quantile_of(histogram: HdrHistogram, quantile: float) -> float:
+    """Return a quantile in ms."""
+    in_us: float = histogram.get_value_at_percentile(quantile * PERCENT)
+    return in_us / US_IN_MS
+
+
+def render_family(
+    samples: dict[Series, float],
+    kind: str,
+) -> Iterator[str]:
+    """Yield the lines of counters or gauges, grouped by name."""
+    last_name = ''
+    for name, labels in sorted(samples):
+        if name != last_name:
+            yield f'# TYPE {name} {kind}'
+            last_name = name
+        amount = samples[name, labels]
+        yield f'{name}{render_labels(labels)} {amount:.12g}'
--- /dev/null
+++ b/src/quetzaldyke/version/store.py
@@ -0,0 +1,299 @@
+"""The one value that holds the configuration in the key-value service.
+
+It has the version, the packed document and the latest patches with their
+ids. A patch names the version that it was made against; since the version
+rises by one with each patch, at most one patch is accepted on each version.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any, Final, Literal
+
+import anyio
+import msgpack
+from result import Err, Ok, Result
+
+from quetzaldyke.parts.errors import Errors
+from quetzaldyke.parts.hlc import wall_clock_ms
+from quetzaldyke.parts.kv import KeyValueStore, KvError, Refused, read, swap
+from quetzaldyke.version.configuration import (
+    EMPTY,
+    Configuration,
+    pack_document,
+    unpack_document,
+)
+from quetzaldyke.version.patching import (
+    Operations,
+    apply_patch,
+    digest_of,
+    pack_operations,
+    unpack_operations,
+)
+
+CONFIG_KEY: Final = 'config'
+KEPT_PATCHES: Final = 64
+# Room for the document within the limit of a value; the operations of the
+# oldest patches are dropped beyond it, their ids stay.
+KEPT_OPERATION_BYTES: Final = 131_072
+MAX_SETTLE_TRIES: Final = 5
+SETTLE_PAUSE_S: Final = 0.05
+
+PatchErrorKind = Literal[
+    'stale',  # made against another version
+    'invalid',  # does not apply, or the outcome is not valid
+    'reused',  # the id belongs to an accepted patch of other content
+    'too_old',  # base older than the history: an earlier send may be in
+    'too_large',
+    'unavailable',  # certainly not accepted
+    'unknown',  # may have been accepted; send the same id again
+]
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedPatch:
+    """An accepted patch in the history."""
+
+    patch_id: str
+    version: int
+    digest: str
+    accepted_ms: int
+    packed_operations: bytes
+
+    @property
+    def operations(self) -> list[dict[str, Any]]:
+        """Return the operations, or none when they were dropped."""
+        return unpack_operations(self.packed_operations)
+
+    def as_row(self) -> list[object]:
+        """Return the stored form."""
+        return [
+            self.patch_id,
+            self.version,
+            self.digest,
+            self.accepted_ms,
+            self.packed_operations,
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Contents of the value."""
+
+    version: int = 0
+    document: bytes = b''
+    patches: tuple[AppliedPatch, ...] = ()
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Head:
+        """Decode a stored payload; an empty one is version 0."""
+        if not payload:
+            return cls()
+        version, document, rows = msgpack.unpackb(payload)
+        return cls(
+            version,
+            document,
+            tuple(AppliedPatch(*row) for row in rows),
+        )
+
+    def pack(self) -> bytes:
+        """Encode for storage."""
+        rows = [patch.as_row() for patch in self.patches]
+        return bytes(msgpack.packb([self.version, self.document, rows]))
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the document as a configuration."""
+        return unpack_document(self.document) if self.document else EMPTY
+
+    def find(self, patch_id: str) -> AppliedPatch | None:
+        """Return the accepted patch of an id."""
+        for patch in self.patches:
+            if patch.patch_id == patch_id:
+                return patch
+        return None
+
+    def covers(self, base_version: int) -> bool:
+        """Tell whether the history has every patch after a version."""
+        oldest = self.version - len(self.patches)
+        return base_version >= oldest
+
+    def since(self, version: int) -> list[AppliedPatch] | None:
+        """Return the patches after a version; None if any is not kept."""
+        later = [one for one in self.patches if one.version > version]
+        complete = len(later) == self.version - version
+        if not complete or any(not one.packed_operations for one in later):
+            return None
+        return later
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A patch that is certainly in the history."""
+
+    version: int
+    # The value as it was read; it may be later than the patch's version.
+    head: Head
+    repeated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PatchError:
+    """A patch that was not accepted, or not known to be."""
+
+    kind: PatchErrorKind
+    detail: str = ''
+    head: Head | None = None
+    findings: Errors | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Patch:
+    """A patch as an operator sent it."""
+
+    patch_id: str
+    base_version: int
+    operations: Operations
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the content."""
+        return digest_of(self.base_version, self.operations)
+
+
+async def read_head(store: KeyValueStore) -> Result[Head, KvError]:
+    """Read the value; an absent one is version 0."""
+    answer = await read(store, CONFIG_KEY)
+    return answer.map(lambda stored: Head.unpack(stored.payload))
+
+
+async def submit_patch(
+    store: KeyValueStore,
+    base_version: int,
+    patch_id: str,
+    operations: Operations,
+    read_wall_ms: Callable[[], int] = wall_clock_ms,
+) -> Result[Accepted, PatchError]:
+    """Accept a patch against a version, once for each patch id.
+
+    The history settles a lost answer: when it reaches back to the base
+    version, the patch is either in it or can no longer be accepted.
+    """
+    patch = Patch(patch_id, base_version, operations)
+    outcome: Result[Accepted, PatchError] = Err(PatchError('unavailable'))
+    uncertain = False
+    for _ in range(MAX_SETTLE_TRIES):
+        outcome = await submit_once(store, patch, read_wall_ms)
+        if isinstance(outcome, Ok) or outcome.err_value.kind != 'unknown':
+            break
+        uncertain = True
+        await anyio.sleep(SETTLE_PAUSE_S)
+    if isinstance(outcome, Err) and uncertain:
+        return Err(weaken(outcome.err_value))
+    return outcome
+
+
+def weaken(error: PatchError) -> PatchError:
+    """Return what may be said after an earlier try may have been applied."""
+    if error.kind == 'unavailable':
+        return replace(error, kind='unknown')
+    return error
+
+
+async def submit_once(
+    store: KeyValueStore,
+    patch: Patch,
+    read_wall_ms: Callable[[], int],
+) -> Result[Accepted, PatchError]:
+    """Try one swap; its answer may be `unknown`."""
+
+    def change(payload: bytes) -> bytes | Refused[Accepted | PatchError]:
+        return decide(Head.unpack(payload), patch, read_wall_ms())
+
+    outcome = await swap(store, CONFIG_KEY, change)
+    if isinstance(outcome, Ok):
+        return accepted_in(Head.unpack(outcome.ok_value.payload), patch)
+    match outcome.err_value:
+        case Refused(Accepted() as accepted):
+            return Ok(accepted)
+        case Refused(PatchError() as error):
+            return Err(error)
+        case KvError(kind='too_large', detail=detail):
+            return Err(PatchError('too_large', detail))
+        case KvError(kind='unknown', detail=detail):
+            return Err(PatchError('unknown', detail))
+        case failure:
+            return Err(PatchError('unavailable', str(failure)))
+
+
+def accepted_in(head: Head, patch: Patch) -> Result[Accepted, PatchError]:
+    """Return the answer for a patch that was written."""
+    found = head.find(patch.patch_id)
+    if found is None:
+        # More than KEPT_PATCHES later patches came before the read-back.
+        return Err(PatchError('unknown', 'no longer in the history', head))
+    return Ok(Accepted(found.version, head))
+
+
+def decide(
+    head: Head,
+    patch: Patch,
+    now_ms: int,
+) -> bytes | Refused[Accepted | PatchError]:
+    """Return the new payload, or why the patch is not applied now."""
+    known = head.find(patch.patch_id)
+    if known is not None:
+        return Refused(first_answer(head, known, patch))
+    if patch.base_version != head.version:
+        covered = head.covers(patch.base_version)
+        kind: PatchErrorKind = 'stale' if covered else 'too_old'
+        return Refused(PatchError(kind, f'version {head.version}', head))
+    outcome = apply_patch(head.configuration, patch.operations)
+    if isinstance(outcome, Err):
+        return Refused(
+            PatchError('invalid', head=head, findings=outcome.err_value),
+        )
+    return next_head(head, patch, outcome.ok_value, now_ms).pack()
+
+
+def first_answer(
+    head: Head,
+    known: AppliedPatch,
+    patch: Patch,
+) -> Accepted | PatchError:
+    """Return the answer that the first send of a patch id had."""
+    if known.digest != patch.digest:
+        return PatchError('reused', f'accepted as version {known.version}')
+    return Accepted(known.version, head, repeated=True)
+
+
+def next_head(
+    head: Head,
+    patch: Patch,
+    configuration: Configuration,
+    now_ms: int,
+) -> Head:
+    """Return the value after a patch."""
+    version = head.version + 1
+    applied = AppliedPatch(
+        patch.patch_id,
+        version,
+        patch.digest,
+        now_ms,
+        pack_operations(patch.operations),
+    )
+    kept = (*head.patches, applied)[-KEPT_PATCHES:]
+    return Head(version, pack_document(configuration), trim(kept))
+
+
+def trim(patches: tuple[AppliedPatch, ...]) -> tuple[AppliedPatch, ...]:
+    """Drop the operations of the oldest patches beyond the size limit."""
+    room = KEPT_OPERATION_BYTES
+    kept: list[AppliedPatch] = []
+    for patch in reversed(patches):
+        room -= len(patch.packed_operations)
+        kept.append(
+            patch if room >= 0 else replace(patch, packed_operations=b''),
+        )
+    return tuple(reversed(kept))
