Type the metrics and the operators' patch answer strictly

Change: the shared bound on series takes a mapping; the patch answer is told apart by its result type.

--- a/src/quetzaldyke/process/metrics.py
+++ b/src/quetzaldyke/process/metrics.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -107,7 +107,7 @@
         histogram = self.histograms.get(series_of(name, labels))
         return quantile_of(histogram, quantile) if histogram else 0
 
-    def bounded(self, known: dict[Series, object], series: Series) -> Series:
+    def bounded(self, known: Mapping[Series, object], series: Series) -> Series:
         """Return the series, or the shared one when there are too many."""
         if series in known or len(known) < MAX_SERIES:
             return series
--- a/src/quetzaldyke/process/operators_http.py
+++ b/src/quetzaldyke/process/operators_http.py
@@ -13,6 +13,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 from pydantic import ValidationError as ModelError
+from result import Err, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, PlainTextResponse, Response
@@ -198,21 +199,34 @@
         body.patch_id,
         body.patch,
     )
-    answer = outcome.ok() or outcome.err()
+    log_patch(context, body, outcome)
+    if isinstance(outcome, Err):
+        failure = outcome.err_value
+        if failure.head is not None:
+            context.on_head(failure.head)
+        return patch_refusal(failure)
+    accepted = outcome.ok_value
+    context.on_head(accepted.head)
+    return JSONResponse(
+        {'version': accepted.version, 'repeated': accepted.repeated},
+    )
+
+
+def log_patch(
+    context: OperatorsContext,
+    body: PatchBody,
+    outcome: Result[Accepted, PatchError],
+) -> None:
+    """Log what became of a patch."""
+    told = 'accepted' if outcome.is_ok() else outcome.unwrap_err().kind
+    accepted = outcome.ok()
     context.log_event(
         'config_patch',
         patch_id=body.patch_id,
         base_version=body.base_version,
-        outcome='accepted' if outcome.is_ok() else outcome.err_value.kind,
-        version=answer.version if isinstance(answer, Accepted) else '',
+        outcome=told,
+        version=accepted.version if accepted else '',
     )
-    if answer is not None and answer.head is not None:
-        context.on_head(answer.head)
-    if isinstance(answer, Accepted):
-        return JSONResponse(
-            {'version': answer.version, 'repeated': answer.repeated},
-        )
-    return patch_refusal(outcome.unwrap_err())
 
 
 def patch_refusal(failure: PatchError) -> JSONResponse:
