Add the sidecar: relay, admission, crash handling, orders and draining

Cause: entries had nothing to send work to. Change: run_sidecar serves one engine or plain service. Requests go through an online queue and an adaptive limit; batch needs a grant and is preempted with its partial text handed back. Suspects, fencing, cancelled jobs, configuration and the planned stop are handled as the design says.

--- /dev/null
+++ b/src/quetzaldyke/connection/answers.py
@@ -0,0 +1,141 @@
+"""The sending side of one answer: numbering, credit and coalescing.
+
+The endpoint is read ahead of the caller up to a limit, so that a slow
+caller neither holds a slot of the endpoint longer than needed nor delays
+another request of the same connection. Text that waits for credit, or that
+arrives within one step of the event loop, goes out as one chunk.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+
+from quetzaldyke.connection.calls import WINDOW_CHUNKS
+from quetzaldyke.connection.http_endpoint import Answer
+from quetzaldyke.connection.messages import Chunk, End, Failed
+from quetzaldyke.connection.peer import PeerSession
+
+# Bytes that may wait for the caller before the endpoint is read no further.
+READ_AHEAD_BYTES: Final = 262_144
+
+
+@dataclass(slots=True)
+class AnswerStream:
+    """One answer on its way to the entry that asked for it."""
+
+    session: PeerSession
+    request_id: str
+    credit: int = WINDOW_CHUNKS
+    seq: int = 0
+    text: list[str] = field(default_factory=list)
+    tokens: int = 0
+    raw: list[bytes] = field(default_factory=list)
+    waiting_bytes: int = 0
+    flush_planned: bool = False
+    ending: Answer | None = None
+    closed: bool = False
+    room: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def full(self) -> bool:
+        """Tell whether the caller is too far behind to read on."""
+        return self.waiting_bytes >= READ_AHEAD_BYTES and not self.closed
+
+    def add_text(self, text: str, tokens: int) -> None:
+        """Queue text of a model's answer."""
+        self.text.append(text)
+        self.tokens += tokens
+        self.waiting_bytes += len(text)
+        self.plan_flush()
+
+    def add_raw(self, raw: bytes) -> None:
+        """Queue bytes of a plain service's answer; each part is a chunk."""
+        self.raw.append(raw)
+        self.waiting_bytes += len(raw)
+        self.flush()
+
+    def plan_flush(self) -> None:
+        """Flush after the present step of the event loop."""
+        if self.flush_planned:
+            return
+        self.flush_planned = True
+        asyncio.get_running_loop().call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Send what waits as far as the credit allows."""
+        self.flush_planned = False
+        if self.closed:
+            return
+        while self.raw and self.credit:
+            self.send_chunk(
+                Chunk(self.request_id, self.seq, '', 0, self.raw[0])
+            )
+            self.waiting_bytes -= len(self.raw.pop(0))
+        if self.text and self.credit:
+            text = ''.join(self.text)
+            self.send_chunk(Chunk(self.request_id, self.seq, text, self.tokens))
+            self.waiting_bytes -= len(text)
+            self.text.clear()
+            self.tokens = 0
+        if not self.full:
+            self.room.set()
+        self.send_end()
+
+    def send_chunk(self, chunk: Chunk) -> None:
+        """Send one numbered chunk."""
+        self.session.send(chunk)
+        self.seq += 1
+        self.credit -= 1
+
+    def send_end(self) -> None:
+        """Send the closing message once every chunk was sent."""
+        if self.ending is None or self.text or self.raw:
+            return
+        self.closed = True
+        self.session.send(
+            End(
+                self.request_id,
+                self.seq,
+                self.ending.status,
+                self.ending.headers,
+                self.ending.body,
+                self.ending.finish_reason,
+                self.ending.prompt_tokens,
+                self.ending.completion_tokens,
+            )
+        )
+
+    def grant(self, chunks: int) -> None:
+        """Add credit from the receiver."""
+        self.credit += chunks
+        self.flush()
+
+    async def wait_room(self) -> None:
+        """Wait until the caller has read enough."""
+        while self.full:
+            self.room = anyio.Event()
+            await self.room.wait()
+
+    def finish(self, answer: Answer) -> None:
+        """End the answer after what still waits."""
+        self.ending = answer
+        self.flush()
+
+    def fail(self, failed: Failed) -> None:
+        """End the answer at once without a result."""
+        if self.closed:
+            return
+        self.close()
+        self.session.send(failed)
+
+    def close(self) -> None:
+        """Drop what waits; the caller is gone or gets a failure."""
+        self.closed = True
+        self.text.clear()
+        self.raw.clear()
+        self.waiting_bytes = 0
+        self.room.set()
--- /dev/null
+++ b/src/quetzaldyke/connection/http_endpoint.py
@@ -0,0 +1,136 @@
+"""HTTP to the endpoint on this instance, shared by both kinds of client.
+
+A refused connection is the only failure that proves that the endpoint never
+saw the request; every other failure leaves that open.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final, Literal
+
+import anyio
+import httpcore
+
+KEEPALIVE_S: Final = 4.0
+MAX_CONNECTIONS: Final = 1024
+CONTROL_TIMEOUT_S: Final = 2.0
+SUCCESS_LIMIT: Final = 300
+SERVER_ERROR: Final = 500
+
+# Headers that belong to one connection and are never passed on.
+CONNECTION_HEADERS: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+NOT_REACHED = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+BROKEN = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+Ran = Literal['not_run', 'ran', 'unknown']
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointFailure:
+    """The endpoint gave no whole answer."""
+
+    ran: Ran
+    reason: str
+    broken: bool = False  # the connection broke: the endpoint may have died
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How a whole answer ended."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes = b''
+    finish_reason: str = ''
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+def make_pool() -> httpcore.AsyncConnectionPool:
+    """Return the connections to one endpoint."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS,
+        keepalive_expiry=KEEPALIVE_S,
+    )
+
+
+def failure_of(exc: Exception) -> EndpointFailure:
+    """Return what a fault of the connection proves."""
+    name = type(exc).__name__
+    if isinstance(exc, httpcore.LocalProtocolError):
+        return EndpointFailure('not_run', 'malformed request')
+    if isinstance(exc, NOT_REACHED):
+        reason = f'endpoint not reached: {name}'
+        return EndpointFailure('not_run', reason, broken=True)
+    return EndpointFailure('unknown', f'endpoint failed: {name}', broken=True)
+
+
+def passed_on(headers: Mapping[str, str]) -> list[tuple[str, str]]:
+    """Return the headers that go on to the next hop.
+
+    >>> passed_on({'Host': 'a', 'Accept': 'b'})
+    [('Accept', 'b')]
+    """
+    return [
+        (name, content)
+        for name, content in headers.items()
+        if name.lower() not in CONNECTION_HEADERS
+    ]
+
+
+def headers_of(response: httpcore.Response) -> dict[str, str]:
+    """Return a response's headers without those of the connection."""
+    named = {
+        name.decode('latin-1').lower(): content.decode('latin-1')
+        for name, content in response.headers
+    }
+    return dict(passed_on(named))
+
+
+def http_timeouts(read_s: float | None) -> dict[str, object]:
+    """Return the timeouts of a request; None waits without a limit."""
+    return {
+        'timeout': {
+            'connect': CONTROL_TIMEOUT_S,
+            'pool': CONTROL_TIMEOUT_S,
+            'write': None,
+            'read': read_s,
+        },
+    }
+
+
+async def read_body(response: httpcore.Response, limit: int) -> bytes:
+    """Return a body, cut at `limit` bytes."""
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if len(body) > limit:
+            break
+    return bytes(body[:limit])
--- /dev/null
+++ b/src/quetzaldyke/connection/service_client.py
@@ -0,0 +1,89 @@
+"""Client of the plain service on this instance.
+
+Small answers travel in the closing message alone; the parts of a larger one
+are handed on as they arrive.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import httpcore
+from result import Err, Ok, Result
+
+from quetzaldyke.connection.http_endpoint import (
+    BROKEN,
+    CONTROL_TIMEOUT_S,
+    SERVER_ERROR,
+    Answer,
+    EndpointFailure,
+    failure_of,
+    headers_of,
+    http_timeouts,
+    make_pool,
+    passed_on,
+)
+from quetzaldyke.connection.messages import Submit
+
+PART_BYTES: Final = 65536
+
+
+@dataclass(slots=True)
+class ServiceClient:
+    """Connections to one plain service."""
+
+    address: str
+    pool: httpcore.AsyncConnectionPool = field(default_factory=make_pool)
+
+    async def healthy(self) -> bool:
+        """Tell whether the service answers its health check.
+
+        A service without a health path still proves that it is up.
+        """
+        try:
+            response = await self.pool.request(
+                'GET',
+                f'http://{self.address}/health',
+                extensions=http_timeouts(CONTROL_TIMEOUT_S),
+            )
+        except BROKEN:
+            return False
+        return response.status < SERVER_ERROR
+
+    async def run(
+        self,
+        submit: Submit,
+        on_raw: Callable[[bytes], Awaitable[None]],
+    ) -> Result[Answer, EndpointFailure]:
+        """Run one request and hand on parts of a large answer."""
+        try:
+            async with self.pool.stream(
+                submit.method,
+                f'http://{self.address}{submit.path}',
+                headers=[
+                    *passed_on(submit.headers),
+                    ('X-Request-Id', submit.request_id),
+                ],
+                content=submit.body,
+                extensions=http_timeouts(None),
+            ) as response:
+                rest = await pass_parts(response, on_raw)
+                return Ok(Answer(response.status, headers_of(response), rest))
+        except BROKEN as exc:
+            return Err(failure_of(exc))
+
+
+async def pass_parts(
+    response: httpcore.Response,
+    on_raw: Callable[[bytes], Awaitable[None]],
+) -> bytes:
+    """Hand on full parts of a body and return the rest."""
+    held = bytearray()
+    async for part in response.aiter_stream():
+        held += part
+        while len(held) >= PART_BYTES:
+            await on_raw(bytes(held[:PART_BYTES]))
+            del held[:PART_BYTES]
+    return bytes(held)
--- /dev/null
+++ b/src/quetzaldyke/parts/fencing.py
@@ -0,0 +1,91 @@
+"""Gate for orders: a fresh nonce and a token that is not below the highest.
+
+The token alone would not do: a gate that was restarted has forgotten the
+highest token, and some endpoints ignore it. The giver therefore asks for a
+nonce, then reads its epoch, then sends the order with both. An order that
+was delayed for longer than a nonce lives, or that was meant for the gate's
+former process, has no valid nonce.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final, Literal
+
+from result import Err, Ok, Result
+
+from quetzaldyke.parts.timers import Clock
+
+NONCE_LIFE_S: Final = 2.0
+NONCE_BYTES: Final = 16
+
+Refusal = Literal['nonce not valid', 'token is stale']
+
+
+def random_nonce() -> str:
+    """Return a nonce that nobody can guess."""
+    return secrets.token_hex(NONCE_BYTES)
+
+
+@dataclass(slots=True)
+class FencingGate:
+    """Decides which orders are carried out.
+
+    >>> gate = FencingGate(Clock(read=lambda: 0.0))
+    >>> gate.admit('order-1', gate.prepare('order-1'), token=7).is_ok()
+    True
+    >>> gate.admit('order-2', gate.prepare('order-2'), token=6)
+    Err('token is stale')
+    >>> gate.admit('order-3', 'old-nonce', token=8)
+    Err('nonce not valid')
+    """
+
+    clock: Clock
+    highest: int = 0
+    make_nonce: Callable[[], str] = random_nonce
+    # Nonce to the order that it was made for and the end of its life.
+    nonces: dict[str, tuple[str, float]] = field(default_factory=dict)
+
+    def prepare(self, order_id: str) -> str:
+        """Return a nonce for one order."""
+        self.forget_old()
+        nonce = self.make_nonce()
+        self.nonces[nonce] = (order_id, self.clock.now() + NONCE_LIFE_S)
+        return nonce
+
+    def admit(
+        self,
+        order_id: str,
+        nonce: str,
+        token: int,
+    ) -> Result[None, Refusal]:
+        """Check an order; a nonce serves once."""
+        self.forget_old()
+        made_for, _ = self.nonces.pop(nonce, ('', 0))
+        if made_for != order_id or not nonce:
+            return Err('nonce not valid')
+        if self.stale(token):
+            return Err('token is stale')
+        self.highest = token
+        return Ok(None)
+
+    def stale(self, token: int) -> bool:
+        """Tell whether a higher token was seen."""
+        return token < self.highest
+
+    def note_token(self, token: int) -> None:
+        """Learn a token that the endpoint has seen."""
+        self.highest = max(self.highest, token)
+
+    def forget_old(self) -> None:
+        """Drop the nonces whose life is over."""
+        now_s = self.clock.now()
+        for nonce, (_, expires_s) in list(self.nonces.items()):
+            if expires_s <= now_s:
+                self.nonces.pop(nonce)
+
+    def clear(self) -> None:
+        """Drop every nonce, after a pause of the process."""
+        self.nonces.clear()
--- /dev/null
+++ b/src/quetzaldyke/process/batch_grants.py
@@ -0,0 +1,273 @@
+"""Which entry may start batch items here: demands, grants and lending.
+
+A grant says that room exists now. It expires by this process's clock, which
+bounds how late a paused owner of a segment can still start an item.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+from quetzaldyke.connection.messages import BatchDemand, BatchGrant, Submit
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.version.configuration import EMPTY, Configuration
+
+GRANT_LIFE_S: Final = 2.0
+# Jobs whose slack differs by less count as equally urgent.
+EQUAL_SLACK_S: Final = 60.0
+MAX_SLACK_S: Final = 1e9
+# The share of an organisation's past grants that still counts after one
+# decay interval.
+USE_DECAY: Final = 0.5
+USE_DECAY_INTERVAL_S: Final = 10.0
+
+
+def bounded(slack_s: float) -> float:
+    """Return a slack that can be ordered and rounded.
+
+    >>> bounded(float('inf')) == MAX_SLACK_S
+    True
+    """
+    if math.isnan(slack_s):
+        return 0
+    return max(-MAX_SLACK_S, min(MAX_SLACK_S, slack_s))
+
+
+class DemandKey(NamedTuple):
+    """Who asks for what; the session is named by its identity."""
+
+    session: int
+    pool: str
+    organisation: str
+    job_id: str
+
+
+@dataclass(slots=True)
+class Demand:
+    """Items of one job that wait at one entry."""
+
+    session: PeerSession
+    key: DemandKey
+    count: int
+    slack_s: float
+
+
+@dataclass(slots=True)
+class Grant:
+    """Leave to start some items until a moment."""
+
+    key: DemandKey
+    session: PeerSession
+    count: int
+    expires_s: float
+    used: bool = False
+
+
+@dataclass(slots=True)
+class BatchGrants:
+    """Demands and outstanding grants of one endpoint."""
+
+    pool: str
+    configuration: Configuration = EMPTY
+    demands: dict[DemandKey, Demand] = field(default_factory=dict)
+    grants: dict[int, Grant] = field(default_factory=dict)
+    use: dict[str, float] = field(default_factory=lambda: defaultdict(float))
+    decayed_s: float = 0.0
+    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+
+    def demand(self, session: PeerSession, message: BatchDemand) -> None:
+        """Replace an entry's demand for a job.
+
+        Messages of a connection arrive in order: a count sent before a grant
+        was read still has the granted items in it, so they are taken off.
+        """
+        key = DemandKey(
+            id(session),
+            message.pool,
+            message.organisation,
+            message.job_id,
+        )
+        if message.count <= 0:
+            self.demands.pop(key, None)
+            self.drop_grants(lambda grant: grant.key == key)
+            return
+        granted = sum(
+            grant.count for grant in self.grants.values() if grant.key == key
+        )
+        self.demands[key] = Demand(
+            session,
+            key,
+            max(0, message.count - granted),
+            bounded(message.slack_s),
+        )
+
+    def drop_grants(self, unwanted: Callable[[Grant], bool]) -> None:
+        """Withdraw the grants that a test picks."""
+        for number, grant in list(self.grants.items()):
+            if unwanted(grant):
+                self.grants.pop(number)
+
+    def drop_session(self, session: PeerSession) -> None:
+        """Forget an entry that is no longer connected."""
+        self.drop_grants(lambda grant: grant.session is session)
+        for key in list(self.demands):
+            if key.session == id(session):
+                self.demands.pop(key)
+
+    def drop_job(self, job_id: str) -> None:
+        """Forget a cancelled job."""
+        self.drop_grants(lambda grant: grant.key.job_id == job_id)
+        for key in list(self.demands):
+            if key.job_id == job_id:
+                self.demands.pop(key)
+
+    def clear(self) -> None:
+        """Forget every demand and grant."""
+        self.demands.clear()
+        self.grants.clear()
+
+    def outstanding(self, pool: str | None = None) -> int:
+        """Return the granted items that have not started."""
+        return sum(
+            grant.count
+            for grant in self.grants.values()
+            if pool is None or grant.key.pool == pool
+        )
+
+    def expire(self, now_s: float) -> None:
+        """Drop late grants; an entry that used none must ask again."""
+        for number, grant in list(self.grants.items()):
+            if grant.expires_s <= now_s:
+                self.grants.pop(number)
+                if not grant.used:
+                    self.demands.pop(grant.key, None)
+
+    def take(self, session: PeerSession, submit: Submit, now_s: float) -> bool:
+        """Use one item of a grant; False without a valid one."""
+        grant = self.grants.get(submit.grant_id)
+        if grant is None or grant.expires_s <= now_s:
+            return False
+        wanted = DemandKey(
+            id(session),
+            submit.pool,
+            submit.organisation,
+            submit.job_id,
+        )
+        if grant.key != wanted:
+            return False
+        grant.used = True
+        grant.count -= 1
+        if not grant.count:
+            self.grants.pop(submit.grant_id)
+        return True
+
+    def share(self, pool: str, work: str, at_risk: bool) -> float:
+        """Return the share of this endpoint's slots that a pool may use."""
+        if pool == self.pool:
+            return 1
+        return max(
+            (
+                rule.max_share
+                for rule in self.configuration.lending
+                if rule.borrower == pool
+                and rule.lender == self.pool
+                and rule.work == work
+                and (rule.when == 'idle' or at_risk)
+            ),
+            default=0,
+        )
+
+    def slots(self, pool: str, work: str, at_risk: bool, limit: int) -> int:
+        """Return the slots that a pool may use of `limit`."""
+        return math.floor(self.share(pool, work, at_risk) * limit)
+
+    def weight(self, organisation: str) -> float:
+        """Return the weight of an organisation."""
+        known = self.configuration.organisations.get(organisation)
+        return known.weight if known else 1
+
+    def urgency(self, demand: Demand) -> tuple[float, float, float]:
+        """Return the order of demands: slack, then past use, then slack."""
+        return (
+            math.floor(demand.slack_s / EQUAL_SLACK_S),
+            self.use[demand.key.organisation],
+            demand.slack_s,
+        )
+
+    def give(
+        self,
+        room: int,
+        limit: int,
+        running: dict[str, int],
+        now_s: float,
+    ) -> list[tuple[PeerSession, BatchGrant]]:
+        """Hand out the room, one slot after the other.
+
+        `running` counts the running batch streams of each pool.
+        """
+        self.decay(now_s)
+        given: dict[DemandKey, int] = defaultdict(int)
+        for _ in range(room):
+            chosen = self.choose(limit, running, given)
+            if chosen is None:
+                break
+            chosen.count -= 1
+            given[chosen.key] += 1
+            organisation = chosen.key.organisation
+            self.use[organisation] += 1 / self.weight(organisation)
+        return [self.grant(key, count, now_s) for key, count in given.items()]
+
+    def choose(
+        self,
+        limit: int,
+        running: dict[str, int],
+        given: dict[DemandKey, int],
+    ) -> Demand | None:
+        """Return the demand that gets the next slot."""
+        open_demands = [
+            demand
+            for demand in self.demands.values()
+            if demand.count > 0 and self.lent(demand, limit, running, given)
+        ]
+        return min(open_demands, key=self.urgency, default=None)
+
+    def lent(
+        self,
+        demand: Demand,
+        limit: int,
+        running: dict[str, int],
+        given: dict[DemandKey, int],
+    ) -> bool:
+        """Tell whether the demand's pool may use one more slot."""
+        pool = demand.key.pool
+        slots = self.slots(pool, 'batch', demand.slack_s < 0, limit)
+        used = running.get(pool, 0) + self.outstanding(pool)
+        used += sum(count for key, count in given.items() if key.pool == pool)
+        return used < slots
+
+    def grant(
+        self,
+        key: DemandKey,
+        count: int,
+        now_s: float,
+    ) -> tuple[PeerSession, BatchGrant]:
+        """Record a grant and return its message."""
+        number = next(self.numbers)
+        session = self.demands[key].session
+        self.grants[number] = Grant(key, session, count, now_s + GRANT_LIFE_S)
+        return session, BatchGrant(number, key.pool, key.job_id, count)
+
+    def decay(self, now_s: float) -> None:
+        """Let past use count less, so that it evens out over time."""
+        if now_s - self.decayed_s < USE_DECAY_INTERVAL_S:
+            return
+        self.decayed_s = now_s
+        for organisation in list(self.use):
+            self.use[organisation] *= USE_DECAY
+            if self.use[organisation] < USE_DECAY:
+                self.use.pop(organisation)
--- /dev/null
+++ b/src/quetzaldyke/process/sidecar_peers.py
@@ -0,0 +1,163 @@
+"""The entries that a sidecar is connected to, and what it passes on.
+
+Configuration versions and suspects spread over these connections: what one
+entry brings is passed on to the others. Reports go to all of them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+from quetzaldyke.connection.messages import (
+    ConfigPush,
+    ConfigVersion,
+    LeavingNotice,
+    Message,
+    Report,
+    SuspectUpdate,
+)
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.suspects import CrashTable, SuspectBook
+from quetzaldyke.parts.timers import Clock
+from quetzaldyke.version.holder import ConfigHolder
+
+REPORT_MAX_INTERVAL_S: Final = 1.0
+
+
+@dataclass(slots=True)
+class Peer:
+    """One connected entry."""
+
+    session: PeerSession
+    config_version: int
+
+
+@dataclass(slots=True)
+class SidecarPeers:
+    """Connected entries of one sidecar."""
+
+    instance: str
+    clock: Clock
+    config: ConfigHolder
+    suspects: SuspectBook
+    make_report: Callable[[], Report]
+    now_ms: Callable[[], int]
+    peers: dict[int, Peer] = field(default_factory=dict)
+    leaving: bool = False
+    last_report: Report | None = None
+    reported_s: float = 0.0
+
+    def sessions(self) -> Iterator[PeerSession]:
+        """Yield the open connections."""
+        for peer in self.peers.values():
+            yield peer.session
+
+    def send_all(
+        self,
+        message: Message,
+        without: PeerSession | None = None,
+    ) -> None:
+        """Send to every entry but one."""
+        for session in self.sessions():
+            if session is not without:
+                session.send(message)
+
+    def add(self, session: PeerSession) -> None:
+        """Tell a new entry everything that it may not know."""
+        peer = Peer(session, session.remote.config_version)
+        self.peers[id(session)] = peer
+        session.send(self.make_report())
+        if self.leaving:
+            session.send(LeavingNotice(self.instance))
+        crashes, cleared = self.suspects.tables()
+        if crashes or cleared:
+            session.send(SuspectUpdate(crashes, cleared))
+        self.push_config(peer)
+
+    def drop(self, session: PeerSession) -> None:
+        """Forget a connection."""
+        self.peers.pop(id(session), None)
+
+    def report(self) -> None:
+        """Report a changed state, or an unchanged one once a second."""
+        report = self.make_report()
+        now_s = self.clock.now()
+        late = now_s - self.reported_s >= REPORT_MAX_INTERVAL_S
+        if not late and same_state(report, self.last_report):
+            return
+        self.last_report = report
+        self.reported_s = now_s
+        self.send_all(report)
+
+    def leave(self) -> None:
+        """Tell every entry that this instance is leaving."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.send_all(LeavingNotice(self.instance))
+
+    def note_version(self, session: PeerSession, version: int) -> None:
+        """Note an entry's version and bring it up to date."""
+        peer = self.peers.get(id(session))
+        if peer is None:
+            return
+        peer.config_version = max(peer.config_version, version)
+        self.push_config(peer)
+
+    def push_config(self, peer: Peer) -> None:
+        """Send the configuration to an entry that is behind."""
+        if peer.config_version >= self.config.version:
+            return
+        peer.config_version = self.config.version
+        peer.session.send(
+            ConfigPush(self.config.version, self.config.document),
+        )
+
+    def adopt_config(self, session: PeerSession, push: ConfigPush) -> bool:
+        """Take a higher version and pass it on; False for others."""
+        adopted = self.config.adopt(push.version, push.document)
+        if adopted:
+            self.send_all(ConfigVersion(self.config.version))
+        self.note_version(session, push.version)
+        for peer in self.peers.values():
+            self.push_config(peer)
+        return adopted
+
+    def merge_suspects(
+        self,
+        session: PeerSession,
+        update: SuspectUpdate,
+    ) -> None:
+        """Merge an entry's records and pass on what was new."""
+        crashes, cleared = self.suspects.merge(
+            update.crashes,
+            update.cleared,
+            self.now_ms(),
+        )
+        self.tell_suspects(crashes, cleared, without=session)
+
+    def tell_suspects(
+        self,
+        crashes: CrashTable,
+        cleared: CrashTable,
+        without: PeerSession | None = None,
+    ) -> None:
+        """Send new records to the entries."""
+        if crashes or cleared:
+            self.send_all(SuspectUpdate(crashes, cleared), without)
+
+
+def same_state(report: Report, earlier: Report | None) -> bool:
+    """Tell whether only measured times differ.
+
+    They move with every token and are reported once a second.
+    """
+    if earlier is None:
+        return False
+    return earlier == replace(
+        report,
+        ttft_ms=earlier.ttft_ms,
+        tbt_ms=earlier.tbt_ms,
+    )
--- /dev/null
+++ b/src/quetzaldyke/process/sidecar_state.py
@@ -0,0 +1,184 @@
+"""State of one sidecar and how its parts are put together."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from quetzaldyke.connection.engine_client import EngineClient
+from quetzaldyke.connection.messages import Report
+from quetzaldyke.connection.service_client import ServiceClient
+from quetzaldyke.parts.fencing import FencingGate
+from quetzaldyke.parts.hlc import HybridClock, wall_clock_ms
+from quetzaldyke.parts.limiter import AdaptiveLimit
+from quetzaldyke.parts.suspects import SuspectBook
+from quetzaldyke.parts.timeline import Timeline
+from quetzaldyke.parts.timers import TimerService
+from quetzaldyke.process.admission import Admission
+from quetzaldyke.process.batch_grants import BatchGrants
+from quetzaldyke.process.endpoint_watch import DOWN_REASON, EndpointWatch
+from quetzaldyke.process.logs import LogEvent, make_log_event
+from quetzaldyke.process.settings import SidecarSettings
+from quetzaldyke.process.sidecar_orders import Orders
+from quetzaldyke.process.sidecar_peers import SidecarPeers
+from quetzaldyke.process.streams import Client, Streams
+from quetzaldyke.version.configuration import Configuration
+from quetzaldyke.version.holder import ConfigHolder
+
+INCARNATION_BYTES: Final = 8
+LEAVING_REASON: Final = 'endpoint is leaving'
+
+
+@dataclass(slots=True)
+class SidecarProcess:
+    """State of one sidecar."""
+
+    settings: SidecarSettings
+    clock: HybridClock
+    timers: TimerService
+    log_event: LogEvent
+    timeline: Timeline
+    config: ConfigHolder
+    admission: Admission
+    streams: Streams
+    peers: SidecarPeers
+    watch: EndpointWatch
+    orders: Orders
+    incarnation: str
+    group: TaskGroup
+    peer_address: str = ''
+    stopping: anyio.Event = field(default_factory=anyio.Event)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: SidecarSettings,
+        group: TaskGroup,
+    ) -> SidecarProcess:
+        """Build a sidecar that has not started yet."""
+        stamps = HybridClock(settings.instance)
+        log_event, timeline = make_log_event(settings.instance, stamps)
+        timers = TimerService()
+        config = ConfigHolder()
+        suspects = SuspectBook()
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        client = make_client(settings)
+        gate = FencingGate(timers.clock)
+        admission = Admission(
+            settings.pool,
+            settings.max_streams,
+            settings.max_queue,
+            timers.clock,
+            make_limit(settings),
+            BatchGrants(settings.pool),
+            suspects,
+            start=lambda work: group.start_soon(streams.run, work),
+            refuse=lambda work, refusal: streams.refuse(work, refusal),
+        )
+        peers = SidecarPeers(
+            settings.instance,
+            timers.clock,
+            config,
+            suspects,
+            make_report=lambda: make_report(process),
+            now_ms=wall_clock_ms,
+        )
+        watch = EndpointWatch(
+            client,
+            timers.clock,
+            log_event,
+            admission,
+            peers,
+            gate,
+            origin=f'{settings.instance}/{incarnation}',
+            on_change=lambda: apply_gate(process),
+        )
+        streams = Streams(
+            client,
+            timers.clock,
+            log_event,
+            admission,
+            on_break=watch.note_break,
+            on_finish=watch.note_finish,
+        )
+        process = cls(
+            settings,
+            stamps,
+            timers,
+            log_event,
+            timeline,
+            config,
+            admission,
+            streams,
+            peers,
+            watch,
+            Orders(gate, watch, log_event),
+            incarnation,
+            group,
+        )
+        config.on_change(
+            lambda _, current: apply_config(process.admission, current),
+        )
+        return process
+
+
+def make_client(settings: SidecarSettings) -> Client:
+    """Return the client for the kind of endpoint."""
+    if settings.endpoint_kind == 'engine':
+        return EngineClient(settings.endpoint_address)
+    return ServiceClient(settings.endpoint_address)
+
+
+def make_limit(settings: SidecarSettings) -> AdaptiveLimit:
+    """Return the limit; a plain service has no tokens to adapt to."""
+    return AdaptiveLimit(
+        settings.max_streams,
+        settings.ttft_target_ms,
+        settings.tbt_target_ms,
+        adaptive=settings.endpoint_kind == 'engine',
+    )
+
+
+def make_report(process: SidecarProcess) -> Report:
+    """Return the present state of the endpoint."""
+    admission = process.admission
+    watch = process.watch
+    return Report(
+        process.settings.pool,
+        watch.up,
+        process.peers.leaving,
+        admission.slots,
+        admission.count(batch=False),
+        len(admission.queue),
+        admission.count(batch=True),
+        admission.batch_room,
+        admission.limit.ttft_ms,
+        admission.limit.tbt_ms,
+        watch.model,
+        watch.version,
+        watch.adapter,
+        process.orders.gate.highest,
+        list(watch.prefixes),
+        process.settings.failure_domain,
+    )
+
+
+def apply_gate(process: SidecarProcess) -> None:
+    """Open or close admission after a change, and report it."""
+    if process.peers.leaving:
+        process.admission.close(LEAVING_REASON)
+    elif process.watch.up:
+        process.admission.open()
+    else:
+        process.admission.close(DOWN_REASON)
+    process.peers.report()
+
+
+def apply_config(admission: Admission, current: Configuration) -> None:
+    """Put a new configuration's lending rules in force."""
+    admission.grants.configuration = current
+    admission.pump()
--- /dev/null
+++ b/src/quetzaldyke/process/work.py
@@ -0,0 +1,93 @@
+"""Requests that a sidecar holds, from arrival to their last message."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final, Literal
+
+import anyio
+
+from quetzaldyke.connection.answers import AnswerStream
+from quetzaldyke.connection.http_endpoint import Ran
+from quetzaldyke.connection.messages import Failed, Submit
+from quetzaldyke.connection.peer import PeerSession
+
+MS_IN_S: Final = 1000
+
+State = Literal['queued', 'running', 'stopping', 'done']
+
+
+@dataclass(slots=True)
+class Work:
+    """One request and what it has produced."""
+
+    submit: Submit
+    answer: AnswerStream
+    arrived_s: float
+    deadline_s: float
+    state: State = 'queued'
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    stop_reason: str = ''
+    stop_s: float = 0.0
+    started_s: float = 0.0
+    last_token_s: float = 0.0
+    text: list[str] = field(default_factory=list)
+    tokens: int = 0
+    # The endpoint ran nothing else at any time of this run.
+    alone: bool = False
+    ended: anyio.Event = field(default_factory=anyio.Event)
+
+    @classmethod
+    def from_submit(
+        cls,
+        submit: Submit,
+        session: PeerSession,
+        now_s: float,
+    ) -> Work:
+        """Return the work of a request that arrived now."""
+        return cls(
+            submit,
+            AnswerStream(session, submit.request_id),
+            now_s,
+            now_s + submit.remaining_ms / MS_IN_S,
+        )
+
+    @property
+    def batch(self) -> bool:
+        """Tell whether online work goes before this."""
+        return self.submit.work == 'batch'
+
+    @property
+    def session(self) -> PeerSession:
+        """Return the connection that the request came on."""
+        return self.answer.session
+
+    @property
+    def progress(self) -> int:
+        """Return the tokens that a resumed run would have to read again."""
+        return self.submit.resume_tokens + self.tokens
+
+    def failure(self, ran: Ran, reason: str, retry_after_ms: int = 0) -> Failed:
+        """Return a failure with the whole text of this attempt."""
+        return Failed(
+            self.submit.request_id,
+            ran,
+            reason,
+            retry_after_ms,
+            ''.join(self.text),
+            self.tokens,
+        )
+
+    def end(self) -> None:
+        """Note that nothing of the request runs any more."""
+        self.state = 'done'
+        self.ended.set()
+
+    def stop(self, reason: str, now_s: float) -> None:
+        """Cancel a running request; its slot is free when that is done."""
+        if self.state != 'running':
+            return
+        self.state = 'stopping'
+        self.stop_reason = reason
+        self.stop_s = now_s
+        self.scope.cancel()
