--- /dev/null
+++ b/src/quetzaldyke/process/callers_http.py
@@ -0,0 +1,374 @@
+"""Callers' HTTP: generation, models and plain services.
+
+Routes build one `OnlineRequest` each and hand it to the request layer;
+files and batches are plugged in by their own module.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Ok, Result
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import BaseRoute, Route
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from quetzaldyke.parts.timers import Clock
+from quetzaldyke.process.answers_http import (
+    ErrorResponse,
+    MakeEvents,
+    Shape,
+    StreamResponse,
+    WholeResponse,
+    now_s,
+    send_refusal,
+)
+from quetzaldyke.process.callers_gate import (
+    Gate,
+    KeyIndex,
+    OpenRequests,
+    read_body,
+)
+from quetzaldyke.process.settings import EntrySettings
+from quetzaldyke.request.execute import ExecuteContext, execute_online
+from quetzaldyke.request.fingerprint import fingerprint
+from quetzaldyke.request.limits import Limits
+from quetzaldyke.request.model import (
+    CHAT_PATH,
+    GenerationBody,
+    OnlineRequest,
+    new_request_id,
+    parse_generation,
+)
+from quetzaldyke.request.once import OnceContext, execute_once
+from quetzaldyke.request.outcome import (
+    HTTP_NOT_FOUND,
+    HTTP_UNPROCESSABLE,
+    MS_IN_S,
+    Refusal,
+)
+from quetzaldyke.request.router import Holder
+
+COMPLETIONS_PATH: Final = '/v1/completions'
+SERVICES_PREFIX: Final = '/services/'
+METHODS: Final = ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH')
+IDEMPOTENT_METHODS: Final = frozenset(
+    ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'),
+)
+# The longest deadline that a caller may ask for.
+MAX_TIMEOUT_MS: Final = 3_600_000
+# Headers of one hop, and the caller's credentials, which no endpoint needs.
+NOT_FORWARDED: Final = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-idempotent',
+        'x-request-timeout-ms',
+    ),
+)
+PLAIN_NAME: Final = re.compile('^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
+
+
+@dataclass(frozen=True, slots=True)
+class CallersContext:
+    """What the callers' routes need."""
+
+    settings: EntrySettings
+    clock: Clock
+    holder: Holder
+    execute: ExecuteContext
+    once: OnceContext
+
+    def events_of(self, request: OnlineRequest) -> MakeEvents:
+        """Return how a request is run."""
+        if request.idempotent:
+            return lambda: execute_online(self.execute, request)
+        return lambda: execute_once(self.once, request)
+
+
+@dataclass(frozen=True, slots=True)
+class CallOptions:
+    """What a caller's headers say of a request."""
+
+    deadline_s: float
+    idempotent: bool
+    idempotency_key: str
+
+
+def unprocessable(code: str, message: str) -> Refusal:
+    """Return the refusal of a request that can't be understood."""
+    return Refusal(HTTP_UNPROCESSABLE, code, message, 'not_run')
+
+
+def not_found(message: str) -> Refusal:
+    """Return the refusal of something that does not exist."""
+    return Refusal(HTTP_NOT_FOUND, 'not_found', message, 'not_run')
+
+
+def read_timeout_ms(
+    text: str | None,
+    default_ms: int,
+) -> Result[int, Refusal]:
+    """Return the caller's timeout."""
+    if text is None:
+        return Ok(default_ms)
+    if not text.isdecimal() or not 0 < int(text) <= MAX_TIMEOUT_MS:
+        message = f'X-Request-Timeout-Ms must be 1 to {MAX_TIMEOUT_MS}'
+        return Err(unprocessable('invalid_timeout', message))
+    return Ok(int(text))
+
+
+def read_options(
+    context: CallersContext,
+    http: Request,
+    idempotent_by_default: bool,
+) -> Result[CallOptions, Refusal]:
+    """Return the options in the headers of a request."""
+    default_ms = int(context.settings.request_timeout_s * MS_IN_S)
+    timeout = read_timeout_ms(
+        http.headers.get('x-request-timeout-ms'),
+        default_ms,
+    )
+    if isinstance(timeout, Err):
+        return timeout
+    flag = http.headers.get('x-idempotent', '').lower()
+    if flag not in {'', 'true', 'false'}:
+        message = 'X-Idempotent must be true or false'
+        return Err(unprocessable('invalid_header', message))
+    return Ok(
+        CallOptions(
+            context.clock.now() + timeout.ok_value / MS_IN_S,
+            flag == 'true' if flag else idempotent_by_default,
+            http.headers.get('idempotency-key', ''),
+        ),
+    )
+
+
+def forwarded(http: Request) -> dict[str, str]:
+    """Return the headers that go on to the endpoint."""
+    return {
+        name: content
+        for name, content in http.headers.items()
+        if name not in NOT_FORWARDED
+    }
+
+
+def pool_of_model(holder: Holder, model: str) -> str | None:
+    """Return the engine pool that a caller's model names.
+
+    The name of the pool goes first; a model name finds the first pool that
+    serves it.
+    """
+    pools = holder.current.pools
+    named = pools.get(model)
+    if named is not None and named.kind == 'engine':
+        return model
+    for name, pool in pools.items():
+        if pool.kind == 'engine' and pool.model == model:
+            return name
+    return None
+
+
+def generation_request(
+    http: Request,
+    pool: str,
+    body: GenerationBody,
+    raw: bytes,
+    options: CallOptions,
+) -> OnlineRequest:
+    """Return the request of a generation route."""
+    path = http.url.path
+    wanted = body.stream_options
+    return OnlineRequest(
+        request_id=http.state.request_id,
+        organisation=http.state.organisation,
+        pool=pool,
+        kind='engine',
+        method='POST',
+        path=path,
+        headers=forwarded(http),
+        body=raw,
+        stream=body.stream,
+        idempotent=options.idempotent,
+        deadline_s=options.deadline_s,
+        fingerprint=fingerprint(pool, path, raw),
+        idempotency_key=options.idempotency_key,
+        model=body.model,
+        include_usage=wanted is not None and wanted.include_usage,
+    )
+
+
+async def prepare_generation(
+    context: CallersContext,
+    http: Request,
+) -> Result[OnlineRequest, Refusal]:
+    """Read and check a generation request."""
+    read = await read_body(
+        http.receive,
+        http.headers,
+        context.settings.max_body_bytes,
+    )
+    if isinstance(read, Err):
+        return read
+    raw = read.ok_value
+    parsed = parse_generation(http.url.path, raw)
+    if isinstance(parsed, Err):
+        return parsed
+    body = parsed.ok_value
+    pool = pool_of_model(context.holder, body.model)
+    if pool is None:
+        return Err(not_found(f'no pool serves the model {body.model!r}'))
+    options = read_options(context, http, idempotent_by_default=True)
+    return options.map(
+        lambda found: generation_request(http, pool, body, raw, found),
+    )
+
+
+async def generate(context: CallersContext, http: Request) -> ASGIApp:
+    """Answer `/v1/chat/completions` and `/v1/completions`."""
+    prepared = await prepare_generation(context, http)
+    if isinstance(prepared, Err):
+        return ErrorResponse(prepared.err_value, http.state.request_id)
+    request = prepared.ok_value
+    make_events = context.events_of(request)
+    if request.stream:
+        return StreamResponse(Shape(request, now_s()), make_events)
+    return WholeResponse(request, make_events)
+
+
+async def list_models(context: CallersContext, http: Request) -> ASGIApp:
+    """Answer `/v1/models` with the engine pools."""
+    names = [
+        name
+        for name, pool in context.holder.current.pools.items()
+        if pool.kind == 'engine'
+    ]
+    return JSONResponse(
+        {
+            'object': 'list',
+            'data': [
+                {'id': name, 'object': 'model', 'owned_by': 'fleet'}
+                for name in sorted(names)
+            ],
+        },
+    )
+
+
+def service_path(scope: Scope) -> str:
+    """Return the path and query as the service gets them, still encoded."""
+    raw = scope['raw_path'].decode('ascii')
+    _, _, _, *rest = raw.split('/', 3)
+    path = f'/{rest[0]}' if rest else '/'
+    query = scope['query_string'].decode('ascii')
+    return f'{path}?{query}' if query else path
+
+
+async def prepare_service(
+    context: CallersContext,
+    http: Request,
+) -> Result[OnlineRequest, Refusal]:
+    """Read and check a request to a plain service."""
+    pool = http.path_params['pool']
+    found = context.holder.current.pools.get(pool)
+    if found is None or found.kind != 'service':
+        return Err(not_found(f'there is no service {pool!r}'))
+    read = await read_body(
+        http.receive,
+        http.headers,
+        context.settings.max_body_bytes,
+    )
+    if isinstance(read, Err):
+        return read
+    options = read_options(context, http, http.method in IDEMPOTENT_METHODS)
+    if isinstance(options, Err):
+        return options
+    path = service_path(http.scope)
+    return Ok(
+        OnlineRequest(
+            request_id=http.state.request_id,
+            organisation=http.state.organisation,
+            pool=pool,
+            kind='service',
+            method=http.method,
+            path=path,
+            headers=forwarded(http),
+            body=read.ok_value,
+            stream=False,
+            idempotent=options.ok_value.idempotent,
+            deadline_s=options.ok_value.deadline_s,
+            fingerprint=fingerprint(
+                pool,
+                f'{http.method} {path}',
+                read.ok_value,
+            ),
+            idempotency_key=options.ok_value.idempotency_key,
+        ),
+    )
+
+
+async def call_service(context: CallersContext, http: Request) -> ASGIApp:
+    """Answer `/services/{pool}/{path}`."""
+    prepared = await prepare_service(context, http)
+    if isinstance(prepared, Err):
+        return ErrorResponse(prepared.err_value, http.state.request_id)
+    request = prepared.ok_value
+    return WholeResponse(request, context.events_of(request))
+
+
+async def refuse_unknown(http: Request, _: Exception) -> ASGIApp:
+    """Answer an unknown path or method."""
+    refusal = not_found(f'{http.method} {http.url.path} does not exist')
+    return ErrorResponse(refusal, http.state.request_id)
+
+
+def caller_routes(context: CallersContext) -> list[BaseRoute]:
+    """Return the routes of online requests."""
+
+    async def on_generate(http: Request) -> ASGIApp:
+        return await generate(context, http)
+
+    async def on_models(http: Request) -> ASGIApp:
+        return await list_models(context, http)
+
+    async def on_service(http: Request) -> ASGIApp:
+        return await call_service(context, http)
+
+    return [
+        Route(CHAT_PATH, on_generate, methods=['POST']),
+        Route(COMPLETIONS_PATH, on_generate, methods=['POST']),
+        Route('/v1/models', on_models, methods=['GET']),
+        Route('/services/{pool}', on_service, methods=list(METHODS)),
+        Route(
+            '/services/{pool}/{path:path}',
+            on_service,
+            methods=list(METHODS),
+        ),
+    ]
+
+
+def callers_app(
+    context: CallersContext,
+    limits: Limits,
+    open_requests: OpenRequests,
+    more_routes: Sequence[BaseRoute],
+) -> Gate:
+    """Return the callers' application."""
+    app = Starlette(
+        routes=[*caller_routes(context), *more_routes],
+        exception_handlers={404: refuse_unknown, 405: refuse_unknown},
+    )
+    return Gate(app, KeyIndex(context.holder), limits, open_requests)
--- /dev/null
+++ b/src/quetzaldyke/process/entry.py
@@ -0,0 +1,380 @@
+"""The entry: the daemon between callers and sidecars.
+
+One exit stack owns everything that must be closed. A planned stop goes in
+order: not ready, linger, stop accepting, finish requests, stop the parts,
+close. Cancelling the function is a crash.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+from starlette.applications import Starlette
+
+from quetzaldyke.connection.http_server import HttpServer, serve_http
+from quetzaldyke.connection.kv_http import HttpKeyValueStore
+from quetzaldyke.connection.links import LinkOptions, listen, stamp_row
+from quetzaldyke.connection.messages import (
+    PROTOCOL_VERSION,
+    Hello,
+    LeavingNotice,
+    Message,
+    Report,
+)
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.claims import ClaimLedger
+from quetzaldyke.parts.hlc import HybridClock
+from quetzaldyke.parts.kv import KeyValueStore
+from quetzaldyke.parts.timeline import Timeline
+from quetzaldyke.parts.timers import Clock, TimerService
+from quetzaldyke.process.callers_gate import OpenRequests
+from quetzaldyke.process.callers_http import CallersContext, callers_app
+from quetzaldyke.process.entry_parts import PARTS, EntryPart
+from quetzaldyke.process.fleet import (
+    Fleet,
+    Instance,
+    closed,
+    dispatch,
+    opened,
+)
+from quetzaldyke.process.logs import LogEvent, make_log_event
+from quetzaldyke.process.membership import LIST_INTERVAL_S, Membership
+from quetzaldyke.process.metrics import Metrics
+from quetzaldyke.process.settings import EntrySettings
+from quetzaldyke.process.suspects_relay import (
+    FORGET_INTERVAL_S,
+    SuspectRelay,
+)
+from quetzaldyke.process.usage_exchange import UsageExchange
+from quetzaldyke.request.deadline import EXPIRY_INTERVAL_S, DeadlineQueue
+from quetzaldyke.request.execute import ExecuteContext
+from quetzaldyke.request.limits import (
+    REPORT_INTERVAL_S,
+    Coordinator,
+    Limits,
+)
+from quetzaldyke.request.once import RECORD_INTERVAL_S, OnceContext
+from quetzaldyke.request.router import Router
+from quetzaldyke.version.configuration import Organisation
+from quetzaldyke.version.holder import ConfigHolder
+
+INCARNATION_BYTES: Final = 8
+DRAIN_POLL_S: Final = 0.02
+
+
+@dataclass(slots=True)
+class EntryProcess:
+    """Everything that lives as long as one entry."""
+
+    settings: EntrySettings
+    clock: Clock
+    hybrid_clock: HybridClock
+    timers: TimerService
+    log_event: LogEvent
+    timeline: Timeline
+    store: KeyValueStore
+    config: ConfigHolder
+    fleet: Fleet
+    claims: ClaimLedger
+    limits: Limits
+    suspects: SuspectRelay
+    metrics: Metrics
+    router: Router
+    execute: ExecuteContext
+    deadlines: DeadlineQueue
+    usage: UsageExchange
+    incarnation: str
+    # Set by the batch part: the service behind files and batches.
+    jobs: object = None
+    group: TaskGroup | None = None
+    link_options: LinkOptions | None = None
+    once: OnceContext | None = None
+    membership: Membership | None = None
+    open_requests: OpenRequests = field(default_factory=OpenRequests)
+    callers_address: str = ''
+    operators_address: str = ''
+    peer_address: str = ''
+    stopping: anyio.Event = field(default_factory=anyio.Event)
+
+    @classmethod
+    def from_settings(cls, settings: EntrySettings) -> EntryProcess:
+        """Build an entry that does not run yet."""
+        hybrid_clock = HybridClock(settings.instance)
+        log_event, timeline = make_log_event(settings.instance, hybrid_clock)
+        clock = Clock()
+        config = ConfigHolder()
+        fleet = Fleet(own_instance(settings), settings.subset_size)
+        store = HttpKeyValueStore(settings.kv_address)
+        limits = make_limits(clock, config, fleet)
+        router = Router(fleet, config, clock)
+        deadlines = DeadlineQueue()
+        metrics = Metrics()
+        suspects = SuspectRelay(fleet)
+        return cls(
+            settings=settings,
+            clock=clock,
+            hybrid_clock=hybrid_clock,
+            timers=TimerService(clock),
+            log_event=log_event,
+            timeline=timeline,
+            store=store,
+            config=config,
+            fleet=fleet,
+            claims=ClaimLedger(store),
+            limits=limits,
+            suspects=suspects,
+            metrics=metrics,
+            router=router,
+            execute=ExecuteContext(
+                router,
+                clock,
+                deadlines,
+                log_event,
+                metrics,
+                suspects.book,
+            ),
+            deadlines=deadlines,
+            usage=UsageExchange(fleet, limits, Coordinator(clock.now)),
+            incarnation=secrets.token_hex(INCARNATION_BYTES),
+        )
+
+    def unready_reason(self) -> str:
+        """Return why the balancer should send no caller here, or nothing."""
+        if self.stopping.is_set():
+            return 'stopping'
+        if not self.config.version:
+            return 'no configuration yet'
+        return ''
+
+    def make_hello(self) -> Hello:
+        """Return the first message to a peer."""
+        return Hello(
+            PROTOCOL_VERSION,
+            'entry',
+            self.settings.instance,
+            self.settings.failure_domain,
+            self.incarnation,
+            '',
+            self.config.version,
+            stamp_row(self.hybrid_clock.now()),
+        )
+
+    def make_link_options(self) -> LinkOptions:
+        """Return what every peer connection needs."""
+        return LinkOptions(
+            secret=self.settings.fleet_secret,
+            clock=self.hybrid_clock,
+            make_hello=self.make_hello,
+            config_version=lambda: self.config.version,
+            on_open=self.on_open,
+            on_message=self.on_message,
+            on_close=self.on_close,
+        )
+
+    async def on_open(self, session: PeerSession) -> None:
+        """Register a peer."""
+        self.log_event('peer_opened', peer=session.remote.instance)
+        await opened(self.fleet, session)
+
+    async def on_message(self, session: PeerSession, message: Message) -> None:
+        """Handle a message; a fault in a handler must not end the entry."""
+        try:
+            await dispatch(self.fleet, session, message)
+        except Exception as exc:
+            self.log_event(
+                'handler_failed',
+                peer=session.remote.instance,
+                message=type(message).__name__,
+                fault=repr(exc),
+            )
+
+    def on_close(self, session: PeerSession) -> None:
+        """Forget a peer and fail its requests."""
+        self.log_event('peer_closed', peer=session.remote.instance)
+        closed(self.fleet, session)
+
+    def on_timer_failure(self, name: str, exc: Exception) -> None:
+        """Log a periodic job that failed; it runs again."""
+        self.log_event('timer_failed', timer=name, fault=repr(exc))
+
+    async def expire_calls(self) -> None:
+        """End the calls whose deadline is over."""
+        self.deadlines.expire(self.clock.now())
+
+
+def own_instance(settings: EntrySettings) -> Instance:
+    """Return the entry's own row."""
+    return Instance(
+        settings.instance,
+        'entry',
+        settings.failure_domain,
+        settings.peer_address,
+    )
+
+
+def make_limits(clock: Clock, config: ConfigHolder, fleet: Fleet) -> Limits:
+    """Return the admission by organisation."""
+
+    def find(name: str) -> Organisation | None:
+        return config.current.organisations.get(name)
+
+    return Limits(clock.now, find, lambda: len(fleet.live_entries()))
+
+
+async def run_entry(
+    settings: EntrySettings,
+    *,
+    parts: Sequence[EntryPart] = PARTS,
+    task_status: TaskStatus[EntryProcess] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run an entry until its planned stop is complete."""
+    entry = EntryProcess.from_settings(settings)
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(entry.store.aclose)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        entry.group = group
+        await start_links(entry, group, stack)
+        for part in parts:
+            await part.start(entry)
+        callers = await start_callers(entry, group, parts)
+        operators = await start_operators(entry, group, parts)
+        subscribe_timers(entry)
+        group.start_soon(entry.timers.run)
+        entry.log_event(
+            'entry_started',
+            callers=entry.callers_address,
+            operators=entry.operators_address,
+            peers=entry.peer_address,
+        )
+        task_status.started(entry)
+        await entry.stopping.wait()
+        await stop_as_planned(entry, callers, parts)
+        await operators.stop()
+        group.cancel_scope.cancel()
+    entry.log_event('entry_stopped')
+
+
+async def start_links(
+    entry: EntryProcess,
+    group: TaskGroup,
+    stack: AsyncExitStack,
+) -> None:
+    """Listen to peers, and read the instance list for the first time."""
+    options = entry.make_link_options()
+    entry.link_options = options
+    entry.suspects.subscribe()
+    entry.usage.subscribe()
+    entry.fleet.subscribe(Report, entry.router.on_report)
+    entry.peer_address = await group.start(
+        listen,
+        entry.settings.peer_address,
+        options,
+    )
+    entry.once = OnceContext(
+        entry.execute,
+        entry.claims,
+        group,
+        entry.settings.retention_s,
+    )
+    entry.membership = Membership(
+        entry.settings.instances_address,
+        entry.fleet,
+        options,
+        group,
+        entry.log_event,
+    )
+    stack.push_async_callback(entry.membership.aclose)
+    await entry.membership.refresh()
+
+
+def subscribe_timers(entry: EntryProcess) -> None:
+    """Subscribe the entry's own periodic work."""
+    assert entry.membership is not None
+    assert entry.once is not None
+    timers = entry.timers
+    timers.on_failure = entry.on_timer_failure
+    timers.subscribe('instances', LIST_INTERVAL_S, entry.membership.refresh)
+    timers.subscribe('deadlines', EXPIRY_INTERVAL_S, entry.expire_calls)
+    timers.subscribe('outcomes', RECORD_INTERVAL_S, entry.once.record_held)
+    timers.subscribe('usage', REPORT_INTERVAL_S, entry.usage.exchange)
+    timers.subscribe('suspects', FORGET_INTERVAL_S, entry.suspects.forget_old)
+
+
+async def start_callers(
+    entry: EntryProcess,
+    group: TaskGroup,
+    parts: Sequence[EntryPart],
+) -> HttpServer:
+    """Start the callers' listener."""
+    assert entry.once is not None
+    context = CallersContext(
+        entry.settings,
+        entry.clock,
+        entry.config,
+        entry.execute,
+        entry.once,
+    )
+    more = [route for part in parts for route in part.caller_routes(entry)]
+    app = callers_app(context, entry.limits, entry.open_requests, more)
+    server: HttpServer = await group.start(
+        serve_http,
+        app,
+        entry.settings.callers_address,
+    )
+    entry.callers_address = server.address
+    return server
+
+
+async def start_operators(
+    entry: EntryProcess,
+    group: TaskGroup,
+    parts: Sequence[EntryPart],
+) -> HttpServer:
+    """Start the operators' listener."""
+    routes = [route for part in parts for route in part.operator_routes(entry)]
+    server: HttpServer = await group.start(
+        serve_http,
+        Starlette(routes=routes),
+        entry.settings.operators_address,
+    )
+    entry.operators_address = server.address
+    return server
+
+
+async def stop_as_planned(
+    entry: EntryProcess,
+    callers: HttpServer,
+    parts: Sequence[EntryPart],
+) -> None:
+    """Leave without cutting a request."""
+    entry.log_event('entry_stopping', open_requests=entry.open_requests.count)
+    for session in list(entry.fleet.entries.values()):
+        session.send(LeavingNotice(entry.settings.instance))
+    # The balancer needs a moment to see that the entry is not ready, and
+    # sends callers until then.
+    entry.open_requests.closing = True
+    await anyio.sleep(entry.settings.linger_s)
+    with anyio.move_on_after(entry.settings.drain_s) as scope:
+        await callers.stop()
+        await drained(entry)
+        for part in reversed(parts):
+            await part.stop(entry)
+    if scope.cancelled_caught:
+        entry.log_event(
+            'drain_timed_out',
+            open_requests=entry.open_requests.count,
+        )
+
+
+async def drained(entry: EntryProcess) -> None:
+    """Wait for callers' requests and runs whose caller is gone."""
+    assert entry.once is not None
+    while entry.open_requests.count or entry.once.running:
+        await anyio.sleep(DRAIN_POLL_S)
+    await entry.once.record_held()
--- /dev/null
+++ b/src/quetzaldyke/process/suspects_relay.py
@@ -0,0 +1,59 @@
+"""Passes crash records between sidecars and entries.
+
+Sidecars don't know each other. An entry merges what it hears, and passes
+only what was new on to its other peers, so that records neither circle
+between entries nor grow with their number.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.connection.messages import Message, SuspectUpdate
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.hlc import wall_clock_ms
+from quetzaldyke.parts.suspects import SuspectBook
+from quetzaldyke.process.fleet import Fleet
+
+FORGET_INTERVAL_S: Final = 30.0
+
+
+@dataclass(slots=True)
+class SuspectRelay:
+    """Crash records of one entry."""
+
+    fleet: Fleet
+    book: SuspectBook = field(default_factory=SuspectBook)
+    read_wall_ms: Callable[[], int] = wall_clock_ms
+
+    def subscribe(self) -> None:
+        """Listen to the fleet's messages and new peers."""
+        self.fleet.subscribe(SuspectUpdate, self.on_update)
+        self.fleet.on_open(self.on_open)
+
+    async def on_update(self, session: PeerSession, message: Message) -> None:
+        """Merge records and pass on the new ones."""
+        if not isinstance(message, SuspectUpdate):
+            return
+        crashes, cleared = self.book.merge(
+            message.crashes,
+            message.cleared,
+            self.read_wall_ms(),
+        )
+        if not crashes and not cleared:
+            return
+        for peer in self.fleet.sessions():
+            if peer is not session:
+                peer.send(SuspectUpdate(crashes, cleared))
+
+    async def on_open(self, session: PeerSession) -> None:
+        """Send everything to a peer that just connected."""
+        crashes, cleared = self.book.tables()
+        if crashes:
+            session.send(SuspectUpdate(crashes, cleared))
+
+    async def forget_old(self) -> None:
+        """Drop records whose time is over."""
+        self.book.forget_old(self.read_wall_ms())
--- /dev/null
+++ b/src/quetzaldyke/process/usage_exchange.py
@@ -0,0 +1,69 @@
+"""Exchanges use of organisations and advice between entries."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from quetzaldyke.connection.messages import (
+    Message,
+    UsageAdvice,
+    UsageReport,
+)
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.rendezvous import first_for
+from quetzaldyke.process.fleet import Fleet
+from quetzaldyke.request.limits import Coordinator, Limits
+
+
+@dataclass(slots=True)
+class UsageExchange:
+    """Reports to coordinating entries, and advice as one of them."""
+
+    fleet: Fleet
+    limits: Limits
+    coordinator: Coordinator
+
+    def subscribe(self) -> None:
+        """Listen to reports and advice."""
+        self.fleet.subscribe(UsageReport, self.on_report)
+        self.fleet.subscribe(UsageAdvice, self.on_advice)
+
+    async def on_report(self, session: PeerSession, message: Message) -> None:
+        """Note what another entry was asked."""
+        if isinstance(message, UsageReport):
+            self.coordinator.note(session.remote.instance, message.used)
+
+    async def on_advice(self, session: PeerSession, message: Message) -> None:
+        """Follow advice from the entry that coordinates an organisation."""
+        if not isinstance(message, UsageAdvice):
+            return
+        sender = session.remote.instance
+        entries = self.fleet.live_entries()
+        self.limits.adopt(
+            {
+                name: share
+                for name, share in message.shares.items()
+                if first_for(entries, name) == sender
+            },
+        )
+
+    async def exchange(self) -> None:
+        """Report the own use and advise the others; runs each second."""
+        entries = self.fleet.live_entries()
+        own = self.fleet.own.instance
+        by_coordinator: dict[str, dict[str, int]] = defaultdict(dict)
+        for name, count in self.limits.take_asked().items():
+            first = first_for(entries, name) or own
+            by_coordinator[first][name] = count
+        for entry, used in by_coordinator.items():
+            if entry == own:
+                self.coordinator.note(own, used)
+            else:
+                self.fleet.send_to_entry(entry, UsageReport(used))
+        for entry, shares in self.coordinator.advise(entries).items():
+            if entry == own:
+                self.limits.adopt(shares)
+            elif shares:
+                self.fleet.send_to_entry(entry, UsageAdvice(shares))
+        self.limits.forget_idle()
--- /dev/null
+++ b/src/quetzaldyke/request/attempt.py
@@ -0,0 +1,75 @@
+"""Runs one attempt of a request over one sidecar link.
+
+Online requests and batch items share it. It keeps the link's in-flight
+counts and the time to first token that routing uses.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+from typing import Final
+
+from quetzaldyke.connection.calls import (
+    Call,
+    CallEvent,
+    CallTable,
+    read_call,
+)
+from quetzaldyke.connection.messages import Chunk, End, Started, Submit
+from quetzaldyke.process.fleet import SidecarLink
+
+MS_IN_S: Final = 1000
+# Weight of the newest time to first token; about ten samples count.
+TTFT_WEIGHT: Final = 0.1
+
+OnBegin = Callable[[CallTable, Call], None]
+
+
+def count_running(link: SidecarLink, submit: Submit, change: int) -> None:
+    """Count a request in or out of the link."""
+    if submit.work == 'batch':
+        link.running_batch += change
+    else:
+        link.running_online += change
+
+
+def note_ttft(link: SidecarLink, sample_ms: float) -> None:
+    """Update the link's moving average of the time to first token."""
+    if link.ttft_ms == 0:
+        link.ttft_ms = sample_ms
+        return
+    link.ttft_ms += TTFT_WEIGHT * (sample_ms - link.ttft_ms)
+
+
+async def run_on(
+    link: SidecarLink,
+    submit: Submit,
+    on_begin: OnBegin | None = None,
+    read_now_s: Callable[[], float] = time.monotonic,
+) -> AsyncIterator[CallEvent]:
+    """Yield the events of one attempt; the last is `End` or `Failed`.
+
+    The request is cancelled at the sidecar when the reader stops early.
+    """
+    begun_s = read_now_s()
+    waits_for_first = submit.work == 'online'
+    count_running(link, submit, 1)
+    try:
+        call = link.calls.begin(submit)
+        if on_begin is not None:
+            on_begin(link.calls, call)
+        async with aclosing(read_call(link.calls, call)) as events:  # type: ignore[type-var]
+            async for event in events:
+                if waits_for_first and isinstance(event, Chunk | End):
+                    waits_for_first = False
+                    note_ttft(link, (read_now_s() - begun_s) * MS_IN_S)
+                yield event
+    finally:
+        count_running(link, submit, -1)
+
+
+def ran_so_far(event: CallEvent) -> bool:
+    """Tell whether an event proves that the endpoint got the request."""
+    return isinstance(event, Started | Chunk | End)
--- /dev/null
+++ b/src/quetzaldyke/request/limits.py
@@ -0,0 +1,226 @@
+"""Rate and concurrency of each organisation, divided among the entries.
+
+Every entry starts with an even share of each limit. Entries report what an
+organisation asked of them to the entry that coordinates it (rendezvous by
+organisation), and that entry advises shares by demand. No request waits for
+any of this; without advice the even share holds.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from result import Err, Ok, Result
+
+from quetzaldyke.parts.tokens import TokenBucket
+from quetzaldyke.request.outcome import (
+    HTTP_TOO_MANY,
+    MS_IN_S,
+    Refusal,
+)
+from quetzaldyke.version.configuration import Organisation
+
+REPORT_INTERVAL_S: Final = 1.0
+# Advice that is not renewed lapses, so that shares of entries that lost
+# their coordinator go back to even ones.
+ADVICE_LIFE_S: Final = 5.0
+USAGE_LIFE_S: Final = 5.0
+# Part of each limit that is divided evenly whatever the demand, so that an
+# entry that was idle can serve its first requests before new advice.
+EVEN_PART: Final = 0.2
+# A bucket holds the tokens of this time.
+BURST_S: Final = 1.0
+CONCURRENCY_RETRY_MS: Final = 1000
+
+
+def shares_by_demand(demand: Mapping[str, int]) -> dict[str, float]:
+    """Divide a limit among entries; the shares add up to one.
+
+    >>> shares_by_demand({'entry-1': 30, 'entry-2': 10})
+    {'entry-1': 0.7, 'entry-2': 0.3}
+    >>> shares_by_demand({'entry-1': 0, 'entry-2': 0})
+    {'entry-1': 0.5, 'entry-2': 0.5}
+    """
+    total = sum(demand.values())
+    even = 1 / max(1, len(demand))
+    if not total:
+        return dict.fromkeys(demand, even)
+    return {
+        name: EVEN_PART * even + (1 - EVEN_PART) * asked / total
+        for name, asked in demand.items()
+    }
+
+
+@dataclass(slots=True)
+class Advice:
+    """Share that the coordinating entry gave, until it lapses."""
+
+    share: float
+    until_s: float
+
+
+@dataclass(slots=True)
+class Usage:
+    """Use of one organisation here."""
+
+    bucket: TokenBucket
+    running: int = 0
+
+
+@dataclass(slots=True)
+class Limits:
+    """Admission of requests by organisation at one entry."""
+
+    read_now_s: Callable[[], float]
+    find_organisation: Callable[[str], Organisation | None]
+    count_entries: Callable[[], int]
+    usage: dict[str, Usage] = field(default_factory=dict)
+    advice: dict[str, Advice] = field(default_factory=dict)
+    asked: Counter[str] = field(default_factory=Counter)
+
+    def share_of(self, name: str) -> float:
+        """Return the part of the organisation's limits that holds here."""
+        advice = self.advice.get(name)
+        if advice is not None and advice.until_s > self.read_now_s():
+            return advice.share
+        return 1 / max(1, self.count_entries())
+
+    def admit(self, name: str) -> Result[None, Refusal]:
+        """Take a place for a request; `release` gives it back."""
+        organisation = self.find_organisation(name)
+        if organisation is None:
+            return Err(unknown_organisation())
+        self.asked[name] += 1
+        share = self.share_of(name)
+        usage = self.usage_of(name, organisation, share)
+        # Rounded up: a limit below the number of entries still allows one
+        # request at each.
+        allowed = math.ceil(organisation.concurrency * share)
+        if usage.running >= allowed:
+            return Err(refuse('concurrency', CONCURRENCY_RETRY_MS))
+        if not usage.bucket.try_take():
+            wait_ms = int(usage.bucket.wait_s() * MS_IN_S)
+            return Err(refuse('rate', max(1, wait_ms)))
+        usage.running += 1
+        return Ok(None)
+
+    def release(self, name: str) -> None:
+        """Give back the place of a request that ended."""
+        self.usage[name].running -= 1
+
+    def usage_of(
+        self,
+        name: str,
+        organisation: Organisation,
+        share: float,
+    ) -> Usage:
+        """Return the use of an organisation at its present rate."""
+        rate = organisation.requests_per_s * share
+        burst = max(1.0, rate * BURST_S)
+        usage = self.usage.get(name)
+        if usage is None:
+            usage = Usage(TokenBucket(self.read_now_s, rate, burst))
+            self.usage[name] = usage
+        elif usage.bucket.rate_per_s != rate:
+            usage.bucket.set_rate(rate, burst)
+        return usage
+
+    def take_asked(self) -> dict[str, int]:
+        """Return the requests asked for since the last call."""
+        asked = dict(self.asked)
+        # A zero is reported once after the last request, so that the
+        # coordinator sees the demand end.
+        self.asked = Counter(dict.fromkeys(self.active(asked), 0))
+        return asked
+
+    def active(self, asked: Mapping[str, int]) -> list[str]:
+        """Return the organisations to report next time."""
+        return [
+            name
+            for name, count in asked.items()
+            if count or self.usage_running(name)
+        ]
+
+    def usage_running(self, name: str) -> int:
+        """Return the running requests of an organisation."""
+        usage = self.usage.get(name)
+        return usage.running if usage else 0
+
+    def adopt(self, shares: Mapping[str, float]) -> None:
+        """Follow the coordinator's advice."""
+        until_s = self.read_now_s() + ADVICE_LIFE_S
+        for name, share in shares.items():
+            bounded = min(1.0, max(0.0, share))
+            self.advice[name] = Advice(bounded, until_s)
+
+    def forget_idle(self) -> None:
+        """Drop lapsed advice and the state of organisations at rest."""
+        now_s = self.read_now_s()
+        for name in [
+            name for name, one in self.advice.items() if one.until_s <= now_s
+        ]:
+            self.advice.pop(name)
+        for name, usage in list(self.usage.items()):
+            usage.bucket.refill()
+            full = usage.bucket.tokens >= usage.bucket.burst
+            if full and not usage.running:
+                self.usage.pop(name)
+
+
+@dataclass(slots=True)
+class Coordinator:
+    """Advice for the organisations that this entry coordinates."""
+
+    read_now_s: Callable[[], float]
+    demand: dict[str, dict[str, tuple[int, float]]] = field(
+        default_factory=lambda: defaultdict(dict),
+    )
+
+    def note(self, entry: str, used: Mapping[str, int]) -> None:
+        """Keep the latest report of an entry."""
+        now_s = self.read_now_s()
+        for name, count in used.items():
+            self.demand[name][entry] = (count, now_s)
+
+    def advise(self, entries: Collection[str]) -> dict[str, dict[str, float]]:
+        """Return for each live entry its shares of the organisations."""
+        oldest_s = self.read_now_s() - USAGE_LIFE_S
+        by_entry: dict[str, dict[str, float]] = {name: {} for name in entries}
+        for organisation, reports in list(self.demand.items()):
+            fresh = {
+                entry: count
+                for entry, (count, at_s) in reports.items()
+                if at_s > oldest_s
+            }
+            if not fresh:
+                self.demand.pop(organisation)
+                continue
+            asked = {entry: fresh.get(entry, 0) for entry in entries}
+            for entry, share in shares_by_demand(asked).items():
+                by_entry[entry][organisation] = share
+        return by_entry
+
+
+def refuse(kind: str, retry_after_ms: int) -> Refusal:
+    """Return the refusal of a request over a limit."""
+    return Refusal(
+        HTTP_TOO_MANY,
+        f'{kind}_limit',
+        f'the {kind} limit of the organisation is reached',
+        'not_run',
+        retry_after_ms,
+    )
+
+
+def unknown_organisation() -> Refusal:
+    """Return the refusal when an organisation was just removed."""
+    return Refusal(
+        HTTP_TOO_MANY,
+        'no_limit',
+        'the organisation has no limits any more',
+        'not_run',
+    )
--- /dev/null
+++ b/src/quetzaldyke/request/model.py
@@ -0,0 +1,111 @@
+"""One request as the entry sees it, from the caller's body or headers."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from typing import Annotated, Final
+
+from pydantic import BaseModel, ConfigDict, Field
+from pydantic import ValidationError as ModelError
+from result import Err, Ok, Result
+
+from quetzaldyke.request.outcome import (
+    HTTP_BAD_REQUEST,
+    HTTP_UNPROCESSABLE,
+    Refusal,
+)
+
+REQUEST_ID_BYTES: Final = 10
+MAX_OUTPUT_TOKENS: Final = 1_000_000
+MAX_MESSAGES: Final = 10_000
+
+# Characters of the prompt that decide which endpoints may hold its prefix.
+CHAT_PATH: Final = '/v1/chat/completions'
+
+
+class Lenient(BaseModel):
+    """Body that keeps fields that only the engine understands."""
+
+    model_config = ConfigDict(extra='allow', frozen=True)
+
+
+class ChatMessage(Lenient):
+    """One message of a conversation."""
+
+    role: str
+    content: str | list[dict[str, object]] | None = None
+
+
+class StreamOptions(Lenient):
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+class GenerationBody(Lenient):
+    """Fields that both generation paths share."""
+
+    model: Annotated[str, Field(min_length=1)]
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+    max_tokens: int | None = Field(default=None, ge=1, le=MAX_OUTPUT_TOKENS)
+    n: int = Field(default=1, ge=1, le=1)
+
+
+class ChatBody(GenerationBody):
+    """Body of `/v1/chat/completions`."""
+
+    messages: list[ChatMessage] = Field(min_length=1, max_length=MAX_MESSAGES)
+
+
+class CompletionBody(GenerationBody):
+    """Body of `/v1/completions`."""
+
+    prompt: str
+
+
+@dataclass(frozen=True, slots=True)
+class OnlineRequest:
+    """One online request on its way through the entry."""
+
+    request_id: str
+    organisation: str
+    pool: str
+    kind: str  # 'engine' or 'service'
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    stream: bool
+    idempotent: bool
+    deadline_s: float
+    fingerprint: str
+    idempotency_key: str = ''
+    model: str = ''
+    include_usage: bool = False
+
+
+def new_request_id() -> str:
+    """Return an id for a request."""
+    return f'req-{secrets.token_hex(REQUEST_ID_BYTES)}'
+
+
+def parse_generation(
+    path: str,
+    body: bytes,
+) -> Result[GenerationBody, Refusal]:
+    """Validate a generation body; findings name the field."""
+    model = ChatBody if path == CHAT_PATH else CompletionBody
+    try:
+        return Ok(model.model_validate_json(body))
+    except ModelError as exc:
+        found = exc.errors(include_input=False, include_url=False)
+    not_json = any(one['type'] == 'json_invalid' for one in found)
+    text = '; '.join(
+        f'{".".join(str(part) for part in one["loc"])}: {one["msg"]}'
+        for one in found
+    )
+    status = HTTP_BAD_REQUEST if not_json else HTTP_UNPROCESSABLE
+    code = 'invalid_json' if not_json else 'invalid_body'
+    return Err(Refusal(status, code, text, 'not_run'))
--- /dev/null
+++ b/src/quetzaldyke/request/once.py
@@ -0,0 +1,318 @@
+"""Runs a non-idempotent request at most once over the whole fleet.
+
+A durable claim under the caller's key precedes the first byte to a
+sidecar. The run goes on when its caller is gone, and its outcome is
+recorded, so that a resend through any entry gets the first run's answer.
+What can't be known is answered as `unknown`, never run again.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import uuid
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
+from result import Err, Ok, Result
+
+from quetzaldyke.parts.claims import (
+    ClaimError,
+    Claimed,
+    ClaimLedger,
+    InProgress,
+    Recorded,
+)
+from quetzaldyke.parts.hlc import wall_clock_ms
+from quetzaldyke.request.execute import ExecuteContext, execute_online
+from quetzaldyke.request.model import OnlineRequest
+from quetzaldyke.request.outcome import (
+    HTTP_BAD_GATEWAY,
+    HTTP_CONFLICT,
+    HTTP_UNAVAILABLE,
+    HTTP_UNPROCESSABLE,
+    MS_IN_S,
+    AnswerEnd,
+    AnswerEvent,
+    Refusal,
+    incomplete,
+)
+from quetzaldyke.request.outcome_record import (
+    pack_outcome,
+    unpack_outcome,
+)
+
+UUID_VERSION: Final = 7
+# A UUIDv7 has its time in ms in the upper 48 of 128 bits.
+UUID_TIME_SHIFT: Final = 80
+# A key from further ahead than clocks differ would outlive its record.
+MAX_AHEAD_MS: Final = 60_000
+CLAIM_RETRY_MS: Final = 1000
+RECORD_INTERVAL_S: Final = 1.0
+# Outcomes that wait for the key-value service to come back. Without their
+# record a resend still gets `unknown`, so the oldest may be dropped.
+MAX_HELD_OUTCOMES: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class HeldOutcome:
+    """An outcome whose record was not confirmed yet."""
+
+    key_hash: str
+    claim_id: str
+    outcome: bytes
+
+
+@dataclass(slots=True)
+class OnceContext:
+    """What non-idempotent requests need of the entry."""
+
+    execute: ExecuteContext
+    ledger: ClaimLedger
+    group: TaskGroup
+    retention_s: float
+    read_wall_ms: Callable[[], int] = wall_clock_ms
+    held: deque[HeldOutcome] = field(
+        default_factory=lambda: deque(maxlen=MAX_HELD_OUTCOMES),
+    )
+    # Runs that may go on without their caller.
+    running: int = 0
+
+    async def record_held(self) -> None:
+        """Record the outcomes that an outage held back."""
+        for _ in range(len(self.held)):
+            one = self.held.popleft()
+            written = await self.ledger.record(
+                one.key_hash,
+                one.claim_id,
+                one.outcome,
+            )
+            if isinstance(written, Err) and is_passing(written.err_value):
+                self.held.append(one)
+
+
+def is_passing(error: ClaimError) -> bool:
+    """Tell whether a failed record may succeed later."""
+    return error.kind in {'unavailable', 'unknown'}
+
+
+def created_ms_of(key: str) -> int | None:
+    """Return the time in a UUIDv7, or None for any other text.
+
+    >>> created_ms_of('01890a5d-ac96-774b-bcce-b302099a8057')
+    1688070335638
+    >>> created_ms_of('order-17')
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != UUID_VERSION:
+        return None
+    return parsed.int >> UUID_TIME_SHIFT
+
+
+def check_key(
+    context: OnceContext,
+    key: str,
+) -> Result[int, Refusal]:
+    """Return the time of a usable key."""
+    created_ms = created_ms_of(key)
+    if created_ms is None:
+        return Err(
+            Refusal(
+                HTTP_UNPROCESSABLE,
+                'idempotency_key_needed',
+                'a non-idempotent request needs an Idempotency-Key '
+                'that is a UUIDv7',
+                'not_run',
+            ),
+        )
+    age_ms = context.read_wall_ms() - created_ms
+    if age_ms >= context.retention_s * MS_IN_S:
+        return Err(
+            Refusal(
+                HTTP_CONFLICT,
+                'key_expired',
+                'the record of this Idempotency-Key may have expired',
+                'unknown',
+            ),
+        )
+    if age_ms < -MAX_AHEAD_MS:
+        return Err(
+            Refusal(
+                HTTP_UNPROCESSABLE,
+                'key_from_the_future',
+                'the time in the Idempotency-Key is ahead of the clock',
+                'not_run',
+            ),
+        )
+    return Ok(created_ms)
+
+
+def key_hash_of(request: OnlineRequest) -> str:
+    """Return the claim's key; the organisation is part of it."""
+    digest = hashlib.sha256()
+    for part in (request.organisation, request.pool, request.idempotency_key):
+        text = part.encode()
+        digest.update(len(text).to_bytes(4, 'big'))
+        digest.update(text)
+    return digest.hexdigest()
+
+
+def claim_refused(error: ClaimError) -> Refusal:
+    """Return the refusal when a claim could not be made."""
+    ran = 'unknown' if error.kind == 'unknown' else 'not_run'
+    return Refusal(
+        HTTP_UNAVAILABLE,
+        f'claim_{error.kind}',
+        'the claim of the request could not be recorded',
+        'unknown' if ran == 'unknown' else 'not_run',
+        CLAIM_RETRY_MS,
+    )
+
+
+def still_running() -> Refusal:
+    """Return the answer while another run of the key has no outcome."""
+    return Refusal(
+        HTTP_CONFLICT,
+        'in_progress',
+        'another run of this Idempotency-Key has no recorded outcome',
+        'unknown',
+        CLAIM_RETRY_MS,
+    )
+
+
+def key_reused() -> Refusal:
+    """Return the refusal of a key that belongs to another request."""
+    return Refusal(
+        HTTP_UNPROCESSABLE,
+        'idempotency_key_reused',
+        'the Idempotency-Key was used for another request',
+        'not_run',
+    )
+
+
+async def execute_once(
+    context: OnceContext,
+    request: OnlineRequest,
+) -> AsyncIterator[AnswerEvent]:
+    """Yield the answer of the only run under the request's key."""
+    checked = check_key(context, request.idempotency_key)
+    if isinstance(checked, Err):
+        yield checked.err_value
+        return
+    key_hash = key_hash_of(request)
+    claimed = await context.ledger.claim(key_hash, checked.ok_value)
+    if isinstance(claimed, Err):
+        yield claim_refused(claimed.err_value)
+        return
+    match claimed.ok_value:
+        case Recorded(outcome=outcome):
+            for event in recorded_events(request, outcome):
+                yield event
+        case InProgress():
+            yield still_running()
+        case Claimed(claim_id=claim_id):
+            events = run_detached(context, request, key_hash, claim_id)
+            async with aclosing(events) as opened:  # type: ignore[type-var]
+                async for event in opened:
+                    yield event
+
+
+def recorded_events(
+    request: OnlineRequest,
+    outcome: bytes,
+) -> list[AnswerEvent]:
+    """Return the events of a recorded outcome."""
+    record = unpack_outcome(outcome)
+    if record.fingerprint != request.fingerprint:
+        return [key_reused()]
+    return record.events
+
+
+async def run_detached(
+    context: OnceContext,
+    request: OnlineRequest,
+    key_hash: str,
+    claim_id: str,
+) -> AsyncIterator[AnswerEvent]:
+    """Run a claimed request in a task that outlives its caller."""
+    sink, source = anyio.create_memory_object_stream[AnswerEvent](math.inf)
+    context.running += 1
+    context.group.start_soon(
+        run_claimed,
+        context,
+        request,
+        HeldOutcome(key_hash, claim_id, b''),
+        sink,
+    )
+    with source:
+        async for event in source:
+            yield event
+
+
+async def run_claimed(
+    context: OnceContext,
+    request: OnlineRequest,
+    claim: HeldOutcome,
+    sink: MemoryObjectSendStream[AnswerEvent],
+) -> None:
+    """Run a claimed request to its end and record the outcome."""
+    events: list[AnswerEvent] = []
+    try:
+        async for event in execute_online(context.execute, request):
+            events.append(event)
+            if not isinstance(event, AnswerEnd | Refusal):
+                give(sink, event)
+        if not events or not isinstance(events[-1], AnswerEnd | Refusal):
+            events.append(incomplete('the answer has no end mark'))
+        await settle(context, request, claim, events)
+        give(sink, events[-1])
+    finally:
+        context.running -= 1
+        sink.close()
+
+
+def give(
+    sink: MemoryObjectSendStream[AnswerEvent],
+    event: AnswerEvent,
+) -> None:
+    """Hand an event to the caller if it is still there."""
+    try:
+        sink.send_nowait(event)
+    except anyio.BrokenResourceError:
+        return
+
+
+async def settle(
+    context: OnceContext,
+    request: OnlineRequest,
+    claim: HeldOutcome,
+    events: list[AnswerEvent],
+) -> None:
+    """Record the outcome, or give the claim back when nothing ran.
+
+    The record goes before the answer, so that a resend after a lost answer
+    finds it.
+    """
+    last = events[-1]
+    if isinstance(last, Refusal) and last.ran == 'not_run':
+        await context.ledger.release(claim.key_hash, claim.claim_id)
+        return
+    outcome = pack_outcome(request.fingerprint, events)
+    written = await context.ledger.record(
+        claim.key_hash,
+        claim.claim_id,
+        outcome,
+    )
+    if isinstance(written, Err) and is_passing(written.err_value):
+        context.held.append(
+            HeldOutcome(claim.key_hash, claim.claim_id, outcome),
+        )
--- /dev/null
+++ b/src/quetzaldyke/request/outcome.py
@@ -0,0 +1,217 @@
+"""What a caller gets: parts of an answer, its end, or a refusal.
+
+A refusal always says whether the request ran, so that the caller knows
+whether a resend is safe.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.connection.messages import Failed, Ran
+
+HTTP_OK: Final = 200
+HTTP_BAD_REQUEST: Final = 400
+HTTP_UNAUTHORIZED: Final = 401
+HTTP_NOT_FOUND: Final = 404
+HTTP_CONFLICT: Final = 409
+HTTP_TOO_LARGE: Final = 413
+HTTP_UNPROCESSABLE: Final = 422
+HTTP_TOO_MANY: Final = 429
+HTTP_BAD_GATEWAY: Final = 502
+HTTP_UNAVAILABLE: Final = 503
+HTTP_TIMEOUT: Final = 504
+MS_IN_S: Final = 1000
+
+CRASHES_ENDPOINTS: Final = 'crashes_endpoints'
+
+ERROR_TYPES: Final[Mapping[int, str]] = {
+    HTTP_UNAUTHORIZED: 'authentication_error',
+    HTTP_NOT_FOUND: 'not_found_error',
+    HTTP_TOO_MANY: 'rate_limit_error',
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """End of a request without an answer."""
+
+    status: int
+    code: str
+    message: str
+    ran: Ran
+    retry_after_ms: int = 0
+
+    @property
+    def error_type(self) -> str:
+        """Return the type that client libraries expect for the status."""
+        if self.status >= HTTP_BAD_GATEWAY:
+            return 'unavailable_error'
+        return ERROR_TYPES.get(self.status, 'invalid_request_error')
+
+    def body(self, request_id: str) -> dict[str, dict[str, str]]:
+        """Return the error document."""
+        return {
+            'error': {
+                'message': self.message,
+                'type': self.error_type,
+                'code': self.code,
+                'ran': self.ran,
+                'request_id': request_id,
+            },
+        }
+
+    def headers(self) -> dict[str, str]:
+        """Return `Retry-After` where a retry helps."""
+        if not self.retry_after_ms:
+            return {}
+        # Whole seconds, rounded up; zero would invite an immediate retry.
+        seconds = -(-self.retry_after_ms // MS_IN_S)
+        return {'retry-after': str(seconds)}
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerText:
+    """Generated text in the order of its generation."""
+
+    text: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBytes:
+    """Bytes of a plain service's answer."""
+
+    raw: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is whole."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    finish_reason: str
+    prompt_tokens: int
+    completion_tokens: int
+
+
+AnswerEvent = AnswerText | AnswerBytes | AnswerEnd | Refusal
+
+
+@dataclass(slots=True)
+class WholeAnswer:
+    """All parts of an answer, put together."""
+
+    end: AnswerEnd
+    text: str = ''
+    raw: bytes = b''
+
+
+@dataclass(slots=True)
+class Parts:
+    """Parts seen so far."""
+
+    texts: list[str] = field(default_factory=list)
+    raws: list[bytes] = field(default_factory=list)
+
+
+async def collect(
+    events: AsyncIterator[AnswerEvent],
+) -> WholeAnswer | Refusal:
+    """Return the whole answer, or the refusal that ended it."""
+    parts = Parts()
+    async with aclosing(events) as open_events:  # type: ignore[type-var]
+        async for event in open_events:
+            match event:
+                case AnswerText(text=text):
+                    parts.texts.append(text)
+                case AnswerBytes(raw=raw):
+                    parts.raws.append(raw)
+                case Refusal():
+                    return event
+                case AnswerEnd():
+                    raw = b''.join((*parts.raws, event.body))
+                    return WholeAnswer(event, ''.join(parts.texts), raw)
+    return incomplete('the answer ended without its end mark')
+
+
+def incomplete(message: str) -> Refusal:
+    """Return the refusal of an answer that broke off."""
+    return Refusal(HTTP_BAD_GATEWAY, 'incomplete', message, 'unknown')
+
+
+def no_endpoint(pool: str, retry_after_ms: int) -> Refusal:
+    """Return the refusal when nothing can run the request."""
+    return Refusal(
+        HTTP_UNAVAILABLE,
+        'no_endpoint',
+        f'no endpoint of {pool} is available',
+        'not_run',
+        retry_after_ms,
+    )
+
+
+def overloaded(pool: str, retry_after_ms: int) -> Refusal:
+    """Return the refusal of a request that could not start in time."""
+    return Refusal(
+        HTTP_UNAVAILABLE,
+        'overloaded',
+        f'the endpoints of {pool} are busy past the deadline',
+        'not_run',
+        retry_after_ms,
+    )
+
+
+def late(ran: Ran) -> Refusal:
+    """Return the refusal of a request past its deadline."""
+    return Refusal(
+        HTTP_TIMEOUT,
+        'deadline_exceeded',
+        'the deadline passed before the answer was complete',
+        ran,
+    )
+
+
+def crashing(ran: Ran) -> Refusal:
+    """Return the refusal of a confirmed crashing request."""
+    return Refusal(
+        HTTP_UNPROCESSABLE,
+        CRASHES_ENDPOINTS,
+        'the request crashes the endpoints that run it',
+        ran,
+    )
+
+
+def ran_of(text: str) -> Ran:
+    """Return a peer's statement; anything unexpected counts as unknown.
+
+    >>> ran_of('not_run'), ran_of('perhaps')
+    ('not_run', 'unknown')
+    """
+    if text == 'not_run':
+        return 'not_run'
+    return 'ran' if text == 'ran' else 'unknown'
+
+
+def refusal_of(failed: Failed, ran: Ran) -> Refusal:
+    """Return the caller's form of a failed request.
+
+    `ran` covers all attempts, where `failed` speaks of the last one.
+    """
+    if failed.reason == CRASHES_ENDPOINTS:
+        return crashing(ran)
+    if failed.reason in {'deadline', 'expired'}:
+        return late(ran)
+    status = HTTP_UNAVAILABLE if ran == 'not_run' else HTTP_BAD_GATEWAY
+    return Refusal(
+        status,
+        'not_run' if ran == 'not_run' else 'endpoint_failed',
+        failed.reason,
+        ran,
+        failed.retry_after_ms,
+    )
