--- a/src/quetzaldyke/parts/backoff.py
+++ b/src/quetzaldyke/parts/backoff.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from random import Random
 from typing import Final
 
 FACTOR: Final = 2.0
@@ -37,7 +36,7 @@
 def pause_s(
     options: BackoffOptions,
     attempt: int,
-    uniform: Callable[[float, float], float] = Random().uniform,
+    uniform: Callable[[float, float], float],
 ) -> float:
     """Return a pause drawn evenly between zero and the ceiling."""
     return uniform(0, ceiling_s(options, attempt))
--- a/src/quetzaldyke/process/answers_http.py
+++ b/src/quetzaldyke/process/answers_http.py
@@ -166,7 +166,7 @@
     def final_chunk(self, end: AnswerEnd) -> bytes:
         """Return the last chunk, with the finish reason and the usage."""
         kind = 'chat.completion.chunk' if self.chat else 'text_completion'
-        empty = {'delta': {}} if self.chat else {'text': ''}
+        empty: dict[str, object] = {'delta': {}} if self.chat else {'text': ''}
         document = {
             **self.head(kind),
             'choices': [
--- a/src/quetzaldyke/process/callers_http.py
+++ b/src/quetzaldyke/process/callers_http.py
@@ -14,9 +14,9 @@
 from result import Err, Ok, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse
+from starlette.responses import JSONResponse, Response
 from starlette.routing import BaseRoute, Route
-from starlette.types import ASGIApp, Receive, Scope, Send
+from starlette.types import ASGIApp, Scope
 
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.answers_http import (
@@ -26,7 +26,6 @@
     StreamResponse,
     WholeResponse,
     now_s,
-    send_refusal,
 )
 from quetzaldyke.process.callers_gate import (
     Gate,
@@ -42,7 +41,6 @@
     CHAT_PATH,
     GenerationBody,
     OnlineRequest,
-    new_request_id,
     parse_generation,
 )
 from quetzaldyke.request.once import OnceContext, execute_once
@@ -329,10 +327,11 @@
     return WholeResponse(request, context.events_of(request))
 
 
-async def refuse_unknown(http: Request, _: Exception) -> ASGIApp:
+async def refuse_unknown(http: Request, _: Exception) -> Response:
     """Answer an unknown path or method."""
     refusal = not_found(f'{http.method} {http.url.path} does not exist')
-    return ErrorResponse(refusal, http.state.request_id)
+    document = refusal.body(http.state.request_id)
+    return JSONResponse(document, refusal.status)
 
 
 def caller_routes(context: CallersContext) -> list[BaseRoute]:
--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
@@ -17,7 +18,7 @@
 from anyio.abc import TaskGroup, TaskStatus
 from starlette.applications import Starlette
 
-from quetzaldyke.connection.http_server import HttpServer, serve_http
+from quetzaldyke.connection.http_server import App, HttpOptions, serve_http
 from quetzaldyke.connection.kv_http import HttpKeyValueStore
 from quetzaldyke.connection.links import LinkOptions, listen, stamp_row
 from quetzaldyke.connection.messages import (
@@ -242,8 +243,8 @@
         await start_links(entry, group, stack)
         for part in parts:
             await part.start(entry)
-        callers = await start_callers(entry, group, parts)
-        operators = await start_operators(entry, group, parts)
+        callers = await start_callers(entry, parts)
+        operators = await start_operators(entry, parts)
         subscribe_timers(entry)
         group.start_soon(entry.timers.run)
         entry.log_event(
@@ -306,11 +307,52 @@
     timers.subscribe('suspects', FORGET_INTERVAL_S, entry.suspects.forget_old)
 
 
+@dataclass(slots=True)
+class Served:
+    """One HTTP listener, its stop and its end."""
+
+    address: str = ''
+    stopping: anyio.Event = field(default_factory=anyio.Event)
+    finished: anyio.Event = field(default_factory=anyio.Event)
+
+    async def stop(self) -> None:
+        """Stop accepting, and wait until running requests are answered."""
+        self.stopping.set()
+        await self.finished.wait()
+
+
+async def serve(
+    app: App,
+    options: HttpOptions,
+    served: Served,
+    *,
+    task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve one listener and report its address and its end."""
+    async with anyio.create_task_group() as group:
+        http = await group.start(serve_http, app, options, served.stopping)
+        served.address = http.address
+        task_status.started()
+    served.finished.set()
+
+
+async def start_http(
+    app: App,
+    address: str,
+    entry: EntryProcess,
+) -> Served:
+    """Start one HTTP listener."""
+    assert entry.group is not None
+    options = HttpOptions(address, math.ceil(entry.settings.drain_s))
+    served = Served()
+    await entry.group.start(serve, app, options, served)
+    return served
+
+
 async def start_callers(
     entry: EntryProcess,
-    group: TaskGroup,
     parts: Sequence[EntryPart],
-) -> HttpServer:
+) -> Served:
     """Start the callers' listener."""
     assert entry.once is not None
     context = CallersContext(
@@ -322,34 +364,26 @@
     )
     more = [route for part in parts for route in part.caller_routes(entry)]
     app = callers_app(context, entry.limits, entry.open_requests, more)
-    server: HttpServer = await group.start(
-        serve_http,
-        app,
-        entry.settings.callers_address,
-    )
-    entry.callers_address = server.address
-    return server
+    served = await start_http(app, entry.settings.callers_address, entry)
+    entry.callers_address = served.address
+    return served
 
 
 async def start_operators(
     entry: EntryProcess,
-    group: TaskGroup,
     parts: Sequence[EntryPart],
-) -> HttpServer:
+) -> Served:
     """Start the operators' listener."""
     routes = [route for part in parts for route in part.operator_routes(entry)]
-    server: HttpServer = await group.start(
-        serve_http,
-        Starlette(routes=routes),
-        entry.settings.operators_address,
-    )
-    entry.operators_address = server.address
-    return server
+    app = Starlette(routes=routes)
+    served = await start_http(app, entry.settings.operators_address, entry)
+    entry.operators_address = served.address
+    return served
 
 
 async def stop_as_planned(
     entry: EntryProcess,
-    callers: HttpServer,
+    callers: Served,
     parts: Sequence[EntryPart],
 ) -> None:
     """Leave without cutting a request."""
--- a/src/quetzaldyke/request/execute.py
+++ b/src/quetzaldyke/request/execute.py
@@ -45,7 +45,7 @@
 NO_ENDPOINT: Final = 'no endpoint is available'
 # Weight of the newest request in the mean time that a request takes.
 SERVICE_WEIGHT: Final = 0.05
-RETRY_PAUSES: Final = BackoffOptions(base_s=0.02, cap_s=0.5)
+RETRY_PAUSES: Final = BackoffOptions(cap_s=0.5)
 
 
 @dataclass(slots=True)
@@ -185,9 +185,9 @@
     context: ExecuteContext,
     request: OnlineRequest,
     progress: Progress,
-    failed: Failed,
 ) -> bool:
     """Wait for the next attempt; False when it must not be made."""
+    failed = progress.failed
     if not may_retry(request, progress, failed):
         return False
     if not is_free(failed) and not context.budget(request.pool).try_spend():
@@ -231,9 +231,8 @@
     request: OnlineRequest,
     progress: Progress,
     pick: Pick,
-    begun_s: float,
-) -> AsyncIterator[AnswerEvent | Failed]:
-    """Yield what one attempt gives the caller; the last may be `Failed`."""
+) -> AsyncIterator[AnswerEvent]:
+    """Yield what one attempt gives the caller."""
     attempt = run_attempt(context, request, progress, pick)
     async with aclosing(attempt) as events:  # type: ignore[type-var]
         async for event in events:
@@ -241,13 +240,13 @@
                 case Chunk():
                     part = relay_chunk(event, progress)
                     if part is not None:
-                        note_first_part(context, request, progress, begun_s)
+                        note_first_part(context, request, progress)
                         yield part
                 case Failed():
                     note_failure(context, request, progress, pick, event)
-                    yield event
                 case End():
-                    note_end(context, request, pick, begun_s)
+                    progress.whole = True
+                    note_end(context, request, progress, pick)
                     if progress.raws:
                         yield AnswerBytes(b''.join(progress.raws))
                     yield end_of(event, progress)
@@ -257,23 +256,22 @@
     context: ExecuteContext,
     request: OnlineRequest,
     progress: Progress,
-    begun_s: float,
 ) -> None:
     """Record the caller's time to the first token once."""
     if len(progress.texts) > 1:
         return
-    taken_ms = (context.clock.now() - begun_s) * MS_IN_S
+    taken_ms = (context.clock.now() - progress.begun_s) * MS_IN_S
     context.metrics.observe_ms('ttft_ms', taken_ms, pool=request.pool)
 
 
 def note_end(
     context: ExecuteContext,
     request: OnlineRequest,
+    progress: Progress,
     pick: Pick,
-    begun_s: float,
 ) -> None:
     """Record a whole answer."""
-    taken_s = context.clock.now() - begun_s
+    taken_s = context.clock.now() - progress.begun_s
     context.router.note_success(pick.link.instance.instance)
     context.note_service(request.pool, taken_s)
     context.metrics.count('requests_total', pool=request.pool, ran='ran')
@@ -306,30 +304,20 @@
 ) -> AsyncIterator[AnswerEvent]:
     """Yield the answer of one request; the last event ends or refuses it."""
     context.budget(request.pool).deposit()
-    progress = Progress()
-    begun_s = context.clock.now()
+    progress = Progress(context.clock.now())
     refusal: Refusal | None = None
     while refusal is None:
-        failed = Failed(request.request_id, 'not_run', NO_ENDPOINT)
+        progress.failed = Failed(request.request_id, 'not_run', NO_ENDPOINT)
         pick = context.router.pick(request, progress.failed_on)
         early = refuse_early(context, request, pick)
         if early is None and pick is not None:
-            parts = run_and_relay(context, request, progress, pick, begun_s)
+            parts = run_and_relay(context, request, progress, pick)
             async with aclosing(parts) as opened:  # type: ignore[type-var]
                 async for part in opened:
-                    if isinstance(part, Failed):
-                        failed = part
-                        continue
                     yield part
-                    if isinstance(part, AnswerEnd):
-                        return
-        refusal = await retry_or_refuse(
-            context,
-            request,
-            progress,
-            failed,
-            early,
-        )
+        if progress.whole:
+            return
+        refusal = await retry_or_refuse(context, request, progress, early)
     note_refusal(context, request, refusal)
     yield refusal
 
@@ -338,7 +326,6 @@
     context: ExecuteContext,
     request: OnlineRequest,
     progress: Progress,
-    failed: Failed,
     early: Refusal | None,
 ) -> Refusal | None:
     """Wait for the next attempt, or return why there is none."""
@@ -346,8 +333,8 @@
         return early
     if early is not None and early.status != HTTP_UNAVAILABLE:
         return replace(early, ran=progress.ran)
-    if await pause_before_retry(context, request, progress, failed):
+    if await pause_before_retry(context, request, progress):
         return None
     if early is not None:
         return replace(early, ran=progress.ran)
-    return refusal_of(failed, progress.ran)
+    return refusal_of(progress.failed, progress.ran)
--- a/src/quetzaldyke/request/limits.py
+++ b/src/quetzaldyke/request/limits.py
@@ -160,10 +160,11 @@
     def forget_idle(self) -> None:
         """Drop lapsed advice and the state of organisations at rest."""
         now_s = self.read_now_s()
-        for name in [
-            name for name, one in self.advice.items() if one.until_s <= now_s
-        ]:
-            self.advice.pop(name)
+        self.advice = {
+            name: advice
+            for name, advice in self.advice.items()
+            if advice.until_s > now_s
+        }
         for name, usage in list(self.usage.items()):
             usage.bucket.refill()
             full = usage.bucket.tokens >= usage.bucket.burst
--- a/src/quetzaldyke/request/once.py
+++ b/src/quetzaldyke/request/once.py
@@ -33,7 +33,6 @@
 from quetzaldyke.request.execute import ExecuteContext, execute_online
 from quetzaldyke.request.model import OnlineRequest
 from quetzaldyke.request.outcome import (
-    HTTP_BAD_GATEWAY,
     HTTP_CONFLICT,
     HTTP_UNAVAILABLE,
     HTTP_UNPROCESSABLE,
@@ -86,8 +85,9 @@
 
     async def record_held(self) -> None:
         """Record the outcomes that an outage held back."""
-        for _ in range(len(self.held)):
-            one = self.held.popleft()
+        waiting = list(self.held)
+        self.held.clear()
+        for one in waiting:
             written = await self.ledger.record(
                 one.key_hash,
                 one.claim_id,
--- a/src/quetzaldyke/request/retry.py
+++ b/src/quetzaldyke/request/retry.py
@@ -20,24 +20,28 @@
 FREE_REASONS: Final = frozenset(('leaving', 'draining'))
 
 
+def no_attempt() -> Failed:
+    """Return the failure of a request before its first attempt."""
+    return Failed('', 'not_run', 'no attempt was made')
+
+
 @dataclass(slots=True)
 class Progress:
     """What all attempts of one request have led to."""
 
+    begun_s: float = 0.0
     attempt: int = 0
     texts: list[str] = field(default_factory=list)
     tokens: int = 0
     raws: list[bytes] = field(default_factory=list)
     ran: Ran = 'not_run'
     failed_on: set[str] = field(default_factory=set)
-
-    @property
-    def begun(self) -> bool:
-        """Tell whether the caller already has a part of the answer."""
-        return bool(self.texts)
+    failed: Failed = field(default_factory=no_attempt)
+    whole: bool = False
 
     def note_failure(self, endpoint: str, failed: Failed) -> None:
         """Add one failed attempt."""
+        self.failed = failed
         self.failed_on.add(endpoint)
         self.raws.clear()
         self.ran = combine(self.ran, ran_of(failed.ran))
--- a/src/quetzaldyke/request/router.py
+++ b/src/quetzaldyke/request/router.py
@@ -23,7 +23,9 @@
 from quetzaldyke.request.routing import Candidate, Preference, choose
 from quetzaldyke.version.configuration import Configuration, Pool
 
-EJECTION: Final = BackoffOptions(base_s=1.0, cap_s=30.0)
+EJECTION_BASE_S: Final = 1.0
+EJECTION_CAP_S: Final = 30.0
+EJECTION: Final = BackoffOptions(EJECTION_BASE_S, EJECTION_CAP_S)
 # Work is borrowed only once the own pool has no free slot.
 SATURATED: Final = 1.0
 DEFAULT_POOL: Final = Pool()
@@ -183,9 +185,7 @@
                 continue
             if rule.when != 'idle':
                 continue
-            found.extend(
-                self.idle_links(borrower, rule.lender, rule.max_share)
-            )
+            found.extend(self.idle_links(borrower, rule.lender, rule.max_share))
         return found
 
     def idle_links(
--- a/src/quetzaldyke/request/routing.py
+++ b/src/quetzaldyke/request/routing.py
@@ -30,7 +30,7 @@
 MAX_SLOW_FACTOR: Final = 8.0
 # Share of choices that ignore weights, so that a slow endpoint which has
 # recovered is measured again.
-PROBE_SHARE: Final = 0.01
+PROBE_SHARE: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,114 @@
+"""Tests of the routing choice."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quetzaldyke.request.routing import (
+    AFFINITY_BOUND,
+    Candidate,
+    Preference,
+    choose,
+    slow_factors,
+    with_prefix,
+)
+
+NEAR = Preference('a', 0.8)
+
+candidates = st.lists(
+    st.builds(
+        Candidate,
+        name=st.uuids().map(str),
+        failure_domain=st.sampled_from('abc'),
+        load=st.integers(0, 40),
+        limit=st.integers(1, 16),
+        ttft_ms=st.floats(0, 5000),
+        has_prefix=st.booleans(),
+    ),
+    max_size=12,
+    unique_by=lambda one: one.name,
+)
+
+
+@given(pool=candidates, seed=st.integers(0, 99))
+def test_choice_is_a_candidate(pool: list[Candidate], seed: int) -> None:
+    """Guards against no choice where an endpoint could take the request."""
+    chosen = choose(pool, NEAR, Random(seed))
+    assert (chosen in pool) if pool else (chosen is None)
+
+
+@given(pool=candidates)
+def test_at_most_a_third_is_down_weighted(pool: list[Candidate]) -> None:
+    """Guards against a wrong verdict that overloads the few others."""
+    assert len(slow_factors(pool)) * 3 <= len(pool)
+
+
+@given(pool=candidates)
+def test_prefix_never_overloads(pool: list[Candidate]) -> None:
+    """Guards against a popular prefix that piles up on one endpoint."""
+    holder = with_prefix(pool, {}) if pool else None
+    if holder is None:
+        return
+    mean = (sum(one.load for one in pool) + 1) / len(pool)
+    assert holder.has_prefix
+    assert holder.load < holder.limit
+    assert holder.load + 1 <= max(1, mean * AFFINITY_BOUND + 1)
+
+
+def counted(
+    pool: list[Candidate],
+    preference: Preference = NEAR,
+    tries: int = 2000,
+) -> Counter[str]:
+    """Return how often each endpoint is chosen."""
+    random = Random(7)
+    chosen = (choose(pool, preference, random) for _ in range(tries))
+    return Counter(one.name for one in chosen if one is not None)
+
+
+def test_local_endpoints_go_first_until_they_are_busy() -> None:
+    """Guards against needless traffic between failure domains."""
+    far = [Candidate(f'far-{index}', 'b', 0, 8) for index in range(3)]
+    idle = [Candidate(f'near-{index}', 'a', 2, 8) for index in range(3)]
+    full = [Candidate(f'near-{index}', 'a', 8, 8) for index in range(3)]
+    assert not [name for name in counted(far + idle) if 'far' in name]
+    spilled = counted(far + full)
+    assert sum(spilled[f'far-{index}'] for index in range(3)) > 1500
+
+
+def test_two_choices_prefer_the_idle() -> None:
+    """Guards against a choice that ignores load: even would give 500."""
+    pool = [
+        Candidate(f'e{index}', 'a', load, 32)
+        for index, load in enumerate((0, 10, 10, 10))
+    ]
+    found = counted(pool, Preference('a', 1.0))
+    assert found['e0'] > 900
+
+
+def test_slow_endpoint_gets_little_but_is_probed() -> None:
+    """Guards against a slow endpoint at full weight, or never measured."""
+    pool = [Candidate(f'e{index}', 'a', 2, 16, 50) for index in range(5)]
+    pool.append(Candidate('slow', 'a', 2, 16, 600))
+    found = counted(pool, tries=10_000)
+    assert 0 < found['slow'] < 100
+
+
+def test_idle_prefix_holder_is_taken() -> None:
+    """Guards against a hint that has no effect."""
+    pool = [Candidate(f'e{index}', 'a', 2, 16) for index in range(5)]
+    pool.append(Candidate('holder', 'a', 1, 16, has_prefix=True))
+    assert counted(pool) == {'holder': 2000}
+
+
+@pytest.mark.parametrize('load', [16, 17, 40])
+def test_full_prefix_holder_is_not_taken_for_its_prefix(load: int) -> None:
+    """Guards against waiting at a holder while others are idle."""
+    pool = [Candidate(f'e{index}', 'a', 1, 16) for index in range(5)]
+    pool.append(Candidate('holder', 'a', load, 16, has_prefix=True))
+    assert counted(pool)['holder'] < 30
