--- /dev/null
+++ b/src/quetzaldyke/commands/arrivals.py
@@ -0,0 +1,88 @@
+"""Seeded open-loop arrivals: base load with bursts.
+
+Latency is measured from the intended start of a request, so that a stall of
+the system or of the driver is not hidden by requests that were sent late.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+# Callers share prompt prefixes: each conversation repeats its opening.
+PREFIXES: Final = 12
+PREFIX_WORDS: Final = 60
+MAX_TAIL_WORDS: Final = 40
+
+
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """A stretch with a higher rate of arrivals."""
+
+    start_s: float
+    end_s: float
+    rate_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """Online load of one run."""
+
+    seed: int
+    duration_s: float
+    rate_per_s: float
+    bursts: tuple[Burst, ...]
+    mean_tokens: int
+
+    def rate_at(self, at_s: float) -> float:
+        """Return the rate of arrivals at a time of the run."""
+        for burst in self.bursts:
+            if burst.start_s <= at_s < burst.end_s:
+                return burst.rate_per_s
+        return self.rate_per_s
+
+    def in_burst(self, at_s: float) -> bool:
+        """Tell whether a time lies in a burst."""
+        return any(one.start_s <= at_s < one.end_s for one in self.bursts)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One online request and its intended start."""
+
+    at_s: float
+    prompt: str
+    max_tokens: int
+    in_burst: bool
+
+
+def prefix_text(number: int) -> str:
+    """Return the opening of a conversation."""
+    return ' '.join(f'p{number}w{word}' for word in range(PREFIX_WORDS))
+
+
+def arrivals(plan: LoadPlan) -> Iterator[Arrival]:
+    """Yield the requests of a run; the same seed gives the same requests."""
+    source = random.Random(plan.seed)  # noqa: S311
+    at_s = 0.0
+    number = 0
+    while True:
+        at_s += source.expovariate(plan.rate_at(at_s))
+        if at_s >= plan.duration_s:
+            return
+        number += 1
+        tail = source.randint(1, MAX_TAIL_WORDS)
+        words = ' '.join(f'r{number}t{word}' for word in range(tail))
+        opening = prefix_text(source.randrange(PREFIXES))
+        tokens = source.randint(
+            max(1, plan.mean_tokens // 2),
+            plan.mean_tokens * 3 // 2,
+        )
+        yield Arrival(
+            at_s,
+            f'{opening} {words}',
+            tokens,
+            plan.in_burst(at_s),
+        )
