Add the stand-ins for engines, plain services and the instance list

The daemons are developed and tested against these fakes. Each runs as a task with a reported address, and its faults can be switched while it runs.

--- /dev/null
+++ b/src/quetzaldyke/standins/engine_batch.py
@@ -0,0 +1,255 @@
+"""Continuous batching of the stand-in engine.
+
+Streams are admitted first come, first served between steps; each step
+gives every running stream one token. There are no priorities.
+"""
+
+from __future__ import annotations
+
+import math
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import anyio
+from anyio.streams.memory import (
+    MemoryObjectReceiveStream,
+    MemoryObjectSendStream,
+)
+
+from quetzaldyke.standins.engine_cache import PrefixCache
+from quetzaldyke.standins.engine_text import (
+    BLOCK_WORDS,
+    CRASH_WORD,
+    prefix_names,
+)
+
+# Finished or cancelled requests whose KV cache can still be exported.
+KEPT_EXPORTS: Final = 256
+MS_PER_S: Final = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Options of the stand-in."""
+
+    address: str = '127.0.0.1:0'
+    model: str = 'model'
+    version: str = '1'
+    max_streams: int = 8
+    step_ms: float = 10.0
+    per_stream_ms: float = 0.5
+    prefill_ms_per_token: float = 0.1
+    cache_blocks: int = 512
+    cache_event_lag_s: float = 0.2
+    cache_event_gap_every: int = 7
+    load_report_lag_s: float = 0.2
+    # Refuse orders with a token below the highest seen.
+    check_tokens: bool = True
+    load_model_s: float = 0.2
+    restart_s: float = 1.0
+    # Keep streams running after their connection has gone.
+    keep_orphans: bool = False
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """Switches; all off at the start."""
+
+    # Refuses connections and loses all state, as a stopped process does.
+    down: bool = False
+    # Multiplies the time of every step.
+    slow_factor: float = 1.0
+    # Accepts requests and produces nothing.
+    stalled: bool = False
+
+
+@dataclass(slots=True)
+class EngineStream:
+    """One request at the engine."""
+
+    request_id: str
+    prompt: str
+    prefixes: list[str]
+    next_token: int
+    max_tokens: int
+    sink: MemoryObjectSendStream[int]
+    source: MemoryObjectReceiveStream[int]
+    cached_words: int = 0
+    # 'length' when complete; empty for a stream that was broken off.
+    finish_reason: str = ''
+
+    @property
+    def prompt_words(self) -> int:
+        """Return the words of the prompt."""
+        return len(self.prompt.split())
+
+
+@dataclass(slots=True)
+class EngineCounts:
+    """What the engine did since it was made; survives its crashes."""
+
+    requests: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    crashes: int = 0
+    steps: int = 0
+    tokens: int = 0
+    # Tokens by request id, over all tries of the request on this engine.
+    tokens_of: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Batch:
+    """Streams of an engine that run and wait."""
+
+    options: EngineOptions
+    faults: EngineFaults
+    counts: EngineCounts
+    cache: PrefixCache
+    running: dict[str, EngineStream] = field(default_factory=dict)
+    waiting: deque[EngineStream] = field(default_factory=deque)
+    work: anyio.Event = field(default_factory=anyio.Event)
+    exports: OrderedDict[str, list[str]] = field(default_factory=OrderedDict)
+    crashed_until_s: float = 0.0
+
+    @property
+    def is_down(self) -> bool:
+        """Tell whether the engine's process is gone at the moment."""
+        return self.faults.down or time.monotonic() < self.crashed_until_s
+
+    def ids(self) -> list[str]:
+        """Return the ids of all streams."""
+        return [*self.running, *(one.request_id for one in self.waiting)]
+
+    def submit(
+        self,
+        request_id: str,
+        prompt: str,
+        first_token: int,
+        max_tokens: int,
+    ) -> EngineStream:
+        """Queue a stream."""
+        sink, source = anyio.create_memory_object_stream[int](math.inf)
+        stream = EngineStream(
+            request_id,
+            prompt,
+            prefix_names(prompt),
+            first_token,
+            max_tokens,
+            sink,
+            source,
+        )
+        self.counts.requests += 1
+        self.waiting.append(stream)
+        self.work.set()
+        return stream
+
+    def admit(self) -> float:
+        """Start waiting streams; returns the time of their prefill in ms."""
+        prefill_words = 0
+        while self.waiting and len(self.running) < self.options.max_streams:
+            stream = self.waiting.popleft()
+            hits = self.cache.hits(stream.prefixes)
+            stream.cached_words = hits * BLOCK_WORDS
+            prefill_words += stream.prompt_words - stream.cached_words
+            prefill_words += stream.next_token
+            self.cache.store(stream.prefixes)
+            self.keep_export(stream)
+            self.running[stream.request_id] = stream
+        return prefill_words * self.options.prefill_ms_per_token
+
+    def keep_export(self, stream: EngineStream) -> None:
+        """Remember what an export of a stream has to hold."""
+        self.exports[stream.request_id] = stream.prefixes
+        while len(self.exports) > KEPT_EXPORTS:
+            self.exports.popitem(last=False)
+
+    async def step(self) -> None:
+        """Run one step over all running streams."""
+        prefill_ms = self.admit()
+        options = self.options
+        step_ms = options.step_ms + options.per_stream_ms * len(self.running)
+        step_s = (step_ms + prefill_ms) * self.faults.slow_factor / MS_PER_S
+        await anyio.sleep(step_s)
+        self.counts.steps += 1
+        for stream in list(self.running.values()):
+            if CRASH_WORD in stream.prompt:
+                self.crash()
+                return
+            self.produce(stream)
+
+    def produce(self, stream: EngineStream) -> None:
+        """Give a stream its next token and end it after the last one."""
+        if stream.next_token < stream.max_tokens:
+            stream.sink.send_nowait(stream.next_token)
+            stream.next_token += 1
+            self.counts.tokens += 1
+            tokens_of = self.counts.tokens_of
+            done = tokens_of.get(stream.request_id, 0)
+            tokens_of[stream.request_id] = done + 1
+        if stream.next_token >= stream.max_tokens:
+            stream.finish_reason = 'length'
+            self.counts.finished += 1
+            self.end(stream)
+
+    def end(self, stream: EngineStream) -> None:
+        """Remove a stream; its reader sees the end."""
+        if self.running.get(stream.request_id) is stream:
+            self.running.pop(stream.request_id)
+        if stream in self.waiting:
+            self.waiting.remove(stream)
+        stream.sink.close()
+
+    def find(self, request_id: str) -> EngineStream | None:
+        """Return a running or waiting stream."""
+        for stream in self.waiting:
+            if stream.request_id == request_id:
+                return stream
+        return self.running.get(request_id)
+
+    def cancel(self, request_id: str) -> bool:
+        """Break a stream off; False when there is none of this id."""
+        stream = self.find(request_id)
+        if stream is None:
+            return False
+        self.counts.cancelled += 1
+        self.end(stream)
+        return True
+
+    def lose_all(self) -> None:
+        """Break off all streams and forget the cache."""
+        for request_id in self.ids():
+            stream = self.find(request_id)
+            if stream is not None:
+                self.end(stream)
+        self.cache.clear()
+        self.exports.clear()
+
+    def crash(self) -> None:
+        """Die now and stay gone for the restart time."""
+        self.counts.crashes += 1
+        self.crashed_until_s = time.monotonic() + self.options.restart_s
+        self.lose_all()
+
+    async def run(self) -> None:
+        """Step while there is work, until cancelled."""
+        while True:
+            if self.faults.stalled or not (self.running or self.waiting):
+                self.work = anyio.Event()
+                with anyio.move_on_after(0.05):
+                    await self.work.wait()
+                continue
+            await self.step()
+
+    def load(self) -> dict[str, Any]:
+        """Return the load at this moment."""
+        return {
+            'running': len(self.running),
+            'waiting': len(self.waiting),
+            'max_streams': self.options.max_streams,
+            'cached_blocks': len(self.cache.blocks),
+            'cache_blocks': self.cache.capacity,
+        }
--- /dev/null
+++ b/src/quetzaldyke/standins/service.py
@@ -0,0 +1,157 @@
+"""Stand-in for a plain service: bookings that must not be made twice.
+
+It counts the executions of each booking id, so that a test can see a
+duplicate, and it can lose the answer after the work was done.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from quetzaldyke.standins.faults import Chance, Outage, control_routes
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceOptions:
+    """Options of the stand-in."""
+
+    address: str = '127.0.0.1:0'
+    name: str = 'service'
+    work_ms: float = 5.0
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class ServiceFaults:
+    """Switches; all off at the start."""
+
+    # Refuses connections and breaks open ones; bookings are kept.
+    down: bool = False
+    # Extra time before the work is done.
+    delay_s: float = 0.0
+    # The next bookings are made and their answers lost.
+    lose_answers: int = 0
+    # Share of the bookings that are made with the answer lost.
+    lose_answers_ratio: float = 0.0
+
+
+@dataclass(slots=True)
+class ServiceStandin:
+    """A running stand-in."""
+
+    options: ServiceOptions
+    faults: ServiceFaults
+    outage: Outage
+    chance: Chance
+    executions: Counter[str] = field(default_factory=Counter)
+    running: int = 0
+
+    @property
+    def address(self) -> str:
+        """Return the bound address."""
+        return self.outage.address
+
+    @property
+    def stopping(self) -> anyio.Event:
+        """Return the event that stops the stand-in."""
+        return self.outage.stopping
+
+
+def loses_answer(service: ServiceStandin) -> bool:
+    """Tell whether the answer to a booking gets lost."""
+    if service.faults.lose_answers > 0:
+        service.faults.lose_answers -= 1
+        return True
+    return service.chance.happens(service.faults.lose_answers_ratio)
+
+
+async def book(service: ServiceStandin, request: Request) -> Response:
+    """Make a booking and count it by its id."""
+    body = await request.json()
+    booking_id = body.get('id') if isinstance(body, dict) else None
+    if not isinstance(booking_id, str):
+        return JSONResponse({'error': 'id is missing'}, 400)
+    service.running += 1
+    try:
+        delay_s = service.options.work_ms / 1000 + service.faults.delay_s
+        await anyio.sleep(delay_s)
+    finally:
+        service.running -= 1
+    service.executions[booking_id] += 1
+    if loses_answer(service):
+        return service.outage.break_answer(request)
+    answer: dict[str, Any] = {
+        'id': booking_id,
+        'booked_by': service.options.name,
+        'executions': service.executions[booking_id],
+    }
+    return JSONResponse(answer, 201)
+
+
+def make_app(service: ServiceStandin) -> Starlette:
+    """Return the HTTP app of a stand-in."""
+
+    async def post_booking(request: Request) -> Response:
+        return await book(service, request)
+
+    async def roster(_request: Request) -> Response:
+        await anyio.sleep(service.faults.delay_s)
+        return JSONResponse({'roster': sorted(service.executions)})
+
+    async def executions(_request: Request) -> Response:
+        return JSONResponse(dict(service.executions))
+
+    async def health(_request: Request) -> Response:
+        return JSONResponse({'status': 'ok'})
+
+    async def load(_request: Request) -> Response:
+        return JSONResponse({'running': service.running, 'waiting': 0})
+
+    def counts() -> dict[str, Any]:
+        return {
+            'bookings': len(service.executions),
+            'executions': sum(service.executions.values()),
+        }
+
+    routes = [
+        Route('/bookings', post_booking, methods=['POST']),
+        Route('/roster', roster),
+        Route('/executions', executions),
+        Route('/health', health),
+        Route('/load', load),
+        *control_routes(service.faults, counts),
+    ]
+    return Starlette(routes=routes)
+
+
+async def run_service(
+    options: ServiceOptions,
+    *,
+    task_status: TaskStatus[ServiceStandin] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run the stand-in until it is stopped or cancelled."""
+    faults = ServiceFaults()
+    service = ServiceStandin(
+        options,
+        faults,
+        Outage(lambda: faults.down),
+        Chance(options.seed),
+    )
+    async with anyio.create_task_group() as group:
+        await group.start(
+            service.outage.serve,
+            make_app(service),
+            options.address,
+        )
+        task_status.started(service)
+        await service.outage.stopped.wait()
+        group.cancel_scope.cancel()
