--- a/src/quetzaldyke/connection/answers.py
+++ b/src/quetzaldyke/connection/answers.py
@@ -111,7 +111,7 @@
 
     def grant(self, chunks: int) -> None:
         """Add credit from the receiver."""
-        self.credit += chunks
+        self.credit += max(0, chunks)
         self.flush()
 
     async def wait_room(self) -> None:
--- a/src/quetzaldyke/connection/engine_client.py
+++ b/src/quetzaldyke/connection/engine_client.py
@@ -8,7 +8,13 @@
 from __future__ import annotations
 
 import codecs
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Container,
+    Iterator,
+)
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -125,8 +131,11 @@
         outcome = await self.call('POST', f'/v1/requests/{request_id}/cancel')
         return outcome.is_ok()
 
-    async def cancel_all(self) -> Result[int, EndpointFailure]:
-        """Cancel every stream that the engine runs; return their number.
+    async def cancel_orphans(
+        self,
+        own: Container[str],
+    ) -> Result[int, EndpointFailure]:
+        """Cancel every stream that is not `own`; return their number.
 
         Nobody could prove which part of an orphan's text was delivered, so
         orphans are never adopted.
@@ -134,9 +143,10 @@
         listed = await self.running_ids()
         if isinstance(listed, Err):
             return listed
-        for request_id in listed.ok_value:
+        orphans = [one for one in listed.ok_value if one not in own]
+        for request_id in orphans:
             await self.cancel(request_id)
-        return Ok(len(listed.ok_value))
+        return Ok(len(orphans))
 
     async def cache_events(
         self,
--- a/src/quetzaldyke/parts/limiter.py
+++ b/src/quetzaldyke/parts/limiter.py
@@ -18,6 +18,7 @@
 # Fewer samples say too little about a quantile to cut the limit.
 MIN_SAMPLES: Final = 20
 MAX_SAMPLES: Final = 512
+SAMPLE_LIFE_S: Final = 10.0
 # A decoding step has a fixed part that fewer streams don't shorten, so a
 # limit below this share of the maximum is not tried.
 MIN_SHARE: Final = 0.25
@@ -40,18 +41,57 @@
     return sorted(samples)[position]
 
 
-def make_samples() -> deque[float]:
+def make_window() -> deque[float]:
     """Return an empty window of samples."""
     return deque(maxlen=MAX_SAMPLES)
 
 
+@dataclass(slots=True)
+class Samples:
+    """Measured times since the last judgement.
+
+    >>> samples = Samples(target_ms=50)
+    >>> for _ in range(20):
+    ...     samples.note(80)
+    >>> samples.over, samples.high_ms
+    (True, 80)
+    """
+
+    target_ms: float
+    window: deque[float] = field(default_factory=make_window)
+    cleared_s: float = 0.0
+
+    def note(self, sample_ms: float) -> None:
+        """Add a sample."""
+        self.window.append(sample_ms)
+
+    @property
+    def high_ms(self) -> float:
+        """Return the quantile that the target is for."""
+        return quantile(list(self.window), QUANTILE)
+
+    @property
+    def over(self) -> bool:
+        """Tell whether enough samples show that the target is missed."""
+        return len(self.window) >= MIN_SAMPLES and (
+            self.high_ms > self.target_ms
+        )
+
+    def drop_used(self, now_s: float) -> None:
+        """Drop samples that were enough to judge by, or are too old."""
+        old = now_s - self.cleared_s >= SAMPLE_LIFE_S
+        if old or len(self.window) >= MIN_SAMPLES:
+            self.window.clear()
+            self.cleared_s = now_s
+
+
 @dataclass(slots=True)
 class AdaptiveLimit:
     """Number of streams that an endpoint may run at once.
 
-    >>> limit = AdaptiveLimit(8, ttft_target_ms=100, tbt_target_ms=50)
+    >>> limit = AdaptiveLimit(8, Samples(100), Samples(50))
     >>> for _ in range(20):
-    ...     limit.note_between_tokens(80)
+    ...     limit.between_tokens.note(80)
     >>> limit.adjust(now_s=1.0)
     >>> limit.limit
     6
@@ -62,16 +102,15 @@
     """
 
     maximum: int
-    ttft_target_ms: float
-    tbt_target_ms: float
+    first_token: Samples
+    between_tokens: Samples
     adaptive: bool = True
     limit: int = 0
     reached: bool = False
     adjusted_s: float = 0.0
+    # The latest figures, for reports.
     ttft_ms: float = 0.0
     tbt_ms: float = 0.0
-    ttft_samples: deque[float] = field(default_factory=make_samples)
-    tbt_samples: deque[float] = field(default_factory=make_samples)
 
     def __post_init__(self) -> None:
         """Start at the endpoint's own maximum."""
@@ -82,14 +121,6 @@
         """Return the lowest limit."""
         return max(1, int(self.maximum * MIN_SHARE))
 
-    def note_first_token(self, ttft_ms: float) -> None:
-        """Add a measured time to first token."""
-        self.ttft_samples.append(ttft_ms)
-
-    def note_between_tokens(self, tbt_ms: float) -> None:
-        """Add a measured time between tokens."""
-        self.tbt_samples.append(tbt_ms)
-
     def note_used(self, running: int) -> None:
         """Remember whether the limit held work back."""
         self.reached = self.reached or running >= self.limit
@@ -99,33 +130,22 @@
         if now_s - self.adjusted_s < ADJUST_INTERVAL_S:
             return
         self.adjusted_s = now_s
-        if self.ttft_samples:
-            self.ttft_ms = quantile(list(self.ttft_samples), QUANTILE)
-        if self.tbt_samples:
-            self.tbt_ms = quantile(list(self.tbt_samples), QUANTILE)
+        self.ttft_ms = self.first_token.high_ms or self.ttft_ms
+        self.tbt_ms = self.between_tokens.high_ms or self.tbt_ms
         if self.adaptive:
             self.move()
         self.reached = False
-        self.ttft_samples.clear()
-        self.tbt_samples.clear()
+        self.first_token.drop_used(now_s)
+        self.between_tokens.drop_used(now_s)
 
     def move(self) -> None:
         """Cut the limit when a target is missed, else raise it if used."""
-        slow_start = over(self.ttft_samples, self.ttft_target_ms)
-        slow_tokens = over(self.tbt_samples, self.tbt_target_ms)
-        if slow_start or slow_tokens:
+        if self.first_token.over or self.between_tokens.over:
             self.limit = max(self.minimum, int(self.limit * CUT_FACTOR))
         elif self.reached:
             self.limit = min(self.maximum, self.limit + 1)
 
 
-def over(samples: deque[float], target_ms: float) -> bool:
-    """Tell whether enough samples show that a target is missed."""
-    if len(samples) < MIN_SAMPLES:
-        return False
-    return quantile(list(samples), QUANTILE) > target_ms
-
-
 @dataclass(slots=True)
 class Headroom:
     """Slots kept free of batch for the arrivals during one preemption.
--- a/src/quetzaldyke/process/admission.py
+++ b/src/quetzaldyke/process/admission.py
@@ -139,7 +139,8 @@
             return Refusal('pool is not lent', MIN_RETRY_MS)
         wait_ms = self.expected_wait_ms()
         retry_ms = max(MIN_RETRY_MS, min(MAX_RETRY_MS, wait_ms))
-        if self.free <= 0 and len(self.queue) >= self.max_queue:
+        places = self.max_queue + self.count(batch=True)
+        if self.free <= 0 and len(self.queue) >= places:
             return Refusal('overloaded', retry_ms)
         if wait_ms > work.submit.remaining_ms:
             return Refusal('overloaded', retry_ms)
--- a/src/quetzaldyke/process/endpoint_watch.py
+++ b/src/quetzaldyke/process/endpoint_watch.py
@@ -149,7 +149,9 @@
     async def come_up(self) -> None:
         """Cancel orphans and admit work."""
         if isinstance(self.client, EngineClient):
-            orphans = await self.client.cancel_all()
+            orphans = await self.client.cancel_orphans(
+                self.admission.running,
+            )
             if not isinstance(orphans, Ok):
                 return
             self.log_event('orphans_cancelled', count=orphans.ok_value)
--- a/src/quetzaldyke/process/sidecar_peers.py
+++ b/src/quetzaldyke/process/sidecar_peers.py
@@ -24,6 +24,10 @@
 from quetzaldyke.version.holder import ConfigHolder
 
 REPORT_MAX_INTERVAL_S: Final = 1.0
+# A report with its frame, and what reports may cost, because all control
+# traffic of a process has to stay under 7 KB/s. Decisive changes are exempt.
+REPORT_BYTES: Final = 120
+REPORT_BYTES_PER_S: Final = 3000
 
 
 @dataclass(slots=True)
@@ -81,16 +85,25 @@
         self.peers.pop(id(session), None)
 
     def report(self) -> None:
-        """Report a changed state, or an unchanged one once a second."""
+        """Report a change, or an unchanged state once in a while."""
         report = self.make_report()
-        now_s = self.clock.now()
-        late = now_s - self.reported_s >= REPORT_MAX_INTERVAL_S
-        if not late and same_state(report, self.last_report):
+        if not self.report_due(report):
             return
         self.last_report = report
-        self.reported_s = now_s
+        self.reported_s = self.clock.now()
         self.send_all(report)
 
+    def report_due(self, report: Report) -> bool:
+        """Tell whether a report is worth its bytes now."""
+        earlier = self.last_report
+        if earlier is None or decisive(report) != decisive(earlier):
+            return True
+        waited_s = self.clock.now() - self.reported_s
+        budget_s = len(self.peers) * REPORT_BYTES / REPORT_BYTES_PER_S
+        if same_state(report, earlier):
+            return waited_s >= max(REPORT_MAX_INTERVAL_S, budget_s)
+        return waited_s >= budget_s
+
     def leave(self) -> None:
         """Tell every entry that this instance is leaving."""
         if self.leaving:
@@ -149,13 +162,24 @@
             self.send_all(SuspectUpdate(crashes, cleared), without)
 
 
-def same_state(report: Report, earlier: Report | None) -> bool:
+def decisive(report: Report) -> list[object]:
+    """Return the facts that decide whether an entry sends work at all."""
+    return [
+        report.endpoint_up,
+        report.leaving,
+        report.model,
+        report.version,
+        report.adapter,
+        report.fencing_token,
+        report.online_queued > 0,
+    ]
+
+
+def same_state(report: Report, earlier: Report) -> bool:
     """Tell whether only measured times differ.
 
     They move with every token and are reported once a second.
     """
-    if earlier is None:
-        return False
     return earlier == replace(
         report,
         ttft_ms=earlier.ttft_ms,
--- a/src/quetzaldyke/process/sidecar_state.py
+++ b/src/quetzaldyke/process/sidecar_state.py
@@ -14,7 +14,7 @@
 from quetzaldyke.connection.service_client import ServiceClient
 from quetzaldyke.parts.fencing import FencingGate
 from quetzaldyke.parts.hlc import HybridClock, wall_clock_ms
-from quetzaldyke.parts.limiter import AdaptiveLimit
+from quetzaldyke.parts.limiter import AdaptiveLimit, Samples
 from quetzaldyke.parts.suspects import SuspectBook
 from quetzaldyke.parts.timeline import Timeline
 from quetzaldyke.parts.timers import TimerService
@@ -137,8 +137,8 @@
     """Return the limit; a plain service has no tokens to adapt to."""
     return AdaptiveLimit(
         settings.max_streams,
-        settings.ttft_target_ms,
-        settings.tbt_target_ms,
+        Samples(settings.ttft_target_ms),
+        Samples(settings.tbt_target_ms),
         adaptive=settings.endpoint_kind == 'engine',
     )
 
--- a/src/quetzaldyke/process/streams.py
+++ b/src/quetzaldyke/process/streams.py
@@ -84,7 +84,11 @@
         work.session.send(Started(submit.request_id))
         outcome: Result[Answer, EndpointFailure] | None = None
         with work.scope:
-            outcome = await self.ask_endpoint(work)
+            try:
+                outcome = await self.ask_endpoint(work)
+            except Exception as exc:
+                self.log_event('relay_failed', reason=repr(exc))
+                outcome = Err(EndpointFailure('unknown', 'relay failed'))
         await self.settle(work, outcome)
         self.admission.pump()
 
@@ -109,10 +113,10 @@
         if not work.last_token_s:
             if not work.batch:
                 taken_s = now_s - work.started_s
-                self.admission.limit.note_first_token(taken_s * MS)
+                self.admission.limit.first_token.note(taken_s * MS)
         elif piece.tokens:
             gap_s = now_s - work.last_token_s
-            self.admission.limit.note_between_tokens(gap_s * MS / piece.tokens)
+            self.admission.limit.between_tokens.note(gap_s * MS / piece.tokens)
         work.last_token_s = now_s
         work.text.append(piece.text)
         work.tokens += piece.tokens
