--- /dev/null
+++ b/src/quetzaldyke/durable/inputs.py
@@ -0,0 +1,199 @@
+"""Items of a batch file and their storage in input segments.
+
+A file is one JSON object a line. Parsing and compression run in a worker
+thread, one segment at a time, so that a large upload does not block online
+requests on the event loop.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any, BinaryIO, Final
+
+import msgpack
+from result import Err, Ok, Result
+
+from quetzaldyke.durable import keys
+from quetzaldyke.parts.errors import Errors
+from quetzaldyke.parts.kv import ABSENT, KeyValueStore, KvError
+
+MAX_SEGMENT_ITEMS: Final = 500
+MAX_SEGMENT_BYTES: Final = 512 * 1024
+# Bounds the memory of one segment before compression.
+MAX_SEGMENT_RAW_BYTES: Final = 4 * 1024 * 1024
+COMPRESSION_LEVEL: Final = 6
+MAX_FINDINGS: Final = 20
+MAX_CUSTOM_ID_CHARS: Final = 256
+MAX_PUT_TRIES: Final = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """One request of a batch job; `body` is compact JSON."""
+
+    custom_id: str
+    url: str
+    body: bytes
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the approximate size before compression."""
+        return len(self.body) + len(self.custom_id) + len(self.url)
+
+
+@dataclass(slots=True)
+class Scan:
+    """What one pass over a file found."""
+
+    max_body_bytes: int
+    digest: Any = field(default_factory=hashlib.sha256)
+    errors: Errors = field(default_factory=Errors)
+    custom_ids: set[str] = field(default_factory=set)
+    models: set[str] = field(default_factory=set)
+    urls: set[str] = field(default_factory=set)
+    items: int = 0
+    line: int = 0
+
+    def add_error(self, message: str) -> None:
+        """Record a finding for the present line."""
+        if len(self.errors.findings) < MAX_FINDINGS:
+            self.errors.add(f'line {self.line:06d}', message)
+
+    def note(self, item: Item, model: str) -> None:
+        """Take a valid item into the digest of the contents."""
+        if item.custom_id in self.custom_ids:
+            self.add_error(f'custom_id {item.custom_id!r} is not unique')
+        self.custom_ids.add(item.custom_id)
+        self.models.add(model)
+        self.urls.add(item.url)
+        self.items += 1
+        row = msgpack.packb([item.custom_id, item.url, item.body])
+        self.digest.update(row)
+
+
+def parse_line(raw: bytes) -> tuple[Item, str] | str:
+    """Return the item of a line and its model, or what is wrong with it."""
+    try:
+        parsed = json.loads(raw)
+    except ValueError:
+        return 'is not JSON'
+    match parsed:
+        case {
+            'custom_id': str(custom_id),
+            'url': str(url),
+            'body': {'model': str(model)} as body,
+        } if 0 < len(custom_id) <= MAX_CUSTOM_ID_CHARS:
+            if parsed.get('method', 'POST') != 'POST':
+                return 'method must be POST'
+            text = json.dumps(body, separators=(',', ':'))
+            return Item(custom_id, url, text.encode()), model
+    return 'needs custom_id, url and a body with a model'
+
+
+def read_lines(source: BinaryIO) -> Iterator[bytes]:
+    """Yield the lines of a file, stripped; blank lines come as b''."""
+    for line in source:
+        yield line.strip()
+
+
+def scan_some(scan: Scan, lines: Iterator[bytes]) -> bool:
+    """Check up to one segment of lines; False at the end of the file."""
+    for _ in range(MAX_SEGMENT_ITEMS):
+        raw = next(lines, None)
+        if raw is None:
+            return False
+        scan.line += 1
+        if not raw:
+            continue
+        parsed = parse_line(raw)
+        if isinstance(parsed, str):
+            scan.add_error(parsed)
+        elif len(parsed[0].body) > scan.max_body_bytes:
+            scan.add_error(f'body is over {scan.max_body_bytes} bytes')
+        else:
+            scan.note(*parsed)
+    return True
+
+
+def next_batch(lines: Iterator[bytes]) -> list[Item]:
+    """Return the items of the next segment; empty at the end."""
+    batch: list[Item] = []
+    size = 0
+    for raw in lines:
+        parsed = parse_line(raw) if raw else ''
+        if isinstance(parsed, str):
+            continue
+        batch.append(parsed[0])
+        size += parsed[0].size_bytes
+        if len(batch) == MAX_SEGMENT_ITEMS or size >= MAX_SEGMENT_RAW_BYTES:
+            break
+    return batch
+
+
+def pack_segments(batch: list[Item]) -> list[tuple[bytes, int]]:
+    """Return compressed segments under the size limit with their counts."""
+    rows = [[item.custom_id, item.url, item.body] for item in batch]
+    packed = zlib.compress(msgpack.packb(rows), COMPRESSION_LEVEL)
+    if len(packed) <= MAX_SEGMENT_BYTES or len(batch) == 1:
+        return [(packed, len(batch))]
+    middle = len(batch) // 2
+    return [*pack_segments(batch[:middle]), *pack_segments(batch[middle:])]
+
+
+def next_segments(lines: Iterator[bytes]) -> list[tuple[bytes, int]]:
+    """Return the next compressed segments; empty at the end."""
+    batch = next_batch(lines)
+    return pack_segments(batch) if batch else []
+
+
+def unpack_segment(packed: bytes) -> list[Item]:
+    """Return the items of a stored segment."""
+    rows = msgpack.unpackb(zlib.decompress(packed))
+    return [Item(*row) for row in rows]
+
+
+def segment_digest(upload: str, number: int, packed: bytes) -> str:
+    """Return the name of a stored segment."""
+    digest = hashlib.sha256(f'{upload}/{number}/'.encode())
+    digest.update(packed)
+    return digest.hexdigest()[: keys.ID_CHARS]
+
+
+async def put_once(
+    store: KeyValueStore,
+    key: str,
+    contents: bytes,
+) -> Result[None, KvError]:
+    """Create a key whose name determines its contents.
+
+    A conflict means that an earlier try or another process created it.
+    """
+    error = KvError('unavailable')
+    for _ in range(MAX_PUT_TRIES):
+        written = await store.put_if(key, contents, ABSENT)
+        if isinstance(written, Ok) or written.err_value.kind == 'conflict':
+            return Ok(None)
+        uncertain = error.kind == 'unknown'
+        error = written.err_value
+        if error.kind == 'too_large':
+            break
+        if uncertain:
+            error = KvError('unknown', error.detail)
+    return Err(error)
+
+
+async def read_segment(
+    store: KeyValueStore,
+    digest: str,
+) -> Result[list[Item], KvError]:
+    """Return the items of a segment."""
+    found = await store.get(keys.input_key(digest))
+    if isinstance(found, Err):
+        return found
+    if found.ok_value is None:
+        return Err(KvError('conflict', f'input segment {digest} is missing'))
+    return Ok(unpack_segment(found.ok_value.value))
