--- a/src/quetzaldyke/durable/deadlines.py
+++ b/src/quetzaldyke/durable/deadlines.py
@@ -57,7 +57,10 @@
     after = wall.replace(tzinfo=zone, fold=1)
     # Within a gap, fold 0 has the offset before the change and fold 1 the
     # offset after it; so fold 1 gives the earlier instant.
-    early, late = after.astimezone(timezone.utc), before.astimezone(timezone.utc)
+    early, late = (
+        after.astimezone(timezone.utc),
+        before.astimezone(timezone.utc),
+    )
     if early >= late:
         return late
     return end_of_gap(early, late, zone)
--- a/src/quetzaldyke/durable/files.py
+++ b/src/quetzaldyke/durable/files.py
@@ -127,9 +127,7 @@
         # A later upload starts the retention time anew.
         return replace(known, touched_ms=begun.touched_ms)
 
-    started = await change_file(
-        store, begun.organisation, begun.file_id, begin
-    )
+    started = await change_file(store, begun.organisation, begun.file_id, begin)
     if isinstance(started, Err):
         return Err(store_failure(started.err_value))
     record = started.ok_value
@@ -183,7 +181,7 @@
         if not batch:
             return Ok(written)
         for packed, count in batch:
-            digest = inputs.segment_digest(upload, len(written), packed)
+            digest = inputs.segment_name(upload, len(written), packed)
             put = await put_once(store, keys.input_key(digest), packed)
             if isinstance(put, Err):
                 return put
--- a/src/quetzaldyke/durable/inputs.py
+++ b/src/quetzaldyke/durable/inputs.py
@@ -14,17 +14,23 @@
 from dataclasses import dataclass, field
 from typing import Any, BinaryIO, Final
 
+import anyio
 import msgpack
 from result import Err, Ok, Result
 
 from quetzaldyke.durable import keys
 from quetzaldyke.parts.errors import Errors
-from quetzaldyke.parts.kv import ABSENT, KeyValueStore, KvError
+from quetzaldyke.parts.kv import (
+    ABSENT,
+    RETRY_PAUSE_S,
+    KeyValueStore,
+    KvError,
+)
 
 MAX_SEGMENT_ITEMS: Final = 500
-MAX_SEGMENT_BYTES: Final = 512 * 1024
+MAX_SEGMENT_BYTES: Final = 524_288  # 512 KiB
 # Bounds the memory of one segment before compression.
-MAX_SEGMENT_RAW_BYTES: Final = 4 * 1024 * 1024
+MAX_SEGMENT_RAW_BYTES: Final = 4_194_304  # 4 MiB
 COMPRESSION_LEVEL: Final = 6
 MAX_FINDINGS: Final = 20
 MAX_CUSTOM_ID_CHARS: Final = 256
@@ -156,11 +162,14 @@
     return [Item(*row) for row in rows]
 
 
-def segment_digest(upload: str, number: int, packed: bytes) -> str:
-    """Return the name of a stored segment."""
-    digest = hashlib.sha256(f'{upload}/{number}/'.encode())
-    digest.update(packed)
-    return digest.hexdigest()[: keys.ID_CHARS]
+def segment_name(upload: str, number: int, packed: bytes) -> str:
+    """Return the name of a stored segment.
+
+    Upload and number come first, so that the segments of an upload that
+    broke off can be found and deleted.
+    """
+    digest = hashlib.sha256(packed).hexdigest()[: keys.ID_CHARS]
+    return f'{upload}.{number}.{digest}'
 
 
 async def put_once(
@@ -183,6 +192,7 @@
             break
         if uncertain:
             error = KvError('unknown', error.detail)
+        await anyio.sleep(RETRY_PAUSE_S)
     return Err(error)
 
 
--- a/src/quetzaldyke/durable/progress.py
+++ b/src/quetzaldyke/durable/progress.py
@@ -33,7 +33,7 @@
     swap,
 )
 
-MAX_TAIL_BYTES: Final = 64 * 1024
+MAX_TAIL_BYTES: Final = 65_536  # 64 KiB
 MAX_PACK_BYTES: Final = 900_000
 COMPRESSION_LEVEL: Final = 6
 
--- a/src/quetzaldyke/durable/records.py
+++ b/src/quetzaldyke/durable/records.py
@@ -23,6 +23,8 @@
 
 FINAL_STATES: Final = frozenset(('completed', 'cancelled', 'expired'))
 BITS_IN_BYTE: Final = 8
+# Fields of a result besides its texts, packed.
+ROW_BYTES: Final = 40
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +105,7 @@
     failed: int = 0
     estimate_ms: int = 0
     at_risk: bool = False
+    items: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +129,9 @@
     @property
     def size_bytes(self) -> int:
         """Return the approximate stored size."""
-        return len(self.body) + len(self.reason) + len(self.endpoint) + 40
+        return (
+            len(self.body) + len(self.reason) + len(self.endpoint) + ROW_BYTES
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/quetzaldyke/process/batch_part.py
@@ -0,0 +1,162 @@
+"""Plugs batch work into an entry: routes, timers and the planned stop."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import anyio
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute
+
+from quetzaldyke.durable.retention import MS_IN_S, Retention, sweep
+from quetzaldyke.durable.service import JobService
+from quetzaldyke.parts.rendezvous import first_for
+from quetzaldyke.process import batch_stop
+from quetzaldyke.process.batch_cancel import JobStopper
+from quetzaldyke.process.batch_coordinator import Coordinator
+from quetzaldyke.process.batch_worker import BatchWorker, WorkerOptions
+from quetzaldyke.process.batches_http import make_batch_routes
+from quetzaldyke.process.entry_parts import EntryPart
+from quetzaldyke.process.fleet import Instance, keep_dialled
+
+if TYPE_CHECKING:
+    from quetzaldyke.process.entry import EntryProcess
+
+ALIVE_INTERVAL_S: Final = 0.1
+COMMIT_INTERVAL_S: Final = 0.1
+DEMAND_INTERVAL_S: Final = 0.25
+CONFIRM_INTERVAL_S: Final = 0.5
+OFFER_INTERVAL_S: Final = 2.0
+SWEEP_INTERVAL_S: Final = 600.0
+# A short retention is swept this many times within it.
+SWEEPS_IN_RETENTION: Final = 20
+
+
+@dataclass(slots=True)
+class BatchParts:
+    """Batch work of one entry; kept at `entry.jobs`."""
+
+    service: JobService
+    worker: BatchWorker
+    coordinator: Coordinator
+
+
+def build(entry: EntryProcess) -> BatchParts:
+    """Build the batch parts of an entry that has its group and links."""
+    assert entry.group is not None
+    settings = entry.settings
+    worker = BatchWorker(
+        WorkerOptions(settings.held_results_bytes, settings.drain_s),
+        entry.store,
+        entry.config,
+        entry.fleet,
+        entry.clock,
+        entry.log_event,
+        entry.group,
+    )
+    stopper = make_stopper(entry, worker)
+    coordinator = Coordinator(worker, stopper.stop_everywhere)
+    service = JobService(
+        entry.store,
+        entry.config,
+        settings.max_body_bytes,
+        stop_everywhere=stopper.stop_everywhere,
+    )
+    worker.subscribe()
+    coordinator.subscribe()
+    stopper.subscribe()
+    batch_stop.subscribe_stops(worker)
+    return BatchParts(service, worker, coordinator)
+
+
+def make_stopper(entry: EntryProcess, worker: BatchWorker) -> JobStopper:
+    """Return what sends cancels, also to sidecars outside the subset."""
+
+    async def reach(one: Instance) -> None:
+        options = entry.link_options
+        assert options is not None
+        await keep_dialled(entry.fleet, one, options, anyio.CancelScope())
+
+    return JobStopper(worker, reach)
+
+
+async def start(entry: EntryProcess) -> None:
+    """Start the batch work of an entry."""
+    parts = build(entry)
+    entry.jobs = parts
+    worker = parts.worker
+
+    async def stay_alive() -> None:
+        batch_stop.note_tick(worker)
+        worker.stopping = worker.stopping or entry.stopping.is_set()
+
+    async def send_demands() -> None:
+        worker.send_demands()
+
+    async def confirm() -> None:
+        await batch_stop.confirm_segments(worker)
+
+    async def sweep_expired() -> None:
+        await sweep_if_first(entry)
+
+    retention_s = entry.settings.retention_s
+    timers = entry.timers
+    timers.subscribe('batch_alive', ALIVE_INTERVAL_S, stay_alive)
+    timers.subscribe('batch_commit', COMMIT_INTERVAL_S, worker.commit_due)
+    timers.subscribe('batch_demand', DEMAND_INTERVAL_S, send_demands)
+    timers.subscribe('batch_confirm', CONFIRM_INTERVAL_S, confirm)
+    timers.subscribe('batch_offer', OFFER_INTERVAL_S, parts.coordinator.round)
+    timers.subscribe(
+        'batch_sweep',
+        min(SWEEP_INTERVAL_S, retention_s / SWEEPS_IN_RETENTION),
+        sweep_expired,
+    )
+
+
+async def sweep_if_first(entry: EntryProcess) -> None:
+    """Delete what is past its retention, at one entry of the fleet."""
+    first = first_for(entry.fleet.live_entries(), 'retention')
+    if first != entry.settings.instance:
+        return
+    retention_ms = int(entry.settings.retention_s * MS_IN_S)
+    worker = parts_of(entry).worker
+    swept = await sweep(
+        Retention(entry.store, retention_ms, worker.now_ms()),
+    )
+    if swept.unwrap_or(0):
+        entry.log_event('batch_expired', records=swept.unwrap_or(0))
+
+
+async def stop(entry: EntryProcess) -> None:
+    """Record held results and release the segments."""
+    await batch_stop.stop_worker(parts_of(entry).worker)
+
+
+def parts_of(entry: EntryProcess) -> BatchParts:
+    """Return the batch parts of a started entry."""
+    assert isinstance(entry.jobs, BatchParts)
+    return entry.jobs
+
+
+def caller_routes(entry: EntryProcess) -> Sequence[BaseRoute]:
+    """Return the routes; the gate has found the organisation."""
+
+    def organisation_of(request: Request) -> str | Response:
+        return str(request.state.organisation)
+
+    return make_batch_routes(
+        parts_of(entry).service,
+        organisation_of,
+        entry.settings.max_file_bytes,
+    )
+
+
+BATCH_PART: Final = EntryPart(
+    'batches',
+    caller_routes=caller_routes,
+    start=start,
+    stop=stop,
+)
--- /dev/null
+++ b/src/quetzaldyke/process/batches_http.py
@@ -0,0 +1,319 @@
+"""HTTP routes for files and batch jobs."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from collections.abc import AsyncIterator, Callable
+from typing import Annotated, Any, Final
+
+from pydantic import BaseModel, ConfigDict, Field
+from pydantic import ValidationError as ModelError
+from result import Err, Ok, Result
+from starlette.datastructures import UploadFile
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from quetzaldyke.durable import errors
+from quetzaldyke.durable.errors import JobError
+from quetzaldyke.durable.records import FileRecord
+from quetzaldyke.durable.service import JobRequest, JobService, JobStatus
+
+MS_IN_S: Final = 1000
+OUTPUT_PREFIX: Final = 'output-'
+ERRORS_PREFIX: Final = 'errors-'
+LIST_LIMIT: Final = 100
+REQUEST_ID_BYTES: Final = 10
+SERVER_FAULT: Final = 500
+JSON_LINES: Final = 'application/jsonl'
+
+# Returns the caller's organisation, or the refusal to send.
+Authenticate = Callable[[Request], 'str | Response']
+Handler = Callable[[Request, str], Any]
+MAX_NAME_CHARS: Final = 64
+MAX_TEXT_CHARS: Final = 512
+MAX_METADATA: Final = 16
+LENGTH_REQUIRED: Final = 411
+Name = Annotated[str, Field(max_length=MAX_NAME_CHARS)]
+Metadata = dict[Name, Annotated[str, Field(max_length=MAX_TEXT_CHARS)]]
+
+
+class DeadlineBody(BaseModel):
+    """Deadline of a job: a local time and an IANA zone."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    local: Name
+    zone: Name
+
+
+class JobBody(BaseModel):
+    """Body of a request for a job."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    input_file_id: Name
+    endpoint: Name
+    completion_window: str = '24h'
+    deadline: DeadlineBody | None = None
+    metadata: Metadata = Field(default_factory=dict, max_length=MAX_METADATA)
+
+
+def make_batch_routes(
+    service: JobService,
+    authenticate: Authenticate,
+    max_file_bytes: int,
+) -> list[Route]:
+    """Return the routes; each handler gets the caller's organisation."""
+
+    def guarded(handler: Handler) -> Callable[[Request], Any]:
+        async def endpoint(request: Request) -> Response:
+            known = authenticate(request)
+            if isinstance(known, Response):
+                return known
+            answer: Response = await handler(request, known)
+            return answer
+
+        return endpoint
+
+    async def upload(request: Request, organisation: str) -> Response:
+        return await upload_file(service, request, organisation, max_file_bytes)
+
+    async def get_file(request: Request, organisation: str) -> Response:
+        file_id = request.path_params['file_id']
+        found = await service.file(organisation, file_id)
+        return respond(found.map(file_document))
+
+    async def get_content(request: Request, organisation: str) -> Response:
+        file_id = request.path_params['file_id']
+        return stream(await open_lines(service, organisation, file_id))
+
+    async def create(request: Request, organisation: str) -> Response:
+        parsed = job_request(await request.body(), request, organisation)
+        if isinstance(parsed, Err):
+            return error_response(parsed.err_value)
+        created = await service.create_job(parsed.ok_value)
+        return respond(created.map(job_document))
+
+    async def list_all(request: Request, organisation: str) -> Response:
+        limit = limit_of(request.query_params.get('limit', ''))
+        listed = await service.list_jobs(organisation, limit)
+        return respond(listed.map(list_document))
+
+    async def get_one(request: Request, organisation: str) -> Response:
+        job_id = request.path_params['job_id']
+        found = await service.status(organisation, job_id)
+        return respond(found.map(job_document))
+
+    async def cancel(request: Request, organisation: str) -> Response:
+        job_id = request.path_params['job_id']
+        cancelled = await service.cancel(organisation, job_id)
+        return respond(cancelled.map(job_document))
+
+    table: list[tuple[str, Handler, str]] = [
+        ('/v1/files', upload, 'POST'),
+        ('/v1/files/{file_id}', get_file, 'GET'),
+        ('/v1/files/{file_id}/content', get_content, 'GET'),
+        ('/v1/batches', create, 'POST'),
+        ('/v1/batches', list_all, 'GET'),
+        ('/v1/batches/{job_id}', get_one, 'GET'),
+        ('/v1/batches/{job_id}/cancel', cancel, 'POST'),
+    ]
+    return [
+        Route(path, guarded(handler), methods=[method])
+        for path, handler, method in table
+    ]
+
+
+def limit_of(text: str) -> int:
+    """Return the number of jobs to list.
+
+    >>> limit_of('5'), limit_of('many'), limit_of('9999')
+    (5, 100, 100)
+    """
+    return min(int(text), LIST_LIMIT) if text.isdecimal() else LIST_LIMIT
+
+
+async def upload_file(
+    service: JobService,
+    request: Request,
+    organisation: str,
+    max_file_bytes: int,
+) -> Response:
+    """Store the file of a multipart upload."""
+    announced = request.headers.get('content-length', '')
+    if not announced.isdecimal():
+        return error_response(
+            JobError(
+                LENGTH_REQUIRED, 'length_required', 'send a Content-Length'
+            ),
+        )
+    if int(announced) > max_file_bytes:
+        message = f'the file is over {max_file_bytes} bytes'
+        return error_response(JobError(errors.TOO_LARGE, 'too_large', message))
+    async with request.form(max_files=1, max_fields=4) as form:
+        upload = form.get('file')
+        if not isinstance(upload, UploadFile) or form.get('purpose') != 'batch':
+            return error_response(
+                JobError(
+                    errors.BAD_REQUEST,
+                    'invalid_upload',
+                    "needs a field 'file' and purpose 'batch'",
+                ),
+            )
+        stored = await service.store_file(
+            organisation,
+            upload.filename or 'batch.jsonl',
+            upload.file,
+            upload.size or 0,
+        )
+    return respond(stored.map(file_document))
+
+
+async def open_lines(
+    service: JobService,
+    organisation: str,
+    file_id: str,
+) -> Result[AsyncIterator[bytes], JobError]:
+    """Return the lines of an uploaded file or of a job's results."""
+    for prefix, failed in ((OUTPUT_PREFIX, False), (ERRORS_PREFIX, True)):
+        if file_id.startswith(prefix):
+            job_id = file_id.removeprefix(prefix)
+            return await service.results(organisation, job_id, failed)
+    return await service.file_lines(organisation, file_id)
+
+
+def job_request(
+    raw: bytes,
+    request: Request,
+    organisation: str,
+) -> Result[JobRequest, JobError]:
+    """Validate the body of a request for a job."""
+    try:
+        body = JobBody.model_validate_json(raw)
+    except ModelError as exc:
+        found = exc.errors(include_input=False, include_url=False)
+        message = '; '.join(
+            f'{".".join(str(part) for part in one["loc"])}: {one["msg"]}'
+            for one in found
+        )
+        return Err(JobError(errors.BAD_REQUEST, 'invalid_job', message))
+    deadline = body.deadline
+    return Ok(
+        JobRequest(
+            organisation,
+            body.input_file_id,
+            body.endpoint,
+            request.headers.get('idempotency-key', ''),
+            deadline.local if deadline else '',
+            deadline.zone if deadline else '',
+            body.metadata,
+        ),
+    )
+
+
+def respond(outcome: Result[dict[str, object], JobError]) -> Response:
+    """Return a document or the error."""
+    if isinstance(outcome, Err):
+        return error_response(outcome.err_value)
+    return JSONResponse(outcome.ok_value)
+
+
+def stream(outcome: Result[AsyncIterator[bytes], JobError]) -> Response:
+    """Return lines or the error."""
+    if isinstance(outcome, Err):
+        return error_response(outcome.err_value)
+    return StreamingResponse(outcome.ok_value, media_type=JSON_LINES)
+
+
+def error_response(error: JobError) -> Response:
+    """Return an error in the usual shape with `ran`."""
+    fault = error.status >= SERVER_FAULT
+    document = {
+        'message': error.message,
+        'type': 'unavailable_error' if fault else 'invalid_request_error',
+        'code': error.code,
+        'ran': error.ran,
+        'request_id': f'req-{secrets.token_hex(REQUEST_ID_BYTES)}',
+    }
+    headers = {}
+    if error.retry_after_s:
+        headers['retry-after'] = str(error.retry_after_s)
+    return Response(
+        json.dumps({'error': document}),
+        error.status,
+        headers,
+        'application/json',
+    )
+
+
+def seconds_or_none(at_ms: int) -> int | None:
+    """Return a time in seconds; None for a time that has not come."""
+    return at_ms // MS_IN_S if at_ms else None
+
+
+def file_document(record: FileRecord) -> dict[str, object]:
+    """Return a file in the usual shape."""
+    return {
+        'id': record.file_id,
+        'object': 'file',
+        'bytes': record.size_bytes,
+        'created_at': seconds_or_none(record.created_ms),
+        'filename': record.filename,
+        'purpose': 'batch',
+        'status': 'processed',
+    }
+
+
+def list_document(listed: list[JobStatus]) -> dict[str, object]:
+    """Return a list of jobs in the usual shape."""
+    documents = [job_document(status) for status in listed]
+    return {'object': 'list', 'data': documents, 'has_more': False}
+
+
+def job_document(status: JobStatus) -> dict[str, object]:
+    """Return a job in the usual shape, with deadline, estimate and risk."""
+    job = status.job
+    ended = job.finished_ms > 0
+    return {
+        'id': job.job_id,
+        'object': 'batch',
+        'endpoint': job.endpoint,
+        'model': job.pool,
+        'input_file_id': job.file_id,
+        'completion_window': '24h',
+        'status': job.state,
+        'output_file_id': f'{OUTPUT_PREFIX}{job.job_id}',
+        'error_file_id': f'{ERRORS_PREFIX}{job.job_id}',
+        'created_at': seconds_or_none(job.created_ms),
+        'expires_at': seconds_or_none(job.deadline.instant_ms),
+        'cancelling_at': seconds_or_none(job.cancelling_ms),
+        'completed_at': seconds_or_none(
+            job.finished_ms if job.state == 'completed' else 0,
+        ),
+        'cancelled_at': seconds_or_none(
+            job.finished_ms if job.state == 'cancelled' else 0,
+        ),
+        'deadline': {'local': job.deadline.local, 'zone': job.deadline.zone},
+        'late': status.late,
+        'at_risk': bool(status.figures and status.figures.at_risk),
+        'estimated_completion_at': seconds_or_none(
+            status.figures.estimate_ms if status.figures and not ended else 0,
+        ),
+        'request_counts': request_counts(status),
+        'metadata': job.metadata,
+    }
+
+
+def request_counts(status: JobStatus) -> dict[str, int]:
+    """Return the counts of a job's items.
+
+    While the job runs they are those of the latest written figures.
+    """
+    job = status.job
+    completed, failed = job.completed, job.failed
+    if status.figures and not job.finished_ms:
+        failed = status.figures.failed
+        completed = status.figures.finished - failed
+    return {'total': job.total, 'completed': completed, 'failed': failed}
--- a/src/quetzaldyke/request/router.py
+++ b/src/quetzaldyke/request/router.py
@@ -183,9 +183,7 @@
                 continue
             if rule.when != 'idle':
                 continue
-            found.extend(
-                self.idle_links(borrower, rule.lender, rule.max_share)
-            )
+            found.extend(self.idle_links(borrower, rule.lender, rule.max_share))
         return found
 
     def idle_links(
