--- a/src/quetzaldyke/connection/http_server.py
+++ b/src/quetzaldyke/connection/http_server.py
@@ -77,10 +77,10 @@
         for task in list(self.server.server_state.tasks):
             task.cancel()
 
-    def break_connection(self, client: tuple[str, int] | None) -> None:
+    def break_connection(self, client: tuple[str, int]) -> None:
         """Break the connection of one client (`scope['client']`)."""
         for connection in list(self.server.server_state.connections):
-            if connection.client == client:
+            if getattr(connection, 'client', None) == client:
                 abort_transport(connection)
 
 
@@ -115,10 +115,12 @@
 ) -> HttpServer:
     """Return a server for an app that is not yet started."""
 
+    cancelled = anyio.get_cancelled_exc_class()
+
     async def guarded(scope: Scope, receive: Receive, send: Send) -> None:
         try:
             await app(scope, receive, send)
-        except anyio.get_cancelled_exc_class():
+        except cancelled:
             if not http.aborted:
                 raise
 
@@ -126,6 +128,7 @@
         uvicorn.Config(
             guarded,
             loop='none',
+            http='httptools',
             ws='none',
             lifespan='off',
             log_config=None,
--- a/src/quetzaldyke/connection/kv_http.py
+++ b/src/quetzaldyke/connection/kv_http.py
@@ -26,11 +26,12 @@
 )
 
 CALL_TIMEOUT_S: Final = 2.0
-# Connections to the service from one process; calls above wait in line.
+# More concurrent calls wait in line for a connection.
 MAX_CONNECTIONS: Final = 32
 OK_STATUS: Final = 200
 NOT_FOUND_STATUS: Final = 404
 REFUSED_STATUS: Final = 400
+MAX_BYTE: Final = 255
 # A watch without changes stays silent, so its reads have no timeout.
 WATCH_TIMEOUTS: Final = {'connect': CALL_TIMEOUT_S, 'read': None}
 
@@ -42,6 +43,7 @@
     httpcore.TimeoutException,
     httpcore.ConnectionNotAvailable,
     OSError,
+    TimeoutError,
     EOFError,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -78,7 +80,7 @@
     """
     raw = bytearray(prefix.encode())
     while raw:
-        if raw[-1] < 0xFF:
+        if raw[-1] < MAX_BYTE:
             raw[-1] += 1
             return bytes(raw)
         raw.pop()
@@ -260,7 +262,7 @@
                 )
         except NEVER_SENT as exc:
             return Err(KvError('unavailable', repr(exc)))
-        except (*BROKEN_CONNECTION, TimeoutError) as exc:
+        except BROKEN_CONNECTION as exc:
             return Err(KvError('unknown', repr(exc)))
         return read_answer(response)
 
@@ -291,8 +293,9 @@
     if response.status == NOT_FOUND_STATUS:
         return Err(KvError('conflict', text))
     if response.status == REFUSED_STATUS:
-        kind = 'too_large' if 'too large' in text else 'unavailable'
-        return Err(KvError(kind, text))
+        if 'too large' in text:
+            return Err(KvError('too_large', text))
+        return Err(KvError('unavailable', text))
     return Err(KvError('unknown', f'{response.status} {text}'))
 
 
--- a/src/quetzaldyke/standins/engine.py
+++ b/src/quetzaldyke/standins/engine.py
@@ -27,16 +27,13 @@
 from quetzaldyke.standins.engine_batch import (
     Batch,
     EngineCounts,
-    EngineFaults,
-    EngineOptions,
     EngineStream,
 )
 from quetzaldyke.standins.engine_cache import PrefixCache
+from quetzaldyke.standins.engine_options import EngineFaults, EngineOptions
 from quetzaldyke.standins.engine_orders import ACTIONS, OrderState
 from quetzaldyke.standins.faults import Outage, control_routes
 
-__all__ = ('EngineOptions', 'EngineStandin', 'run_engine')
-
 CHAT_PATH: Final = '/v1/chat/completions'
 TEXT_PATH: Final = '/v1/completions'
 
--- a/src/quetzaldyke/standins/engine_batch.py
+++ b/src/quetzaldyke/standins/engine_batch.py
@@ -19,6 +19,7 @@
 )
 
 from quetzaldyke.standins.engine_cache import PrefixCache
+from quetzaldyke.standins.engine_options import EngineFaults, EngineOptions
 from quetzaldyke.standins.engine_text import (
     BLOCK_WORDS,
     CRASH_WORD,
@@ -30,42 +31,6 @@
 MS_PER_S: Final = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class EngineOptions:
-    """Options of the stand-in."""
-
-    address: str = '127.0.0.1:0'
-    model: str = 'model'
-    version: str = '1'
-    max_streams: int = 8
-    step_ms: float = 10.0
-    per_stream_ms: float = 0.5
-    prefill_ms_per_token: float = 0.1
-    cache_blocks: int = 512
-    cache_event_lag_s: float = 0.2
-    cache_event_gap_every: int = 7
-    load_report_lag_s: float = 0.2
-    # Refuse orders with a token below the highest seen.
-    check_tokens: bool = True
-    load_model_s: float = 0.2
-    restart_s: float = 1.0
-    # Keep streams running after their connection has gone.
-    keep_orphans: bool = False
-    seed: int = 1
-
-
-@dataclass(slots=True)
-class EngineFaults:
-    """Switches; all off at the start."""
-
-    # Refuses connections and loses all state, as a stopped process does.
-    down: bool = False
-    # Multiplies the time of every step.
-    slow_factor: float = 1.0
-    # Accepts requests and produces nothing.
-    stalled: bool = False
-
-
 @dataclass(slots=True)
 class EngineStream:
     """One request at the engine."""
--- /dev/null
+++ b/src/quetzaldyke/standins/engine_options.py
@@ -0,0 +1,41 @@
+"""Options and fault switches of the stand-in engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EngineOptions:
+    """Options of the stand-in."""
+
+    address: str = '127.0.0.1:0'
+    model: str = 'model'
+    version: str = '1'
+    max_streams: int = 8
+    step_ms: float = 10.0
+    per_stream_ms: float = 0.5
+    prefill_ms_per_token: float = 0.1
+    cache_blocks: int = 512
+    cache_event_lag_s: float = 0.2
+    cache_event_gap_every: int = 7
+    load_report_lag_s: float = 0.2
+    # Refuse orders with a token below the highest seen.
+    check_tokens: bool = True
+    load_model_s: float = 0.2
+    restart_s: float = 1.0
+    # Keep streams running after their connection has gone.
+    keep_orphans: bool = False
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """Switches; all off at the start."""
+
+    # Refuses connections and loses all state, as a stopped process does.
+    down: bool = False
+    # Multiplies the time of every step.
+    slow_factor: float = 1.0
+    # Accepts requests and produces nothing.
+    stalled: bool = False
--- a/src/quetzaldyke/standins/faults.py
+++ b/src/quetzaldyke/standins/faults.py
@@ -44,7 +44,8 @@
     def break_answer(self, request: Request) -> Response:
         """Break the connection of a request instead of answering it."""
         if self.http is not None and request.client is not None:
-            self.http.break_connection(tuple(request.client))
+            host, port = request.client
+            self.http.break_connection((host, port))
         return Response(status_code=500)
 
     async def serve(
--- a/src/quetzaldyke/standins/kv.py
+++ b/src/quetzaldyke/standins/kv.py
@@ -7,12 +7,10 @@
 
 from __future__ import annotations
 
-import base64
 import json
-from collections import Counter
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
-from typing import Any, Final
+from dataclasses import dataclass
+from typing import Final
 
 import anyio
 from anyio.abc import TaskStatus
@@ -22,13 +20,20 @@
 from starlette.routing import Route
 
 from quetzaldyke.standins.faults import Chance, Outage, control_routes
-from quetzaldyke.standins.kv_state import KeyEvent, KeyValue, KvState, in_range
+from quetzaldyke.standins.kv_calls import (
+    CALLS,
+    Body,
+    CallFailed,
+    KvCounts,
+    decode,
+    event_body,
+    header,
+    number,
+)
+from quetzaldyke.standins.kv_state import KeyEvent, KvState, in_range
 
-MAX_VALUE_BYTES: Final = 1_000_000
 EXPIRY_POLL_S: Final = 0.02
-WRITE_KINDS: Final = ('put', 'delete', 'lease_grant', 'lease_revoke')
-
-Body = dict[str, Any]
+READ_PATHS: Final = frozenset(('/v3/kv/range',))
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,35 +65,6 @@
     expire_early_s: float = 0.0
 
 
-@dataclass(slots=True)
-class KvCounts:
-    """Calls by kind; a watch counts once when it starts to wait."""
-
-    calls: Counter[str] = field(default_factory=Counter)
-    conflicts: int = 0
-    open_watches: int = 0
-
-    @property
-    def writes(self) -> int:
-        """Return the number of write calls."""
-        return sum(self.calls[kind] for kind in WRITE_KINDS)
-
-    @property
-    def reads(self) -> int:
-        """Return the number of read calls, watches included."""
-        return self.calls['range'] + self.calls['watch']
-
-    def as_dict(self) -> dict[str, Any]:
-        """Return the counters for HTTP."""
-        return {
-            'calls': dict(self.calls),
-            'writes': self.writes,
-            'reads': self.reads,
-            'conflicts': self.conflicts,
-            'open_watches': self.open_watches,
-        }
-
-
 @dataclass(slots=True)
 class KvStandin:
     """A running stand-in."""
@@ -110,148 +86,6 @@
         return self.outage.stopping
 
 
-class CallFailed(Exception):
-    """A call is answered with an error of the protocol."""
-
-    def __init__(self, status: int, code: int, message: str) -> None:
-        """Keep the HTTP status and the gRPC code."""
-        super().__init__(message)
-        self.status = status
-        self.code = code
-
-
-def encode(raw: bytes) -> str:
-    """Return bytes as the gateway writes them."""
-    return base64.b64encode(raw).decode()
-
-
-def decode(body: Body, name: str) -> bytes:
-    """Return a bytes field of a body."""
-    return base64.b64decode(body.get(name, ''))
-
-
-def number(body: Body, name: str) -> int:
-    """Return an integer field; the gateway accepts strings and numbers."""
-    return int(body.get(name, 0))
-
-
-def kv_body(kv: KeyValue) -> Body:
-    """Return a key as JSON; like the gateway, without zero fields."""
-    fields: Body = {
-        'key': encode(kv.key),
-        'create_revision': str(kv.create_revision),
-        'mod_revision': str(kv.mod_revision),
-        'version': str(kv.version),
-        'value': encode(kv.value),
-        'lease': str(kv.lease),
-    }
-    return {
-        name: text for name, text in fields.items() if text not in {'0', ''}
-    }
-
-
-def event_body(event: KeyEvent) -> Body:
-    """Return a change as JSON; PUT is the default type and left out."""
-    body: Body = {'kv': kv_body(event.kv)}
-    if event.deleted:
-        body['type'] = 'DELETE'
-    return body
-
-
-def header(state: KvState) -> Body:
-    """Return the header that every answer has."""
-    return {
-        'cluster_id': '1',
-        'member_id': '1',
-        'revision': str(state.revision),
-    }
-
-
-def do_range(standin: KvStandin, body: Body) -> Body:
-    """Read a key or a range."""
-    standin.counts.calls['range'] += 1
-    found = standin.state.select(decode(body, 'key'), decode(body, 'range_end'))
-    return {
-        'header': header(standin.state),
-        'kvs': [kv_body(one) for one in found],
-        'count': str(len(found)),
-    }
-
-
-def do_txn(standin: KvStandin, body: Body) -> Body:
-    """Apply one put or delete if the revision is as compared."""
-    [compare] = body['compare']
-    [operation] = body['success']
-    kind = 'put' if 'request_put' in operation else 'delete'
-    standin.counts.calls[kind] += 1
-    if compare.get('target') != 'MOD' or compare.get('result') != 'EQUAL':
-        raise CallFailed(400, 3, 'only MOD EQUAL is supported')
-    revision = standin.state.mod_revision(decode(compare, 'key'))
-    put = operation.get('request_put')
-    if put is not None:
-        check_put(standin.state, put)
-    if revision != number(compare, 'mod_revision'):
-        standin.counts.conflicts += 1
-        return {'header': header(standin.state)}
-    if put is not None:
-        standin.state.put(
-            decode(put, 'key'),
-            decode(put, 'value'),
-            number(put, 'lease'),
-        )
-    else:
-        standin.state.delete(decode(operation['request_delete_range'], 'key'))
-    return {'header': header(standin.state), 'succeeded': True}
-
-
-def check_put(state: KvState, put: Body) -> None:
-    """Refuse a large value and an unknown lease."""
-    if len(decode(put, 'value')) > MAX_VALUE_BYTES:
-        raise CallFailed(400, 3, 'etcdserver: request is too large')
-    lease_id = number(put, 'lease')
-    if lease_id and lease_id not in state.leases:
-        raise CallFailed(404, 5, 'etcdserver: requested lease not found')
-
-
-def do_grant(standin: KvStandin, body: Body) -> Body:
-    """Create a lease."""
-    standin.counts.calls['lease_grant'] += 1
-    lease = standin.state.grant(number(body, 'TTL'))
-    return {
-        'header': header(standin.state),
-        'ID': str(lease.lease_id),
-        'TTL': str(lease.ttl_s),
-    }
-
-
-def do_keep_alive(standin: KvStandin, body: Body) -> Body:
-    """Extend a lease; a lapsed one is answered without TTL."""
-    standin.counts.calls['lease_keepalive'] += 1
-    ttl_s = standin.state.keep_alive(number(body, 'ID'))
-    result: Body = {'header': header(standin.state), 'ID': str(body['ID'])}
-    if ttl_s:
-        result['TTL'] = str(ttl_s)
-    return {'result': result}
-
-
-def do_revoke(standin: KvStandin, body: Body) -> Body:
-    """End a lease."""
-    standin.counts.calls['lease_revoke'] += 1
-    if not standin.state.revoke(number(body, 'ID')):
-        raise CallFailed(404, 5, 'etcdserver: requested lease not found')
-    return {'header': header(standin.state)}
-
-
-CALLS: Final = {
-    '/v3/kv/range': do_range,
-    '/v3/kv/txn': do_txn,
-    '/v3/lease/grant': do_grant,
-    '/v3/lease/keepalive': do_keep_alive,
-    '/v3/lease/revoke': do_revoke,
-}
-READ_PATHS: Final = frozenset(('/v3/kv/range',))
-
-
 async def answer_call(standin: KvStandin, request: Request) -> Response:
     """Run one call with the faults that are on."""
     body = await request.json()
@@ -262,7 +96,7 @@
         return standin.outage.break_answer(request)
     path = request.url.path
     try:
-        answer = CALLS[path](standin, body)
+        answer = CALLS[path](standin.state, standin.counts, body)
     except CallFailed as exc:
         return error_answer(exc)
     if path not in READ_PATHS and loses_answer(standin):
