--- a/src/quetzaldyke/connection/engine_client.py
+++ b/src/quetzaldyke/connection/engine_client.py
@@ -44,6 +44,9 @@
 MAX_ERROR_BYTES: Final = 65536
 TOO_MANY_REQUESTS: Final = 429
 CONFLICT: Final = 409
+NOT_FOUND: Final = 404
+CANCEL_TRIES: Final = 3
+CANCEL_PAUSE_S: Final = 0.02
 # A load copies weights from the rate-limited store and can take minutes.
 ORDER_TIMEOUT_S: Final = 600.0
 TAIL_WAIT_S: Final = 0.1
@@ -126,10 +129,18 @@
         outcome = await self.call('GET', '/v1/requests')
         return outcome.map(lambda reply: texts(reply[1], 'running'))
 
-    async def cancel(self, request_id: str) -> bool:
-        """Stop a stream; False when the engine did not confirm it."""
-        outcome = await self.call('POST', f'/v1/requests/{request_id}/cancel')
-        return outcome.is_ok()
+    async def cancel(self, request_id: str, seen: bool = True) -> None:
+        """Stop a stream.
+
+        A cancel can overtake the start of a stream that has not been `seen`
+        to run; it is repeated when the engine does not know the stream yet.
+        """
+        path = f'/v1/requests/{request_id}/cancel'
+        for _ in range(1 if seen else CANCEL_TRIES):
+            outcome = await self.call('POST', path)
+            if isinstance(outcome, Err) or outcome.ok_value[0] != NOT_FOUND:
+                return
+            await anyio.sleep(0 if seen else CANCEL_PAUSE_S)
 
     async def cancel_orphans(
         self,
@@ -224,11 +235,14 @@
 ) -> Result[Answer, EndpointFailure]:
     """Return the outcome of a response without a stream.
 
-    The protocol's 429 says that the engine did not admit the request.
+    The protocol's 429 says that the engine did not admit the request, and
+    409 that another stream of this id runs.
     """
     body = await read_body(response, MAX_ERROR_BYTES)
     if response.status == TOO_MANY_REQUESTS:
         return Err(EndpointFailure('not_run', 'engine is full'))
+    if response.status == CONFLICT:
+        return Err(EndpointFailure('not_run', 'request id is in use'))
     if response.status >= SERVER_ERROR:
         reason = f'engine status {response.status}'
         return Err(EndpointFailure('unknown', reason))
--- a/src/quetzaldyke/process/endpoint_watch.py
+++ b/src/quetzaldyke/process/endpoint_watch.py
@@ -30,6 +30,7 @@
 CHECK_INTERVAL_S: Final = 0.5
 DOWN_CHECK_INTERVAL_S: Final = 0.1
 STATE_INTERVAL_S: Final = 2.0
+LOADING_INTERVAL_S: Final = 0.1
 # One late answer is no outage: the engine answers between decoding steps.
 MAX_FAILED_CHECKS: Final = 2
 MAX_PREFIXES: Final = 16
@@ -63,6 +64,7 @@
     model: str = ''
     version: str = ''
     adapter: str = ''
+    loading: bool = False
     cache_number: int = 0
     # Prefixes in the engine's cache, latest last.
     prefixes: dict[str, None] = field(default_factory=dict)
@@ -168,7 +170,13 @@
         self.model = str(state.get('model', self.model))
         self.version = str(state.get('version', self.version))
         self.adapter = str(state.get('adapter', self.adapter))
-        self.gate.note_token(number(state, 'fencing_token'))
+        self.loading = bool(state.get('loading'))
+        self.gate.note_token(number(state, 'highest_token'))
+
+    async def follow_load(self) -> None:
+        """Read the state more often while a model is being loaded."""
+        if self.loading:
+            await self.read_state()
 
     async def read_cache(self) -> None:
         """Follow the engine's cache events; gaps only lose hints."""
--- a/src/quetzaldyke/process/sidecar.py
+++ b/src/quetzaldyke/process/sidecar.py
@@ -11,7 +11,10 @@
 from quetzaldyke.connection.links import LinkOptions, listen
 from quetzaldyke.connection.messages import PROTOCOL_VERSION, Hello
 from quetzaldyke.process import sidecar_messages
-from quetzaldyke.process.endpoint_watch import STATE_INTERVAL_S
+from quetzaldyke.process.endpoint_watch import (
+    LOADING_INTERVAL_S,
+    STATE_INTERVAL_S,
+)
 from quetzaldyke.process.settings import SidecarSettings
 from quetzaldyke.process.sidecar_drain import drain
 from quetzaldyke.process.sidecar_state import SidecarProcess
@@ -108,6 +111,7 @@
     timers.subscribe('forget', FORGET_INTERVAL_S, every(forget_old))
     timers.subscribe('cache', CACHE_INTERVAL_S, process.watch.read_cache)
     timers.subscribe('state', STATE_INTERVAL_S, process.watch.read_state)
+    timers.subscribe('load', LOADING_INTERVAL_S, process.watch.follow_load)
     timers.on_pause(
         lambda gap_s: sidecar_messages.note_gap(process, gap_s),
     )
--- a/src/quetzaldyke/process/streams.py
+++ b/src/quetzaldyke/process/streams.py
@@ -181,7 +181,10 @@
     async def settle_stopped(self, work: Work) -> None:
         """End a request that was stopped here; its slot is freed first."""
         if isinstance(self.client, EngineClient):
-            await self.client.cancel(work.submit.request_id)
+            await self.client.cancel(
+                work.submit.request_id,
+                seen=work.tokens > 0,
+            )
         self.admission.release(work)
         engine = isinstance(self.client, EngineClient)
         ran: Ran = 'ran' if engine else 'unknown'
--- /dev/null
+++ b/tests/test_sidecar_batch.py
@@ -0,0 +1,267 @@
+"""Tests of batch work at the sidecar: grants, preemption and cancelled jobs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+from sidecar_rig import (
+    EntryClient,
+    Outcome,
+    Rig,
+    make_item,
+    make_rig,
+    make_submit,
+    until,
+    whole,
+)
+
+from quetzaldyke.connection.messages import (
+    BatchGrant,
+    CancelJob,
+    ConfigPush,
+    JobStopped,
+    Report,
+)
+from quetzaldyke.standins.engine_batch import Batch
+from quetzaldyke.version.configuration import (
+    Configuration,
+    LendingRule,
+    Pool,
+    pack_document,
+)
+
+LONG = 100_000
+
+
+def test_batch_needs_a_grant() -> None:
+    """Guards against batch items that start without room for them."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            grant = await entry.granted()
+            forged = make_item(grant, 'item', 4, grant_id=grant.grant_id + 1)
+            refused = await entry.ask(forged)
+            assert refused.failed is not None
+            assert refused.failed.reason == 'no valid grant'
+            assert rig.engine.counts.requests == 0
+            done = await entry.ask(make_item(grant, 'item', 4))
+            assert done.text == whole('item', 4)
+            spent = await entry.ask(make_item(grant, 'item', 4))
+            assert spent.failed is not None
+            assert spent.failed.ran == 'not_run'
+
+    anyio.run(scenario)
+
+
+async def start_item(
+    entry: EntryClient,
+    prompt: str = 'item',
+    **more: Any,
+) -> Outcome:
+    """Start a long batch item and wait until it has produced text."""
+    grant = await entry.granted()
+    outcome, _ = entry.begin(make_item(grant, prompt, LONG, **more))
+    await until(lambda: len(outcome.texts) > 3 or outcome.failed is not None)
+    return outcome
+
+
+async def fill_with_online(rig: Rig, entry: EntryClient, count: int) -> None:
+    """Start online requests that run until the test ends."""
+    for _ in range(count):
+        outcome, _ = entry.begin(make_submit('busy', LONG))
+        await until(lambda: len(outcome.texts) > 0)
+
+
+def test_preempted_item_is_resumed_to_the_whole_answer() -> None:
+    """Guards against work lost or repeated when batch yields to online."""
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=2) as rig:
+            entry = await rig.entry()
+            grant = await entry.granted()
+            item, done = entry.begin(make_item(grant, 'item', 300))
+            await until(lambda: len(item.texts) > 3)
+            first, _ = entry.begin(make_submit('first', 20))
+            await until(lambda: first.started)
+            assert item.failed is None
+            second = await entry.ask(make_submit('second', 20))
+            assert second.text == whole('second', 20)
+            await done.wait()
+            assert item.failed is not None
+            assert item.failed.ran == 'ran'
+            assert item.failed.reason == 'preempted'
+            partial = item.failed.partial_text
+            produced = item.failed.partial_tokens
+            assert partial == whole('item', produced)
+            assert partial.startswith(item.text)
+            resumed = await entry.ask(
+                make_item(
+                    await entry.granted(),
+                    'item',
+                    300,
+                    resume_text=partial,
+                    resume_tokens=produced,
+                ),
+            )
+            assert partial + resumed.text == whole('item', 300)
+
+    anyio.run(scenario)
+
+
+def test_engine_never_queues(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against online requests that wait behind batch in the engine."""
+    most = 0
+    submit = Batch.submit
+
+    def counted(batch: Batch, *arguments: Any) -> Any:
+        nonlocal most
+        most = max(most, len(batch.ids()) + 1)
+        return submit(batch, *arguments)
+
+    monkeypatch.setattr(Batch, 'submit', counted)
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=3, max_queue=50) as rig:
+            entry = await rig.entry()
+            for _ in range(2):
+                await start_item(entry)
+            waits = [
+                entry.begin(make_submit(f'p{number}', 5))
+                for number in range(20)
+            ]
+            for number, (outcome, done) in enumerate(waits):
+                await done.wait()
+                assert outcome.text == whole(f'p{number}', 5)
+            assert rig.sidecar.admission.count(batch=True) < 3
+
+    anyio.run(scenario)
+    assert most == 3
+
+
+def test_stream_with_least_progress_yields() -> None:
+    """Guards against giving up the stream that costs most to resume."""
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=3) as rig:
+            entry = await rig.entry()
+            older = await start_item(entry, 'older')
+            newer = await start_item(entry, 'newer')
+            await fill_with_online(rig, entry, 2)
+            assert newer.failed is not None
+            assert newer.failed.reason == 'preempted'
+            assert older.failed is None
+
+    anyio.run(scenario)
+
+
+def test_no_room_no_grant() -> None:
+    """Guards against grants for slots that online work is about to need."""
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=3) as rig:
+            entry = await rig.entry()
+            grant = await entry.granted(count=100)
+            assert grant.count == 2
+            await fill_with_online(rig, entry, 2)
+            late = await entry.ask(make_item(grant, 'item', 4))
+            assert late.failed is not None
+            assert late.failed.ran == 'not_run'
+            assert late.failed.reason == 'no room for batch'
+
+    anyio.run(scenario)
+
+
+def test_cancelled_job_stops_and_never_starts_again() -> None:
+    """Guards against items of a cancelled job that run on."""
+
+    async def scenario() -> None:
+        async with make_rig(engine={'keep_orphans': True}) as rig:
+            entry = await rig.entry()
+            item = await start_item(entry)
+            grant = await entry.granted()
+            entry.send(CancelJob('job'))
+            await entry.next_of(JobStopped)
+            assert not rig.engine.batch.ids()
+            await until(lambda: item.failed is not None)
+            assert item.failed is not None
+            assert item.failed.reason == 'job_cancelled'
+            for late in (grant, BatchGrant(0, 'pool', 'job', 1)):
+                refused = await entry.ask(make_item(late, 'late', 4))
+                assert refused.failed is not None
+                assert refused.failed.ran == 'not_run'
+                assert refused.failed.reason == 'job_cancelled'
+            assert rig.engine.counts.requests == 1
+
+    anyio.run(scenario)
+
+
+def test_least_slack_is_granted_first() -> None:
+    """Guards against an urgent job that waits behind a patient one."""
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=2) as rig:
+            patient = await rig.entry('entry-1')
+            urgent = await rig.entry('entry-2')
+            await fill_with_online(rig, patient, 1)
+            running = rig.sidecar.admission.running
+            [work] = running.values()
+            early = patient.granted('patient', slack_s=9000)
+            late = urgent.granted('urgent', slack_s=30)
+            demands = rig.sidecar.admission.grants.demands
+            with anyio.move_on_after(0.1):
+                await early
+            with anyio.move_on_after(0.1):
+                await late
+            assert len(demands) == 2
+            patient.calls.abandon(patient.calls.calls[work.submit.request_id])
+            grant = await urgent.next_of(BatchGrant)
+            assert grant.job_id == 'urgent'
+            assert not patient.all_of(BatchGrant)
+
+    anyio.run(scenario)
+
+
+def test_lending_follows_the_configuration() -> None:
+    """Guards against lending that no rule allows, or above its share."""
+    rule = LendingRule(borrower='other', lender='pool', max_share=0.25)
+    configuration = Configuration(
+        pools={'pool': Pool(), 'other': Pool()},
+        lending=(rule,),
+    )
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=8) as rig:
+            entry = await rig.entry()
+            with anyio.move_on_after(0.1):
+                await entry.granted(pool='other', count=5)
+            assert not entry.all_of(BatchGrant)
+            entry.send(ConfigPush(3, pack_document(configuration)))
+            grant = await entry.granted(pool='other', count=5)
+            assert (grant.pool, grant.count) == ('other', 2)
+            entry.send(ConfigPush(2, pack_document(Configuration())))
+            lent = await entry.ask(make_item(grant, 'item', 4))
+            assert lent.text == whole('item', 4)
+            assert rig.sidecar.config.version == 3
+
+    anyio.run(scenario)
+
+
+def test_report_counts_batch_room() -> None:
+    """Guards against entries that see room where there is none."""
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=3) as rig:
+            entry = await rig.entry()
+            await entry.next_of(Report, lambda report: report.batch_room == 2)
+            await fill_with_online(rig, entry, 2)
+            await entry.next_of(
+                Report,
+                lambda report: (
+                    (report.online_running, report.batch_room) == (2, 0)
+                ),
+            )
+
+    anyio.run(scenario)
--- /dev/null
+++ b/tests/test_sidecar_relay.py
@@ -0,0 +1,211 @@
+"""Tests of the sidecar's relay between an entry and its endpoint."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import anyio
+import pytest
+from sidecar_rig import make_rig, make_submit, until, whole
+
+from quetzaldyke.connection.messages import Cancel, Window
+
+
+@pytest.mark.parametrize('tokens', [1, 8, 300])
+def test_whole_answer(tokens: int) -> None:
+    """Guards against lost, repeated or reordered text."""
+
+    async def scenario() -> None:
+        async with make_rig(engine={'step_ms': 0.5}) as rig:
+            entry = await rig.entry()
+            outcome = await entry.ask(make_submit('hello', tokens))
+            assert outcome.text == whole('hello', tokens)
+            assert outcome.end is not None
+            assert outcome.end.completion_tokens == tokens
+            assert outcome.end.finish_reason == 'length'
+
+    anyio.run(scenario)
+
+
+def test_resumed_answer_is_whole() -> None:
+    """Guards against a resumption that repeats or skips tokens."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            outcome = await entry.ask(
+                make_submit(
+                    'hello',
+                    8,
+                    resume_text=whole('hello', 3),
+                    resume_tokens=3,
+                ),
+            )
+            assert whole('hello', 3) + outcome.text == whole('hello', 8)
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'ran', 'reason'),
+    [
+        ({'remaining_ms': 0}, 'not_run', 'deadline has passed'),
+        ({'path': '@127.0.0.1:1/x'}, 'not_run', 'malformed request'),
+        ({'headers': {'x': 'a\r\nb: c'}}, 'not_run', 'malformed request'),
+        ({'work': 'other'}, 'not_run', 'unknown class of work'),
+        ({'pool': 'another'}, 'not_run', 'pool is not lent'),
+    ],
+)
+def test_refusals(changes: dict[str, object], ran: str, reason: str) -> None:
+    """Guards against running what must be refused, or refusing silently."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            outcome = await entry.ask(make_submit(**changes))  # type: ignore[arg-type]
+            assert outcome.failed is not None
+            assert (outcome.failed.ran, outcome.failed.reason) == (ran, reason)
+            assert not outcome.started
+            assert rig.engine.counts.requests == 0
+
+    anyio.run(scenario)
+
+
+def test_engine_error_is_passed_on() -> None:
+    """Guards against retrying a request that the engine calls invalid."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            outcome = await entry.ask(make_submit('INVALID'))
+            assert outcome.end is not None
+            assert outcome.end.status == 400
+            assert b'invalid_request' in outcome.end.body
+
+    anyio.run(scenario)
+
+
+def test_engine_killed_in_mid_stream() -> None:
+    """Guards against passing a cut answer off as whole."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            outcome, done = entry.begin(make_submit('hello', 5000))
+            await until(lambda: len(outcome.texts) > 3)
+            rig.engine.faults.down = True
+            await done.wait()
+            assert outcome.end is None
+            assert outcome.failed is not None
+            assert outcome.failed.ran == 'unknown'
+            text = outcome.failed.partial_text
+            assert text == whole('hello', outcome.failed.partial_tokens)
+            assert text.startswith(outcome.text)
+            refused = await entry.ask(make_submit())
+            assert refused.failed is not None
+            assert refused.failed.ran == 'not_run'
+            rig.engine.faults.down = False
+            await until(lambda: rig.sidecar.watch.up)
+            again = await entry.ask(make_submit())
+            assert again.text == whole('hello', 8)
+
+    anyio.run(scenario)
+
+
+def test_slow_reader_stalls_nobody() -> None:
+    """Guards against one caller's backpressure reaching another request."""
+
+    async def scenario() -> None:
+        async with make_rig(engine={'step_ms': 0.5}) as rig:
+            entry = await rig.entry()
+            slow = make_submit('slow', 400)
+            call = entry.calls.begin(slow)
+            await until(lambda: bool(rig.engine.counts.finished))
+            await until(lambda: not rig.sidecar.admission.running)
+            work = rig.sidecar.streams.works[slow.request_id]
+            assert work.answer.credit == 0
+            other = await entry.ask(make_submit('other', 200))
+            assert other.text == whole('other', 200)
+            text = ''
+            while not call.finished:
+                entry.send(Window(slow.request_id, 1))
+                await anyio.sleep(0.002)
+            async for event in call.source:
+                text += getattr(event, 'text', '')
+            assert text == whole('slow', 400)
+            assert slow.request_id not in rig.sidecar.streams.works
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize('loses_connection', [False, True])
+def test_unwanted_requests_stop_at_the_engine(loses_connection: bool) -> None:
+    """Guards against slots held by answers that nobody reads."""
+
+    async def scenario() -> None:
+        async with make_rig(engine={'keep_orphans': True}) as rig:
+            entry = await rig.entry()
+            submit = make_submit('long', 100_000)
+            outcome, _ = entry.begin(submit)
+            await until(lambda: len(outcome.texts) > 1)
+            if loses_connection:
+                entry.scope.cancel()
+            else:
+                entry.send(Cancel(submit.request_id))
+            await until(lambda: not rig.engine.batch.ids())
+            await until(lambda: not rig.sidecar.streams.works)
+
+    anyio.run(scenario)
+
+
+def test_orphans_are_cancelled_at_the_start() -> None:
+    """Guards against streams of a dead sidecar that hold slots for ever."""
+
+    async def scenario() -> None:
+        async with make_rig(engine={'keep_orphans': True}) as rig:
+            entry = await rig.entry()
+            outcome, _ = entry.begin(make_submit('long', 100_000))
+            await until(lambda: len(outcome.texts) > 1)
+            await rig.crash_sidecar()
+            assert rig.engine.batch.ids()
+            await rig.restart_sidecar()
+            assert not rig.engine.batch.ids()
+
+    anyio.run(scenario)
+
+
+def test_request_id_in_use_is_refused() -> None:
+    """Guards against two answers mixed under one request id."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            first = await rig.entry('entry-1')
+            second = await rig.entry('entry-2')
+            submit = make_submit('hello', 50)
+            outcome, done = first.begin(submit)
+            await until(lambda: outcome.started)
+            refused = await second.ask(submit)
+            assert refused.failed is not None
+            assert refused.failed.ran == 'not_run'
+            await done.wait()
+            assert outcome.text == whole('hello', 50)
+
+    anyio.run(scenario)
+
+
+def test_sidecar_imports_no_server_library() -> None:
+    """Guards against the memory of libraries that a sidecar never uses."""
+    script = (
+        'import sys, quetzaldyke.process.sidecar;'
+        'print([n for n in ("uvicorn", "starlette", "fire")'
+        ' if n in sys.modules])'
+    )
+    printed = subprocess.run(
+        [sys.executable, '-c', script],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={'PYTHONPATH': 'src'},
+    )
+    assert printed.stdout.strip() == '[]'
