--- a/src/quetzaldyke/process/callers_http.py
+++ b/src/quetzaldyke/process/callers_http.py
@@ -50,6 +50,7 @@
     MS_IN_S,
     Refusal,
 )
+from quetzaldyke.request.prefixes import prefix_names, prompt_of
 from quetzaldyke.request.router import Holder
 
 COMPLETIONS_PATH: Final = '/v1/completions'
@@ -206,6 +207,7 @@
         fingerprint=fingerprint(pool, path, raw),
         idempotency_key=options.idempotency_key,
         model=body.model,
+        prefixes=prefix_names(prompt_of(body)),
         include_usage=wanted is not None and wanted.include_usage,
     )
 
--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -31,7 +31,6 @@
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.parts.claims import ClaimLedger
 from quetzaldyke.parts.hlc import HybridClock
-from quetzaldyke.parts.kv import KeyValueStore
 from quetzaldyke.parts.timeline import Timeline
 from quetzaldyke.parts.timers import Clock, TimerService
 from quetzaldyke.process.callers_gate import OpenRequests
@@ -79,7 +78,7 @@
     timers: TimerService
     log_event: LogEvent
     timeline: Timeline
-    store: KeyValueStore
+    store: HttpKeyValueStore
     config: ConfigHolder
     fleet: Fleet
     claims: ClaimLedger
@@ -111,7 +110,7 @@
         clock = Clock()
         config = ConfigHolder()
         fleet = Fleet(own_instance(settings), settings.subset_size)
-        store = HttpKeyValueStore(settings.kv_address)
+        store = HttpKeyValueStore.from_address(settings.kv_address)
         limits = make_limits(clock, config, fleet)
         router = Router(fleet, config, clock)
         deadlines = DeadlineQueue()
--- a/src/quetzaldyke/request/execute.py
+++ b/src/quetzaldyke/request/execute.py
@@ -38,7 +38,12 @@
     overloaded,
     refusal_of,
 )
-from quetzaldyke.request.retry import Progress, is_free, may_retry
+from quetzaldyke.request.retry import (
+    Progress,
+    is_free,
+    may_retry,
+    unsent_text,
+)
 from quetzaldyke.request.router import Pick, Router
 
 RETRY_AFTER_MS: Final = 1000
@@ -134,7 +139,7 @@
     pick: Pick,
 ) -> AsyncIterator[CallEvent]:
     """Yield the events of one attempt on the chosen endpoint."""
-    progress.attempt += 1
+    progress.begin_attempt()
     remaining_s = request.deadline_s - context.clock.now()
     submit = make_submit(request, progress, remaining_s)
 
@@ -176,8 +181,7 @@
     if chunk.raw:
         progress.raws.append(chunk.raw)
         return None
-    progress.texts.append(chunk.text)
-    progress.tokens += chunk.tokens
+    progress.add_text(chunk.text, chunk.tokens)
     return AnswerText(chunk.text, chunk.tokens)
 
 
@@ -243,7 +247,11 @@
                         note_first_part(context, request, progress)
                         yield part
                 case Failed():
+                    text, tokens = unsent_text(progress, event)
                     note_failure(context, request, progress, pick, event)
+                    if text:
+                        progress.add_text(text, tokens)
+                        yield AnswerText(text, tokens)
                 case End():
                     progress.whole = True
                     note_end(context, request, progress, pick)
--- a/src/quetzaldyke/request/model.py
+++ b/src/quetzaldyke/request/model.py
@@ -20,7 +20,6 @@
 MAX_OUTPUT_TOKENS: Final = 1_000_000
 MAX_MESSAGES: Final = 10_000
 
-# Characters of the prompt that decide which endpoints may hold its prefix.
 CHAT_PATH: Final = '/v1/chat/completions'
 
 
@@ -83,6 +82,7 @@
     fingerprint: str
     idempotency_key: str = ''
     model: str = ''
+    prefixes: tuple[str, ...] = ()
     include_usage: bool = False
 
 
--- a/src/quetzaldyke/request/outcome.py
+++ b/src/quetzaldyke/request/outcome.py
@@ -26,6 +26,8 @@
 HTTP_TIMEOUT: Final = 504
 MS_IN_S: Final = 1000
 
+# Reasons of the entry and of the sidecar.
+LATE_REASONS: Final = frozenset(('deadline', 'deadline has passed'))
 CRASHES_ENDPOINTS: Final = 'crashes_endpoints'
 
 ERROR_TYPES: Final[Mapping[int, str]] = {
@@ -205,8 +207,16 @@
     """
     if failed.reason == CRASHES_ENDPOINTS:
         return crashing(ran)
-    if failed.reason in {'deadline', 'expired'}:
+    if failed.reason in LATE_REASONS:
         return late(ran)
+    if failed.reason == 'overloaded':
+        return Refusal(
+            HTTP_UNAVAILABLE,
+            'overloaded',
+            'the endpoints are busy past the deadline',
+            ran,
+            failed.retry_after_ms,
+        )
     status = HTTP_UNAVAILABLE if ran == 'not_run' else HTTP_BAD_GATEWAY
     return Refusal(
         status,
--- a/src/quetzaldyke/request/retry.py
+++ b/src/quetzaldyke/request/retry.py
@@ -6,18 +6,21 @@
 from typing import Final
 
 from quetzaldyke.connection.messages import Failed, Ran
-from quetzaldyke.request.deadline import DEADLINE_REASON
 from quetzaldyke.request.model import OnlineRequest
-from quetzaldyke.request.outcome import CRASHES_ENDPOINTS, ran_of
+from quetzaldyke.request.outcome import (
+    CRASHES_ENDPOINTS,
+    LATE_REASONS,
+    ran_of,
+)
 
 # A request that fails everywhere for a reason of its own ends here even
 # when the budget would allow more.
 MAX_ATTEMPTS: Final = 8
 # Failures that no other endpoint would answer differently.
-FINAL_REASONS: Final = frozenset((CRASHES_ENDPOINTS, DEADLINE_REASON))
+FINAL_REASONS: Final = LATE_REASONS | {CRASHES_ENDPOINTS}
 # A sidecar that leaves refuses new work; moving on is no sign of overload,
 # so it costs nothing of the retry budget.
-FREE_REASONS: Final = frozenset(('leaving', 'draining'))
+FREE_REASONS: Final = frozenset(('endpoint is leaving',))
 
 
 def no_attempt() -> Failed:
@@ -33,12 +36,27 @@
     attempt: int = 0
     texts: list[str] = field(default_factory=list)
     tokens: int = 0
+    # Where the present attempt's part of the text begins.
+    attempt_texts: int = 0
+    attempt_tokens: int = 0
     raws: list[bytes] = field(default_factory=list)
     ran: Ran = 'not_run'
     failed_on: set[str] = field(default_factory=set)
     failed: Failed = field(default_factory=no_attempt)
     whole: bool = False
 
+    def begin_attempt(self) -> None:
+        """Count an attempt; it continues after the text so far."""
+        self.attempt += 1
+        self.attempt_texts = len(self.texts)
+        self.attempt_tokens = 0
+
+    def add_text(self, text: str, tokens: int) -> None:
+        """Add text that the caller gets."""
+        self.texts.append(text)
+        self.tokens += tokens
+        self.attempt_tokens += tokens
+
     def note_failure(self, endpoint: str, failed: Failed) -> None:
         """Add one failed attempt."""
         self.failed = failed
@@ -47,6 +65,21 @@
         self.ran = combine(self.ran, ran_of(failed.ran))
 
 
+def unsent_text(progress: Progress, failed: Failed) -> tuple[str, int]:
+    """Return text of a failed attempt that did not arrive in chunks.
+
+    The failure carries the attempt's whole text; what was still waiting at
+    the sidecar is not generated a second time.
+    """
+    if not failed.partial_text:
+        return '', 0
+    sent = ''.join(progress.texts[progress.attempt_texts :])
+    if not failed.partial_text.startswith(sent):
+        return '', 0
+    tokens = failed.partial_tokens - progress.attempt_tokens
+    return failed.partial_text[len(sent) :], max(0, tokens)
+
+
 def combine(first: Ran, second: Ran) -> Ran:
     """Return the statement that is true of two attempts together.
 
--- a/src/quetzaldyke/request/router.py
+++ b/src/quetzaldyke/request/router.py
@@ -108,7 +108,7 @@
         healthy = self.not_ejected(by_name)
         pool = self.pool_of(request.pool)
         chosen = choose(
-            [self.candidate(one) for one in healthy.values()],
+            [self.candidate(one, request) for one in healthy.values()],
             Preference(self.fleet.own.failure_domain, pool.spill_ratio),
             self.random,
         )
@@ -127,7 +127,11 @@
             link for link in self.fleet.links_of(pool) if serves(link, wanted)
         ]
 
-    def candidate(self, link: SidecarLink) -> Candidate:
+    def candidate(
+        self,
+        link: SidecarLink,
+        request: OnlineRequest | None = None,
+    ) -> Candidate:
         """Return what routing needs to know of a link."""
         report = link.report
         limit = report.limit if report else 1
@@ -137,6 +141,7 @@
             self.load_of(link),
             max(1, limit),
             link.ttft_ms,
+            cached_blocks(report, request),
         )
 
     def load_of(self, link: SidecarLink) -> int:
@@ -219,6 +224,19 @@
             self.borrowed[request.pool, lender] -= 1
 
 
+def cached_blocks(report: Report | None, request: OnlineRequest | None) -> int:
+    """Return how many blocks of the prompt an endpoint has cached."""
+    if report is None or request is None or not request.prefixes:
+        return 0
+    cached = frozenset(report.prefixes)
+    known = [
+        number
+        for number, name in enumerate(request.prefixes, start=1)
+        if name in cached
+    ]
+    return max(known, default=0)
+
+
 def serves(link: SidecarLink, wanted: Pool) -> bool:
     """Tell whether an endpoint reports the model that a pool needs."""
     report = link.report
--- a/src/quetzaldyke/request/routing.py
+++ b/src/quetzaldyke/request/routing.py
@@ -42,7 +42,7 @@
     load: int  # requests that run or wait there
     limit: int  # requests that it runs at once
     ttft_ms: float = 0.0  # 0 when not measured
-    has_prefix: bool = False
+    prefix_blocks: int = 0  # cached blocks of the request's prompt
 
     @property
     def score(self) -> float:
@@ -107,18 +107,22 @@
     candidates: Sequence[Candidate],
     factors: dict[str, float],
 ) -> Candidate | None:
-    """Return the least loaded holder of the prefix within the bound."""
+    """Return the holder of the longest prefix within the bound."""
     total = sum(one.load for one in candidates) + 1
     bound = math.ceil(AFFINITY_BOUND * total / len(candidates))
     holders = [
         one
         for one in candidates
-        if one.has_prefix
+        if one.prefix_blocks
         and one.load + 1 <= bound
         and one.score < 1
         and one.name not in factors
     ]
-    return min(holders, key=lambda one: one.score, default=None)
+    return min(
+        holders,
+        key=lambda one: (-one.prefix_blocks, one.score),
+        default=None,
+    )
 
 
 def choose_among(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -28,7 +28,7 @@
         load=st.integers(0, 40),
         limit=st.integers(1, 16),
         ttft_ms=st.floats(0, 5000),
-        has_prefix=st.booleans(),
+        prefix_blocks=st.integers(0, 3),
     ),
     max_size=12,
     unique_by=lambda one: one.name,
@@ -55,7 +55,7 @@
     if holder is None:
         return
     mean = (sum(one.load for one in pool) + 1) / len(pool)
-    assert holder.has_prefix
+    assert holder.prefix_blocks
     assert holder.load < holder.limit
     assert holder.load + 1 <= max(1, mean * AFFINITY_BOUND + 1)
 
@@ -102,7 +102,7 @@
 def test_idle_prefix_holder_is_taken() -> None:
     """Guards against a hint that has no effect."""
     pool = [Candidate(f'e{index}', 'a', 2, 16) for index in range(5)]
-    pool.append(Candidate('holder', 'a', 1, 16, has_prefix=True))
+    pool.append(Candidate('holder', 'a', 1, 16, prefix_blocks=2))
     assert counted(pool) == {'holder': 2000}
 
 
@@ -110,5 +110,5 @@
 def test_full_prefix_holder_is_not_taken_for_its_prefix(load: int) -> None:
     """Guards against waiting at a holder while others are idle."""
     pool = [Candidate(f'e{index}', 'a', 1, 16) for index in range(5)]
-    pool.append(Candidate('holder', 'a', load, 16, has_prefix=True))
+    pool.append(Candidate('holder', 'a', load, 16, prefix_blocks=2))
     assert counted(pool)['holder'] < 30
