Add the demo, the bench and the in-process fleet

Cause: the whole path has to be seen and measured. Change: a fleet of all roles over loopback sockets, a demo of both users' deployments and a bench of four policies on the same arrivals.

--- /dev/null
+++ b/src/quetzaldyke/commands/bench.py
@@ -0,0 +1,310 @@
+"""Compares policies on the same arrivals and prints figures.
+
+The load is open-loop and latency counts from the intended start. Each mode
+runs on its own fleet, one after the other, so that they don't share a
+processor.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import anyio
+
+from quetzaldyke.commands.arrivals import Arrival, Burst, LoadPlan, arrivals
+from quetzaldyke.commands.bench_figures import Figures, p99, ratio
+from quetzaldyke.commands.bench_modes import (
+    MODES,
+    ORGANISATION,
+    REPLICAS,
+    Mode,
+    slots_per_s,
+)
+from quetzaldyke.commands.caller import (
+    Caller,
+    ChatOutcome,
+    item_line,
+    job_results,
+    new_key,
+    submit_job,
+)
+from quetzaldyke.commands.demo import wait_for_job
+from quetzaldyke.commands.rig import Rig, start_rig, stop_rig
+from quetzaldyke.standins.engine import EngineStandin
+from quetzaldyke.standins.engine_text import answer_text
+
+TOKENS: Final = 24
+ITEM_TOKENS: Final = 16
+SAMPLE_S: Final = 0.01
+OK_STATUS: Final = 200
+QUICK_WINDOW_S: Final = 6.0
+FULL_WINDOW_S: Final = 40.0
+WARM_UP_S: Final = 0.5
+# Online load as a share of what the endpoints can answer.
+BASE_LOAD: Final = 0.5
+BURST_LOAD: Final = 0.9
+FLOOD_CALLERS: Final = 60
+
+Faults = Callable[[Rig, float], Coroutine[Any, Any, None]]
+
+
+@dataclass(slots=True)
+class Run:
+    """One mode on one fleet."""
+
+    mode: Mode
+    rig: Rig
+    plan: LoadPlan
+    figures: Figures
+    began_s: float = 0.0
+    online_running: int = 0
+
+    @property
+    def passed_s(self) -> float:
+        """Return the time since the start of the window."""
+        return time.monotonic() - self.began_s
+
+
+def load_plan(window_s: float, seed: int) -> LoadPlan:
+    """Return the online load of a window: half of capacity and a burst."""
+    capacity = slots_per_s(TOKENS) * REPLICAS
+    burst = Burst(window_s * 0.5, window_s * 0.75, capacity * BURST_LOAD)
+    return LoadPlan(seed, window_s, capacity * BASE_LOAD, (burst,), TOKENS)
+
+
+async def drive_online(run: Run) -> None:
+    """Send every arrival at its intended time."""
+    callers = [run.rig.caller(ORGANISATION, number) for number in range(2)]
+    async with anyio.create_task_group() as group:
+        for number, arrival in enumerate(arrivals(run.plan)):
+            await anyio.sleep(max(0.0, arrival.at_s - run.passed_s))
+            caller = callers[number % len(callers)]
+            group.start_soon(one_online, run, caller, arrival)
+
+
+async def one_online(run: Run, caller: Caller, arrival: Arrival) -> None:
+    """Send one request and record what the caller saw."""
+    figures = run.figures
+    figures.online_sent += 1
+    run.online_running += 1
+    outcome = await caller.chat(
+        run.mode.plan().pools[0].name,
+        arrival.prompt,
+        arrival.max_tokens,
+        run.began_s + arrival.at_s,
+    )
+    run.online_running -= 1
+    note_online(figures, arrival, outcome)
+
+
+def note_online(
+    figures: Figures,
+    arrival: Arrival,
+    outcome: ChatOutcome,
+) -> None:
+    """Record one online request."""
+    if outcome.status != OK_STATUS:
+        figures.online_refused += 1
+        figures.notes.append(outcome.error[:160])
+        return
+    expected = answer_text(arrival.prompt, arrival.max_tokens)
+    if not outcome.whole or outcome.text != expected:
+        figures.online_broken += 1
+        figures.notes.append(f'broken answer: {outcome.error}'[:160])
+        return
+    figures.online_answered += 1
+    figures.note_first(outcome.first_s, arrival.in_burst)
+    for gap_s in outcome.gaps_s:
+        figures.note_gap(gap_s)
+
+
+def engines_of(rig: Rig) -> list[EngineStandin]:
+    """Return the engines of a fleet."""
+    return [
+        endpoint.standin
+        for endpoint in rig.endpoints.values()
+        if isinstance(endpoint.standin, EngineStandin)
+    ]
+
+
+async def sample_slots(run: Run) -> None:
+    """Sample how many slots online work leaves and batch uses."""
+    engines = engines_of(run.rig)
+    while run.passed_s < run.plan.duration_s:
+        await anyio.sleep(SAMPLE_S)
+        total = sum(one.options.max_streams for one in engines)
+        busy = sum(len(one.batch.running) for one in engines)
+        if run.mode.flood:
+            # Online requests can't be told from items inside the engines.
+            continue
+        online = sum(
+            endpoint.sidecar.admission.count(batch=False)
+            for endpoint in run.rig.endpoints.values()
+        )
+        run.figures.idle_slots += max(0, total - online)
+        run.figures.batch_slots += max(0, busy - online)
+
+
+async def flood(run: Run) -> None:
+    """Send batch items as plain requests, as many at once as slots."""
+    caller = run.rig.caller(ORGANISATION)
+
+    async def lane(number: int) -> None:
+        sent = 0
+        while run.passed_s < run.plan.duration_s:
+            prompt = f'draft {number} {sent}'
+            pool = run.rig.plan.pools[0].name
+            outcome = await caller.chat(pool, prompt, ITEM_TOKENS)
+            sent += 1
+            if not outcome.whole:
+                run.figures.notes.append(outcome.error[:160])
+
+    async with anyio.create_task_group() as group:
+        for number in range(FLOOD_CALLERS):
+            group.start_soon(lane, number)
+
+
+async def run_job(run: Run) -> None:
+    """Submit a job that outlasts the window, and check all its results."""
+    capacity = slots_per_s(ITEM_TOKENS) * REPLICAS
+    count = int(capacity * run.plan.duration_s * 0.75)
+    prompts = [f'draft {number} of the rota' for number in range(count)]
+    lines = [
+        item_line(number, run.mode.batch_pool, prompt, ITEM_TOKENS)
+        for number, prompt in enumerate(prompts)
+    ]
+    caller = run.rig.caller(ORGANISATION)
+    job = await submit_job(caller, lines, new_key())
+    run.figures.items_accepted = count
+    ended = await wait_for_job(caller, job['id'])
+    run.figures.late_jobs = int(bool(ended.get('late')))
+    check_results(run, prompts, await job_results(caller, job['id']))
+
+
+def items_finished(run: Run) -> int:
+    """Return the batch items that the engines have finished so far."""
+    finished = sum(one.counts.finished for one in engines_of(run.rig))
+    return max(0, finished - run.figures.online_answered)
+
+
+def check_results(
+    run: Run,
+    prompts: list[str],
+    rows: list[dict[str, object]],
+) -> None:
+    """Count missing, repeated and wrong results."""
+    counts = Counter(str(row['custom_id']) for row in rows)
+    run.figures.items_recorded = len(counts)
+    run.figures.items_duplicated = sum(counts.values()) - len(counts)
+    for row in rows:
+        number = int(str(row['custom_id']).removeprefix('item-'))
+        expected = answer_text(prompts[number], ITEM_TOKENS)
+        run.figures.items_wrong += text_of(row) != expected
+
+
+def text_of(row: dict[str, object]) -> str:
+    """Return the text of a result row, empty for a failed item."""
+    match row:
+        case {'response': {'body': {'choices': [{'message': message}, *_]}}}:
+            return str(message['content'])
+    return ''
+
+
+async def run_mode(
+    mode: Mode,
+    plan: LoadPlan,
+    faults: Faults | None = None,
+) -> Figures:
+    """Run one mode on a fleet of its own."""
+    figures = Figures(mode.name)
+    async with anyio.create_task_group() as group:
+        rig = await start_rig(group, mode.plan())
+        await anyio.sleep(WARM_UP_S)
+        run = Run(mode, rig, plan, figures, time.monotonic())
+        await run_window(run, faults)
+        await stop_rig(rig)
+        group.cancel_scope.cancel()
+    return figures
+
+
+async def run_window(run: Run, faults: Faults | None) -> None:
+    """Drive all load of one window and wait for its end."""
+    before = dict(run.rig.kv.counts.calls)
+    writes = run.rig.kv.counts.writes
+    cpu_s = time.process_time()
+    async with anyio.create_task_group() as group:
+        group.start_soon(drive_online, run)
+        group.start_soon(sample_slots, run)
+        if faults is not None:
+            group.start_soon(faults, run.rig, run.plan.duration_s)
+        if run.mode.flood:
+            group.start_soon(flood, run)
+        if run.mode.job:
+            group.start_soon(run_job, run)
+        await anyio.sleep(run.plan.duration_s)
+        run.figures.items_in_window = items_finished(run)
+        run.figures.cpu_s = time.process_time() - cpu_s
+        run.figures.window_s = run.plan.duration_s
+    run.figures.kv_writes = run.rig.kv.counts.writes - writes
+    run.figures.kv_calls = {
+        kind: count - before.get(kind, 0)
+        for kind, count in run.rig.kv.counts.calls.items()
+    }
+
+
+def compare(found: dict[str, Figures]) -> dict[str, float]:
+    """Return the figures that compare modes."""
+    alone = found['no_batch']
+    ours = found['lending']
+    flooded = found['no_priority']
+    return {
+        'harm_ratio': ratio(p99(ours.ttft), p99(alone.ttft)),
+        'harm_ratio_burst': ratio(p99(ours.burst_ttft), p99(alone.burst_ttft)),
+        'harm_ratio_no_priority': ratio(p99(flooded.ttft), p99(alone.ttft)),
+        'idle_use': ratio(ours.batch_slots, ours.idle_slots),
+        'throughput_ratio': ratio(
+            ours.items_in_window,
+            flooded.items_in_window,
+        ),
+    }
+
+
+async def run_bench(window_s: float, seed: int) -> dict[str, Figures]:
+    """Run every mode on the same arrivals."""
+    plan = load_plan(window_s, seed)
+    found = {}
+    for mode in MODES:
+        figures = await run_mode(mode, plan)
+        found[mode.name] = figures
+        print('\n'.join(figures.lines()), flush=True)
+        for note, count in Counter(figures.notes).most_common(3):
+            print(f'mode={mode.name} note={note!r} count={count}')
+    return found
+
+
+def bench(
+    quick: bool = False,
+    seed: int = 1,
+    json_file: str = '',
+) -> None:
+    """Compare the policies; `--quick` ends within 45 s."""
+    window_s = QUICK_WINDOW_S if quick else FULL_WINDOW_S
+    found = anyio.run(
+        run_bench,
+        window_s,
+        seed,
+        backend_options={'use_uvloop': True},
+    )
+    compared = compare(found)
+    for name, figure in compared.items():
+        print(f'figure={name} value={figure:.4g} seed={seed}')
+    if json_file:
+        document = {name: one.rows() for name, one in found.items()}
+        content = {'seed': seed, 'modes': document, 'compared': compared}
+        Path(json_file).write_text(json.dumps(content, indent=2))
--- /dev/null
+++ b/src/quetzaldyke/commands/bench_figures.py
@@ -0,0 +1,104 @@
+"""Figures of one bench run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+US_IN_S: Final = 1_000_000
+HIGHEST_US: Final = 120_000_000
+DIGITS: Final = 3
+QUANTILES: Final = (50.0, 95.0, 99.0, 99.9)
+
+
+def new_histogram() -> HdrHistogram:
+    """Return a histogram of times in us."""
+    return HdrHistogram(1, HIGHEST_US, DIGITS)
+
+
+@dataclass(slots=True)
+class Figures:
+    """What one mode did on the arrivals."""
+
+    mode: str
+    ttft: HdrHistogram = field(default_factory=new_histogram)
+    burst_ttft: HdrHistogram = field(default_factory=new_histogram)
+    gaps: HdrHistogram = field(default_factory=new_histogram)
+    online_sent: int = 0
+    online_answered: int = 0
+    online_refused: int = 0
+    online_broken: int = 0
+    idle_slots: int = 0
+    batch_slots: int = 0
+    items_in_window: int = 0
+    items_accepted: int = 0
+    items_recorded: int = 0
+    items_duplicated: int = 0
+    items_wrong: int = 0
+    late_jobs: int = 0
+    window_s: float = 0.0
+    cpu_s: float = 0.0
+    kv_calls: dict[str, int] = field(default_factory=dict)
+    kv_writes: int = 0
+    notes: list[str] = field(default_factory=list)
+
+    def note_first(self, first_s: float, in_burst: bool) -> None:
+        """Record a time to first token."""
+        first_us = max(1, int(first_s * US_IN_S))
+        self.ttft.record_value(first_us)
+        if in_burst:
+            self.burst_ttft.record_value(first_us)
+
+    def note_gap(self, gap_s: float) -> None:
+        """Record a time between tokens."""
+        self.gaps.record_value(max(1, int(gap_s * US_IN_S)))
+
+    def rows(self) -> dict[str, float]:
+        """Return the figures by name."""
+        found: dict[str, float] = {}
+        for name, histogram in (
+            ('ttft', self.ttft),
+            ('burst_ttft', self.burst_ttft),
+            ('tbt', self.gaps),
+        ):
+            for quantile in QUANTILES:
+                key = f'{name}_p{quantile:g}_ms'
+                found[key] = histogram.get_value_at_percentile(quantile) / 1000
+        found |= {
+            'online_sent': self.online_sent,
+            'online_answered': self.online_answered,
+            'online_refused': self.online_refused,
+            'online_broken': self.online_broken,
+            'items_per_s': ratio(self.items_in_window, self.window_s),
+            'idle_use': ratio(self.batch_slots, self.idle_slots),
+            'items_accepted': self.items_accepted,
+            'items_recorded': self.items_recorded,
+            'items_lost': max(0, self.items_accepted - self.items_recorded),
+            'items_duplicated': self.items_duplicated,
+            'items_wrong': self.items_wrong,
+            'deadlines_missed': self.late_jobs,
+            'cpu_share': ratio(self.cpu_s, self.window_s),
+            'kv_writes_per_item': ratio(self.kv_writes, self.items_recorded),
+        }
+        for kind, count in sorted(self.kv_calls.items()):
+            found[f'kv_{kind}'] = count
+        return found
+
+    def lines(self) -> list[str]:
+        """Return one key=value line for each figure."""
+        return [
+            f'mode={self.mode} {name}={figure:.4g}'
+            for name, figure in self.rows().items()
+        ]
+
+
+def ratio(over: float, under: float) -> float:
+    """Return a quotient, 0 without a divisor."""
+    return over / under if under else 0.0
+
+
+def p99(histogram: HdrHistogram) -> float:
+    """Return the 99th percentile in ms."""
+    return float(histogram.get_value_at_percentile(99)) / 1000
--- /dev/null
+++ b/src/quetzaldyke/commands/bench_modes.py
@@ -0,0 +1,79 @@
+"""The policies that the bench compares on the same arrivals.
+
+`no_batch`: online work alone. `no_priority`: batch items are sent like
+online requests and the engines admit everything as it arrives.
+`static_split`: some endpoints only for batch. `lending`: a job with grants,
+preemption and headroom, which is what the daemons do.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from typing import Final
+
+from quetzaldyke.commands.rig import FleetPlan, PoolPlan
+from quetzaldyke.standins.engine_options import EngineOptions
+
+ORGANISATION: Final = 'bench'
+KEY: Final = 'bench-caller-key'
+ONLINE_POOL: Final = 'rota'
+BATCH_POOL: Final = 'drafts'
+# Without priorities the engine itself queues.
+UNLIMITED: Final = 512
+ENGINE: Final = EngineOptions(
+    max_streams=6,
+    step_ms=48.0,
+    per_stream_ms=0.25,
+    prefill_ms_per_token=0.1,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Mode:
+    """One policy."""
+
+    name: str
+    replicas: int
+    batch_replicas: int = 0
+    flood: bool = False
+    job: bool = False
+    online: bool = True
+
+    def plan(self) -> FleetPlan:
+        """Return the deployment of the policy."""
+        online = PoolPlan(ONLINE_POOL, self.replicas, engine=ENGINE)
+        if self.flood:
+            online = replace(online, max_streams=UNLIMITED, max_queue=UNLIMITED)
+        pools = [online]
+        if self.batch_replicas:
+            pools.append(
+                PoolPlan(BATCH_POOL, self.batch_replicas, engine=ENGINE),
+            )
+        return FleetPlan(
+            self.name.replace('_', '-'),
+            ('a', 'b', 'c', 'd'),
+            entries=2,
+            pools=tuple(pools),
+            organisations={ORGANISATION: KEY},
+        )
+
+    @property
+    def batch_pool(self) -> str:
+        """Return the pool that the job names."""
+        return BATCH_POOL if self.batch_replicas else ONLINE_POOL
+
+
+REPLICAS: Final = 5
+MODES: Final[Sequence[Mode]] = (
+    Mode('no_batch', REPLICAS),
+    Mode('no_priority', REPLICAS, flood=True),
+    Mode('static_split', REPLICAS - 2, batch_replicas=2, job=True),
+    Mode('lending', REPLICAS, job=True),
+)
+
+
+def slots_per_s(tokens: int) -> float:
+    """Return the requests a second that one full endpoint answers."""
+    step_ms = ENGINE.step_ms + ENGINE.per_stream_ms * ENGINE.max_streams
+    return ENGINE.max_streams / (tokens * step_ms / 1000)
--- /dev/null
+++ b/src/quetzaldyke/commands/demo.py
@@ -0,0 +1,209 @@
+"""Runs both users' deployments in one process and shows each kind of work.
+
+Online requests, a batch job, a stale and a current configuration patch, a
+booking that is sent twice and the planned stop of a sidecar go through the
+same roles that the daemons run, over real sockets.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import anyio
+
+from quetzaldyke.commands.caller import (
+    Caller,
+    expect,
+    item_line,
+    job_results,
+    new_key,
+    submit_job,
+)
+from quetzaldyke.commands.deployments import DEPLOYMENTS, load_deployment
+from quetzaldyke.commands.rig import Rig, start_rig, stop_rig, wait_until
+from quetzaldyke.standins.engine_text import answer_text
+from quetzaldyke.standins.service import ServiceStandin
+
+ONLINE_REQUESTS: Final = 24
+ITEMS: Final = 60
+TOKENS: Final = 12
+TIME_LIMIT_S: Final = 28.0
+CONFLICT: Final = 409
+CREATED: Final = 201
+POLL_S: Final = 0.1
+
+
+@dataclass(slots=True)
+class Totals:
+    """What was accepted and what became of it."""
+
+    accepted: int = 0
+    answered: int = 0
+    duplicated: int = 0
+    lost: int = 0
+    refused: int = 0
+    config_version: int = 0
+    notes: list[str] = field(default_factory=list)
+
+    def line(self) -> str:
+        """Return the closing line."""
+        return (
+            f'accepted={self.accepted} answered={self.answered} '
+            f'duplicated={self.duplicated} lost={self.lost} '
+            f'refused={self.refused} config_version={self.config_version}'
+        )
+
+
+async def run_online(rig: Rig, totals: Totals, count: int) -> None:
+    """Send online requests through all entries at once and check them."""
+    organisation = next(iter(rig.plan.organisations))
+    model = rig.plan.pools[0].name
+
+    async def one(number: int) -> None:
+        prompt = f'message {number} of {rig.plan.name} to the order desk'
+        caller = rig.caller(organisation, number)
+        outcome = await caller.chat(model, prompt, TOKENS)
+        await caller.pool.aclose()
+        totals.accepted += 1
+        if outcome.whole and outcome.text == answer_text(prompt, TOKENS):
+            totals.answered += 1
+        else:
+            totals.lost += 1
+            totals.notes.append(f'online {number}: {outcome.error!r}')
+
+    async with anyio.create_task_group() as group:
+        for number in range(count):
+            group.start_soon(one, number)
+
+
+async def run_job(rig: Rig, totals: Totals) -> None:
+    """Submit a job twice and check that each item has one result."""
+    organisation = next(iter(rig.plan.organisations))
+    model = rig.plan.pools[0].name
+    lines = [
+        item_line(number, model, f'plan {number} of {rig.plan.name}', TOKENS)
+        for number in range(ITEMS)
+    ]
+    caller = rig.caller(organisation)
+    key = new_key()
+    job = await submit_job(caller, lines, key)
+    again = await submit_job(rig.caller(organisation, 1), lines, key)
+    totals.accepted += ITEMS
+    if again['id'] != job['id']:
+        totals.duplicated += ITEMS
+    await wait_for_job(caller, job['id'])
+    await count_results(caller, job['id'], totals)
+
+
+async def wait_for_job(caller: Caller, job_id: str) -> dict[str, Any]:
+    """Poll a job until it has ended."""
+    while True:
+        job = expect(await caller.request('GET', f'/v1/batches/{job_id}'))
+        if job['status'] in {'completed', 'failed', 'cancelled'}:
+            return job
+        await anyio.sleep(POLL_S)
+
+
+async def count_results(caller: Caller, job_id: str, totals: Totals) -> None:
+    """Count the results of each item."""
+    rows = await job_results(caller, job_id)
+    counts = Counter(row['custom_id'] for row in rows)
+    totals.answered += len(counts)
+    totals.lost += ITEMS - len(counts)
+    totals.duplicated += sum(count - 1 for count in counts.values())
+
+
+async def run_patches(rig: Rig, totals: Totals) -> None:
+    """Submit a current and a stale patch and wait until all have the first."""
+    operators = rig.operators()
+    current = expect(await operators.request('GET', '/config'))
+    version = current['version']
+    patch = [{'op': 'add', 'path': '/max_item_tries', 'value': 4}]
+    body = {'base_version': version, 'patch_id': 'demo-1', 'patch': patch}
+    accepted = expect(
+        await operators.request('POST', '/config/patches', body),
+    )
+    stale = {'base_version': version, 'patch_id': 'demo-2', 'patch': patch}
+    status, _ = await operators.request('POST', '/config/patches', stale)
+    if status == CONFLICT:
+        totals.refused += 1
+    else:
+        totals.notes.append(f'a stale patch got {status}')
+    totals.config_version = accepted['version']
+    await wait_until(
+        lambda: all(
+            entry.config.version >= totals.config_version
+            for entry in rig.entries.values()
+        ),
+    )
+
+
+async def run_booking(rig: Rig, totals: Totals) -> None:
+    """Send one booking through both entries; it runs once."""
+    organisation = next(iter(rig.plan.organisations))
+    pool = rig.plan.pools[1].name
+    booking = f'{rig.plan.name}-booking'
+    key = new_key()
+    for number in range(2):
+        status, _ = await rig.caller(organisation, number).request(
+            'POST',
+            f'/services/{pool}/bookings',
+            {'id': booking},
+            {'idempotency-key': key},
+        )
+        if status != CREATED:
+            totals.notes.append(f'booking {number} got {status}')
+    runs = sum(
+        endpoint.standin.executions[booking]
+        for endpoint in rig.endpoints.values()
+        if isinstance(endpoint.standin, ServiceStandin)
+    )
+    totals.accepted += 1
+    totals.answered += min(runs, 1)
+    totals.lost += runs == 0
+    totals.duplicated += max(0, runs - 1)
+
+
+async def run_planned_stop(rig: Rig, totals: Totals) -> None:
+    """Stop one sidecar while requests run; none may be cut."""
+    leaver = next(iter(rig.endpoints.values()))
+    async with anyio.create_task_group() as group:
+        group.start_soon(run_online, rig, totals, ONLINE_REQUESTS)
+        await anyio.sleep(POLL_S)
+        leaver.sidecar.stopping.set()
+
+
+async def run_deployment(name: str, totals: Totals) -> None:
+    """Run every kind of work on one deployment."""
+    async with anyio.create_task_group() as group:
+        rig = await start_rig(group, load_deployment(name))
+        await run_online(rig, totals, ONLINE_REQUESTS)
+        await run_job(rig, totals)
+        await run_patches(rig, totals)
+        await run_booking(rig, totals)
+        await run_planned_stop(rig, totals)
+        print(f'deployment={name} {totals.line()}', flush=True)
+        await stop_rig(rig)
+        group.cancel_scope.cancel()
+
+
+async def run_demo() -> Totals:
+    """Run both deployments one after the other."""
+    totals = Totals()
+    with anyio.fail_after(TIME_LIMIT_S):
+        for name in DEPLOYMENTS:
+            await run_deployment(name, totals)
+    return totals
+
+
+def demo() -> None:
+    """Run the demo; the last line has the totals."""
+    totals = anyio.run(run_demo, backend_options={'use_uvloop': True})
+    for note in totals.notes:
+        print(f'note={note!r}')
+    print(totals.line())
+    if totals.notes or totals.lost or totals.duplicated:
+        sys.exit(1)
--- /dev/null
+++ b/src/quetzaldyke/commands/deployments.py
@@ -0,0 +1,51 @@
+"""Deployments of the demo, read from settings files beside this module."""
+
+from __future__ import annotations
+
+from importlib import resources
+from typing import Final, Literal
+
+from pydantic import BaseModel, ConfigDict
+
+from quetzaldyke.commands.rig import FleetPlan, PoolPlan
+
+DEPLOYMENTS: Final = ('barf-hub', 'kymata')
+
+
+class PoolFile(BaseModel):
+    """A pool in a settings file."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    name: str
+    replicas: int
+    kind: Literal['engine', 'service'] = 'engine'
+
+
+class DeploymentFile(BaseModel):
+    """A settings file."""
+
+    model_config = ConfigDict(extra='forbid')
+
+    name: str
+    failure_domains: tuple[str, ...]
+    entries: int
+    pools: tuple[PoolFile, ...]
+    organisations: dict[str, str]
+
+
+def load_deployment(name: str) -> FleetPlan:
+    """Read and check the settings file of a deployment."""
+    folder = resources.files('quetzaldyke.commands')
+    text = folder.joinpath(f'{name}.json').read_text()
+    given = DeploymentFile.model_validate_json(text)
+    pools = tuple(
+        PoolPlan(pool.name, pool.replicas, pool.kind) for pool in given.pools
+    )
+    return FleetPlan(
+        given.name,
+        given.failure_domains,
+        given.entries,
+        pools,
+        given.organisations,
+    )
--- /dev/null
+++ b/src/quetzaldyke/commands/rig.py
@@ -0,0 +1,282 @@
+"""A whole fleet on loopback in one process, for the demo and the bench.
+
+Every role and stand-in is the same function that its own process runs; they
+talk over real sockets.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any, Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from quetzaldyke.commands.caller import Caller
+from quetzaldyke.process.entry import EntryProcess, run_entry
+from quetzaldyke.process.entry_table import ENTRY_PARTS
+from quetzaldyke.process.settings import EntrySettings, SidecarSettings
+from quetzaldyke.process.sidecar import run_sidecar
+from quetzaldyke.process.sidecar_state import SidecarProcess
+from quetzaldyke.standins.engine import EngineStandin, run_engine
+from quetzaldyke.standins.engine_options import EngineOptions
+from quetzaldyke.standins.instances import (
+    InstancesOptions,
+    InstancesStandin,
+    run_instances,
+)
+from quetzaldyke.standins.kv import KvOptions, KvStandin, run_kv
+from quetzaldyke.standins.service import (
+    ServiceOptions,
+    ServiceStandin,
+    run_service,
+)
+from quetzaldyke.version.configuration import hash_key
+
+ANY_PORT: Final = '127.0.0.1:0'
+FLEET_SECRET: Final = 'loopback-fleet-secret'
+OPERATOR_KEY: Final = 'loopback-operator-key'
+READY_POLL_S: Final = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class PoolPlan:
+    """Endpoints of one pool."""
+
+    name: str
+    replicas: int
+    kind: str = 'engine'
+    engine: EngineOptions = EngineOptions()
+    # Streams that a sidecar lets the engine run; 0 takes the engine's own.
+    max_streams: int = 0
+    max_queue: int = 256
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """One deployment."""
+
+    name: str
+    failure_domains: tuple[str, ...]
+    entries: int
+    pools: tuple[PoolPlan, ...]
+    organisations: Mapping[str, str]  # name to caller's key
+    lending: Sequence[Mapping[str, object]] = ()
+    linger_s: float = 0.2
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One endpoint with its sidecar."""
+
+    name: str
+    pool: str
+    standin: EngineStandin | ServiceStandin
+    sidecar: SidecarProcess
+    scope: anyio.CancelScope
+    settings: SidecarSettings
+
+
+@dataclass(slots=True)
+class Rig:
+    """A running fleet."""
+
+    plan: FleetPlan
+    group: TaskGroup
+    kv: KvStandin
+    instances: InstancesStandin
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    entries: dict[str, EntryProcess] = field(default_factory=dict)
+    scopes: dict[str, anyio.CancelScope] = field(default_factory=dict)
+
+    def operators(self, number: int = 0) -> Caller:
+        """Return an operator at one of the entries."""
+        entry = list(self.entries.values())[number]
+        return Caller(entry.operators_address, OPERATOR_KEY)
+
+    def caller(self, organisation: str, number: int = 0) -> Caller:
+        """Return a caller at one of the entries."""
+        entry = list(self.entries.values())[number % len(self.entries)]
+        return Caller(
+            entry.callers_address,
+            self.plan.organisations[organisation],
+        )
+
+    def domain_of(self, number: int) -> str:
+        """Deal instances over the failure domains."""
+        domains = self.plan.failure_domains
+        return domains[number % len(domains)]
+
+
+async def start_scoped(
+    rig: Rig,
+    run: Callable[..., Any],
+    settings: object,
+) -> tuple[Any, anyio.CancelScope]:
+    """Start a role so that it can be crashed by its own scope."""
+    scope = anyio.CancelScope()
+
+    async def scoped(*, task_status: Any) -> None:
+        with scope:
+            await run(settings, task_status=task_status)
+
+    return await rig.group.start(scoped), scope
+
+
+async def start_endpoint(rig: Rig, pool: PoolPlan, number: int) -> Endpoint:
+    """Start an endpoint and its sidecar, and list them."""
+    name = f'{rig.plan.name}-{pool.name}-{number}'
+    standin: EngineStandin | ServiceStandin
+    if pool.kind == 'engine':
+        options = replace(pool.engine, model=pool.name, seed=number)
+        standin = await rig.group.start(run_engine, options)
+    else:
+        standin = await rig.group.start(
+            run_service,
+            ServiceOptions(name=name),
+        )
+    settings = SidecarSettings(
+        instance=name,
+        failure_domain=rig.domain_of(number),
+        peer_address=ANY_PORT,
+        fleet_secret=FLEET_SECRET,
+        endpoint_address=standin.address,
+        endpoint_kind='engine' if pool.kind == 'engine' else 'service',
+        pool=pool.name,
+        max_streams=pool.max_streams or pool.engine.max_streams,
+        max_queue=pool.max_queue,
+    )
+    sidecar, scope = await start_scoped(rig, run_sidecar, settings)
+    endpoint = Endpoint(name, pool.name, standin, sidecar, scope, settings)
+    rig.endpoints[name] = endpoint
+    list_instance(rig, name, 'sidecar', sidecar.peer_address, settings)
+    return endpoint
+
+
+def list_instance(
+    rig: Rig,
+    name: str,
+    role: str,
+    address: str,
+    settings: EntrySettings | SidecarSettings,
+    state: str = 'live',
+) -> None:
+    """Put an instance into the platform's list."""
+    row = {
+        'instance': name,
+        'role': role,
+        'failure_domain': settings.failure_domain,
+        'peer_address': address,
+        'pool': getattr(settings, 'pool', ''),
+        'state': state,
+    }
+    rig.instances.change(name, row)
+
+
+async def start_entry(rig: Rig, number: int) -> EntryProcess:
+    """Start one entry and list it."""
+    name = f'{rig.plan.name}-entry-{number}'
+    settings = EntrySettings(
+        instance=name,
+        failure_domain=rig.domain_of(number),
+        peer_address=ANY_PORT,
+        fleet_secret=FLEET_SECRET,
+        callers_address=ANY_PORT,
+        operators_address=ANY_PORT,
+        operator_key=OPERATOR_KEY,
+        kv_address=rig.kv.address,
+        instances_address=rig.instances.address,
+        linger_s=rig.plan.linger_s,
+    )
+
+    async def run(given: EntrySettings, *, task_status: Any) -> None:
+        await run_entry(given, parts=ENTRY_PARTS, task_status=task_status)
+
+    entry: EntryProcess
+    entry, scope = await start_scoped(rig, run, settings)
+    rig.entries[name] = entry
+    rig.scopes[name] = scope
+    list_instance(rig, name, 'entry', entry.peer_address, settings)
+    return entry
+
+
+def document_of(plan: FleetPlan) -> list[dict[str, object]]:
+    """Return the patch that sets up a deployment."""
+    pools = {
+        pool.name: {'kind': pool.kind, 'model': pool.name}
+        for pool in plan.pools
+    }
+    organisations = {
+        name: {
+            'key_sha256': hash_key(key),
+            'requests_per_s': 10_000,
+            'concurrency': 10_000,
+        }
+        for name, key in plan.organisations.items()
+    }
+    return [
+        {'op': 'add', 'path': '/pools', 'value': pools},
+        {'op': 'add', 'path': '/organisations', 'value': organisations},
+        {'op': 'add', 'path': '/lending', 'value': list(plan.lending)},
+    ]
+
+
+async def start_rig(group: TaskGroup, plan: FleetPlan) -> Rig:
+    """Start a deployment and wait until every entry reaches its endpoints."""
+    rig = Rig(
+        plan,
+        group,
+        await group.start(run_kv, KvOptions()),
+        await group.start(run_instances, InstancesOptions()),
+    )
+    for pool in plan.pools:
+        for number in range(pool.replicas):
+            await start_endpoint(rig, pool, number)
+    for number in range(plan.entries):
+        await start_entry(rig, number)
+    status, answer = await rig.operators().request(
+        'POST',
+        '/config/patches',
+        {
+            'base_version': 0,
+            'patch_id': f'{plan.name}-setup',
+            'patch': document_of(plan),
+        },
+    )
+    if status != 200:
+        raise RuntimeError(f'the configuration was refused: {answer!r}')
+    await wait_until(lambda: is_ready(rig))
+    return rig
+
+
+def is_ready(rig: Rig) -> bool:
+    """Tell whether each entry has the configuration and all endpoints."""
+    return all(
+        entry.config.version >= 1
+        and sum(link.usable for link in entry.fleet.links.values())
+        == len(rig.endpoints)
+        for entry in rig.entries.values()
+    )
+
+
+async def wait_until(
+    condition: Callable[[], bool],
+    limit_s: float = 20.0,
+) -> None:
+    """Wait for a condition; raises TimeoutError after the limit."""
+    with anyio.fail_after(limit_s):
+        while not condition():
+            await anyio.sleep(READY_POLL_S)
+
+
+async def stop_rig(rig: Rig) -> None:
+    """Stop everything as planned, entries first."""
+    for entry in rig.entries.values():
+        entry.stopping.set()
+    for endpoint in rig.endpoints.values():
+        endpoint.sidecar.stopping.set()
+    rig.kv.outage.stopping.set()
+    rig.instances.outage.stopping.set()
+    for endpoint in rig.endpoints.values():
+        endpoint.standin.outage.stopping.set()
--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -92,6 +92,8 @@
     incarnation: str
     # Set by the batch part: the service behind files and batches.
     jobs: object = None
+    # Set by the configuration part: its spread and queries.
+    versions: object = None
     group: TaskGroup | None = None
     link_options: LinkOptions | None = None
     once: OnceContext | None = None
