Settle lost answers by the last write id of the contents they were based on

Cause: a value that had been written 32 times has a full window, so every lost answer to a write that had not been applied ended as unknown, although reading back could settle it. A write that was excluded also kept its later failures unknown. Change: a missing id excludes the write while the last id of its base is still in the window; an unchanged revision is tried again; once excluded, the call is certain again. Result: claims and progress records, which are written often, get unknown only when 32 writes came between.

--- a/src/quetzaldyke/parts/kv.py
+++ b/src/quetzaldyke/parts/kv.py
@@ -173,8 +173,11 @@
     """What one `swap` call has learned so far."""
 
     write_id: str
-    # True once a write may have been applied without our knowing.
+    # True while a write may have been applied without our knowing.
     uncertain: bool = False
+    # Revision and contents that the uncertain write was based on.
+    base_revision: int = ABSENT
+    base: Envelope = EMPTY
     last_error: KvError = KvError('conflict', 'too many conflicts')
 
 
@@ -187,7 +190,9 @@
     """Replace a payload by `change(payload)`, whatever answers get lost.
 
     `change` gets `b''` for an absent key and may be called again after a
-    conflict. A known `write_id` makes the whole call safe to repeat.
+    conflict. A known `write_id` makes the whole call safe to repeat. Keys
+    that are deleted and created again while this runs are not supported:
+    a lost answer to a creation can't be settled then.
     """
     state: SwapState[T] = SwapState(write_id or new_write_id())
     for _ in range(MAX_SWAP_TRIES):
@@ -217,8 +222,10 @@
     revision = record.revision if record else ABSENT
     if state.write_id in current.write_ids:
         return Ok(Stored(current.payload, revision))
-    if state.uncertain and not excludes(current):
-        return Err(KvError('unknown', 'write id no longer in the window'))
+    if state.uncertain and revision != state.base_revision:
+        if not excludes(state.base, current):
+            return Err(KvError('unknown', 'write id no longer in the window'))
+        state.uncertain = False
     payload = change(current.payload)
     if isinstance(payload, Refused):
         return Err(payload)
@@ -228,6 +235,10 @@
     written = await store.put_if(key, raw, revision)
     if isinstance(written, Ok):
         return Ok(Stored(payload, written.ok_value))
+    if written.err_value.kind == 'unknown':
+        state.uncertain = True
+        state.base_revision = revision
+        state.base = current
     return note_failure(state, written.err_value)
 
 
@@ -237,13 +248,20 @@
 ) -> Err[KvError | Refused[T]] | None:
     """Remember a failed write; only a size error ends the swap."""
     state.last_error = error
-    state.uncertain = state.uncertain or error.kind == 'unknown'
     return Err(error) if error.kind == 'too_large' else None
 
 
-def excludes(current: Envelope) -> bool:
+def excludes(base: Envelope, current: Envelope) -> bool:
     """Tell whether a missing write id proves that the write was not applied.
 
-    With a full window the id may have been pushed out by later writes.
+    It would stand directly after the last id of the contents that it was
+    based on. While that one is in the window, ours can't have left it.
+
+    >>> excludes(Envelope(('a',), b''), Envelope(('a', 'b'), b''))
+    True
+    >>> excludes(Envelope(('a',), b''), Envelope(('c', 'd'), b''))
+    False
     """
+    if base.write_ids:
+        return base.write_ids[-1] in current.write_ids
     return len(current.write_ids) < KEPT_WRITE_IDS
