--- a/src/quetzaldyke/process/admission.py
+++ b/src/quetzaldyke/process/admission.py
@@ -108,14 +108,14 @@
 
     def check(self, work: Work) -> Refusal | None:
         """Check what holds for both classes."""
+        if self.suspects.verdict(work.submit.fingerprint) == 'confirmed':
+            return Refusal(CONFIRMED_REASON)
         if self.closed_reason:
             return Refusal(self.closed_reason, MIN_RETRY_MS)
         if work.submit.work not in {'online', 'batch'}:
             return Refusal('unknown class of work')
         if work.submit.remaining_ms <= 0:
             return Refusal('deadline has passed')
-        if self.suspects.verdict(work.submit.fingerprint) == 'confirmed':
-            return Refusal(CONFIRMED_REASON)
         return None
 
     def check_batch(self, work: Work) -> Refusal | None:
--- /dev/null
+++ b/tests/test_sidecar_life.py
@@ -0,0 +1,182 @@
+"""Tests of leaving, planned stops, pauses and what is passed on."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import pytest
+from sidecar_rig import make_item, make_rig, make_submit, until, whole
+
+from quetzaldyke.connection.messages import (
+    ConfigPush,
+    ConfigVersion,
+    EventsReply,
+    EventsRequest,
+    LeavingNotice,
+    Report,
+    Window,
+)
+from quetzaldyke.process import sidecar_messages
+from quetzaldyke.process.sidecar import run_sidecar
+from quetzaldyke.version.configuration import (
+    Configuration,
+    Pool,
+    pack_document,
+)
+
+PACKED = pack_document(Configuration(pools={'pool': Pool()}))
+
+
+def test_planned_stop_cuts_no_request() -> None:
+    """Guards against answers cut by a planned stop."""
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=4) as rig:
+            entry = await rig.entry()
+            grant = await entry.granted()
+            item, item_done = entry.begin(make_item(grant, 'item', 5000))
+            await until(lambda: len(item.texts) > 1)
+            answers = [
+                entry.begin(make_submit(f'p{number}', 60))
+                for number in range(3)
+            ]
+            slow = make_submit('slow', 200)
+            call = entry.calls.begin(slow)
+            await until(lambda: call.started)
+            rig.sidecar.stopping.set()
+            notice = await entry.next_of(LeavingNotice)
+            assert notice.instance == 'sidecar-1'
+            late = await entry.ask(make_submit('late', 4))
+            assert late.failed is not None
+            assert late.failed.ran == 'not_run'
+            await item_done.wait()
+            assert item.failed is not None
+            assert item.failed.reason == 'preempted'
+            assert item.failed.partial_text.startswith(item.text)
+            for number, (outcome, done) in enumerate(answers):
+                await done.wait()
+                assert outcome.text == whole(f'p{number}', 60)
+            assert not rig.done.is_set()
+            text = ''
+            while not call.finished:
+                entry.send(Window(slow.request_id, 8))
+                await anyio.sleep(0.002)
+            async for event in call.source:
+                text += getattr(event, 'text', '')
+            assert text == whole('slow', 200)
+            await rig.done.wait()
+
+    anyio.run(scenario)
+
+
+def test_queued_requests_are_handed_back_on_leaving() -> None:
+    """Guards against requests that wait out a stop before they start."""
+
+    async def scenario() -> None:
+        async with make_rig(max_streams=1) as rig:
+            entry = await rig.entry()
+            running, done = entry.begin(make_submit('running', 100))
+            await until(lambda: running.started)
+            queued, queued_done = entry.begin(make_submit('queued', 4))
+            await until(lambda: len(rig.sidecar.admission.queue) == 1)
+            entry.send(LeavingNotice('sidecar-1'))
+            await queued_done.wait()
+            assert queued.failed is not None
+            assert queued.failed.ran == 'not_run'
+            await done.wait()
+            assert running.text == whole('running', 100)
+            await entry.next_of(Report, lambda report: report.leaving)
+            later = await rig.entry('entry-2')
+            await later.next_of(LeavingNotice)
+
+    anyio.run(scenario)
+
+
+def test_second_copy_leaves_the_first_alone() -> None:
+    """Guards against a second copy that cancels a live one's streams."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            outcome, done = entry.begin(make_submit('hello', 100))
+            await until(lambda: len(outcome.texts) > 1)
+            second = rig.settings.model_copy(
+                update={'peer_address': rig.sidecar.peer_address},
+            )
+            with pytest.raises(ExceptionGroup):
+                await run_sidecar(second)
+            await done.wait()
+            assert outcome.text == whole('hello', 100)
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize('message_comes_first', [True, False])
+def test_all_work_is_dropped_after_a_pause(message_comes_first: bool) -> None:
+    """Guards against a paused sidecar that goes on with work given away."""
+
+    async def scenario() -> None:
+        async with make_rig(engine={'keep_orphans': True}) as rig:
+            entry = await rig.entry()
+            running, done = entry.begin(make_submit('running', 100_000))
+            await until(lambda: len(running.texts) > 1)
+            grant = await entry.granted()
+            assert entry.session is not None
+            [session] = rig.sidecar.peers.sessions()
+            rig.sidecar.timers.clock.read = lambda: time.monotonic() + 10
+            if message_comes_first:
+                handle = sidecar_messages.make_handler(rig.sidecar)
+                await handle(session, make_item(grant, 'item', 4))
+                await handle(session, make_submit('late', 4))
+            await done.wait()
+            await until(lambda: not rig.engine.batch.ids())
+            assert rig.engine.counts.requests == 1
+            assert not rig.sidecar.admission.grants.grants
+            again = await rig.entry()
+            answered = await again.ask(make_submit('again', 4))
+            assert answered.text == whole('again', 4)
+
+    anyio.run(scenario)
+
+
+def test_configuration_spreads_over_the_sidecar() -> None:
+    """Guards against entries left behind, and against going back."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            first = await rig.entry('entry-1')
+            second = await rig.entry('entry-2')
+            first.send(ConfigPush(5, PACKED))
+            passed_on = await second.next_of(ConfigPush)
+            assert passed_on == ConfigPush(5, PACKED)
+            assert (await first.next_of(ConfigVersion)).version == 5
+            second.send(ConfigPush(4, pack_document(Configuration())))
+            second.send(ConfigVersion(5))
+            late = await rig.entry('entry-3')
+            assert await late.next_of(ConfigPush) == passed_on
+            assert rig.sidecar.config.version == 5
+            assert 'pool' in rig.sidecar.config.current.pools
+            assert not first.all_of(ConfigPush)
+
+    anyio.run(scenario)
+
+
+def test_events_are_answered_from_the_time_line() -> None:
+    """Guards against requests whose history can't be explained."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            submit = make_submit()
+            await entry.ask(submit)
+            entry.send(EventsRequest(3, submit.request_id, 10))
+            reply = await entry.next_of(EventsReply)
+            assert (reply.query_id, reply.process) == (3, 'sidecar-1')
+            names = [row[1] for row in reply.rows]
+            assert names == ['request_started', 'request_finished']
+            entry.send(EventsRequest(4, submit.request_id, 1))
+            short = await entry.next_of(EventsReply)
+            assert short.rows == reply.rows[-1:]
+
+    anyio.run(scenario)
--- /dev/null
+++ b/tests/test_sidecar_orders.py
@@ -0,0 +1,134 @@
+"""Tests of orders at the sidecar and of the fencing gate."""
+
+from __future__ import annotations
+
+import itertools
+
+import anyio
+import pytest
+from sidecar_rig import EntryClient, make_rig
+
+from quetzaldyke.connection.messages import (
+    Order,
+    OrderNonce,
+    OrderPrepare,
+    OrderResult,
+    Report,
+)
+from quetzaldyke.parts.fencing import NONCE_LIFE_S, FencingGate
+from quetzaldyke.parts.timers import Clock
+
+numbers = itertools.count(1)
+
+
+async def prepare(entry: EntryClient) -> OrderNonce:
+    """Ask for a nonce for a new order."""
+    order_id = f'order-{next(numbers)}'
+    entry.send(OrderPrepare(order_id))
+    return await entry.next_of(
+        OrderNonce,
+        lambda answer: answer.order_id == order_id,
+    )
+
+
+async def give(
+    entry: EntryClient,
+    nonce: OrderNonce,
+    token: int,
+    model: str = 'new-model',
+) -> OrderResult:
+    """Give an order and wait for its outcome."""
+    entry.send(
+        Order(nonce.order_id, nonce.nonce, token, 'load', model, '2', '', ''),
+    )
+    return await entry.next_of(
+        OrderResult,
+        lambda outcome: outcome.order_id == nonce.order_id,
+    )
+
+
+@pytest.mark.parametrize('engine_checks', [True, False])
+@pytest.mark.parametrize('restarted', [False, True])
+def test_old_givers_are_refused(engine_checks: bool, restarted: bool) -> None:
+    """Guards against a paused giver that undoes its successor's order.
+
+    Holds for engines that ignore tokens and after the sidecar's restart.
+    """
+
+    async def scenario() -> None:
+        options = {'check_tokens': engine_checks, 'load_model_s': 0.01}
+        async with make_rig(engine=options) as rig:
+            old = await rig.entry('entry-old')
+            stale = await prepare(old)
+            if restarted:
+                await rig.crash_sidecar()
+                await rig.restart_sidecar()
+                old = await rig.entry('entry-old')
+            new = await rig.entry('entry-new')
+            done = await give(new, await prepare(new), token=7)
+            assert done.accepted
+            await new.next_of(
+                Report,
+                lambda report: (
+                    (report.model, report.fencing_token) == ('new-model', 7)
+                ),
+            )
+            refused = await give(old, stale, token=6, model='old-model')
+            assert not refused.accepted
+            assert refused.reason == (
+                'nonce not valid' if restarted else 'token is stale'
+            )
+            assert rig.engine.orders.applied == [(7, 'load')]
+            assert rig.engine.orders.model == 'new-model'
+
+    anyio.run(scenario)
+
+
+def test_engine_refusal_is_reported() -> None:
+    """Guards against an order counted as done that the engine refused."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            rig.engine.orders.highest_token = 9
+            refused = await give(entry, await prepare(entry), token=8)
+            assert not refused.accepted
+            assert rig.engine.orders.applied == []
+
+    anyio.run(scenario)
+
+
+def make_gate() -> tuple[FencingGate, list[float]]:
+    """Return a gate and its clock's time."""
+    now = [0.0]
+    return FencingGate(Clock(read=lambda: now[0])), now
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'admitted'),
+    [(0.0, True), (NONCE_LIFE_S - 0.01, True), (NONCE_LIFE_S, False)],
+)
+def test_nonces_expire(age_s: float, admitted: bool) -> None:
+    """Guards against an order that was delayed for long."""
+    gate, now = make_gate()
+    nonce = gate.prepare('order')
+    now[0] = age_s
+    assert gate.admit('order', nonce, 1).is_ok() is admitted
+
+
+def test_nonce_serves_one_order_once() -> None:
+    """Guards against a replayed order and a nonce used for another."""
+    gate, _ = make_gate()
+    assert gate.admit('b', gate.prepare('a'), 1).is_err()
+    nonce = gate.prepare('c')
+    assert gate.admit('c', nonce, 1).is_ok()
+    assert gate.admit('c', nonce, 2).is_err()
+
+
+def test_refused_order_does_not_raise_the_token() -> None:
+    """Guards against a false order that locks the true giver out."""
+    gate, _ = make_gate()
+    assert gate.admit('a', 'guessed', 1_000_000).is_err()
+    assert gate.admit('b', gate.prepare('b'), 1).is_ok()
+    assert gate.admit('c', gate.prepare('c'), 1).is_ok()
+    assert gate.admit('d', gate.prepare('d'), 0).is_err()
