--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,324 @@
+"""Property tests of admission, without a connection or an endpoint."""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from sidecar_rig import make_submit
+
+from quetzaldyke.connection.messages import (
+    BatchDemand,
+    BatchGrant,
+    Message,
+    Submit,
+)
+from quetzaldyke.parts.limiter import AdaptiveLimit, Headroom, Samples
+from quetzaldyke.parts.suspects import SuspectBook
+from quetzaldyke.parts.timers import Clock
+from quetzaldyke.process.admission import Admission, Refusal
+from quetzaldyke.process.batch_grants import GRANT_LIFE_S, BatchGrants
+from quetzaldyke.process.work import Work
+from quetzaldyke.version.configuration import Configuration, Organisation
+
+SLOTS = 6
+
+
+def in_loop(test: Callable[..., None]) -> Callable[..., None]:
+    """Run a test in an event loop, which cancel scopes need."""
+
+    @functools.wraps(test)
+    def run(*arguments: Any, **fields: Any) -> None:
+        async def scenario() -> None:
+            test(*arguments, **fields)
+
+        anyio.run(scenario)
+
+    return run
+
+
+@dataclass
+class FakeSession:
+    """Keeps what is sent to an entry."""
+
+    sent: list[Message] = field(default_factory=list)
+
+    def send(self, message: Message) -> None:
+        """Keep a message."""
+        self.sent.append(message)
+
+    @property
+    def grants(self) -> list[BatchGrant]:
+        """Return the grants that were sent."""
+        return [one for one in self.sent if isinstance(one, BatchGrant)]
+
+
+@dataclass
+class Endpoint:
+    """An admission with a clock that stands still."""
+
+    now_s: float = 100.0
+    session: Any = field(default_factory=FakeSession)
+    refused: dict[str, Refusal] = field(default_factory=dict)
+    started: list[str] = field(default_factory=list)
+    admission: Admission = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Open the admission."""
+        self.admission = Admission(
+            'pool',
+            SLOTS,
+            20,
+            Clock(read=lambda: self.now_s),
+            AdaptiveLimit(SLOTS, Samples(1e9), Samples(1e9)),
+            BatchGrants('pool'),
+            SuspectBook(),
+            start=self.note_start,
+            refuse=self.note_refusal,
+        )
+        self.admission.open()
+
+    def note_start(self, work: Work) -> None:
+        """Keep what was started."""
+        self.started.append(work.submit.request_id)
+
+    def note_refusal(self, work: Work, refusal: Refusal) -> None:
+        """Keep what was refused."""
+        self.refused[work.submit.request_id] = refusal
+
+    def submit(self, **fields: Any) -> Submit:
+        """Send a request in."""
+        message = make_submit(**fields)
+        work = Work.from_submit(message, self.session, self.now_s)
+        self.admission.submit(work)
+        return message
+
+    def demand(
+        self,
+        count: int,
+        job_id: str = 'job',
+        slack_s: float = 60.0,
+        organisation: str = 'org',
+        session: Any = None,
+    ) -> None:
+        """Send a demand for batch room."""
+        message = BatchDemand('pool', organisation, job_id, count, slack_s)
+        self.admission.grants.demand(session or self.session, message)
+        self.admission.pump()
+
+    def use_grants(self) -> None:
+        """Start an item for each granted place."""
+        grants = self.session.grants
+        self.session.sent.clear()
+        for grant in grants:
+            for _ in range(grant.count):
+                self.submit(
+                    work='batch',
+                    grant_id=grant.grant_id,
+                    job_id=grant.job_id,
+                )
+
+    def release(self, work: Work) -> None:
+        """Note the end of a stream at the engine."""
+        self.admission.release(work)
+        self.admission.pump()
+
+
+OPERATIONS = st.sampled_from(
+    ['online', 'online', 'demand', 'use', 'end first', 'end last', 'later'],
+)
+
+
+@given(steps=st.lists(OPERATIONS, max_size=60))
+@in_loop
+def test_online_never_waits_behind_batch(steps: list[str]) -> None:
+    """Guards against an online request that waits while batch runs on."""
+    endpoint = Endpoint()
+    for step in steps:
+        running = list(endpoint.admission.running.values())
+        match step:
+            case 'online':
+                endpoint.submit()
+            case 'demand':
+                endpoint.demand(3)
+            case 'use':
+                endpoint.use_grants()
+            case 'end first' if running:
+                endpoint.release(running[0])
+            case 'end last' if running:
+                endpoint.release(running[-1])
+            case 'later':
+                endpoint.now_s += 0.5
+                endpoint.admission.pump()
+        check_limits(endpoint)
+
+
+def check_limits(endpoint: Endpoint) -> None:
+    """Check the limits after a step."""
+    admission = endpoint.admission
+    assert len(admission.running) <= SLOTS
+    stopping = sum(
+        work.state == 'stopping' for work in admission.running.values()
+    )
+    waiting = len(admission.queue)
+    assert not waiting or admission.free == 0
+    assert stopping >= min(waiting, admission.count(batch=True))
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'starts'),
+    [(0.0, True), (GRANT_LIFE_S - 0.01, True), (GRANT_LIFE_S, False)],
+)
+@in_loop
+def test_grants_expire(age_s: float, starts: bool) -> None:
+    """Guards against a paused owner that starts an item late."""
+    endpoint = Endpoint()
+    endpoint.demand(1)
+    endpoint.now_s += age_s
+    endpoint.use_grants()
+    assert bool(endpoint.started) is starts
+    assert starts or endpoint.refused
+
+
+@in_loop
+def test_demand_counts_grants_under_way() -> None:
+    """Guards against room reserved twice for the same items."""
+    endpoint = Endpoint()
+    endpoint.demand(2)
+    endpoint.demand(2)
+    assert sum(grant.count for grant in endpoint.session.grants) == 2
+    endpoint.demand(0)
+    assert endpoint.admission.grants.outstanding() == 0
+
+
+@in_loop
+def test_equal_urgency_is_shared_by_weight() -> None:
+    """Guards against an organisation that takes all batch room."""
+    key = 'a' * 64
+    endpoint = Endpoint()
+    endpoint.admission.grants.configuration = Configuration(
+        organisations={
+            'heavy': Organisation(key_sha256=key, weight=2.0),
+            'light': Organisation(key_sha256=key, weight=1.0),
+        },
+    )
+    given: dict[str, int] = {'heavy': 0, 'light': 0}
+    for _ in range(30):
+        endpoint.demand(100, 'heavy', 601.0, 'heavy')
+        endpoint.demand(100, 'light', 600.0, 'light')
+        for grant in endpoint.session.grants:
+            given[grant.job_id] += grant.count
+        endpoint.session.sent.clear()
+        endpoint.admission.grants.grants.clear()
+    assert 1.7 <= given['heavy'] / given['light'] <= 2.3
+
+
+@in_loop
+def test_overload_is_refused_early() -> None:
+    """Guards against requests that wait only to miss their deadline."""
+    endpoint = Endpoint()
+    for _ in range(SLOTS):
+        endpoint.submit()
+    hasty = endpoint.submit(remaining_ms=1)
+    for _ in range(20):
+        endpoint.submit()
+    last = endpoint.submit()
+    assert set(endpoint.refused) == {hasty.request_id, last.request_id}
+    for refusal in endpoint.refused.values():
+        assert refusal.reason == 'overloaded'
+        assert refusal.retry_after_ms > 0
+
+
+@in_loop
+def test_expired_requests_never_start() -> None:
+    """Guards against work for callers who have given up."""
+    endpoint = Endpoint()
+    for _ in range(SLOTS):
+        endpoint.submit()
+    queued = endpoint.submit(remaining_ms=5000)
+    endpoint.now_s += 5.0
+    endpoint.release(next(iter(endpoint.admission.running.values())))
+    refusal = endpoint.refused[queued.request_id]
+    assert refusal.reason == 'deadline has passed'
+    assert queued.request_id not in endpoint.started
+
+
+@in_loop
+def test_suspect_owed_the_endpoint_gets_it() -> None:
+    """Guards against a suspect that waits for ever for an empty endpoint."""
+    endpoint = Endpoint()
+    endpoint.admission.suspects.record('0/s/1', ['fp-x'], 0)
+    endpoint.admission.suspects.record('0/s/2', ['fp-x'], 0)
+    endpoint.submit()
+    endpoint.demand(2)
+    endpoint.use_grants()
+    suspect = endpoint.submit(prompt='x')
+    endpoint.now_s += 1.0
+    other = endpoint.submit()
+    assert other.request_id not in endpoint.started
+    running = list(endpoint.admission.running.values())
+    assert [work.state for work in running if work.batch] == 2 * ['stopping']
+    for work in running:
+        endpoint.release(work)
+    assert endpoint.started[-1] == suspect.request_id
+    endpoint.release(next(iter(endpoint.admission.running.values())))
+    assert endpoint.started[-1] == other.request_id
+
+
+@pytest.mark.parametrize(
+    ('samples_ms', 'used', 'limit'),
+    [
+        ([80.0] * 20, True, 8),
+        ([80.0] * 19, True, 11),
+        ([80.0] * 4 + [10.0] * 96, True, 11),
+        ([80.0] * 6 + [10.0] * 94, True, 8),
+        ([10.0] * 20, True, 11),
+        ([10.0] * 20, False, 10),
+        ([80.0] * 20, False, 8),
+    ],
+)
+def test_limit_follows_the_targets(
+    samples_ms: list[float],
+    used: bool,
+    limit: int,
+) -> None:
+    """Guards against a limit that ignores the 95 in 100 of the targets."""
+    adaptive = AdaptiveLimit(16, Samples(1e9), Samples(50.0), limit=10)
+    for sample_ms in samples_ms:
+        adaptive.between_tokens.note(sample_ms)
+    adaptive.note_used(10 if used else 9)
+    adaptive.adjust(now_s=1.0)
+    assert adaptive.limit == limit
+
+
+def test_limit_is_cut_once_a_second_and_bounded() -> None:
+    """Guards against a limit that one bad moment drives to nothing."""
+    adaptive = AdaptiveLimit(16, Samples(50.0), Samples(50.0))
+    limits = []
+    for number in range(20):
+        for _ in range(20):
+            adaptive.first_token.note(80.0)
+        adaptive.adjust(now_s=10 + number / 2)
+        limits.append(adaptive.limit)
+    assert limits[:4] == [12, 12, 9, 9]
+    assert min(limits) == 4
+
+
+def test_headroom_follows_the_arrival_peak() -> None:
+    """Guards against headroom that forgets a burst at once, or never."""
+    headroom = Headroom()
+    for _ in range(5):
+        headroom.note_arrival(now_s=1.0)
+    headroom.note_yield(0.05)
+    assert headroom.slots(limit=16) == 3
+    headroom.note_arrival(now_s=20.0)
+    assert headroom.slots(limit=16) == 3
+    headroom.note_arrival(now_s=60.0)
+    assert headroom.slots(limit=16) == 1
+    assert headroom.slots(limit=1) == 0
--- /dev/null
+++ b/tests/test_sidecar_service.py
@@ -0,0 +1,136 @@
+"""Tests of the sidecar in front of a plain service."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from sidecar_rig import LIMIT_S, SECRET, EntryClient, make_submit, until
+
+from quetzaldyke.connection.messages import Submit, Window
+from quetzaldyke.process.settings import SidecarSettings
+from quetzaldyke.process.sidecar import run_sidecar
+from quetzaldyke.standins.service import (
+    ServiceOptions,
+    ServiceStandin,
+    run_service,
+)
+
+
+@asynccontextmanager
+async def make_service_rig() -> AsyncIterator[
+    tuple[ServiceStandin, EntryClient]
+]:
+    """Run a plain service, its sidecar and an entry."""
+    with anyio.fail_after(LIMIT_S):
+        async with anyio.create_task_group() as group:
+            service = await group.start(run_service, ServiceOptions())
+            settings = SidecarSettings(
+                instance='sidecar-1',
+                failure_domain='a',
+                peer_address='127.0.0.1:0',
+                fleet_secret=SECRET,
+                endpoint_address=service.address,
+                endpoint_kind='service',
+                pool='pool',
+            )
+            sidecar = await group.start(run_sidecar, settings)
+            await until(lambda: sidecar.watch.up)
+            entry = EntryClient('entry-1', group)
+            await entry.connect(sidecar.peer_address)
+            yield service, entry
+            group.cancel_scope.cancel()
+
+
+async def until_refused(address: str) -> None:
+    """Wait until nothing listens on an address."""
+    host, _, port = address.rpartition(':')
+    while True:
+        try:
+            stream = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            return
+        await stream.aclose()
+        await anyio.sleep(0.002)
+
+
+def booking(booking_id: str) -> Submit:
+    """Return a request that makes a booking."""
+    return make_submit(
+        path='/bookings',
+        body=json.dumps({'id': booking_id}).encode(),
+        idempotent=False,
+        fingerprint='',
+    )
+
+
+def test_small_answer_comes_whole() -> None:
+    """Guards against a changed status or body of a plain service."""
+
+    async def scenario() -> None:
+        async with make_service_rig() as (service, entry):
+            outcome = await entry.ask(booking('b1'))
+            assert outcome.end is not None
+            assert (outcome.end.status, outcome.end.seq) == (201, 0)
+            assert json.loads(outcome.end.body)['id'] == 'b1'
+            assert outcome.end.headers['content-type'] == 'application/json'
+            assert service.executions == {'b1': 1}
+
+    anyio.run(scenario)
+
+
+def test_large_answer_waits_for_credit_and_comes_whole() -> None:
+    """Guards against lost parts, and a slow caller that fills the memory."""
+
+    async def scenario() -> None:
+        async with make_service_rig() as (service, entry):
+            for number in range(500_000):
+                service.executions[f'booking-{number}'] = 1
+            submit = make_submit(
+                path='/executions',
+                method='GET',
+                body=b'',
+                headers={},
+            )
+            call = entry.calls.begin(submit)
+            await until(lambda: call.next_seq == 64)
+            small = await entry.ask(booking('b1'))
+            assert small.end is not None
+            assert not call.finished
+            body = b''
+            while not call.finished:
+                entry.send(Window(submit.request_id, 8))
+                await anyio.sleep(0.002)
+            async for event in call.source:
+                body += getattr(event, 'raw', b'')
+                body += getattr(event, 'body', b'')
+            assert len(json.loads(body)) >= 500_000
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'ran', 'executions'),
+    [('lose_answers', 'unknown', 1), ('down', 'not_run', 0)],
+)
+def test_failures_tell_the_truth(
+    fault: str,
+    ran: str,
+    executions: int,
+) -> None:
+    """Guards against a false "not run", which leads to a double booking."""
+
+    async def scenario() -> None:
+        async with make_service_rig() as (service, entry):
+            setattr(service.faults, fault, 1)
+            if fault == 'down':
+                await until_refused(service.address)
+            outcome = await entry.ask(booking('b1'))
+            assert outcome.failed is not None
+            assert outcome.failed.ran == ran
+            assert service.executions['b1'] == executions
+
+    anyio.run(scenario)
