--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -30,7 +30,8 @@
 )
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.parts.claims import ClaimLedger
-from quetzaldyke.parts.hlc import HybridClock
+from quetzaldyke.parts.hlc import MS_IN_S, HybridClock
+from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.parts.timeline import Timeline
 from quetzaldyke.parts.timers import Clock, TimerService
 from quetzaldyke.process.callers_gate import OpenRequests
@@ -59,13 +60,15 @@
     Coordinator,
     Limits,
 )
-from quetzaldyke.request.once import RECORD_INTERVAL_S, OnceContext
+from quetzaldyke.request.once import SETTLE_INTERVAL_S, OnceContext
 from quetzaldyke.request.router import Router
 from quetzaldyke.version.configuration import Organisation
 from quetzaldyke.version.holder import ConfigHolder
 
 INCARNATION_BYTES: Final = 8
 DRAIN_POLL_S: Final = 0.02
+# Pruning reads all 64 buckets, which are few calls at this interval.
+PRUNE_INTERVAL_S: Final = 600.0
 
 
 @dataclass(slots=True)
@@ -126,7 +129,10 @@
             store=store,
             config=config,
             fleet=fleet,
-            claims=ClaimLedger(store),
+            claims=ClaimLedger(
+                store,
+                int(settings.retention_s * MS_IN_S),
+            ),
             limits=limits,
             suspects=suspects,
             metrics=metrics,
@@ -203,6 +209,12 @@
         """Log a periodic job that failed; it runs again."""
         self.log_event('timer_failed', timer=name, fault=repr(exc))
 
+    async def prune_claims(self) -> None:
+        """Remove expired claims, on one entry of the fleet."""
+        own = self.settings.instance
+        if first_for(self.fleet.live_entries(), 'claims') == own:
+            await self.claims.prune()
+
     async def expire_calls(self) -> None:
         """End the calls whose deadline is over."""
         self.deadlines.expire(self.clock.now())
@@ -301,7 +313,8 @@
     timers.on_failure = entry.on_timer_failure
     timers.subscribe('instances', LIST_INTERVAL_S, entry.membership.refresh)
     timers.subscribe('deadlines', EXPIRY_INTERVAL_S, entry.expire_calls)
-    timers.subscribe('outcomes', RECORD_INTERVAL_S, entry.once.record_held)
+    timers.subscribe('outcomes', SETTLE_INTERVAL_S, entry.claims.settle)
+    timers.subscribe('claims', PRUNE_INTERVAL_S, entry.prune_claims)
     timers.subscribe('usage', REPORT_INTERVAL_S, entry.usage.exchange)
     timers.subscribe('suspects', FORGET_INTERVAL_S, entry.suspects.forget_old)
 
@@ -410,4 +423,4 @@
     assert entry.once is not None
     while entry.open_requests.count or entry.once.running:
         await anyio.sleep(DRAIN_POLL_S)
-    await entry.once.record_held()
+    await entry.claims.settle()
--- a/src/quetzaldyke/request/once.py
+++ b/src/quetzaldyke/request/once.py
@@ -11,10 +11,9 @@
 import hashlib
 import math
 import uuid
-from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 import anyio
@@ -22,13 +21,13 @@
 from anyio.streams.memory import MemoryObjectSendStream
 from result import Err, Ok, Result
 
-from quetzaldyke.parts.claims import (
+from quetzaldyke.parts.claim_bucket import (
     ClaimError,
     Claimed,
-    ClaimLedger,
     InProgress,
     Recorded,
 )
+from quetzaldyke.parts.claims import ClaimLedger
 from quetzaldyke.parts.hlc import wall_clock_ms
 from quetzaldyke.request.execute import ExecuteContext, execute_online
 from quetzaldyke.request.model import OnlineRequest
@@ -41,6 +40,7 @@
     AnswerEvent,
     Refusal,
     incomplete,
+    ran_of,
 )
 from quetzaldyke.request.outcome_record import (
     pack_outcome,
@@ -48,24 +48,16 @@
 )
 
 UUID_VERSION: Final = 7
+# Codes of the ledger that speak of the key, not of the service.
+KEY_CODES: Final = frozenset(('expired_key', 'future_key'))
 # A UUIDv7 has its time in ms in the upper 48 of 128 bits.
 UUID_TIME_SHIFT: Final = 80
 # A key from further ahead than clocks differ would outlive its record.
 MAX_AHEAD_MS: Final = 60_000
 CLAIM_RETRY_MS: Final = 1000
-RECORD_INTERVAL_S: Final = 1.0
-# Outcomes that wait for the key-value service to come back. Without their
-# record a resend still gets `unknown`, so the oldest may be dropped.
-MAX_HELD_OUTCOMES: Final = 1000
-
-
-@dataclass(frozen=True, slots=True)
-class HeldOutcome:
-    """An outcome whose record was not confirmed yet."""
-
-    key_hash: str
-    claim_id: str
-    outcome: bytes
+# The ledger keeps outcomes that an outage held back; this is how often it
+# tries to write them.
+SETTLE_INTERVAL_S: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -77,29 +69,16 @@
     group: TaskGroup
     retention_s: float
     read_wall_ms: Callable[[], int] = wall_clock_ms
-    held: deque[HeldOutcome] = field(
-        default_factory=lambda: deque(maxlen=MAX_HELD_OUTCOMES),
-    )
     # Runs that may go on without their caller.
     running: int = 0
 
-    async def record_held(self) -> None:
-        """Record the outcomes that an outage held back."""
-        waiting = list(self.held)
-        self.held.clear()
-        for one in waiting:
-            written = await self.ledger.record(
-                one.key_hash,
-                one.claim_id,
-                one.outcome,
-            )
-            if isinstance(written, Err) and is_passing(written.err_value):
-                self.held.append(one)
 
+@dataclass(frozen=True, slots=True)
+class OwnClaim:
+    """A claim that this process made and must settle."""
 
-def is_passing(error: ClaimError) -> bool:
-    """Tell whether a failed record may succeed later."""
-    return error.kind in {'unavailable', 'unknown'}
+    key_hash: str
+    claim_id: str
 
 
 def created_ms_of(key: str) -> int | None:
@@ -168,13 +147,13 @@
 
 def claim_refused(error: ClaimError) -> Refusal:
     """Return the refusal when a claim could not be made."""
-    ran = 'unknown' if error.kind == 'unknown' else 'not_run'
+    status = HTTP_CONFLICT if error.code in KEY_CODES else HTTP_UNAVAILABLE
     return Refusal(
-        HTTP_UNAVAILABLE,
-        f'claim_{error.kind}',
+        status,
+        error.code,
         'the claim of the request could not be recorded',
-        'unknown' if ran == 'unknown' else 'not_run',
-        CLAIM_RETRY_MS,
+        ran_of(error.kind),
+        0 if status == HTTP_CONFLICT else CLAIM_RETRY_MS,
     )
 
 
@@ -209,7 +188,7 @@
         yield checked.err_value
         return
     key_hash = key_hash_of(request)
-    claimed = await context.ledger.claim(key_hash, checked.ok_value)
+    claimed = await context.ledger.claim_or_wait(key_hash, checked.ok_value)
     if isinstance(claimed, Err):
         yield claim_refused(claimed.err_value)
         return
@@ -250,7 +229,7 @@
         run_claimed,
         context,
         request,
-        HeldOutcome(key_hash, claim_id, b''),
+        OwnClaim(key_hash, claim_id),
         sink,
     )
     with source:
@@ -261,7 +240,7 @@
 async def run_claimed(
     context: OnceContext,
     request: OnlineRequest,
-    claim: HeldOutcome,
+    claim: OwnClaim,
     sink: MemoryObjectSendStream[AnswerEvent],
 ) -> None:
     """Run a claimed request to its end and record the outcome."""
@@ -294,25 +273,20 @@
 async def settle(
     context: OnceContext,
     request: OnlineRequest,
-    claim: HeldOutcome,
+    claim: OwnClaim,
     events: list[AnswerEvent],
 ) -> None:
     """Record the outcome, or give the claim back when nothing ran.
 
     The record goes before the answer, so that a resend after a lost answer
-    finds it.
+    finds it. The ledger repeats what an outage held back.
     """
     last = events[-1]
     if isinstance(last, Refusal) and last.ran == 'not_run':
         await context.ledger.release(claim.key_hash, claim.claim_id)
         return
-    outcome = pack_outcome(request.fingerprint, events)
-    written = await context.ledger.record(
+    await context.ledger.record(
         claim.key_hash,
         claim.claim_id,
-        outcome,
+        pack_outcome(request.fingerprint, events),
     )
-    if isinstance(written, Err) and is_passing(written.err_value):
-        context.held.append(
-            HeldOutcome(claim.key_hash, claim.claim_id, outcome),
-        )
--- /dev/null
+++ b/tests/test_entry_once.py
@@ -0,0 +1,196 @@
+"""Tests that non-idempotent requests run at most once."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from entry_rig import make_fleet, until, uuid7
+
+
+def test_resend_through_another_entry_after_a_lost_answer() -> None:
+    """Guards against a booking that runs twice, or whose outcome is lost."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=2, entries=2) as fleet:
+            key = uuid7()
+            with anyio.CancelScope() as scope:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(fleet.book, 'guard-7', key)
+                    await until(lambda: fleet.executions('guard-7') > 0)
+                    scope.cancel()
+            answer = await fleet.book('guard-7', key, entry='entry-2')
+            assert answer.status == 201
+            assert answer.json()['executions'] == 1
+            assert fleet.executions('guard-7') == 1
+
+    anyio.run(scenario)
+
+
+def test_concurrent_resends_run_once() -> None:
+    """Guards against two claims of one key."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=2, entries=2) as fleet:
+            for service in fleet.services.values():
+                service.faults.delay_s = 0.1
+            key = uuid7()
+            statuses = []
+
+            async def book(entry: str) -> None:
+                answer = await fleet.book('guard-8', key, entry=entry)
+                statuses.append(answer.status)
+
+            async with anyio.create_task_group() as group:
+                for number in range(10):
+                    group.start_soon(book, f'entry-{number % 2 + 1}')
+            assert statuses == [201] * 10
+            assert fleet.executions('guard-8') == 1
+
+    anyio.run(scenario)
+
+
+def test_answer_that_the_service_lost_is_unknown() -> None:
+    """Guards against a second run where the first one's end is unknown."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=2, entries=2) as fleet:
+            for service in fleet.services.values():
+                service.faults.lose_answers = 1
+            key = uuid7()
+            first = await fleet.book('guard-9', key)
+            again = await fleet.book('guard-9', key, entry='entry-2')
+            assert first.error['ran'] == again.error['ran'] == 'unknown'
+            assert fleet.executions('guard-9') == 1
+
+    anyio.run(scenario)
+
+
+def test_entry_lost_after_its_claim() -> None:
+    """Guards against a run by another entry while the first one's is open."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1, entries=2) as fleet:
+            fleet.services['service-1'].faults.delay_s = 0.5
+            key = uuid7()
+
+            async def book() -> None:
+                with anyio.move_on_after(20):
+                    try:
+                        await fleet.book('guard-10', key)
+                    except Exception:
+                        return
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(book)
+                await until(lambda: fleet.services['service-1'].running > 0)
+                await fleet.entries['entry-1'].crash()
+                again = await fleet.book('guard-10', key, entry='entry-2')
+            assert again.status == 409
+            assert again.error['ran'] == 'unknown'
+            assert fleet.executions('guard-10') <= 1
+
+    anyio.run(scenario)
+
+
+def test_certain_not_run_can_be_sent_again() -> None:
+    """Guards against a key that is used up without a run."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1) as fleet:
+            key = uuid7()
+            fleet.services['service-1'].faults.down = True
+            await until(lambda: not fleet.entry().fleet.links_of('dispatch'))
+            refused = await fleet.book('guard-11', key)
+            assert refused.error['ran'] == 'not_run'
+            fleet.services['service-1'].faults.down = False
+            await until(lambda: bool(fleet.entry().fleet.links_of('dispatch')))
+            answer = await fleet.book('guard-11', key)
+            assert answer.status == 201
+            assert fleet.executions('guard-11') == 1
+
+    anyio.run(scenario)
+
+
+def test_key_of_another_organisation() -> None:
+    """Guards against one organisation getting another's outcome."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1) as fleet:
+            key = uuid7()
+            await fleet.book('guard-12', key)
+            other = await fleet.book('guard-12', key, organisation='kymata')
+            assert other.json()['executions'] == 2
+
+    anyio.run(scenario)
+
+
+def test_key_used_for_another_request() -> None:
+    """Guards against the answer of one booking given to another."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1) as fleet:
+            key = uuid7()
+            await fleet.book('guard-13', key)
+            other = await fleet.book('guard-14', key)
+            assert other.status == 422
+            assert other.error['code'] == 'idempotency_key_reused'
+            assert fleet.executions('guard-14') == 0
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('key', 'status', 'ran'),
+    [
+        (uuid7(age_s=86_401), 409, 'unknown'),
+        (uuid7(age_s=-3600), 422, 'not_run'),
+        ('order-17', 422, 'not_run'),
+        ('3f2504e0-4f89-41d3-9a0c-0305e82c3301', 422, 'not_run'),
+    ],
+    ids=['expired', 'ahead', 'plain', 'uuid4'],
+)
+def test_unusable_keys(key: str, status: int, ran: str) -> None:
+    """Guards against a run under a key whose record may be gone."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1) as fleet:
+            answer = await fleet.book('guard-15', key)
+            assert answer.status == status
+            assert answer.error['ran'] == ran
+            assert fleet.executions('guard-15') == 0
+
+    anyio.run(scenario)
+
+
+def test_outage_of_the_store() -> None:
+    """Guards against a run without a claim, and against harm to others."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1, engines=1) as fleet:
+            fleet.kv.faults.down = True
+            key = uuid7()
+            refused = await fleet.book('guard-16', key)
+            assert refused.status == 503
+            assert fleet.executions('guard-16') == 0
+            assert (await fleet.complete('online goes on', 3)).whole
+            fleet.kv.faults.down = False
+            answer = await fleet.book('guard-16', uuid7())
+            assert answer.status == 201
+
+    anyio.run(scenario)
+
+
+def test_lost_answers_of_the_store() -> None:
+    """Guards against a claim that counts as not made though it was."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1, entries=2) as fleet:
+            fleet.kv.faults.lose_answers = 3
+            key = uuid7()
+            first = await fleet.book('guard-17', key)
+            again = await fleet.book('guard-17', key, entry='entry-2')
+            assert (first.status, again.status) == (201, 201)
+            assert fleet.executions('guard-17') == 1
+
+    anyio.run(scenario)
