--- a/src/quetzaldyke/commands/probes.py
+++ b/src/quetzaldyke/commands/probes.py
@@ -11,9 +11,10 @@
 import anyio
 
 from quetzaldyke.connection.calls import CallTable
+from quetzaldyke.connection.codec import to_row
 from quetzaldyke.connection.frames import FrameReader, encode_frame
 from quetzaldyke.connection.links import LinkOptions, dial, listen
-from quetzaldyke.connection.messages import Chunk, Hello, Message, to_row
+from quetzaldyke.connection.messages import Chunk, Hello, Message
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.parts.hlc import HybridClock
 from quetzaldyke.parts.rendezvous import even_subset, first_for
--- /dev/null
+++ b/src/quetzaldyke/connection/codec.py
@@ -0,0 +1,85 @@
+"""Wire form of messages: a msgpack array of the number and the fields.
+
+Decoding checks number, field count and field types, so that a peer of
+another version gets a clear refusal.
+"""
+
+from __future__ import annotations
+
+import types
+import typing
+from dataclasses import fields
+from typing import Final, TypeVar
+
+from quetzaldyke.connection.frames import FrameError
+from quetzaldyke.connection.messages import Message
+
+MessageT = TypeVar('MessageT', bound=Message)
+
+
+def concrete_types(annotation: object) -> tuple[type, ...]:
+    """Return the classes that a field of this annotation may have."""
+    origin = typing.get_origin(annotation)
+    if origin is types.UnionType or origin is typing.Union:
+        return tuple(
+            one
+            for part in typing.get_args(annotation)
+            for one in concrete_types(part)
+        )
+    plain = origin or annotation
+    if plain is float:
+        return (float, int)
+    return (plain,) if isinstance(plain, type) else (object,)
+
+
+def field_table(
+    message_type: type[Message],
+) -> tuple[tuple[str, tuple[type, ...]], ...]:
+    """Return the names and accepted classes of a message's fields."""
+    hints = typing.get_type_hints(message_type)
+    return tuple(
+        (one.name, concrete_types(hints[one.name]))
+        for one in fields(message_type)
+    )
+
+
+BY_KIND: Final = {
+    message_type.kind: message_type for message_type in Message.__subclasses__()
+}
+# Subclasses made by `slots=True` replace the originals; the last one wins.
+TABLES: Final = {
+    kind: field_table(message_type) for kind, message_type in BY_KIND.items()
+}
+
+
+def register(message_type: type[MessageT]) -> type[MessageT]:
+    """Add a message that is defined in another module."""
+    BY_KIND[message_type.kind] = message_type
+    TABLES[message_type.kind] = field_table(message_type)
+    return message_type
+
+
+def to_row(message: Message) -> list[object]:
+    """Return the wire form of a message."""
+    table = TABLES[message.kind]
+    return [message.kind, *(getattr(message, name) for name, _ in table)]
+
+
+def from_row(row: list[object]) -> Message:
+    """Return the message of a wire row, or raise FrameError.
+
+    >>> from quetzaldyke.connection.messages import Cancel
+    >>> from_row(to_row(Cancel('r1')))
+    Cancel(request_id='r1')
+    """
+    kind, *contents = row
+    message_type = BY_KIND.get(kind) if isinstance(kind, int) else None
+    if message_type is None:
+        raise FrameError(f'unknown message kind {kind!r}')
+    table = TABLES[message_type.kind]
+    if len(contents) != len(table):
+        raise FrameError(f'{message_type.__name__}: wrong field count')
+    for (name, classes), content in zip(table, contents, strict=True):
+        if not isinstance(content, classes):
+            raise FrameError(f'{message_type.__name__}.{name}: wrong type')
+    return message_type(*contents)
--- a/src/quetzaldyke/connection/peer.py
+++ b/src/quetzaldyke/connection/peer.py
@@ -17,6 +17,7 @@
 import anyio
 from anyio.abc import ByteStream
 
+from quetzaldyke.connection.codec import from_row, to_row
 from quetzaldyke.connection.frames import (
     MAX_FRAME_BYTES,
     FrameError,
@@ -29,8 +30,6 @@
     Heartbeat,
     Hello,
     Message,
-    from_row,
-    to_row,
 )
 from quetzaldyke.parts.hlc import MS_IN_S
 
--- a/src/quetzaldyke/process/config_part.py
+++ b/src/quetzaldyke/process/config_part.py
@@ -14,17 +14,21 @@
     OperatorsContext,
     make_operators_app,
 )
+from quetzaldyke.version.everywhere import EverywhereWait
 from quetzaldyke.version.spread import Spread
 
 if TYPE_CHECKING:
     from quetzaldyke.process.entry import EntryProcess
 
+MAX_EXPLAINED: Final = 200
+
 
 @dataclass(slots=True)
 class ConfigParts:
     """Configuration of one entry; kept at `entry.versions`."""
 
     spread: Spread
+    everywhere: EverywhereWait
     events: EventQueries
 
 
@@ -41,8 +45,19 @@
     spread.subscribe(entry.timers)
     events = EventQueries(entry.fleet, entry.timeline)
     events.subscribe()
-    entry.versions = ConfigParts(spread, events)
+    everywhere = EverywhereWait(entry.fleet, spread.exchange, entry.clock)
+    everywhere.subscribe()
+    entry.versions = ConfigParts(spread, everywhere, events)
     entry.group.start_soon(spread.run)
+    entry.group.start_soon(everywhere.run)
+
+
+async def tell_events(events: EventQueries, name: str) -> str:
+    """Return the events that mention a name, one a line."""
+    found = await events.gather(name, MAX_EXPLAINED)
+    return '\n'.join(
+        f'{event.stamp} {event.name} {event.fields}' for event in found
+    )
 
 
 def operator_routes(entry: EntryProcess) -> Sequence[BaseRoute]:
@@ -55,11 +70,11 @@
         store=entry.store,
         fleet=entry.fleet,
         metrics=entry.metrics,
-        versions=parts.spread,
+        versions=parts.everywhere,
         log_event=entry.log_event,
         unready_reason=entry.unready_reason,
         gather_events=parts.events.gather,
-        explain=lambda name: parts.events.gather(name, 10),
+        explain=lambda name: tell_events(parts.events, name),
         on_head=parts.spread.on_head,
     )
     return make_operators_app(context).routes
--- a/src/quetzaldyke/request/once.py
+++ b/src/quetzaldyke/request/once.py
@@ -22,8 +22,8 @@
 from result import Err, Ok, Result
 
 from quetzaldyke.parts.claim_bucket import (
-    ClaimError,
     Claimed,
+    ClaimError,
     InProgress,
     Recorded,
 )
--- a/src/quetzaldyke/version/everywhere.py
+++ b/src/quetzaldyke/version/everywhere.py
@@ -111,6 +111,10 @@
         marks = (mark_of(name) for name in self.reached(query.version))
         session.send(VersionReply(query.query_id, b''.join(marks)))
 
+    def told_by(self, instance: str) -> int | None:
+        """Return the version that a process last reported."""
+        return self.exchange.told_by(instance)
+
     def peers_have(self, version: int) -> bool:
         """Tell whether this entry and all its sidecars have a version."""
         reached = set(self.reached(version))
--- a/src/quetzaldyke/version/latest.py
+++ b/src/quetzaldyke/version/latest.py
@@ -18,6 +18,7 @@
     ABSENT,
     KeyValueStore,
     KvError,
+    Refused,
     Stored,
     read,
     swap,
@@ -50,7 +51,9 @@
     def change(payload: bytes) -> bytes:
         return str(max(version, version_in(payload))).encode()
 
-    outcome = await swap(store, LATEST_KEY, change)
+    outcome: Result[Stored, KvError | Refused[None]] = await swap(
+        store, LATEST_KEY, change
+    )
     return outcome.map_err(as_kv_error)
 
 
--- a/src/quetzaldyke/version/patching.py
+++ b/src/quetzaldyke/version/patching.py
@@ -42,6 +42,7 @@
     ValueError,
     AttributeError,
 )
+POINTER_FAULTS: Final = (*PATCH_FAULTS, IndexError)
 
 Operations = Sequence[Mapping[str, Any]]
 T = TypeVar('T')
@@ -81,8 +82,8 @@
     for one in operations:
         for pointer in (one.get('path'), one.get('from', '/pools')):
             try:
-                section, *inner = jsonpointer.JsonPointer(pointer).parts
-            except (*PATCH_FAULTS, IndexError):
+                section, *inner = jsonpointer.JsonPointer(str(pointer)).parts
+            except POINTER_FAULTS:
                 return None
             if section != LARGE_TABLE:
                 continue
--- a/tests/entry_rig.py
+++ b/tests/entry_rig.py
@@ -20,10 +20,10 @@
 from quetzaldyke.process.sidecar import run_sidecar
 from quetzaldyke.process.sidecar_state import SidecarProcess
 from quetzaldyke.standins.engine import (
-    EngineOptions,
     EngineStandin,
     run_engine,
 )
+from quetzaldyke.standins.engine_options import EngineOptions
 from quetzaldyke.standins.instances import (
     InstancesOptions,
     InstancesStandin,
--- a/tests/sidecar_rig.py
+++ b/tests/sidecar_rig.py
@@ -31,10 +31,10 @@
 from quetzaldyke.process.sidecar import run_sidecar
 from quetzaldyke.process.sidecar_state import SidecarProcess
 from quetzaldyke.standins.engine import (
-    EngineOptions,
     EngineStandin,
     run_engine,
 )
+from quetzaldyke.standins.engine_options import EngineOptions
 from quetzaldyke.standins.engine_text import answer_text
 
 SECRET = 'fleet-secret-0001'
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,7 +11,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from sidecar_rig import make_submit
 
 from quetzaldyke.connection.messages import (
     BatchDemand,
@@ -26,6 +25,7 @@
 from quetzaldyke.process.batch_grants import GRANT_LIFE_S, BatchGrants
 from quetzaldyke.process.work import Work
 from quetzaldyke.version.configuration import Configuration, Organisation
+from sidecar_rig import make_submit
 
 SLOTS = 6
 
--- a/tests/test_sidecar_batch.py
+++ b/tests/test_sidecar_batch.py
@@ -6,16 +6,6 @@
 
 import anyio
 import pytest
-from sidecar_rig import (
-    EntryClient,
-    Outcome,
-    Rig,
-    make_item,
-    make_rig,
-    make_submit,
-    until,
-    whole,
-)
 
 from quetzaldyke.connection.messages import (
     BatchGrant,
@@ -31,6 +21,16 @@
     Pool,
     pack_document,
 )
+from sidecar_rig import (
+    EntryClient,
+    Outcome,
+    Rig,
+    make_item,
+    make_rig,
+    make_submit,
+    until,
+    whole,
+)
 
 LONG = 100_000
 
--- a/tests/test_sidecar_crashes.py
+++ b/tests/test_sidecar_crashes.py
@@ -7,6 +7,9 @@
 
 import anyio
 import pytest
+
+from quetzaldyke.connection.messages import SuspectUpdate
+from quetzaldyke.process.admission import CONFIRMED_REASON
 from sidecar_rig import (
     EntryClient,
     Rig,
@@ -16,9 +19,6 @@
     whole,
 )
 
-from quetzaldyke.connection.messages import SuspectUpdate
-from quetzaldyke.process.admission import CONFIRMED_REASON
-
 ENDPOINTS = 5
 CRASHING = 'please CRASH now'
 TRIES = 40
--- a/tests/test_sidecar_life.py
+++ b/tests/test_sidecar_life.py
@@ -6,7 +6,6 @@
 
 import anyio
 import pytest
-from sidecar_rig import make_item, make_rig, make_submit, until, whole
 
 from quetzaldyke.connection.messages import (
     ConfigPush,
@@ -24,6 +23,7 @@
     Pool,
     pack_document,
 )
+from sidecar_rig import make_item, make_rig, make_submit, until, whole
 
 PACKED = pack_document(Configuration(pools={'pool': Pool()}))
 
--- a/tests/test_sidecar_orders.py
+++ b/tests/test_sidecar_orders.py
@@ -6,7 +6,6 @@
 
 import anyio
 import pytest
-from sidecar_rig import EntryClient, make_rig
 
 from quetzaldyke.connection.messages import (
     Order,
@@ -17,6 +16,7 @@
 )
 from quetzaldyke.parts.fencing import NONCE_LIFE_S, FencingGate
 from quetzaldyke.parts.timers import Clock
+from sidecar_rig import EntryClient, make_rig
 
 numbers = itertools.count(1)
 
--- a/tests/test_sidecar_relay.py
+++ b/tests/test_sidecar_relay.py
@@ -7,9 +7,9 @@
 
 import anyio
 import pytest
-from sidecar_rig import make_rig, make_submit, until, whole
 
 from quetzaldyke.connection.messages import Cancel, Window
+from sidecar_rig import make_rig, make_submit, until, whole
 
 
 @pytest.mark.parametrize('tokens', [1, 8, 300])
--- a/tests/test_sidecar_service.py
+++ b/tests/test_sidecar_service.py
@@ -8,7 +8,6 @@
 
 import anyio
 import pytest
-from sidecar_rig import LIMIT_S, SECRET, EntryClient, make_submit, until
 
 from quetzaldyke.connection.messages import Submit, Window
 from quetzaldyke.process.settings import SidecarSettings
@@ -18,6 +17,7 @@
     ServiceStandin,
     run_service,
 )
+from sidecar_rig import LIMIT_S, SECRET, EntryClient, make_submit, until
 
 
 @asynccontextmanager
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from quetzaldyke.connection import messages, peer
+from quetzaldyke.connection import codec, messages, peer
 from quetzaldyke.connection.frames import FrameError, FrameReader, encode_frame
 
 SECRET = 'fleet-secret-0001'
@@ -58,7 +58,7 @@
 def test_messages_survive_the_wire(text: str, seq: int, raw: bytes) -> None:
     """Guards against fields that are reordered or changed on the way."""
     sent = messages.Chunk('r1', seq, text, 1, raw)
-    assert messages.from_row(messages.to_row(sent)) == sent
+    assert codec.from_row(codec.to_row(sent)) == sent
 
 
 @pytest.mark.parametrize(
@@ -75,7 +75,7 @@
 def test_malformed_rows_are_refused(row: list[object]) -> None:
     """Guards against acting on a message of another shape."""
     with pytest.raises(FrameError):
-        messages.from_row(row)
+        codec.from_row(row)
 
 
 @pytest.mark.parametrize(
