Run the bench on real processes

Cause: one process for all roles was at 80 to 96 % of a core, so latency measured the bench itself. Change: each role and stand-in is an operating-system process; slots are sampled from the engines' lists of running streams.

--- a/src/quetzaldyke/commands/bench.py
+++ b/src/quetzaldyke/commands/bench.py
@@ -11,15 +11,19 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from pathlib import Path
+from statistics import fmean
 from typing import Any, Final
 
 import anyio
+import httpcore
 
 from quetzaldyke.commands.arrivals import Arrival, Burst, LoadPlan, arrivals
 from quetzaldyke.commands.bench_figures import Figures, p99, ratio
 from quetzaldyke.commands.bench_modes import (
+    ENGINE,
     MODES,
     ORGANISATION,
     REPLICAS,
@@ -35,13 +39,12 @@
     submit_job,
 )
 from quetzaldyke.commands.demo import wait_for_job
-from quetzaldyke.commands.rig import Rig, start_rig, stop_rig
-from quetzaldyke.standins.engine import EngineStandin
+from quetzaldyke.commands.process_fleet import ProcessFleet, start_fleet
 from quetzaldyke.standins.engine_text import answer_text
 
 TOKENS: Final = 24
 ITEM_TOKENS: Final = 16
-SAMPLE_S: Final = 0.01
+SAMPLE_S: Final = 0.05
 OK_STATUS: Final = 200
 QUICK_WINDOW_S: Final = 6.0
 FULL_WINDOW_S: Final = 40.0
@@ -50,8 +53,10 @@
 BASE_LOAD: Final = 0.5
 BURST_LOAD: Final = 0.9
 FLOOD_CALLERS: Final = 60
+# Requests of callers; items of jobs have other ids.
+ONLINE_PREFIX: Final = 'req-'
 
-Faults = Callable[[Rig, float], Coroutine[Any, Any, None]]
+Faults = Callable[[ProcessFleet, float], Coroutine[Any, Any, None]]
 
 
 @dataclass(slots=True)
@@ -59,7 +64,7 @@
     """One mode on one fleet."""
 
     mode: Mode
-    rig: Rig
+    fleet: ProcessFleet
     plan: LoadPlan
     figures: Figures
     began_s: float = 0.0
@@ -80,7 +85,7 @@
 
 async def drive_online(run: Run) -> None:
     """Send every arrival at its intended time."""
-    callers = [run.rig.caller(ORGANISATION, number) for number in range(2)]
+    callers = [run.fleet.caller(ORGANISATION, number) for number in range(2)]
     async with anyio.create_task_group() as group:
         for number, arrival in enumerate(arrivals(run.plan)):
             await anyio.sleep(max(0.0, arrival.at_s - run.passed_s))
@@ -124,42 +129,39 @@
         figures.note_gap(gap_s)
 
 
-def engines_of(rig: Rig) -> list[EngineStandin]:
-    """Return the engines of a fleet."""
-    return [
-        endpoint.standin
-        for endpoint in rig.endpoints.values()
-        if isinstance(endpoint.standin, EngineStandin)
-    ]
-
-
 async def sample_slots(run: Run) -> None:
     """Sample how many slots online work leaves and batch uses."""
-    engines = engines_of(run.rig)
+    engines = [
+        run.fleet.control(member.name) for member in run.fleet.named('engine')
+    ]
     while run.passed_s < run.plan.duration_s:
         await anyio.sleep(SAMPLE_S)
-        total = sum(one.options.max_streams for one in engines)
-        busy = sum(len(one.batch.running) for one in engines)
-        if run.mode.flood:
-            # Online requests can't be told from items inside the engines.
-            continue
-        online = sum(
-            endpoint.sidecar.admission.count(batch=False)
-            for endpoint in run.rig.endpoints.values()
-        )
-        run.figures.idle_slots += max(0, total - online)
-        run.figures.batch_slots += max(0, busy - online)
+        async with anyio.create_task_group() as group:
+            for engine in engines:
+                group.start_soon(sample_engine, run.figures, engine)
+
+
+async def sample_engine(figures: Figures, engine: Caller) -> None:
+    """Count the streams of one engine by class."""
+    try:
+        _, content = await engine.request('GET', '/v1/requests')
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return
+    running = content['running'] if isinstance(content, dict) else []
+    online = sum(name.startswith(ONLINE_PREFIX) for name in running)
+    figures.idle_slots += max(0, ENGINE.max_streams - online)
+    figures.batch_slots += len(running) - online
 
 
 async def flood(run: Run) -> None:
     """Send batch items as plain requests, as many at once as slots."""
-    caller = run.rig.caller(ORGANISATION)
+    caller = run.fleet.caller(ORGANISATION)
 
     async def lane(number: int) -> None:
         sent = 0
         while run.passed_s < run.plan.duration_s:
             prompt = f'draft {number} {sent}'
-            pool = run.rig.plan.pools[0].name
+            pool = run.fleet.plan.pools[0].name
             outcome = await caller.chat(pool, prompt, ITEM_TOKENS)
             sent += 1
             if not outcome.whole:
@@ -179,7 +181,7 @@
         item_line(number, run.mode.batch_pool, prompt, ITEM_TOKENS)
         for number, prompt in enumerate(prompts)
     ]
-    caller = run.rig.caller(ORGANISATION)
+    caller = run.fleet.caller(ORGANISATION)
     job = await submit_job(caller, lines, new_key())
     run.figures.items_accepted = count
     ended = await wait_for_job(caller, job['id'])
@@ -187,12 +189,28 @@
     check_results(run, prompts, await job_results(caller, job['id']))
 
 
-def items_finished(run: Run) -> int:
+async def items_finished(run: Run) -> int:
     """Return the batch items that the engines have finished so far."""
-    finished = sum(one.counts.finished for one in engines_of(run.rig))
+    counts = [
+        await counts_of(run.fleet, member.name)
+        for member in run.fleet.named('engine')
+    ]
+    finished = sum(int(one['finished']) for one in counts)
     return max(0, finished - run.figures.online_answered)
 
 
+async def counts_of(fleet: ProcessFleet, name: str) -> dict[str, Any]:
+    """Return the counters of a stand-in; zeros when it is gone."""
+    control = fleet.control(name)
+    try:
+        _, content = await control.request('GET', '/counts')
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return {'finished': 0, 'writes': 0, 'calls': {}}
+    await control.pool.aclose()
+    assert isinstance(content, dict)
+    return content
+
+
 def check_results(
     run: Run,
     prompts: list[str],
@@ -223,39 +241,52 @@
 ) -> Figures:
     """Run one mode on a fleet of its own."""
     figures = Figures(mode.name)
-    async with anyio.create_task_group() as group:
-        rig = await start_rig(group, mode.plan())
+    async with AsyncExitStack() as stack:
+        fleet = await start_fleet(stack, mode.plan())
         await anyio.sleep(WARM_UP_S)
-        run = Run(mode, rig, plan, figures, time.monotonic())
+        run = Run(mode, fleet, plan, figures, time.monotonic())
         await run_window(run, faults)
-        await stop_rig(rig)
-        group.cancel_scope.cancel()
     return figures
 
 
 async def run_window(run: Run, faults: Faults | None) -> None:
     """Drive all load of one window and wait for its end."""
-    before = dict(run.rig.kv.counts.calls)
-    writes = run.rig.kv.counts.writes
-    cpu_s = time.process_time()
+    figures = run.figures
+    before = await counts_of(run.fleet, 'kv')
+    cpu_before = cpu_by_role(run.fleet)
+    run.began_s = time.monotonic()
     async with anyio.create_task_group() as group:
         group.start_soon(drive_online, run)
         group.start_soon(sample_slots, run)
         if faults is not None:
-            group.start_soon(faults, run.rig, run.plan.duration_s)
+            group.start_soon(faults, run.fleet, run.plan.duration_s)
         if run.mode.flood:
             group.start_soon(flood, run)
         if run.mode.job:
             group.start_soon(run_job, run)
         await anyio.sleep(run.plan.duration_s)
-        run.figures.items_in_window = items_finished(run)
-        run.figures.cpu_s = time.process_time() - cpu_s
-        run.figures.window_s = run.plan.duration_s
-    run.figures.kv_writes = run.rig.kv.counts.writes - writes
-    run.figures.kv_calls = {
-        kind: count - before.get(kind, 0)
-        for kind, count in run.rig.kv.counts.calls.items()
+        figures.items_in_window = await items_finished(run)
+        figures.window_s = run.passed_s
+        figures.cpu_share = {
+            role: (used_s - cpu_before[role]) / run.passed_s
+            for role, used_s in cpu_by_role(run.fleet).items()
+        }
+    after = await counts_of(run.fleet, 'kv')
+    figures.kv_writes = after['writes'] - before['writes']
+    figures.kv_calls = {
+        kind: count - before['calls'].get(kind, 0)
+        for kind, count in after['calls'].items()
+    }
+
+
+def cpu_by_role(fleet: ProcessFleet) -> dict[str, float]:
+    """Return the processor time that one process of a role used, averaged."""
+    roles = {member.role for member in fleet.members.values()}
+    used = {
+        role: fmean([one.cpu_s() for one in fleet.named(role)])
+        for role in roles
     }
+    return used | {'driver': time.process_time()}
 
 
 def compare(found: dict[str, Figures]) -> dict[str, float]:
--- a/src/quetzaldyke/commands/bench_figures.py
+++ b/src/quetzaldyke/commands/bench_figures.py
@@ -39,7 +39,7 @@
     items_wrong: int = 0
     late_jobs: int = 0
     window_s: float = 0.0
-    cpu_s: float = 0.0
+    cpu_share: dict[str, float] = field(default_factory=dict)
     kv_calls: dict[str, int] = field(default_factory=dict)
     kv_writes: int = 0
     notes: list[str] = field(default_factory=list)
@@ -79,9 +79,10 @@
             'items_duplicated': self.items_duplicated,
             'items_wrong': self.items_wrong,
             'deadlines_missed': self.late_jobs,
-            'cpu_share': ratio(self.cpu_s, self.window_s),
             'kv_writes_per_item': ratio(self.kv_writes, self.items_recorded),
         }
+        for role, share in sorted(self.cpu_share.items()):
+            found[f'cpu_{role}'] = share
         for kind, count in sorted(self.kv_calls.items()):
             found[f'kv_{kind}'] = count
         return found
--- a/src/quetzaldyke/commands/daemons.py
+++ b/src/quetzaldyke/commands/daemons.py
@@ -5,6 +5,7 @@
 import importlib
 import sys
 from collections.abc import Callable, Coroutine, Mapping, Sequence
+from functools import partial
 from signal import SIGINT, SIGTERM
 from typing import Any, Final, Protocol, TypeVar
 
@@ -99,29 +100,23 @@
     return process
 
 
-def run_daemon(
-    module_name: str,
-    function_name: str,
-    settings: ProcessSettings,
-) -> None:
-    """Run a role on uvloop; its module is imported only here."""
-    module = importlib.import_module(f'quetzaldyke.process.{module_name}')
+def run_daemon(run: Run, settings: ProcessSettings) -> None:
+    """Run a role on uvloop."""
     add_stderr_destination()
-    anyio.run(
-        run_role,
-        getattr(module, function_name),
-        settings,
-        backend_options={'use_uvloop': True},
-    )
+    anyio.run(run_role, run, settings, backend_options={'use_uvloop': True})
 
 
 def entry(*arguments: str) -> None:
     """Run an entry."""
     settings = settings_or_exit(EntrySettings, parse_flags(arguments))
-    run_daemon('entry', 'run_entry', settings)
+    # Imported here, because a sidecar must not load the entry's libraries.
+    module = importlib.import_module('quetzaldyke.process.entry')
+    table = importlib.import_module('quetzaldyke.process.entry_table')
+    run_daemon(partial(module.run_entry, parts=table.ENTRY_PARTS), settings)
 
 
 def sidecar(*arguments: str) -> None:
     """Run a sidecar."""
     settings = settings_or_exit(SidecarSettings, parse_flags(arguments))
-    run_daemon('sidecar', 'run_sidecar', settings)
+    module = importlib.import_module('quetzaldyke.process.sidecar')
+    run_daemon(module.run_sidecar, settings)
