Forget arrival bursts without further arrivals; sharpen sidecar tests

Cause: headroom kept the peak of a burst until the next online arrival, so an idle endpoint held slots back from batch. Change: the arrival window moves with the clock; tests for read-ahead, urgency before past use, late engine confirmation, stops with waiting answers, messages after a pause and configuration push.

--- a/src/quetzaldyke/parts/limiter.py
+++ b/src/quetzaldyke/parts/limiter.py
@@ -151,12 +151,11 @@
     """Slots kept free of batch for the arrivals during one preemption.
 
     >>> headroom = Headroom()
-    >>> headroom.slots(limit=16)
+    >>> headroom.slots(limit=16, now_s=0.0)
     1
     >>> for _ in range(10):
     ...     headroom.note_arrival(now_s=0.0)
-    >>> headroom.note_yield(0.05)
-    >>> headroom.slots(limit=16)
+    >>> headroom.slots(limit=16, now_s=0.0)
     5
     """
 
@@ -165,11 +164,13 @@
     arrivals: deque[int] = field(
         default_factory=lambda: deque([0], maxlen=ARRIVAL_BUCKETS),
     )
+    peak: int = 0  # most arrivals in one bucket
 
     def note_arrival(self, now_s: float) -> None:
         """Count an online arrival."""
         self.advance(now_s)
         self.arrivals[-1] += 1
+        self.peak = max(self.peak, self.arrivals[-1])
 
     def note_yield(self, yield_s: float) -> None:
         """Add the time that one preemption took to free its slot."""
@@ -178,12 +179,16 @@
     def advance(self, now_s: float) -> None:
         """Open the buckets up to the present one."""
         bucket = int(now_s / ARRIVAL_BUCKET_S)
+        if bucket <= self.bucket:
+            return
         for _ in range(min(bucket - self.bucket, ARRIVAL_BUCKETS)):
             self.arrivals.append(0)
-        self.bucket = max(bucket, self.bucket)
+        self.bucket = bucket
+        self.peak = max(self.arrivals)
 
-    def slots(self, limit: int) -> int:
+    def slots(self, limit: int, now_s: float) -> int:
         """Return the slots to keep free; one slot is left for batch."""
-        peak_per_s = max(self.arrivals) / ARRIVAL_BUCKET_S
+        self.advance(now_s)
+        peak_per_s = self.peak / ARRIVAL_BUCKET_S
         wanted = max(1, math.ceil(peak_per_s * self.yield_s))
         return min(wanted, limit - 1)
--- a/src/quetzaldyke/process/admission.py
+++ b/src/quetzaldyke/process/admission.py
@@ -88,7 +88,8 @@
         if self.closed_reason or self.exclusive_waiting() is not None:
             return 0
         taken = len(self.running) + len(self.queue)
-        return max(0, self.slots - taken - self.headroom.slots(self.slots))
+        kept_free = self.headroom.slots(self.slots, self.clock.now())
+        return max(0, self.slots - taken - kept_free)
 
     def submit(self, work: Work) -> None:
         """Start, queue or refuse a request that arrived."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -219,6 +219,21 @@
     assert 1.7 <= given['heavy'] / given['light'] <= 2.3
 
 
+@in_loop
+def test_urgency_goes_before_past_use() -> None:
+    """Guards against a late job that waits because its owner used much."""
+    endpoint = Endpoint()
+    endpoint.admission.grants.use['busy'] = 50.0
+    for number in range(SLOTS - 1):
+        endpoint.submit(prompt=f'online {number}')
+    endpoint.now_s += 60.0
+    endpoint.admission.grants.decayed_s = endpoint.now_s
+    endpoint.demand(1, 'patient', 900.0, 'idle')
+    endpoint.demand(1, 'urgent', 30.0, 'busy')
+    endpoint.release(next(iter(endpoint.admission.running.values())))
+    assert [grant.job_id for grant in endpoint.session.grants] == ['urgent']
+
+
 @in_loop
 def test_overload_is_refused_early() -> None:
     """Guards against requests that wait only to miss their deadline."""
@@ -316,9 +331,9 @@
     for _ in range(5):
         headroom.note_arrival(now_s=1.0)
     headroom.note_yield(0.05)
-    assert headroom.slots(limit=16) == 3
+    assert headroom.slots(limit=16, now_s=1.0) == 3
     headroom.note_arrival(now_s=20.0)
-    assert headroom.slots(limit=16) == 3
-    headroom.note_arrival(now_s=60.0)
-    assert headroom.slots(limit=16) == 1
-    assert headroom.slots(limit=1) == 0
+    assert headroom.slots(limit=16, now_s=20.0) == 3
+    assert headroom.slots(limit=2, now_s=20.0) == 1
+    assert headroom.slots(limit=16, now_s=60.0) == 1
+    assert headroom.slots(limit=1, now_s=60.0) == 0
--- a/tests/test_sidecar_batch.py
+++ b/tests/test_sidecar_batch.py
@@ -17,6 +17,7 @@
     whole,
 )
 
+from quetzaldyke.connection.engine_client import EngineClient
 from quetzaldyke.connection.messages import (
     BatchGrant,
     CancelJob,
@@ -198,6 +199,33 @@
     anyio.run(scenario)
 
 
+def test_job_counts_as_stopped_only_when_nothing_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a cancel that is acknowledged while an item runs."""
+    confirmed = anyio.Event()
+    cancel = EngineClient.cancel
+
+    async def late_cancel(*arguments: Any, **fields: Any) -> None:
+        await confirmed.wait()
+        await cancel(*arguments, **fields)
+
+    monkeypatch.setattr(EngineClient, 'cancel', late_cancel)
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            await start_item(entry)
+            entry.send(CancelJob('job'))
+            for _ in range(3):
+                await entry.ask(make_submit())
+            assert not entry.all_of(JobStopped)
+            confirmed.set()
+            await entry.next_of(JobStopped)
+
+    anyio.run(scenario)
+
+
 def test_least_slack_is_granted_first() -> None:
     """Guards against an urgent job that waits behind a patient one."""
 
--- a/tests/test_sidecar_life.py
+++ b/tests/test_sidecar_life.py
@@ -19,6 +19,7 @@
 )
 from quetzaldyke.process import sidecar_messages
 from quetzaldyke.process.sidecar import run_sidecar
+from quetzaldyke.process.sidecar_drain import POLL_S
 from quetzaldyke.version.configuration import (
     Configuration,
     Pool,
@@ -32,7 +33,7 @@
     """Guards against answers cut by a planned stop."""
 
     async def scenario() -> None:
-        async with make_rig(max_streams=4) as rig:
+        async with make_rig(max_streams=6) as rig:
             entry = await rig.entry()
             grant = await entry.granted()
             item, item_done = entry.begin(make_item(grant, 'item', 5000))
@@ -57,6 +58,8 @@
             for number, (outcome, done) in enumerate(answers):
                 await done.wait()
                 assert outcome.text == whole(f'p{number}', 60)
+            await until(lambda: not rig.sidecar.admission.running)
+            await anyio.sleep(5 * POLL_S)
             assert not rig.done.is_set()
             text = ''
             while not call.finished:
@@ -127,8 +130,9 @@
             rig.sidecar.timers.clock.read = lambda: time.monotonic() + 10
             if message_comes_first:
                 handle = sidecar_messages.make_handler(rig.sidecar)
-                await handle(session, make_item(grant, 'item', 4))
-                await handle(session, make_submit('late', 4))
+                for late in (make_item(grant, 'item', 4), make_submit()):
+                    await handle(session, late)
+                    assert late.request_id not in rig.sidecar.streams.works
             await done.wait()
             await until(lambda: not rig.engine.batch.ids())
             assert rig.engine.counts.requests == 1
@@ -147,8 +151,11 @@
         async with make_rig() as rig:
             first = await rig.entry('entry-1')
             second = await rig.entry('entry-2')
+            await second.ask(make_submit())
             first.send(ConfigPush(5, PACKED))
-            passed_on = await second.next_of(ConfigPush)
+            await second.next_of(ConfigVersion)
+            await second.ask(make_submit())
+            [passed_on] = second.all_of(ConfigPush)
             assert passed_on == ConfigPush(5, PACKED)
             assert (await first.next_of(ConfigVersion)).version == 5
             second.send(ConfigPush(4, pack_document(Configuration())))
--- a/tests/test_sidecar_service.py
+++ b/tests/test_sidecar_service.py
@@ -10,9 +10,12 @@
 import pytest
 from sidecar_rig import LIMIT_S, SECRET, EntryClient, make_submit, until
 
+from quetzaldyke.connection.answers import READ_AHEAD_BYTES
 from quetzaldyke.connection.messages import Submit, Window
+from quetzaldyke.connection.service_client import PART_BYTES
 from quetzaldyke.process.settings import SidecarSettings
 from quetzaldyke.process.sidecar import run_sidecar
+from quetzaldyke.process.sidecar_state import SidecarProcess
 from quetzaldyke.standins.service import (
     ServiceOptions,
     ServiceStandin,
@@ -22,7 +25,7 @@
 
 @asynccontextmanager
 async def make_service_rig() -> AsyncIterator[
-    tuple[ServiceStandin, EntryClient]
+    tuple[ServiceStandin, EntryClient, SidecarProcess]
 ]:
     """Run a plain service, its sidecar and an entry."""
     with anyio.fail_after(LIMIT_S):
@@ -41,7 +44,7 @@
             await until(lambda: sidecar.watch.up)
             entry = EntryClient('entry-1', group)
             await entry.connect(sidecar.peer_address)
-            yield service, entry
+            yield service, entry, sidecar
             group.cancel_scope.cancel()
 
 
@@ -71,7 +74,7 @@
     """Guards against a changed status or body of a plain service."""
 
     async def scenario() -> None:
-        async with make_service_rig() as (service, entry):
+        async with make_service_rig() as (service, entry, _):
             outcome = await entry.ask(booking('b1'))
             assert outcome.end is not None
             assert (outcome.end.status, outcome.end.seq) == (201, 0)
@@ -86,7 +89,7 @@
     """Guards against lost parts, and a slow caller that fills the memory."""
 
     async def scenario() -> None:
-        async with make_service_rig() as (service, entry):
+        async with make_service_rig() as (service, entry, sidecar):
             for number in range(500_000):
                 service.executions[f'booking-{number}'] = 1
             submit = make_submit(
@@ -97,9 +100,13 @@
             )
             call = entry.calls.begin(submit)
             await until(lambda: call.next_seq == 64)
+            work = sidecar.streams.works[submit.request_id]
+            await until(lambda: work.answer.full)
             small = await entry.ask(booking('b1'))
             assert small.end is not None
             assert not call.finished
+            waiting = work.answer.waiting_bytes
+            assert waiting < READ_AHEAD_BYTES + PART_BYTES
             body = b''
             while not call.finished:
                 entry.send(Window(submit.request_id, 8))
@@ -124,7 +131,7 @@
     """Guards against a false "not run", which leads to a double booking."""
 
     async def scenario() -> None:
-        async with make_service_rig() as (service, entry):
+        async with make_service_rig() as (service, entry, _):
             setattr(service.faults, fault, 1)
             if fault == 'down':
                 await until_refused(service.address)
