--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -1,8 +1,7 @@
 """The entry: the daemon between callers and sidecars.
 
-One exit stack owns everything that must be closed. A planned stop goes in
-order: not ready, linger, stop accepting, finish requests, stop the parts,
-close. Cancelling the function is a crash.
+One exit stack owns everything that must be closed. Setting `stopping`
+starts the planned stop; cancelling the function is a crash.
 """
 
 from __future__ import annotations
@@ -18,13 +17,12 @@
 from anyio.abc import TaskGroup, TaskStatus
 from starlette.applications import Starlette
 
-from quetzaldyke.connection.http_server import App, HttpOptions, serve_http
+from quetzaldyke.connection.http_server import HttpOptions
 from quetzaldyke.connection.kv_http import HttpKeyValueStore
 from quetzaldyke.connection.links import LinkOptions, listen, stamp_row
 from quetzaldyke.connection.messages import (
     PROTOCOL_VERSION,
     Hello,
-    LeavingNotice,
     Message,
     Report,
 )
@@ -37,6 +35,7 @@
 from quetzaldyke.process.callers_gate import OpenRequests
 from quetzaldyke.process.callers_http import CallersContext, callers_app
 from quetzaldyke.process.entry_parts import PARTS, EntryPart
+from quetzaldyke.process.entry_stop import stop_as_planned
 from quetzaldyke.process.fleet import (
     Fleet,
     Instance,
@@ -44,6 +43,7 @@
     dispatch,
     opened,
 )
+from quetzaldyke.process.http_listener import HttpListener, start_http
 from quetzaldyke.process.logs import LogEvent, make_log_event
 from quetzaldyke.process.membership import LIST_INTERVAL_S, Membership
 from quetzaldyke.process.metrics import Metrics
@@ -66,7 +66,6 @@
 from quetzaldyke.version.holder import ConfigHolder
 
 INCARNATION_BYTES: Final = 8
-DRAIN_POLL_S: Final = 0.02
 # Pruning reads all 64 buckets, which are few calls at this interval.
 PRUNE_INTERVAL_S: Final = 600.0
 
@@ -254,8 +253,8 @@
         await start_links(entry, group, stack)
         for part in parts:
             await part.start(entry)
-        callers = await start_callers(entry, parts)
-        operators = await start_operators(entry, parts)
+        callers = await start_callers(entry, group, parts)
+        operators = await start_operators(entry, group, parts)
         subscribe_timers(entry)
         group.start_soon(entry.timers.run)
         entry.log_event(
@@ -319,52 +318,16 @@
     timers.subscribe('suspects', FORGET_INTERVAL_S, entry.suspects.forget_old)
 
 
-@dataclass(slots=True)
-class Served:
-    """One HTTP listener, its stop and its end."""
-
-    address: str = ''
-    stopping: anyio.Event = field(default_factory=anyio.Event)
-    finished: anyio.Event = field(default_factory=anyio.Event)
-
-    async def stop(self) -> None:
-        """Stop accepting, and wait until running requests are answered."""
-        self.stopping.set()
-        await self.finished.wait()
-
-
-async def serve(
-    app: App,
-    options: HttpOptions,
-    served: Served,
-    *,
-    task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve one listener and report its address and its end."""
-    async with anyio.create_task_group() as group:
-        http = await group.start(serve_http, app, options, served.stopping)
-        served.address = http.address
-        task_status.started()
-    served.finished.set()
-
-
-async def start_http(
-    app: App,
-    address: str,
-    entry: EntryProcess,
-) -> Served:
-    """Start one HTTP listener."""
-    assert entry.group is not None
-    options = HttpOptions(address, math.ceil(entry.settings.drain_s))
-    served = Served()
-    await entry.group.start(serve, app, options, served)
-    return served
+def http_options(entry: EntryProcess, address: str) -> HttpOptions:
+    """Return the options of an HTTP listener."""
+    return HttpOptions(address, math.ceil(entry.settings.drain_s))
 
 
 async def start_callers(
     entry: EntryProcess,
+    group: TaskGroup,
     parts: Sequence[EntryPart],
-) -> Served:
+) -> HttpListener:
     """Start the callers' listener."""
     assert entry.once is not None
     context = CallersContext(
@@ -376,51 +339,20 @@
     )
     more = [route for part in parts for route in part.caller_routes(entry)]
     app = callers_app(context, entry.limits, entry.open_requests, more)
-    served = await start_http(app, entry.settings.callers_address, entry)
-    entry.callers_address = served.address
-    return served
+    options = http_options(entry, entry.settings.callers_address)
+    listener = await start_http(app, options, group)
+    entry.callers_address = listener.address
+    return listener
 
 
 async def start_operators(
     entry: EntryProcess,
+    group: TaskGroup,
     parts: Sequence[EntryPart],
-) -> Served:
+) -> HttpListener:
     """Start the operators' listener."""
     routes = [route for part in parts for route in part.operator_routes(entry)]
-    app = Starlette(routes=routes)
-    served = await start_http(app, entry.settings.operators_address, entry)
-    entry.operators_address = served.address
-    return served
-
-
-async def stop_as_planned(
-    entry: EntryProcess,
-    callers: Served,
-    parts: Sequence[EntryPart],
-) -> None:
-    """Leave without cutting a request."""
-    entry.log_event('entry_stopping', open_requests=entry.open_requests.count)
-    for session in list(entry.fleet.entries.values()):
-        session.send(LeavingNotice(entry.settings.instance))
-    # The balancer needs a moment to see that the entry is not ready, and
-    # sends callers until then.
-    entry.open_requests.closing = True
-    await anyio.sleep(entry.settings.linger_s)
-    with anyio.move_on_after(entry.settings.drain_s) as scope:
-        await callers.stop()
-        await drained(entry)
-        for part in reversed(parts):
-            await part.stop(entry)
-    if scope.cancelled_caught:
-        entry.log_event(
-            'drain_timed_out',
-            open_requests=entry.open_requests.count,
-        )
-
-
-async def drained(entry: EntryProcess) -> None:
-    """Wait for callers' requests and runs whose caller is gone."""
-    assert entry.once is not None
-    while entry.open_requests.count or entry.once.running:
-        await anyio.sleep(DRAIN_POLL_S)
-    await entry.claims.settle()
+    options = http_options(entry, entry.settings.operators_address)
+    listener = await start_http(Starlette(routes=routes), options, group)
+    entry.operators_address = listener.address
+    return listener
--- a/src/quetzaldyke/request/once.py
+++ b/src/quetzaldyke/request/once.py
@@ -85,7 +85,7 @@
     """Return the time in a UUIDv7, or None for any other text.
 
     >>> created_ms_of('01890a5d-ac96-774b-bcce-b302099a8057')
-    1688070335638
+    1688096058518
     >>> created_ms_of('order-17')
     """
     try:
--- a/src/quetzaldyke/version/exchange.py
+++ b/src/quetzaldyke/version/exchange.py
@@ -90,9 +90,7 @@
 
     def open_peers(self) -> list[KnownPeer]:
         """Return the peers whose connection is open."""
-        return [
-            peer for peer in self.peers.values() if not peer.session.closed
-        ]
+        return [peer for peer in self.peers.values() if not peer.session.closed]
 
     async def on_message(self, session: PeerSession, message: Message) -> None:
         """Handle one of the messages of the exchange."""
--- a/tests/entry_rig.py
+++ b/tests/entry_rig.py
@@ -19,11 +19,8 @@
 from quetzaldyke.process.settings import EntrySettings, SidecarSettings
 from quetzaldyke.process.sidecar import run_sidecar
 from quetzaldyke.process.sidecar_state import SidecarProcess
-from quetzaldyke.standins.engine import (
-    EngineOptions,
-    EngineStandin,
-    run_engine,
-)
+from quetzaldyke.standins.engine import EngineStandin, run_engine
+from quetzaldyke.standins.engine_options import EngineOptions
 from quetzaldyke.standins.instances import (
     InstancesOptions,
     InstancesStandin,
