--- a/src/quetzaldyke/request/limits.py
+++ b/src/quetzaldyke/request/limits.py
@@ -41,7 +41,7 @@
     """Divide a limit among entries; the shares add up to one.
 
     >>> shares_by_demand({'entry-1': 60, 'entry-2': 20})
-    {'entry-1': 0.7000000000000001, 'entry-2': 0.30000000000000004}
+    {'entry-1': 0.7, 'entry-2': 0.30000000000000004}
     >>> shares_by_demand({'entry-1': 0, 'entry-2': 0})
     {'entry-1': 0.5, 'entry-2': 0.5}
     """
