--- a/tests/batch_bed.py
+++ b/tests/batch_bed.py
@@ -76,15 +76,19 @@
         self.remote = remote
         self.closed = False
         self.queue: list[m.Message] = []
+        self.filled = anyio.Event()
 
     def send(self, message: m.Message) -> None:
         """Queue a message in its wire form."""
         if not self.closed:
             self.queue.append(m.from_row(m.to_row(message)))
+            self.filled.set()
 
     async def pump(self, gate: Callable[[], anyio.Event | None]) -> None:
         """Deliver queued messages to a process that may be paused."""
         while not self.closed:
+            await self.filled.wait()
+            self.filled = anyio.Event()
             await anyio.sleep(LATENCY_S)
             waiting = gate()
             if waiting is not None:
