--- /dev/null
+++ b/src/quetzaldyke/standins/kv.py
@@ -0,0 +1,243 @@
+"""Stand-in for the platform's key-value service.
+
+Speaks a subset of the etcd v3 JSON gateway: range, transactions with one
+revision compare and one put or delete, leases, and streaming watches.
+Every call is counted by kind, and faults can be switched while it runs.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+from anyio.abc import TaskStatus
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from quetzaldyke.standins.faults import Chance, Outage, control_routes
+from quetzaldyke.standins.kv_calls import (
+    CALLS,
+    Body,
+    CallFailed,
+    KvCounts,
+    decode,
+    event_body,
+    header,
+    number,
+)
+from quetzaldyke.standins.kv_state import KeyEvent, KvState, in_range
+
+EXPIRY_POLL_S: Final = 0.02
+READ_PATHS: Final = frozenset(('/v3/kv/range',))
+
+
+@dataclass(frozen=True, slots=True)
+class KvOptions:
+    """Options of the stand-in."""
+
+    address: str = '127.0.0.1:0'
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class KvFaults:
+    """Switches; all off at the start."""
+
+    # Refuses connections and breaks open ones.
+    down: bool = False
+    # Wait before a call is looked at. A client that gives up earlier can
+    # still have its write applied afterwards.
+    delay_s: float = 0.0
+    # Share of the calls that `delay_s` applies to.
+    delay_ratio: float = 1.0
+    # The next writes are applied and their answers lost.
+    lose_answers: int = 0
+    # Share of the writes that are applied with the answer lost.
+    lose_answers_ratio: float = 0.0
+    # Share of the calls whose connection breaks before anything is applied.
+    drop_ratio: float = 0.0
+    # Leases end this long before their time.
+    expire_early_s: float = 0.0
+
+
+@dataclass(slots=True)
+class KvStandin:
+    """A running stand-in."""
+
+    faults: KvFaults
+    counts: KvCounts
+    state: KvState
+    outage: Outage
+    chance: Chance
+
+    @property
+    def address(self) -> str:
+        """Return the bound address."""
+        return self.outage.address
+
+    @property
+    def stopping(self) -> anyio.Event:
+        """Return the event that stops the stand-in."""
+        return self.outage.stopping
+
+
+async def answer_call(standin: KvStandin, request: Request) -> Response:
+    """Run one call with the faults that are on."""
+    body = await request.json()
+    faults = standin.faults
+    if faults.delay_s and standin.chance.happens(faults.delay_ratio):
+        await anyio.sleep(faults.delay_s)
+    if faults.down or standin.chance.happens(faults.drop_ratio):
+        return standin.outage.break_answer(request)
+    path = request.url.path
+    try:
+        answer = CALLS[path](standin.state, standin.counts, body)
+    except CallFailed as exc:
+        return error_answer(exc)
+    if path not in READ_PATHS and loses_answer(standin):
+        return standin.outage.break_answer(request)
+    return JSONResponse(answer)
+
+
+def error_answer(exc: CallFailed) -> Response:
+    """Return an error as the gateway writes it."""
+    message = str(exc)
+    return JSONResponse(
+        {'error': message, 'code': exc.code, 'message': message},
+        exc.status,
+    )
+
+
+def loses_answer(standin: KvStandin) -> bool:
+    """Tell whether the answer of an applied write gets lost."""
+    if standin.faults.lose_answers > 0:
+        standin.faults.lose_answers -= 1
+        return True
+    return standin.chance.happens(standin.faults.lose_answers_ratio)
+
+
+async def answer_watch(standin: KvStandin, request: Request) -> Response:
+    """Open a watch, one JSON object a line."""
+    body = await request.json()
+    if standin.faults.delay_s:
+        await anyio.sleep(standin.faults.delay_s)
+    standin.counts.calls['watch'] += 1
+    create = body['create_request']
+    return StreamingResponse(
+        watch_lines(
+            standin,
+            decode(create, 'key'),
+            decode(create, 'range_end'),
+            number(create, 'start_revision'),
+        ),
+        media_type='application/json',
+    )
+
+
+def watch_line(state: KvState, fields: Body) -> str:
+    """Return one line of a watch's answer."""
+    return f'{json.dumps({"result": {"header": header(state), **fields}})}\n'
+
+
+async def watch_lines(
+    standin: KvStandin,
+    key: bytes,
+    range_end: bytes,
+    start_revision: int,
+) -> AsyncIterator[str]:
+    """Yield the changes of a range from a revision on."""
+    state = standin.state
+    next_revision = start_revision or state.revision + 1
+    standin.counts.open_watches += 1
+    try:
+        yield watch_line(state, {'created': True})
+        while True:
+            changed = state.changed
+            if next_revision <= state.compacted:
+                fields = {
+                    'canceled': True,
+                    'compact_revision': str(state.compacted + 1),
+                }
+                yield watch_line(state, fields)
+                return
+            events = matching(state, key, range_end, next_revision)
+            next_revision = state.revision + 1
+            if events:
+                rows = [event_body(one) for one in events]
+                yield watch_line(state, {'events': rows})
+            await changed.wait()
+    finally:
+        standin.counts.open_watches -= 1
+
+
+def matching(
+    state: KvState,
+    key: bytes,
+    range_end: bytes,
+    revision: int,
+) -> list[KeyEvent]:
+    """Return the changes of a range at or after a revision."""
+    return [
+        event
+        for event in state.events_from(revision)
+        if event.kv.key == key
+        or (range_end and in_range(event.kv.key, key, range_end))
+    ]
+
+
+async def expire_leases(standin: KvStandin) -> None:
+    """End leases at their time."""
+    while True:
+        await anyio.sleep(EXPIRY_POLL_S)
+        standin.state.expire_leases(standin.faults.expire_early_s)
+
+
+def make_app(standin: KvStandin) -> Starlette:
+    """Return the HTTP app of a stand-in."""
+
+    async def call(request: Request) -> Response:
+        return await answer_call(standin, request)
+
+    async def watch(request: Request) -> Response:
+        return await answer_watch(standin, request)
+
+    routes = [Route(path, call, methods=['POST']) for path in CALLS]
+    routes.append(Route('/v3/watch', watch, methods=['POST']))
+    routes.extend(control_routes(standin.faults, standin.counts.as_dict))
+    return Starlette(routes=routes)
+
+
+def make_standin(options: KvOptions) -> KvStandin:
+    """Return a stand-in that is not yet served."""
+    faults = KvFaults()
+    return KvStandin(
+        faults,
+        KvCounts(),
+        KvState(),
+        Outage(lambda: faults.down),
+        Chance(options.seed),
+    )
+
+
+async def run_kv(
+    options: KvOptions,
+    *,
+    task_status: TaskStatus[KvStandin] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run the stand-in until it is stopped or cancelled."""
+    standin = make_standin(options)
+    async with anyio.create_task_group() as group:
+        group.start_soon(expire_leases, standin)
+        await group.start(
+            standin.outage.serve,
+            make_app(standin),
+            options.address,
+        )
+        task_status.started(standin)
+        await standin.outage.stopped.wait()
+        group.cancel_scope.cancel()
