--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -1,12 +1,12 @@
 """The entry: the daemon between callers and sidecars.
 
-One exit stack owns everything that must be closed. A planned stop goes in
-order: not ready, linger, stop accepting, finish requests, stop the parts,
-close. Cancelling the function is a crash.
+One exit stack owns everything that must be closed. Setting `stopping`
+starts the planned stop; cancelling the function is a crash.
 """
 
 from __future__ import annotations
 
+import math
 import secrets
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
@@ -17,25 +17,25 @@
 from anyio.abc import TaskGroup, TaskStatus
 from starlette.applications import Starlette
 
-from quetzaldyke.connection.http_server import HttpServer, serve_http
+from quetzaldyke.connection.http_server import HttpOptions
 from quetzaldyke.connection.kv_http import HttpKeyValueStore
 from quetzaldyke.connection.links import LinkOptions, listen, stamp_row
 from quetzaldyke.connection.messages import (
     PROTOCOL_VERSION,
     Hello,
-    LeavingNotice,
     Message,
     Report,
 )
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.parts.claims import ClaimLedger
-from quetzaldyke.parts.hlc import HybridClock
-from quetzaldyke.parts.kv import KeyValueStore
+from quetzaldyke.parts.hlc import MS_IN_S, HybridClock
+from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.parts.timeline import Timeline
 from quetzaldyke.parts.timers import Clock, TimerService
 from quetzaldyke.process.callers_gate import OpenRequests
 from quetzaldyke.process.callers_http import CallersContext, callers_app
 from quetzaldyke.process.entry_parts import PARTS, EntryPart
+from quetzaldyke.process.entry_stop import stop_as_planned
 from quetzaldyke.process.fleet import (
     Fleet,
     Instance,
@@ -43,6 +43,7 @@
     dispatch,
     opened,
 )
+from quetzaldyke.process.http_listener import HttpListener, start_http
 from quetzaldyke.process.logs import LogEvent, make_log_event
 from quetzaldyke.process.membership import LIST_INTERVAL_S, Membership
 from quetzaldyke.process.metrics import Metrics
@@ -59,13 +60,14 @@
     Coordinator,
     Limits,
 )
-from quetzaldyke.request.once import RECORD_INTERVAL_S, OnceContext
+from quetzaldyke.request.once import SETTLE_INTERVAL_S, OnceContext
 from quetzaldyke.request.router import Router
 from quetzaldyke.version.configuration import Organisation
 from quetzaldyke.version.holder import ConfigHolder
 
 INCARNATION_BYTES: Final = 8
-DRAIN_POLL_S: Final = 0.02
+# Pruning reads all 64 buckets, which are few calls at this interval.
+PRUNE_INTERVAL_S: Final = 600.0
 
 
 @dataclass(slots=True)
@@ -78,7 +80,7 @@
     timers: TimerService
     log_event: LogEvent
     timeline: Timeline
-    store: KeyValueStore
+    store: HttpKeyValueStore
     config: ConfigHolder
     fleet: Fleet
     claims: ClaimLedger
@@ -110,7 +112,7 @@
         clock = Clock()
         config = ConfigHolder()
         fleet = Fleet(own_instance(settings), settings.subset_size)
-        store = HttpKeyValueStore(settings.kv_address)
+        store = HttpKeyValueStore.from_address(settings.kv_address)
         limits = make_limits(clock, config, fleet)
         router = Router(fleet, config, clock)
         deadlines = DeadlineQueue()
@@ -126,7 +128,10 @@
             store=store,
             config=config,
             fleet=fleet,
-            claims=ClaimLedger(store),
+            claims=ClaimLedger(
+                store,
+                int(settings.retention_s * MS_IN_S),
+            ),
             limits=limits,
             suspects=suspects,
             metrics=metrics,
@@ -203,6 +208,12 @@
         """Log a periodic job that failed; it runs again."""
         self.log_event('timer_failed', timer=name, fault=repr(exc))
 
+    async def prune_claims(self) -> None:
+        """Remove expired claims, on one entry of the fleet."""
+        own = self.settings.instance
+        if first_for(self.fleet.live_entries(), 'claims') == own:
+            await self.claims.prune()
+
     async def expire_calls(self) -> None:
         """End the calls whose deadline is over."""
         self.deadlines.expire(self.clock.now())
@@ -301,16 +312,22 @@
     timers.on_failure = entry.on_timer_failure
     timers.subscribe('instances', LIST_INTERVAL_S, entry.membership.refresh)
     timers.subscribe('deadlines', EXPIRY_INTERVAL_S, entry.expire_calls)
-    timers.subscribe('outcomes', RECORD_INTERVAL_S, entry.once.record_held)
+    timers.subscribe('outcomes', SETTLE_INTERVAL_S, entry.claims.settle)
+    timers.subscribe('claims', PRUNE_INTERVAL_S, entry.prune_claims)
     timers.subscribe('usage', REPORT_INTERVAL_S, entry.usage.exchange)
     timers.subscribe('suspects', FORGET_INTERVAL_S, entry.suspects.forget_old)
 
 
+def http_options(entry: EntryProcess, address: str) -> HttpOptions:
+    """Return the options of an HTTP listener."""
+    return HttpOptions(address, math.ceil(entry.settings.drain_s))
+
+
 async def start_callers(
     entry: EntryProcess,
     group: TaskGroup,
     parts: Sequence[EntryPart],
-) -> HttpServer:
+) -> HttpListener:
     """Start the callers' listener."""
     assert entry.once is not None
     context = CallersContext(
@@ -322,59 +339,20 @@
     )
     more = [route for part in parts for route in part.caller_routes(entry)]
     app = callers_app(context, entry.limits, entry.open_requests, more)
-    server: HttpServer = await group.start(
-        serve_http,
-        app,
-        entry.settings.callers_address,
-    )
-    entry.callers_address = server.address
-    return server
+    options = http_options(entry, entry.settings.callers_address)
+    listener = await start_http(app, options, group)
+    entry.callers_address = listener.address
+    return listener
 
 
 async def start_operators(
     entry: EntryProcess,
     group: TaskGroup,
     parts: Sequence[EntryPart],
-) -> HttpServer:
+) -> HttpListener:
     """Start the operators' listener."""
     routes = [route for part in parts for route in part.operator_routes(entry)]
-    server: HttpServer = await group.start(
-        serve_http,
-        Starlette(routes=routes),
-        entry.settings.operators_address,
-    )
-    entry.operators_address = server.address
-    return server
-
-
-async def stop_as_planned(
-    entry: EntryProcess,
-    callers: HttpServer,
-    parts: Sequence[EntryPart],
-) -> None:
-    """Leave without cutting a request."""
-    entry.log_event('entry_stopping', open_requests=entry.open_requests.count)
-    for session in list(entry.fleet.entries.values()):
-        session.send(LeavingNotice(entry.settings.instance))
-    # The balancer needs a moment to see that the entry is not ready, and
-    # sends callers until then.
-    entry.open_requests.closing = True
-    await anyio.sleep(entry.settings.linger_s)
-    with anyio.move_on_after(entry.settings.drain_s) as scope:
-        await callers.stop()
-        await drained(entry)
-        for part in reversed(parts):
-            await part.stop(entry)
-    if scope.cancelled_caught:
-        entry.log_event(
-            'drain_timed_out',
-            open_requests=entry.open_requests.count,
-        )
-
-
-async def drained(entry: EntryProcess) -> None:
-    """Wait for callers' requests and runs whose caller is gone."""
-    assert entry.once is not None
-    while entry.open_requests.count or entry.once.running:
-        await anyio.sleep(DRAIN_POLL_S)
-    await entry.once.record_held()
+    options = http_options(entry, entry.settings.operators_address)
+    listener = await start_http(Starlette(routes=routes), options, group)
+    entry.operators_address = listener.address
+    return listener
--- a/src/quetzaldyke/request/router.py
+++ b/src/quetzaldyke/request/router.py
@@ -23,7 +23,9 @@
 from quetzaldyke.request.routing import Candidate, Preference, choose
 from quetzaldyke.version.configuration import Configuration, Pool
 
-EJECTION: Final = BackoffOptions(base_s=1.0, cap_s=30.0)
+EJECTION_BASE_S: Final = 1.0
+EJECTION_CAP_S: Final = 30.0
+EJECTION: Final = BackoffOptions(EJECTION_BASE_S, EJECTION_CAP_S)
 # Work is borrowed only once the own pool has no free slot.
 SATURATED: Final = 1.0
 DEFAULT_POOL: Final = Pool()
@@ -106,7 +108,7 @@
         healthy = self.not_ejected(by_name)
         pool = self.pool_of(request.pool)
         chosen = choose(
-            [self.candidate(one) for one in healthy.values()],
+            [self.candidate(one, request) for one in healthy.values()],
             Preference(self.fleet.own.failure_domain, pool.spill_ratio),
             self.random,
         )
@@ -125,7 +127,11 @@
             link for link in self.fleet.links_of(pool) if serves(link, wanted)
         ]
 
-    def candidate(self, link: SidecarLink) -> Candidate:
+    def candidate(
+        self,
+        link: SidecarLink,
+        request: OnlineRequest | None = None,
+    ) -> Candidate:
         """Return what routing needs to know of a link."""
         report = link.report
         limit = report.limit if report else 1
@@ -135,6 +141,7 @@
             self.load_of(link),
             max(1, limit),
             link.ttft_ms,
+            cached_blocks(report, request),
         )
 
     def load_of(self, link: SidecarLink) -> int:
@@ -217,6 +224,19 @@
             self.borrowed[request.pool, lender] -= 1
 
 
+def cached_blocks(report: Report | None, request: OnlineRequest | None) -> int:
+    """Return how many blocks of the prompt an endpoint has cached."""
+    if report is None or request is None or not request.prefixes:
+        return 0
+    cached = frozenset(report.prefixes)
+    known = [
+        number
+        for number, name in enumerate(request.prefixes, start=1)
+        if name in cached
+    ]
+    return max(known, default=0)
+
+
 def serves(link: SidecarLink, wanted: Pool) -> bool:
     """Tell whether an endpoint reports the model that a pool needs."""
     report = link.report
