--- a/src/quetzaldyke/process/operators_http.py
+++ b/src/quetzaldyke/process/operators_http.py
@@ -59,8 +59,13 @@
     'unavailable': UNAVAILABLE,
     'unknown': UNAVAILABLE,
 }
-# Kinds after which the patch may be in force all the same.
-UNCERTAIN: Final = frozenset(('unknown', 'too_old'))
+# What a refusal says of the patch. `unavailable` says nothing about earlier
+# sends of the same patch, since the history could not be read.
+ACCEPTED_BY: Final[dict[PatchErrorKind, str]] = {
+    'unknown': 'unknown',
+    'too_old': 'unknown',
+    'unavailable': 'not by this request',
+}
 
 
 class PatchBody(BaseModel):
@@ -232,7 +237,7 @@
 def patch_refusal(failure: PatchError) -> JSONResponse:
     """Return the response for a patch that is not known to be accepted."""
     more: dict[str, object] = {
-        'accepted': 'unknown' if failure.kind in UNCERTAIN else 'no',
+        'accepted': ACCEPTED_BY.get(failure.kind, 'no'),
     }
     if failure.head is not None:
         more['version'] = failure.head.version
--- a/src/quetzaldyke/standins/kv.py
+++ b/src/quetzaldyke/standins/kv.py
@@ -145,7 +145,9 @@
         'value': encode(kv.value),
         'lease': str(kv.lease),
     }
-    return {name: text for name, text in fields.items() if text not in {'0', ''}}
+    return {
+        name: text for name, text in fields.items() if text not in {'0', ''}
+    }
 
 
 def event_body(event: KeyEvent) -> Body:
@@ -158,7 +160,11 @@
 
 def header(state: KvState) -> Body:
     """Return the header that every answer has."""
-    return {'cluster_id': '1', 'member_id': '1', 'revision': str(state.revision)}
+    return {
+        'cluster_id': '1',
+        'member_id': '1',
+        'revision': str(state.revision),
+    }
 
 
 def do_range(standin: KvStandin, body: Body) -> Body:
--- a/src/quetzaldyke/version/exchange.py
+++ b/src/quetzaldyke/version/exchange.py
@@ -31,6 +31,9 @@
 PUSH_AFTER_S: Final = 0.5
 PUSH_SPREAD_S: Final = 1.5
 PUSH_REPEAT_S: Final = 3.0
+# A peer of an older release may refuse every push; the time between pushes
+# doubles up to 96 s.
+MAX_PUSH_DOUBLINGS: Final = 5
 # A delta costs the receiver a replay; it must save bytes to be worth it.
 DELTA_SHARE: Final = 0.5
 
@@ -45,6 +48,7 @@
     version: int
     # When the next push is due if the peer stays behind; 0 when it is not.
     push_at_s: float = 0.0
+    pushes: int = 0
 
 
 @dataclass(slots=True)
@@ -90,9 +94,7 @@
 
     def open_peers(self) -> list[KnownPeer]:
         """Return the peers whose connection is open."""
-        return [
-            peer for peer in self.peers.values() if not peer.session.closed
-        ]
+        return [peer for peer in self.peers.values() if not peer.session.closed]
 
     async def on_message(self, session: PeerSession, message: Message) -> None:
         """Handle one of the messages of the exchange."""
@@ -131,6 +133,9 @@
         """
         if peer.session.remote.role != 'entry':
             return
+        if peer.version <= self.holder.refused_version:
+            # Another copy of a document that this release can't read.
+            return
         now_s = self.clock.now()
         waiting = self.asked is not None and not self.asked.closed
         if waiting and now_s - self.asked_at_s < REQUEST_TIMEOUT_S:
@@ -170,8 +175,9 @@
     def adopt(self, session: PeerSession, push: ConfigPush) -> bool:
         """Take a whole document."""
         self.answered_by(session)
+        adopted = self.holder.adopt(push.version, push.document)
         self.note(session, push.version)
-        return self.holder.adopt(push.version, push.document)
+        return adopted
 
     def adopt_delta(self, session: PeerSession, delta: ConfigDelta) -> bool:
         """Take patches; ask for the whole document if they don't fit."""
@@ -224,11 +230,14 @@
         """Push to a peer that has been behind for long enough."""
         if peer.version >= self.holder.version:
             peer.push_at_s = 0
+            peer.pushes = 0
             return
         now_s = self.clock.now()
         if not peer.push_at_s:
             delay_s = PUSH_AFTER_S + PUSH_SPREAD_S * self.random()
             peer.push_at_s = now_s + delay_s
         elif now_s >= peer.push_at_s:
-            peer.push_at_s = now_s + PUSH_REPEAT_S
+            repeats = min(peer.pushes, MAX_PUSH_DOUBLINGS)
+            peer.push_at_s = now_s + PUSH_REPEAT_S * 2**repeats
+            peer.pushes += 1
             self.push(peer.session)
--- a/src/quetzaldyke/version/holder.py
+++ b/src/quetzaldyke/version/holder.py
@@ -74,7 +74,9 @@
         try:
             configuration = unpack_document(document)
         except (ModelError, zlib.error) as exc:
-            return self.refuse(version, type(exc).__name__)
+            self.refused_version = max(version, self.refused_version)
+            self.refused_reason = type(exc).__name__
+            return False
         self.patches.clear()
         self.packed = document
         self.digested = ''
@@ -97,21 +99,15 @@
             return False
         configuration = replay(self.current, packed_patches)
         if configuration is None:
-            return self.refuse(version, 'patches do not apply')
+            return False
         found = digest_of_document(configuration) if digest else ''
         if found != digest:
-            return self.refuse(version, 'another document')
+            return False
         self.patches.extend(packed_patches)
         self.packed = None
         self.digested = found
         return self.versioned.adopt(version, configuration)
 
-    def refuse(self, version: int, reason: str) -> bool:
-        """Remember a version that could not be put in force."""
-        self.refused_version = version
-        self.refused_reason = reason
-        return False
-
     def patches_since(self, version: int) -> list[bytes] | None:
         """Return the patches after a version; None if any is not kept."""
         count = self.version - version
--- a/src/quetzaldyke/version/latest.py
+++ b/src/quetzaldyke/version/latest.py
@@ -18,6 +18,7 @@
     ABSENT,
     KeyValueStore,
     KvError,
+    Refused,
     Stored,
     read,
     swap,
@@ -27,6 +28,7 @@
 # Reads of `config` for one change of the hint. A write that was under way
 # when the hint was read is seen by the second one, 4 s later.
 READS_FOR_CHANGE: Final = 3
+MAX_TRIES: Final = 3
 # `config` is read all the same once in so many polls (a minute), in case it
 # was written by other means.
 FULL_READ_POLLS: Final = 15
@@ -50,11 +52,20 @@
     def change(payload: bytes) -> bytes:
         return str(max(version, version_in(payload))).encode()
 
-    outcome = await swap(store, LATEST_KEY, change)
-    return outcome.map_err(as_kv_error)
+    for _ in range(MAX_TRIES):
+        outcome: Result[Stored, KvError | Refused[None]] = await swap(
+            store,
+            LATEST_KEY,
+            change,
+        )
+        written = outcome.map_err(as_kv_error)
+        # Writing the same version twice does no harm.
+        if written.is_ok() or written.unwrap_err().kind != 'unknown':
+            break
+    return written
 
 
-def as_kv_error(failure: object) -> KvError:
+def as_kv_error(failure: KvError | Refused[None]) -> KvError:
     """Return the failure of a swap that never declines."""
     assert isinstance(failure, KvError)
     return failure
--- a/src/quetzaldyke/version/patching.py
+++ b/src/quetzaldyke/version/patching.py
@@ -79,10 +79,10 @@
     """
     touched: set[str] = set()
     for one in operations:
-        for pointer in (one.get('path'), one.get('from', '/pools')):
+        for pointer in (one.get('path', ''), one.get('from', '/pools')):
             try:
                 section, *inner = jsonpointer.JsonPointer(pointer).parts
-            except (*PATCH_FAULTS, IndexError):
+            except PATCH_FAULTS:
                 return None
             if section != LARGE_TABLE:
                 continue
--- a/src/quetzaldyke/version/spread.py
+++ b/src/quetzaldyke/version/spread.py
@@ -26,7 +26,7 @@
     Heartbeat,
 )
 from quetzaldyke.connection.peer import PeerSession
-from quetzaldyke.parts.kv import Envelope, KeyValueStore
+from quetzaldyke.parts.kv import Change, Envelope, KeyValueStore, read
 from quetzaldyke.parts.rendezvous import ranking
 from quetzaldyke.parts.timers import Clock, TimerService
 from quetzaldyke.process.fleet import Fleet
@@ -35,7 +35,7 @@
 from quetzaldyke.version.exchange import CHECK_INTERVAL_S, ConfigExchange
 from quetzaldyke.version.holder import ConfigHolder
 from quetzaldyke.version.latest import LatestReader
-from quetzaldyke.version.store import CONFIG_KEY, Head, read_head
+from quetzaldyke.version.store import CONFIG_KEY, Head
 
 WATCHERS_PER_DOMAIN: Final = 3
 WATCH_RANK_KEY: Final = 'config-watch'
@@ -44,7 +44,7 @@
 # so that it does not start from a peer that is itself behind.
 PEERS_WAIT_S: Final = 3.0
 WATCH_RETRY_S: Final = 0.5
-NOT_WATCHING_S: Final = 1.0
+FROM_NOW: Final = 0
 
 
 @dataclass(slots=True)
@@ -62,6 +62,8 @@
     settled: bool = False
     first_peer_s: float | None = None
     last_revision: int = 0
+    # Whether the watch may start after the last revision seen.
+    watch_gave: bool = True
 
     @classmethod
     def from_parts(
@@ -155,9 +157,12 @@
 
     async def refresh(self) -> None:
         """Read the value and adopt it."""
-        answer = await read_head(self.store)
-        if not isinstance(answer, Err):
-            self.on_head(answer.ok_value)
+        answer = await read(self.store, CONFIG_KEY)
+        if isinstance(answer, Err):
+            return
+        stored = answer.ok_value
+        self.last_revision = max(self.last_revision, stored.revision)
+        self.on_head(Head.unpack(stored.payload))
 
     def is_watcher(self) -> bool:
         """Tell whether this entry ranks among its domain's watchers."""
@@ -170,27 +175,35 @@
         while True:
             if self.is_watcher():
                 await self.watch()
-                await anyio.sleep(WATCH_RETRY_S)
-            else:
-                await anyio.sleep(NOT_WATCHING_S)
+                # A broken watch may have missed a change; one that lost its
+                # rank need not read.
+                if self.is_watcher():
+                    await self.refresh()
+            await anyio.sleep(WATCH_RETRY_S)
 
     async def watch(self) -> None:
-        """Adopt versions as they are written until the watch breaks.
+        """Adopt versions as they are written until the watch ends.
 
         The watch starts after the last revision seen, so nothing written
-        between two watches is missed; what the service no longer keeps is
-        found by the poll.
+        between two watches is missed. The service may have discarded what
+        follows that revision; a watch that ends without a change is
+        therefore followed by one from now on.
         """
-        changes = self.store.watch(CONFIG_KEY, self.last_revision)
-        async for change in changes:
-            entry = change.entry
-            self.last_revision = max(self.last_revision, entry.revision)
-            if entry.key != CONFIG_KEY or change.deleted:
-                continue
-            self.on_head(Head.unpack(Envelope.unpack(entry.value).payload))
+        after = self.last_revision if self.watch_gave else FROM_NOW
+        self.watch_gave = after == FROM_NOW
+        async for change in self.store.watch(CONFIG_KEY, after):
+            self.watch_gave = True
+            self.on_change_seen(change)
             if not self.is_watcher():
                 return
 
+    def on_change_seen(self, change: Change) -> None:
+        """Adopt the value of a change that the watch gave."""
+        entry = change.entry
+        self.last_revision = max(self.last_revision, entry.revision)
+        if entry.key == CONFIG_KEY and not change.deleted:
+            self.on_head(Head.unpack(Envelope.unpack(entry.value).payload))
+
 
 def watchers_of(fleet: Fleet, failure_domain: str) -> list[str]:
     """Return the entries of a failure domain that watch the value."""
--- a/src/quetzaldyke/version/store.py
+++ b/src/quetzaldyke/version/store.py
@@ -47,7 +47,7 @@
     'reused',  # the id belongs to an accepted patch of other content
     'too_old',  # base older than the history: an earlier send may be in
     'too_large',
-    'unavailable',  # certainly not accepted
+    'unavailable',  # not accepted by this send; nothing was read
     'unknown',  # may have been accepted; send the same id again
 ]
 
--- /dev/null
+++ b/tests/test_patches.py
@@ -0,0 +1,435 @@
+"""Tests of configuration patches: racing operators, lost answers, resends."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from unittest import mock
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+from result import Err, Ok, Result
+
+from quetzaldyke.parts import kv
+from quetzaldyke.parts.kv import Envelope, KvError, Record
+from quetzaldyke.version import store as store_module
+from quetzaldyke.version.configuration import (
+    Configuration,
+    LendingRule,
+    Organisation,
+    Pool,
+    hash_key,
+    pack_document,
+)
+from quetzaldyke.version.holder import ConfigHolder
+from quetzaldyke.version.latest import LATEST_KEY, version_in
+from quetzaldyke.version.patching import (
+    Operations,
+    apply_patch,
+    pack_operations,
+    patch_whole,
+)
+from quetzaldyke.version.store import (
+    CONFIG_KEY,
+    KEPT_PATCHES,
+    Accepted,
+    Head,
+    PatchError,
+    read_head,
+    submit_patch,
+)
+
+FAULTS = ('fine', 'fine', 'lost', 'late', 'dropped', 'down')
+NOT_IN = frozenset(('stale', 'invalid', 'reused', 'too_large'))
+
+
+@dataclass
+class FaultyStore:
+    """Store in memory with lost, late and dropped writes.
+
+    A late write answers `unknown` and is applied at some later time, if the
+    key still has the revision that it was made for.
+    """
+
+    draw: random.Random = field(default_factory=lambda: random.Random(1))
+    faults: list[str] = field(default_factory=list)
+    records: dict[str, Record] = field(default_factory=dict)
+    revision: int = 0
+    late: list[Callable[[], bool]] = field(default_factory=list)
+    # Every value that `config` ever had.
+    heads: list[Head] = field(default_factory=list)
+
+    async def pause(self) -> str:
+        """Let others run and return the fault of this call."""
+        for _ in range(self.draw.randrange(4)):
+            await anyio.lowlevel.checkpoint()
+        if self.late and self.draw.random() < 0.3:
+            self.late.pop(self.draw.randrange(len(self.late)))()
+        return self.faults.pop() if self.faults else 'fine'
+
+    async def get(self, key: str) -> Result[Record | None, KvError]:
+        """Read one key."""
+        if await self.pause() == 'down':
+            return Err(KvError('unavailable'))
+        return Ok(self.records.get(key))
+
+    async def put_if(
+        self, key: str, value: bytes, revision: int, lease_id: int = 0
+    ) -> Result[int, KvError]:
+        """Write with the fault that is next."""
+
+        def apply() -> bool:
+            present = self.records.get(key)
+            if (present.revision if present else 0) != revision:
+                return False
+            self.revision += 1
+            self.records[key] = Record(key, value, self.revision)
+            if key == CONFIG_KEY:
+                self.note_head(value)
+            return True
+
+        fault = await self.pause()
+        if fault == 'down':
+            return Err(KvError('unavailable'))
+        if fault == 'late':
+            self.late.append(apply)
+        if fault in {'late', 'dropped'}:
+            return Err(KvError('unknown'))
+        done = apply()
+        if fault == 'lost':
+            return Err(KvError('unknown'))
+        return Ok(self.revision) if done else Err(KvError('conflict'))
+
+    def note_head(self, raw: bytes) -> None:
+        """Check and remember a new value of `config`."""
+        head = Head.unpack(Envelope.unpack(raw).payload)
+        last = self.heads[-1].version if self.heads else 0
+        assert head.version == last + 1
+        hint = Envelope.unpack(self.records[LATEST_KEY].value).payload
+        assert version_in(hint) >= head.version
+        self.heads.append(head)
+
+    def accepted_ids(self) -> list[str]:
+        """Return the patch ids of all versions, in order."""
+        return [head.patches[-1].patch_id for head in self.heads]
+
+
+def set_tries(number: int) -> Operations:
+    """Return a patch of one field."""
+    return [{'op': 'replace', 'path': '/max_item_tries', 'value': number}]
+
+
+class PatchMachine(RuleBasedStateMachine):
+    """Operators that race, lose answers and send again."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed: int) -> None:
+        """Start with an empty store."""
+        self.store = FaultyStore(random.Random(seed))
+        self.sent: dict[str, tuple[int, int]] = {}
+        self.answers: dict[str, list[Any]] = defaultdict(list)
+        self.number = 0
+        # Patches that were sent once and refused as `unavailable`.
+        self.unavailable: set[str] = set()
+
+    @rule(
+        bases=st.lists(st.integers(0, 2), min_size=1, max_size=4),
+        faults=st.lists(st.sampled_from(FAULTS), max_size=12),
+    )
+    def race(self, bases: list[int], faults: list[str]) -> None:
+        """Several operators patch at once, some against older versions."""
+        self.store.faults = list(faults)
+        now = len(self.store.heads)
+        names = []
+        for behind in bases:
+            self.number += 1
+            name = f'patch-{self.number}'
+            self.sent[name] = (max(now - behind, 0), self.number % 100 + 1)
+            names.append(name)
+        self.submit(names)
+
+    @rule(
+        picks=st.lists(st.integers(0, 9), min_size=1, max_size=3),
+        faults=st.lists(st.sampled_from(FAULTS), max_size=8),
+    )
+    def resend(self, picks: list[int], faults: list[str]) -> None:
+        """Operators send recent patches again, also at the same time."""
+        self.store.faults = list(faults)
+        recent = list(self.sent)[-10:]
+        if recent:
+            self.submit([recent[pick % len(recent)] for pick in picks])
+
+    @rule(count=st.integers(30, 70))
+    def many(self, count: int) -> None:
+        """Push earlier patches out of the windows of ids."""
+        self.store.faults = []
+        now = len(self.store.heads)
+        names = []
+        for later in range(count):
+            self.number += 1
+            name = f'patch-{self.number}'
+            self.sent[name] = (now + later, 7)
+            names.append(name)
+        self.submit(names, limit=1)
+
+    @rule()
+    def flush(self) -> None:
+        """Late writes arrive."""
+        while self.store.late:
+            self.store.late.pop()()
+
+    def submit(self, names: list[str], limit: int = 10) -> None:
+        """Send patches, so many at a time, and note the answers."""
+        self.unavailable -= set(names)
+
+        async def one(name: str, limiter: anyio.CapacityLimiter) -> None:
+            base, number = self.sent[name]
+            async with limiter:
+                outcome = await submit_patch(
+                    self.store,  # type: ignore[arg-type]
+                    base,
+                    name,
+                    set_tries(number),
+                )
+            answer = outcome.ok() or outcome.err()
+            first = not self.answers[name] and names.count(name) == 1
+            if isinstance(answer, PatchError) and first:
+                if answer.kind == 'unavailable':
+                    self.unavailable.add(name)
+            self.answers[name].append(answer)
+
+        async def together() -> None:
+            limiter = anyio.CapacityLimiter(limit)
+            async with anyio.create_task_group() as group:
+                for name in names:
+                    group.start_soon(one, name, limiter)
+
+        with (
+            mock.patch.object(kv, 'RETRY_PAUSE_S', 0),
+            mock.patch.object(store_module, 'SETTLE_PAUSE_S', 0),
+        ):
+            anyio.run(together)
+
+    @invariant()
+    def answers_are_true(self) -> None:
+        """Check every answer against all versions that ever were."""
+        ids = self.store.accepted_ids()
+        assert len(ids) == len(set(ids))
+        assert not self.unavailable & set(ids)
+        for name, answers in self.answers.items():
+            for answer in answers:
+                if isinstance(answer, Accepted):
+                    assert ids.index(name) + 1 == answer.version
+                elif answer.kind in NOT_IN:
+                    assert name not in ids
+
+    def teardown(self) -> None:
+        """Late writes must not make a refusal untrue."""
+        if hasattr(self, 'store'):
+            self.flush()
+            self.answers_are_true()
+
+
+PatchMachine.TestCase.settings = settings(
+    max_examples=30,
+    stateful_step_count=12,
+    derandomize=True,
+    deadline=None,
+)
+TestPatchMachine = PatchMachine.TestCase
+
+
+def submit(
+    faulty: FaultyStore, base: int, name: str, operations: Operations
+) -> Accepted | PatchError:
+    """Submit one patch."""
+
+    async def main() -> Any:
+        outcome = await submit_patch(
+            faulty,  # type: ignore[arg-type]
+            base,
+            name,
+            operations,
+        )
+        return outcome.ok() or outcome.err()
+
+    answer: Accepted | PatchError = anyio.run(main)
+    return answer
+
+
+@pytest.mark.parametrize(
+    ('base', 'name', 'operations', 'expected'),
+    [
+        (2, 'new', set_tries(5), 'accepted'),
+        (2, 'p2', set_tries(2), 'reused'),
+        (1, 'p2', set_tries(2), 'repeated'),
+        (1, 'p2', set_tries(3), 'reused'),
+        (1, 'new', set_tries(5), 'stale'),
+        (9, 'new', set_tries(5), 'stale'),
+        (2, 'new', set_tries(0), 'invalid'),
+        (2, 'new', [{'op': 'remove', 'path': '/absent'}], 'invalid'),
+        (2, 'new', [{'path': '/pools'}], 'invalid'),
+        (2, 'new', [{'op': 'copy', 'from': '', 'path': '/x'}] * 5, 'invalid'),
+        (
+            2,
+            'new',
+            [{'op': 'test', 'path': '/max_item_tries', 'value': 4}],
+            'invalid',
+        ),
+    ],
+)
+def test_answers(
+    base: int, name: str, operations: Operations, expected: str
+) -> None:
+    """Guards against a patch applied to a version it was not made for."""
+    faulty = FaultyStore()
+    for number in (1, 2):
+        submit(faulty, number - 1, f'p{number}', set_tries(number))
+    answer = submit(faulty, base, name, operations)
+    if isinstance(answer, Accepted):
+        assert expected == ('repeated' if answer.repeated else 'accepted')
+        assert answer.version == (2 if answer.repeated else 3)
+    else:
+        assert answer.kind == expected
+
+
+def test_base_older_than_the_history_is_not_called_refused() -> None:
+    """Guards against "not accepted" for a patch that was accepted long ago."""
+    faulty = FaultyStore()
+    for number in range(KEPT_PATCHES + 2):
+        submit(faulty, number, f'p{number}', set_tries(3))
+    answer = submit(faulty, 0, 'p0', set_tries(3))
+    assert isinstance(answer, PatchError)
+    assert answer.kind == 'too_old'
+
+
+def test_large_patches_leave_room_for_the_document() -> None:
+    """Guards against a history that fills the value's limit."""
+    faulty = FaultyStore()
+    for number in range(4):
+        names = [f'{number}-{one}' for one in range(1200)]
+        large = {name: {'key_sha256': hash_key(name)} for name in names}
+        operations = [{'op': 'replace', 'path': '/organisations', 'value': {}}]
+        operations[0]['value'] = large
+        submit(faulty, number, f'p{number}', operations)
+    head = anyio.run(read_head, faulty).unwrap()
+    kept = [bool(one.packed_operations) for one in head.patches]
+    assert len(kept) == 4
+    assert not all(kept)
+    assert kept[-1]
+    assert head.since(0) is None
+    assert head.since(3) is not None
+
+
+ORGANISATIONS = {
+    name: Organisation(key_sha256=hash_key(name)) for name in 'abc'
+}
+BASE = Configuration(
+    pools={'x': Pool(), 'y': Pool(replicas=2)},
+    organisations=ORGANISATIONS,
+    lending=(LendingRule(borrower='x', lender='y'),),
+)
+PATHS = (
+    '',
+    '/organisations',
+    '/organisations/a',
+    '/organisations/b/concurrency',
+    '/organisations/new',
+    '/organisations/a~1b',
+    '/pools/x',
+    '/pools/y/replicas',
+    '/pools',
+    '/lending/0',
+    '/lending/-',
+    '/max_item_tries',
+)
+VALUES = (
+    3,
+    'text',
+    {},
+    {'key_sha256': hash_key('z')},
+    {'borrower': 'y', 'lender': 'x'},
+    {'replicas': 4},
+)
+OPERATION = st.fixed_dictionaries(
+    {
+        'op': st.sampled_from(
+            ('add', 'replace', 'remove', 'test', 'copy', 'move')
+        ),
+        'path': st.sampled_from(PATHS),
+        'from': st.sampled_from(PATHS),
+        'value': st.sampled_from(VALUES),
+    },
+)
+
+
+@settings(max_examples=600)
+@given(operations=st.lists(OPERATION, min_size=1, max_size=4))
+def test_patched_part_equals_patched_whole(
+    operations: list[dict[str, Any]],
+) -> None:
+    """Guards against another outcome when only touched entries are patched."""
+    copies = sum(one['op'] == 'copy' for one in operations)
+    whole = patch_whole(BASE, operations)
+    part = apply_patch(BASE, operations)
+    if copies <= 4:
+        assert part.is_ok() == whole.is_ok()
+        assert part.ok() == whole.ok()
+
+
+@given(versions=st.lists(st.integers(0, 12), max_size=20))
+def test_holder_never_goes_back(versions: list[int]) -> None:
+    """Guards against a reverted version, whatever order pushes come in."""
+    holder = ConfigHolder()
+    seen: list[int] = []
+    holder.on_change(lambda version, _: seen.append(version))
+    for version in versions:
+        document = pack_document(Configuration(max_item_tries=version + 1))
+        holder.adopt(version, document)
+    assert seen == sorted(set(seen))
+    assert holder.version == max(versions, default=0)
+    if holder.version:
+        assert holder.current.max_item_tries == holder.version + 1
+
+
+@pytest.mark.parametrize(
+    ('version', 'patches', 'digest', 'adopted'),
+    [
+        (2, [set_tries(9)], '', True),
+        (2, [set_tries(9)], 'another', False),
+        (3, [set_tries(9)], '', False),
+        (3, [set_tries(9), set_tries(8)], '', True),
+        (2, [set_tries(0)], '', False),
+        (1, [], '', False),
+    ],
+)
+def test_deltas_are_checked(
+    version: int, patches: list[Operations], digest: str, adopted: bool
+) -> None:
+    """Guards against a delta that leads to a document of another version."""
+    holder = ConfigHolder()
+    holder.adopt(1, pack_document(BASE))
+    packed = [pack_operations(one) for one in patches]
+    assert holder.adopt_patches(version, packed, digest) is adopted
+    assert holder.version == (version if adopted else 1)
+
+
+@pytest.mark.parametrize('raw', [b'not zlib', pack_document(BASE)[:-4]])
+def test_unreadable_document_changes_nothing(raw: bytes) -> None:
+    """Guards against a damaged or newer document that stops a process."""
+    holder = ConfigHolder()
+    assert holder.adopt(1, pack_document(BASE))
+    assert not holder.adopt(2, raw)
+    assert (holder.version, holder.refused_version) == (1, 2)
+    assert holder.adopt(3, pack_document(BASE))
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,368 @@
+"""Tests of the spread of configuration versions, over real sockets."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup, TaskStatus
+
+from quetzaldyke.connection import messages
+from quetzaldyke.connection.config_messages import ConfigRequest
+from quetzaldyke.connection.kv_http import HttpKeyValueStore
+from quetzaldyke.connection.links import LinkOptions, dial, listen
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.hlc import HybridClock
+from quetzaldyke.parts.kv import Change
+from quetzaldyke.parts.timers import Clock, TimerService
+from quetzaldyke.process import fleet as fleet_module
+from quetzaldyke.process.fleet import Fleet, Instance
+from quetzaldyke.process.logs import make_log_event
+from quetzaldyke.standins.kv import KvOptions, KvStandin, run_kv
+from quetzaldyke.version.configuration import (
+    Configuration,
+    hash_key,
+    pack_document,
+)
+from quetzaldyke.version.everywhere import EverywhereWait
+from quetzaldyke.version.holder import ConfigHolder
+from quetzaldyke.version.spread import Spread, watchers_of
+from quetzaldyke.version.store import submit_patch
+
+SECRET = 'fleet-secret-0001'
+LIMIT_S = 30.0
+
+
+class WithoutWatch(HttpKeyValueStore):
+    """Store whose watches never give anything."""
+
+    async def watch(
+        self, prefix: str, after_revision: int
+    ) -> AsyncIterator[Change]:
+        """Wait for ever."""
+        await anyio.sleep_forever()
+        yield  # type: ignore[misc]
+
+
+@dataclass
+class Node:
+    """What one entry has for its configuration."""
+
+    fleet: Fleet
+    spread: Spread
+    wait: EverywhereWait
+    options: LinkOptions
+    group: TaskGroup
+    address: str = ''
+    received: list[messages.Message] = field(default_factory=list)
+
+    @property
+    def holder(self) -> ConfigHolder:
+        """Return the node's configuration."""
+        return self.spread.holder
+
+    def row(self) -> Instance:
+        """Return the node's row in the instance list."""
+        own = self.fleet.own
+        return Instance(own.instance, 'entry', own.failure_domain, self.address)
+
+    async def submit(self, number: int) -> int:
+        """Submit a patch on the present version; return the new one."""
+        operations: list[dict[str, Any]] = [
+            {'op': 'replace', 'path': '/max_item_tries', 'value': number}
+        ]
+        if not self.holder.version:
+            # A document that is larger than a patch.
+            operations.append(
+                {
+                    'op': 'replace',
+                    'path': '/organisations',
+                    'value': {
+                        f'org-{one}': {'key_sha256': hash_key(str(one))}
+                        for one in range(20)
+                    },
+                }
+            )
+        outcome = await submit_patch(
+            self.spread.store,
+            self.holder.version,
+            f'patch-{number}',
+            operations,
+        )
+        return outcome.unwrap().version
+
+
+def make_node(
+    name: str, store: HttpKeyValueStore, group: TaskGroup, timers: TimerService
+) -> Node:
+    """Build a node that does not run yet."""
+    clock = HybridClock(name)
+    fleet = Fleet(Instance(name, 'entry', 'a', ''), 20)
+    holder = ConfigHolder()
+    log_event, _ = make_log_event(name, clock)
+    spread = Spread.from_parts(
+        store, holder, fleet, Clock(), log_event, lambda: 0.0
+    )
+    spread.subscribe(timers)
+    wait = EverywhereWait(fleet, spread.exchange, Clock())
+    wait.subscribe()
+
+    async def on_open(session: PeerSession) -> None:
+        await fleet_module.opened(fleet, session)
+
+    async def on_message(
+        session: PeerSession, message: messages.Message
+    ) -> None:
+        await fleet_module.dispatch(fleet, session, message)
+
+    options = LinkOptions(
+        SECRET,
+        clock,
+        lambda: messages.Hello(1, 'entry', name, 'a', 'i', '', holder.version),
+        lambda: holder.version,
+        on_open,
+        on_message,
+        lambda session: fleet_module.closed(fleet, session),
+    )
+    return Node(fleet, spread, wait, options, group)
+
+
+async def run_node(
+    name: str,
+    store: HttpKeyValueStore,
+    *,
+    task_status: TaskStatus[Node] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a node until its group is cancelled."""
+    timers = TimerService()
+    async with store, anyio.create_task_group() as group:
+        node = make_node(name, store, group, timers)
+        node.address = await group.start(listen, '127.0.0.1:0', node.options)
+        group.start_soon(timers.run)
+        group.start_soon(node.spread.run)
+        group.start_soon(node.wait.run)
+        task_status.started(node)
+        await anyio.sleep_forever()
+
+
+def introduce(*nodes: Node) -> None:
+    """Give every node the same instance list."""
+    rows = [node.row() for node in nodes]
+    for node in nodes:
+        fleet_module.apply_list(node.fleet, rows, node.group, node.options)
+
+
+Scenario = Callable[[KvStandin, Callable[..., Awaitable[Node]]], Awaitable[Any]]
+
+
+def run_scenario(scenario: Scenario) -> None:
+    """Run a scenario against a key-value stand-in."""
+
+    async def main() -> None:
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as group:
+                standin = await group.start(run_kv, KvOptions())
+
+                async def start(name: str, kind: Any = WithoutWatch) -> Node:
+                    store = kind.from_address(standin.address)
+                    node: Node = await group.start(run_node, name, store)
+                    return node
+
+                await scenario(standin, start)
+                group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_version_reaches_peers_without_watches() -> None:
+    """Guards against spread that depends on the watches alone."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        first, second = await start('e1'), await start('e2')
+        introduce(first, second)
+        for number in (11, 12, 13):
+            version = await first.submit(number)
+            await first.spread.refresh()
+            current = await second.holder.wait_for(version)
+            assert current.max_item_tries == number
+        exchange = first.spread.exchange
+        assert (exchange.sent_documents, exchange.sent_deltas) == (1, 2)
+
+    run_scenario(scenario)
+
+
+def test_watch_brings_a_version_without_peers() -> None:
+    """Guards against a watch that sees nothing or starts too late."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        first = await start('e1', HttpKeyValueStore)
+        second = await start('e2', HttpKeyValueStore)
+        for number in (11, 12):
+            version = await first.submit(number)
+            await first.holder.wait_for(version)
+            await second.holder.wait_for(version)
+
+    run_scenario(scenario)
+
+
+def test_poll_finds_a_version_whose_writer_died() -> None:
+    """Guards against a version that only its dead writer knew of."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        first, second = await start('e1'), await start('e2')
+        version = await first.submit(11)
+        first.group.cancel_scope.cancel()
+        await second.spread.poll()
+        assert second.holder.version == version
+        # A second version, now that the first is known.
+        third = await start('e3')
+        await third.spread.refresh()
+        version = await third.submit(12)
+        await second.spread.poll()
+        assert second.holder.version == version
+
+    run_scenario(scenario)
+
+
+def test_polls_without_a_change_do_not_read_the_document() -> None:
+    """Guards against reading 255 KB every 4 s in every entry."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        node = await start('e1')
+        await node.submit(11)
+        await node.spread.refresh()
+        before = standin.counts.calls['range']
+        for _ in range(5):
+            await node.spread.poll()
+        assert standin.counts.calls['range'] - before == 5
+
+    run_scenario(scenario)
+
+
+def test_start_in_an_outage_takes_the_peers_version() -> None:
+    """Guards against a restarted process that reverts or is ready early."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        first, second = await start('e1'), await start('e2')
+        introduce(first, second)
+        version = await first.submit(11)
+        await first.spread.refresh()
+        await second.holder.wait_for(version)
+        standin.faults.down = True
+        third = await start('e3')
+        await third.spread.poll()
+        await third.spread.check()
+        assert not third.spread.settled
+        introduce(first, second, third)
+        await third.holder.wait_for(version)
+        while not third.spread.settled:
+            await anyio.sleep(0.02)
+        assert third.holder.version == version
+        assert third.holder.current.max_item_tries == 11
+
+    run_scenario(scenario)
+
+
+def test_late_older_push_is_ignored() -> None:
+    """Guards against a reverted configuration."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        first, second = await start('e1'), await start('e2')
+        introduce(first, second)
+        await first.submit(11)
+        await first.spread.refresh()
+        version = await first.submit(12)
+        await first.spread.refresh()
+        await second.holder.wait_for(version)
+        old = pack_document(Configuration(max_item_tries=99))
+        first.fleet.send_to_entry('e2', messages.ConfigPush(1, old))
+        first.fleet.send_to_entry('e2', messages.ConfigPush(version, old))
+        # A later version over the same connection proves that they arrived.
+        version = await first.submit(13)
+        await first.spread.refresh()
+        await second.holder.wait_for(version)
+        assert second.holder.current.max_item_tries == 13
+        assert second.holder.refused_version == 0
+
+    run_scenario(scenario)
+
+
+def test_wait_everywhere_names_those_that_lack_it() -> None:
+    """Guards against a wait that ends before every live process reported."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        first, second = await start('e1'), await start('e2')
+        introduce(first, second)
+        version = await first.submit(11)
+        await first.spread.refresh()
+        assert await first.wait.wait_everywhere(version, LIMIT_S) == []
+        silent = Instance('s9', 'sidecar', 'a', '127.0.0.1:1', 'orders')
+        first.fleet.instances['s9'] = silent
+        assert await first.wait.wait_everywhere(version, 0.2) == ['s9']
+        assert await first.wait.wait_everywhere(version + 1, 0.2) == [
+            'e1',
+            'e2',
+            's9',
+        ]
+
+    run_scenario(scenario)
+
+
+def test_peer_that_can_not_ask_is_sent_the_document() -> None:
+    """Guards against sidecars that stay behind for ever."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        node = await start('e1')
+        version = await node.submit(11)
+        await node.spread.refresh()
+        pushed: list[messages.Message] = []
+        arrived = anyio.Event()
+
+        async def on_open(session: PeerSession) -> None:
+            """Send nothing."""
+
+        async def on_message(
+            session: PeerSession, message: messages.Message
+        ) -> None:
+            pushed.append(message)
+            assert not isinstance(message, ConfigRequest)
+            if isinstance(message, messages.ConfigPush):
+                arrived.set()
+
+        options = LinkOptions(
+            SECRET,
+            HybridClock('s1'),
+            lambda: messages.Hello(1, 'sidecar', 's1', 'a', 'i', 'orders'),
+            lambda: 0,
+            on_open,
+            on_message,
+            lambda session: None,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(dial, node.address, options)
+            await arrived.wait()
+            group.cancel_scope.cancel()
+        last = pushed[-1]
+        assert isinstance(last, messages.ConfigPush)
+        assert last.version == version
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(('others', 'expected'), [(1, 2), (9, 3)])
+def test_few_entries_of_a_failure_domain_watch(
+    others: int, expected: int
+) -> None:
+    """Guards against watches that grow with the fleet."""
+    fleet = Fleet(Instance('e0', 'entry', 'a', ''), 20)
+    for number in range(others):
+        name = f'e{number + 1}'
+        fleet.instances[name] = Instance(name, 'entry', 'a', '')
+    fleet.instances['x'] = Instance('x', 'entry', 'a', '', leaving=True)
+    fleet.instances['y'] = Instance('y', 'entry', 'b', '')
+    watchers = watchers_of(fleet, 'a')
+    assert len(watchers) == expected
+    assert not {'x', 'y'} & set(watchers)
