Keep requests of a replaced link; bound slow callers and large answers

Cause: a second connection to a sidecar replaced its link, and the requests of the first one got no more messages and hung until their deadline. A caller that sent or read too slowly held its request without a limit, and the answer of a plain service was held in memory whatever its size. Change: a replaced link serves its requests until it closes; uploads end after 30 s, reading 5 s after the deadline, and held answers at 16 MiB. An entry that gives notice of its stop counts as leaving at once. Result: tests/test_fleet.py covers the replaced link.

--- a/src/quetzaldyke/process/answers_http.py
+++ b/src/quetzaldyke/process/answers_http.py
@@ -36,6 +36,9 @@
     (b'cache-control', b'no-store'),
 )
 DONE_EVENT: Final = b'data: [DONE]\n\n'
+# A caller that stops reading holds its request no longer than this after
+# the deadline.
+READING_GRACE_S: Final = 5.0
 # Headers of an endpoint that speak of one hop or of the body's coding.
 DROPPED_HEADERS: Final = frozenset(
     (
@@ -120,10 +123,13 @@
 
 async def run_until_disconnect(
     receive: Receive,
+    remaining_s: float,
     work: Callable[[], Awaitable[None]],
 ) -> None:
-    """Run the sending of an answer as long as the caller is there."""
+    """Run the sending of an answer as long as the caller reads it."""
     async with anyio.create_task_group() as group:
+        deadline_s = anyio.current_time() + remaining_s + READING_GRACE_S
+        group.cancel_scope.deadline = deadline_s
         group.start_soon(cancel_on_disconnect, receive, group.cancel_scope)
         await work()
         group.cancel_scope.cancel()
@@ -297,6 +303,7 @@
 
     shape: Shape
     make_events: MakeEvents
+    remaining_s: float
 
     async def __call__(
         self,
@@ -315,7 +322,7 @@
                         return
             await writer.refuse(incomplete('the answer has no end mark'))
 
-        await run_until_disconnect(receive, relay)
+        await run_until_disconnect(receive, self.remaining_s, relay)
 
 
 @dataclass(frozen=True, slots=True)
@@ -324,6 +331,7 @@
 
     request: OnlineRequest
     make_events: MakeEvents
+    remaining_s: float
 
     async def __call__(
         self,
@@ -337,7 +345,7 @@
             answer = await collect(self.make_events())
             await self.send_answer(send, answer)
 
-        await run_until_disconnect(receive, run)
+        await run_until_disconnect(receive, self.remaining_s, run)
 
     async def send_answer(
         self,
--- a/src/quetzaldyke/process/callers_gate.py
+++ b/src/quetzaldyke/process/callers_gate.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import hmac
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
+import anyio
 from result import Err, Ok, Result
 from starlette.datastructures import Headers
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
@@ -21,6 +21,7 @@
 from quetzaldyke.request.model import new_request_id
 from quetzaldyke.request.outcome import (
     HTTP_BAD_REQUEST,
+    HTTP_REQUEST_TIMEOUT,
     HTTP_TOO_LARGE,
     HTTP_UNAUTHORIZED,
     Refusal,
@@ -29,6 +30,8 @@
 from quetzaldyke.version.configuration import Configuration, hash_key
 
 BEARER: Final = 'bearer '
+# A caller that sends slower than this holds a place of its organisation.
+BODY_TIMEOUT_S: Final = 30.0
 
 
 @dataclass(slots=True)
@@ -155,7 +158,18 @@
     headers: Headers,
     limit_bytes: int,
 ) -> Result[bytes, Refusal]:
-    """Read a body, or refuse it as soon as it is over the limit."""
+    """Read a body, or refuse it as soon as it is too large or too slow."""
+    with anyio.move_on_after(BODY_TIMEOUT_S):
+        return await read_within(receive, headers, limit_bytes)
+    return Err(too_slow())
+
+
+async def read_within(
+    receive: Receive,
+    headers: Headers,
+    limit_bytes: int,
+) -> Result[bytes, Refusal]:
+    """Read a body without a time limit."""
     declared = headers.get('content-length', '')
     if declared.isdecimal() and int(declared) > limit_bytes:
         return Err(too_large(limit_bytes))
@@ -182,6 +196,16 @@
     )
 
 
+def too_slow() -> Refusal:
+    """Return the refusal of a body that arrives too slowly."""
+    return Refusal(
+        HTTP_REQUEST_TIMEOUT,
+        'body_timeout',
+        f'the body did not arrive within {BODY_TIMEOUT_S:g} s',
+        'not_run',
+    )
+
+
 def broken_off() -> Refusal:
     """Return the refusal of a body that did not arrive whole."""
     return Refusal(
@@ -190,6 +214,3 @@
         'the caller closed the connection before the body was complete',
         'not_run',
     )
-
-
-Ready = Callable[[], bool]
--- a/src/quetzaldyke/process/callers_http.py
+++ b/src/quetzaldyke/process/callers_http.py
@@ -245,9 +245,11 @@
         return ErrorResponse(prepared.err_value, http.state.request_id)
     request = prepared.ok_value
     make_events = context.events_of(request)
+    remaining_s = request.deadline_s - context.clock.now()
     if request.stream:
-        return StreamResponse(Shape(request, now_s()), make_events)
-    return WholeResponse(request, make_events)
+        shape = Shape(request, now_s())
+        return StreamResponse(shape, make_events, remaining_s)
+    return WholeResponse(request, make_events, remaining_s)
 
 
 async def list_models(context: CallersContext, http: Request) -> ASGIApp:
@@ -326,7 +328,8 @@
     if isinstance(prepared, Err):
         return ErrorResponse(prepared.err_value, http.state.request_id)
     request = prepared.ok_value
-    return WholeResponse(request, context.events_of(request))
+    remaining_s = request.deadline_s - context.clock.now()
+    return WholeResponse(request, context.events_of(request), remaining_s)
 
 
 async def refuse_unknown(http: Request, _: Exception) -> Response:
--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -300,6 +300,7 @@
         group,
         entry.log_event,
     )
+    entry.membership.subscribe()
     stack.push_async_callback(entry.membership.aclose)
     await entry.membership.refresh()
 
--- a/src/quetzaldyke/process/entry_stop.py
+++ b/src/quetzaldyke/process/entry_stop.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import anyio
@@ -28,6 +29,7 @@
 ) -> None:
     """Leave without cutting a request."""
     entry.log_event('entry_stopping', open_requests=entry.open_requests.count)
+    entry.fleet.own = replace(entry.fleet.own, leaving=True)
     for session in list(entry.fleet.entries.values()):
         session.send(LeavingNotice(entry.settings.instance))
     # The balancer needs a moment to see that the entry is not ready, and
--- a/src/quetzaldyke/process/fleet.py
+++ b/src/quetzaldyke/process/fleet.py
@@ -79,6 +79,9 @@
         default_factory=lambda: defaultdict(list),
     )
     open_handlers: list[OpenHandler] = field(default_factory=list)
+    # Links whose place a newer connection to the same sidecar took; their
+    # requests go on until they close.
+    replaced: dict[int, SidecarLink] = field(default_factory=dict)
     dialling: dict[str, anyio.CancelScope] = field(default_factory=dict)
 
     def subscribe(self, kind: type[Message], handler: Handler) -> None:
@@ -100,7 +103,9 @@
     def link_of(self, session: PeerSession) -> SidecarLink | None:
         """Return the link that a session belongs to."""
         link = self.links.get(session.remote.instance)
-        return link if link and link.session is session else None
+        if link is not None and link.session is session:
+            return link
+        return self.replaced.get(id(session))
 
     def live_entries(self) -> list[str]:
         """Return the entries that are not leaving, this one included."""
@@ -188,6 +193,9 @@
             '',
             session.remote.pool,
         )
+        earlier = fleet.links.get(name)
+        if earlier is not None:
+            fleet.replaced[id(earlier.session)] = earlier
         fleet.links[name] = SidecarLink(
             listed,
             session,
@@ -205,12 +213,23 @@
     name = session.remote.instance
     link = fleet.link_of(session)
     if link is not None:
-        fleet.links.pop(name)
+        fleet.replaced.pop(id(session), None)
+        if fleet.links.get(name) is link:
+            fleet.links.pop(name)
+            restore_replaced(fleet, name)
         link.calls.fail_all('connection to the sidecar was lost')
     elif fleet.entries.get(name) is session:
         fleet.entries.pop(name)
 
 
+def restore_replaced(fleet: Fleet, name: str) -> None:
+    """Use an older connection to a sidecar again when the newest closed."""
+    for key, link in fleet.replaced.items():
+        if link.instance.instance == name and not link.session.closed:
+            fleet.links[name] = fleet.replaced.pop(key)
+            return
+
+
 def apply_list(
     fleet: Fleet,
     listed: list[Instance],
--- a/src/quetzaldyke/process/membership.py
+++ b/src/quetzaldyke/process/membership.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, Literal
 
 import httpcore
@@ -16,6 +16,8 @@
 from result import Err, Ok, Result
 
 from quetzaldyke.connection.links import LinkOptions
+from quetzaldyke.connection.messages import LeavingNotice, Message
+from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.process.fleet import Fleet, Instance, apply_list
 from quetzaldyke.process.logs import LogEvent
 from quetzaldyke.process.settings import Address, Name
@@ -88,6 +90,9 @@
             network_backend=httpcore.AnyIOBackend(),
         ),
     )
+    # Entries that gave notice of their stop, with their incarnation. The
+    # list may call them live for a while longer.
+    notices: dict[str, str] = field(default_factory=dict)
     # The last failure that was logged, so that an outage is one line.
     failure: str = ''
 
@@ -121,7 +126,34 @@
             self.note('the instance list is empty')
             return
         self.note('')
-        apply_list(self.fleet, listed.ok_value, self.group, self.options)
+        rows = [
+            replace(row, leaving=row.leaving or row.instance in self.notices)
+            for row in listed.ok_value
+        ]
+        apply_list(self.fleet, rows, self.group, self.options)
+
+    def subscribe(self) -> None:
+        """Listen to notices of entries."""
+        self.fleet.subscribe(LeavingNotice, self.on_notice)
+        self.fleet.on_open(self.on_open)
+
+    async def on_notice(self, session: PeerSession, message: Message) -> None:
+        """Take an entry that stops out of the live ones at once."""
+        remote = session.remote
+        if remote.role != 'entry' or not isinstance(message, LeavingNotice):
+            return
+        if message.instance != remote.instance:
+            return
+        self.notices[remote.instance] = remote.incarnation
+        row = self.fleet.instances.get(remote.instance)
+        if row is not None:
+            self.fleet.instances[row.instance] = replace(row, leaving=True)
+
+    async def on_open(self, session: PeerSession) -> None:
+        """Forget the notice of an entry whose process was replaced."""
+        name = session.remote.instance
+        if self.notices.get(name) != session.remote.incarnation:
+            self.notices.pop(name, None)
 
     def note(self, failure: str) -> None:
         """Log a failure when it begins or ends."""
--- a/src/quetzaldyke/request/execute.py
+++ b/src/quetzaldyke/request/execute.py
@@ -15,7 +15,13 @@
 import anyio
 
 from quetzaldyke.connection.calls import Call, CallEvent, CallTable
-from quetzaldyke.connection.messages import Chunk, End, Failed, Submit
+from quetzaldyke.connection.messages import (
+    Chunk,
+    End,
+    Failed,
+    Started,
+    Submit,
+)
 from quetzaldyke.parts.backoff import BackoffOptions, pause_s
 from quetzaldyke.parts.retry_budget import RetryBudget
 from quetzaldyke.parts.suspects import SuspectBook
@@ -39,6 +45,7 @@
     refusal_of,
 )
 from quetzaldyke.request.retry import (
+    ANSWER_TOO_LARGE,
     Progress,
     is_free,
     may_retry,
@@ -47,6 +54,8 @@
 from quetzaldyke.request.router import Pick, Router
 
 RETRY_AFTER_MS: Final = 1000
+# Answers of plain services are held until their status is known.
+MAX_ANSWER_BYTES: Final = 16_777_216
 NO_ENDPOINT: Final = 'no endpoint is available'
 # Weight of the newest request in the mean time that a request takes.
 SERVICE_WEIGHT: Final = 0.05
@@ -74,7 +83,7 @@
         return self.budgets[pool]
 
     def note_service(self, pool: str, taken_s: float) -> None:
-        """Update the mean time that a request of a pool takes."""
+        """Update the mean time that a request of a pool runs."""
         mean_s = self.service_s.get(pool, taken_s)
         mean_s += SERVICE_WEIGHT * (taken_s - mean_s)
         self.service_s[pool] = mean_s
@@ -179,12 +188,17 @@
     before them comes with it.
     """
     if chunk.raw:
-        progress.raws.append(chunk.raw)
+        progress.add_raw(chunk.raw)
         return None
     progress.add_text(chunk.text, chunk.tokens)
     return AnswerText(chunk.text, chunk.tokens)
 
 
+def answer_too_large(request: OnlineRequest) -> Failed:
+    """Return the failure of an answer that is not held in memory."""
+    return Failed(request.request_id, 'ran', ANSWER_TOO_LARGE)
+
+
 async def pause_before_retry(
     context: ExecuteContext,
     request: OnlineRequest,
@@ -240,24 +254,43 @@
     attempt = run_attempt(context, request, progress, pick)
     async with aclosing(attempt) as events:  # type: ignore[type-var]
         async for event in events:
-            match event:
-                case Chunk():
-                    part = relay_chunk(event, progress)
-                    if part is not None:
-                        note_first_part(context, request, progress)
-                        yield part
-                case Failed():
-                    text, tokens = unsent_text(progress, event)
-                    note_failure(context, request, progress, pick, event)
-                    if text:
-                        progress.add_text(text, tokens)
-                        yield AnswerText(text, tokens)
-                case End():
-                    progress.whole = True
-                    note_end(context, request, progress, pick)
-                    if progress.raws:
-                        yield AnswerBytes(b''.join(progress.raws))
-                    yield end_of(event, progress)
+            for part in absorb(context, request, progress, pick, event):
+                yield part
+            if progress.raw_bytes > MAX_ANSWER_BYTES:
+                progress.failed = answer_too_large(request)
+                progress.ran = 'ran'
+                return
+
+
+def absorb(
+    context: ExecuteContext,
+    request: OnlineRequest,
+    progress: Progress,
+    pick: Pick,
+    event: CallEvent,
+) -> list[AnswerEvent]:
+    """Add an event to the progress and return what the caller gets of it."""
+    match event:
+        case Started():
+            progress.started_s = context.clock.now()
+        case Chunk():
+            part = relay_chunk(event, progress)
+            if part is not None:
+                note_first_part(context, request, progress)
+                return [part]
+        case Failed():
+            text, tokens = unsent_text(progress, event)
+            note_failure(context, request, progress, pick, event)
+            if text:
+                progress.add_text(text, tokens)
+                return [AnswerText(text, tokens)]
+        case End():
+            progress.whole = True
+            note_end(context, request, progress, pick)
+            end = end_of(event, progress)
+            raw = b''.join(progress.raws)
+            return [AnswerBytes(raw), end] if raw else [end]
+    return []
 
 
 def note_first_part(
@@ -279,7 +312,7 @@
     pick: Pick,
 ) -> None:
     """Record a whole answer."""
-    taken_s = context.clock.now() - progress.begun_s
+    taken_s = context.clock.now() - (progress.started_s or progress.begun_s)
     context.router.note_success(pick.link.instance.instance)
     context.note_service(request.pool, taken_s)
     context.metrics.count('requests_total', pool=request.pool, ran='ran')
--- a/src/quetzaldyke/request/retry.py
+++ b/src/quetzaldyke/request/retry.py
@@ -17,7 +17,8 @@
 # when the budget would allow more.
 MAX_ATTEMPTS: Final = 8
 # Failures that no other endpoint would answer differently.
-FINAL_REASONS: Final = LATE_REASONS | {CRASHES_ENDPOINTS}
+ANSWER_TOO_LARGE: Final = 'the answer is too large'
+FINAL_REASONS: Final = LATE_REASONS | {CRASHES_ENDPOINTS, ANSWER_TOO_LARGE}
 # A sidecar that leaves refuses new work; moving on is no sign of overload,
 # so it costs nothing of the retry budget.
 FREE_REASONS: Final = frozenset(('endpoint is leaving',))
@@ -33,6 +34,7 @@
     """What all attempts of one request have led to."""
 
     begun_s: float = 0.0
+    started_s: float = 0.0
     attempt: int = 0
     texts: list[str] = field(default_factory=list)
     tokens: int = 0
@@ -40,6 +42,7 @@
     attempt_texts: int = 0
     attempt_tokens: int = 0
     raws: list[bytes] = field(default_factory=list)
+    raw_bytes: int = 0
     ran: Ran = 'not_run'
     failed_on: set[str] = field(default_factory=set)
     failed: Failed = field(default_factory=no_attempt)
@@ -57,11 +60,17 @@
         self.tokens += tokens
         self.attempt_tokens += tokens
 
+    def add_raw(self, raw: bytes) -> None:
+        """Keep bytes of a plain service's answer."""
+        self.raws.append(raw)
+        self.raw_bytes += len(raw)
+
     def note_failure(self, endpoint: str, failed: Failed) -> None:
         """Add one failed attempt."""
         self.failed = failed
         self.failed_on.add(endpoint)
         self.raws.clear()
+        self.raw_bytes = 0
         self.ran = combine(self.ran, ran_of(failed.ran))
 
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,40 @@
+"""Tests of the fleet's links to sidecars."""
+
+from __future__ import annotations
+
+import anyio
+
+from entry_rig import make_fleet, until
+from quetzaldyke.connection.links import dial
+from quetzaldyke.standins.engine_text import answer_text
+
+
+def test_second_connection_to_a_sidecar() -> None:
+    """Guards against requests that hang when their link is replaced."""
+
+    async def scenario() -> None:
+        async with make_fleet(engines=1, engine={'step_ms': 5.0}) as fleet:
+            entry = fleet.entry()
+            first = entry.fleet.links['engine-1']
+            texts = []
+
+            async def ask() -> None:
+                texts.append((await fleet.complete('two links', 100)).text)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await until(lambda: bool(first.calls.calls))
+                options = entry.link_options
+                assert options is not None
+                with anyio.CancelScope() as scope:
+                    async with anyio.create_task_group() as dialling:
+                        address = fleet.sidecar('engine-1').peer_address
+                        dialling.start_soon(dial, address, options)
+                        await until(
+                            lambda: entry.fleet.links['engine-1'] is not first,
+                        )
+                        scope.cancel()
+                assert entry.fleet.links['engine-1'] is first
+            assert texts == [answer_text('two links', 100)]
+
+    anyio.run(scenario)
