--- /dev/null
+++ b/src/quetzaldyke/connection/batch_messages.py
@@ -0,0 +1,21 @@
+"""Messages of batch work between entries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from quetzaldyke.connection.messages import Message, register
+
+
+@register
+@dataclass(slots=True)
+class SegmentState(Message):
+    """Answer of a segment's owner; `state` is open, done or closed."""
+
+    kind: ClassVar[int] = 60
+    job_id: str
+    segment: int
+    state: str
+    finished: int
+    failed: int
--- a/src/quetzaldyke/connection/messages.py
+++ b/src/quetzaldyke/connection/messages.py
@@ -310,18 +310,6 @@
     slack_s: float = 0.0  # time left minus estimated time of the job
 
 
-@dataclass(slots=True)
-class SegmentState(Message):
-    """Answer of a segment's owner; `state` is open, done or closed."""
-
-    kind: ClassVar[int] = 60
-    job_id: str
-    segment: int
-    state: str
-    finished: int
-    failed: int
-
-
 @dataclass(slots=True)
 class UsageReport(Message):
     """Use of organisations at one entry since the last report."""
--- a/src/quetzaldyke/process/batch_coordinator.py
+++ b/src/quetzaldyke/process/batch_coordinator.py
@@ -14,11 +14,11 @@
 
 from result import Err
 
+from quetzaldyke.connection.batch_messages import SegmentState
 from quetzaldyke.connection.messages import (
     LeavingNotice,
     Message,
     SegmentOffer,
-    SegmentState,
 )
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.durable import active, cancel, jobs, keys, progress
--- a/src/quetzaldyke/process/batch_state.py
+++ b/src/quetzaldyke/process/batch_state.py
@@ -8,7 +8,8 @@
 
 import anyio
 
-from quetzaldyke.connection.messages import SegmentOffer, SegmentState
+from quetzaldyke.connection.batch_messages import SegmentState
+from quetzaldyke.connection.messages import SegmentOffer
 from quetzaldyke.durable.inputs import Item
 from quetzaldyke.durable.records import ItemResult, JobRecord, Progress
 
--- a/src/quetzaldyke/process/batch_worker.py
+++ b/src/quetzaldyke/process/batch_worker.py
@@ -15,11 +15,11 @@
 from anyio.abc import TaskGroup
 from result import Err
 
+from quetzaldyke.connection.batch_messages import SegmentState
 from quetzaldyke.connection.messages import (
     BatchGrant,
     Message,
     SegmentOffer,
-    SegmentState,
 )
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.durable import inputs, jobs, progress
--- a/tests/batch_bed.py
+++ b/tests/batch_bed.py
@@ -457,7 +457,9 @@
         service = self.service()
         raw = jsonl(prompts)
         stored = await service.store_file('barf', 'f', io.BytesIO(raw), 1)
-        request = JobRequest('barf', stored.unwrap().file_id, ENDPOINT, **fields)
+        request = JobRequest(
+            'barf', stored.unwrap().file_id, ENDPOINT, **fields
+        )
         created = await service.create_job(request)
         return str(created.unwrap().job.job_id)
 
