--- /dev/null
+++ b/tests/test_batch_durable.py
@@ -0,0 +1,395 @@
+"""Properties of acceptance, progress records and deadlines."""
+
+from __future__ import annotations
+
+import io
+import random
+from collections.abc import Callable, Coroutine
+from datetime import datetime, timedelta, timezone
+from types import SimpleNamespace
+from typing import Any
+from zoneinfo import ZoneInfo
+
+import anyio
+import pytest
+from batch_bed import CONFIG, ENDPOINT, jsonl
+from batch_store import Client, Shared
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+from result import Err
+
+from quetzaldyke.durable import keys, progress, retention
+from quetzaldyke.durable.active import read_active
+from quetzaldyke.durable.deadlines import resolve_deadline
+from quetzaldyke.durable.records import ItemResult, Progress
+from quetzaldyke.durable.service import JobRequest, JobService
+from quetzaldyke.parts import kv
+
+FATES = st.lists(st.sampled_from(('ok', 'lost', 'dropped')), max_size=6)
+HOUR_MS = 3_600_000
+
+
+def run(step: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
+    """Run one step; pauses between retries pass at once."""
+    previous = kv.RETRY_PAUSE_S
+    try:
+        kv.RETRY_PAUSE_S = 0  # type: ignore[misc]
+        return anyio.run(step)
+    finally:
+        kv.RETRY_PAUSE_S = previous  # type: ignore[misc]
+
+
+class QuickClient(Client):
+    """Client without a network delay."""
+
+    async def enter(self) -> kv.KvError | None:
+        """Fail at once while the service is down."""
+        return kv.KvError('unavailable') if self.down else None
+
+
+def make_service(shared: Shared, now_ms: list[int]) -> JobService:
+    """Return the service of one entry."""
+    return JobService(
+        QuickClient(shared, random.Random(0)),
+        SimpleNamespace(current=CONFIG),
+        now_ms=lambda: now_ms[0],
+    )
+
+
+class Acceptance(RuleBasedStateMachine):
+    """Callers send and resend jobs through two entries with faults.
+
+    Guards against a second job for a resend, and against an acknowledged
+    job that nobody runs.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        """Upload two files."""
+        self.shared = Shared()
+        now_ms = [1_000_000]
+        self.services = [make_service(self.shared, now_ms) for _ in range(2)]
+        self.files = [self.upload(['a']), self.upload(['b'])]
+        self.by_contents: dict[tuple[int, str], str] = {}
+        self.by_key: dict[str, tuple[tuple[int, str], str]] = {}
+        self.duplicates = 0
+
+    def upload(self, prompts: list[str]) -> str:
+        """Store a file without faults."""
+
+        async def step() -> Any:
+            source = io.BytesIO(jsonl(prompts))
+            return await self.services[0].store_file('barf', 'f', source, 1)
+
+        return str(run(step).unwrap().file_id)
+
+    @rule(
+        entry=st.integers(0, 1),
+        file=st.integers(0, 1),
+        key=st.sampled_from(('', 'k1', 'k2', 'k3')),
+        hour=st.sampled_from(('18', '19')),
+        duplicate=st.booleans(),
+        fates=FATES,
+    )
+    def create(
+        self,
+        entry: int,
+        file: int,
+        key: str,
+        hour: str,
+        duplicate: bool,
+        fates: list[str],
+    ) -> None:
+        """Send a job; an unclear answer is no acknowledgement."""
+        service = self.services[entry]
+        duplicate = duplicate and key != ''
+        request = JobRequest(
+            'barf',
+            self.files[file],
+            ENDPOINT,
+            key,
+            f'2030-01-01T{hour}:00',
+            'Asia/Karachi',
+            {'allow_duplicate': 'true'} if duplicate else {},
+        )
+        service.store.script = list(fates)  # type: ignore[attr-defined]
+        created = run(lambda: service.create_job(request))
+        service.store.script = []  # type: ignore[attr-defined]
+        if not isinstance(created, Err):
+            job_id = created.ok_value.job.job_id
+            self.check(job_id, (file, hour), key, duplicate)
+
+    def check(
+        self,
+        job_id: str,
+        contents: tuple[int, str],
+        key: str,
+        duplicate: bool,
+    ) -> None:
+        """Compare an acknowledged job with all earlier ones."""
+        if key in self.by_key:
+            assert self.by_key[key] == (contents, job_id)
+        elif not duplicate:
+            assert self.by_contents.setdefault(contents, job_id) == job_id
+        if key:
+            self.remember(key, contents, job_id)
+        assert f'jobs/barf/{job_id}' in self.shared.records
+        number = keys.active_list_of(job_id)
+        client = QuickClient(self.shared)
+        listed = run(lambda: read_active(client, number)).unwrap()
+        assert [one.job_id for one in listed].count(job_id) == 1
+
+    def remember(
+        self,
+        key: str,
+        contents: tuple[int, str],
+        job_id: str,
+    ) -> None:
+        """Remember a key that has a job of its own."""
+        if job_id == keys.job_id_of('barf', key, ''):
+            self.by_key[key] = (contents, job_id)
+
+
+class ProgressRecord(RuleBasedStateMachine):
+    """Owners claim, commit, release and cancel one segment with faults.
+
+    Guards against results that are lost, doubled or changed, and against
+    writes of former owners.
+    """
+
+    total = 6
+
+    @initialize()
+    def start(self) -> None:
+        """Begin with two owners and no record."""
+        self.shared = Shared()
+        self.clients = [QuickClient(self.shared) for _ in range(2)]
+        self.owned: dict[int, Progress] = {}
+        self.recorded: dict[int, ItemResult] = {}
+        self.closed = False
+        self.count = 0
+
+    def step(self, owner: int, fates: list[str], call: Any) -> Any:
+        """Make one call with the given fates of its writes."""
+        client = self.clients[owner]
+        client.script = list(fates)
+        outcome = run(lambda: call(client))
+        client.script = []
+        return outcome
+
+    @rule(owner=st.integers(0, 1), steal=st.booleans(), fates=FATES)
+    def claim(self, owner: int, steal: bool, fates: list[str]) -> None:
+        """Claim the segment; only a thief takes it from another."""
+        name = str(owner)
+
+        def call(client: Any) -> Any:
+            return progress.claim(
+                client, 'j', 0, self.total, name, lambda held: steal
+            )
+
+        claimed = self.step(owner, fates, call)
+        if not isinstance(claimed, Err):
+            assert claimed.ok_value.owner == name
+            self.owned[owner] = claimed.ok_value
+
+    @rule(
+        owner=st.integers(0, 1),
+        indexes=st.sets(st.integers(0, 5), min_size=1),
+        large=st.booleans(),
+        fates=FATES,
+    )
+    def commit(
+        self,
+        owner: int,
+        indexes: set[int],
+        large: bool,
+        fates: list[str],
+    ) -> None:
+        """Commit results as this owner knows the record."""
+        if owner not in self.owned:
+            return
+        self.count += 1
+        body = b'"%d"' % self.count + b' ' * (70_000 if large else 0)
+        results = [ItemResult(one, 200, body) for one in sorted(indexes)]
+
+        def call(client: Any) -> Any:
+            base = self.owned[owner]
+            name = f'{base.epoch}.{self.count}'
+            return progress.commit(client, 'j', 0, base, results, {}, name)
+
+        written = self.step(owner, fates, call)
+        if not isinstance(written, Err):
+            assert not self.closed
+            self.owned[owner] = written.ok_value
+
+    @rule(owner=st.integers(0, 1), fates=FATES)
+    def release(self, owner: int, fates: list[str]) -> None:
+        """Give the segment up."""
+        if owner in self.owned:
+            base = self.owned.pop(owner)
+            self.step(
+                owner,
+                fates,
+                lambda client: progress.release(client, 'j', 0, base),
+            )
+
+    @rule(fates=FATES)
+    def cancel(self, fates: list[str]) -> None:
+        """Close the segment."""
+        closed = self.step(
+            0,
+            fates,
+            lambda client: progress.close_cancelled(client, 'j', 0, self.total),
+        )
+        self.closed = self.closed or not isinstance(closed, Err)
+
+    @invariant()
+    def recorded_results_stay(self) -> None:
+        """Compare the stored results with all that were ever seen."""
+        if not hasattr(self, 'clients'):
+            return
+        client = QuickClient(self.shared)
+
+        async def read_all() -> dict[int, ItemResult]:
+            found = await progress.read_progress(client, 'j', 0)
+            record = found.unwrap()
+            if record is None:
+                return {}
+            rows: list[ItemResult] = []
+            parts = progress.results_of(client, 'j', 0, record)
+            async for part in parts:
+                rows.extend(part.unwrap())
+            assert len(rows) == len({row.index for row in rows})
+            assert len(rows) == record.finished_count
+            assert (record.state == 'done') == (len(rows) == self.total)
+            return {row.index: row for row in rows}
+
+        latest = run(read_all)
+        for index, known in self.recorded.items():
+            assert latest[index] == known
+        self.recorded = latest
+
+
+TestAcceptance = Acceptance.TestCase
+TestProgressRecord = ProgressRecord.TestCase
+for case in (TestAcceptance, TestProgressRecord):
+    case.settings = settings(max_examples=25, stateful_step_count=12)
+
+
+ZONES = ('Asia/Karachi', 'Europe/Athens', 'Australia/Lord_Howe', 'UTC')
+
+
+@given(
+    zone=st.sampled_from(ZONES),
+    day=st.sampled_from(
+        ('2026-03-29', '2026-10-25', '2026-04-05', '2026-10-04')
+    ),
+    minute=st.integers(0, 24 * 60 - 1),
+)
+def test_deadline_is_the_first_instant_at_the_local_time(
+    zone: str,
+    day: str,
+    minute: int,
+) -> None:
+    """Guards against wrong instants on days when the clocks change.
+
+    The first minute whose local time has reached the deadline is the first
+    of an overlap and the end of a gap.
+    """
+    wall = datetime.fromisoformat(day) + timedelta(minutes=minute)
+    found = resolve_deadline(wall.isoformat(), zone).unwrap()
+    instant = wall.replace(tzinfo=timezone.utc) - timedelta(hours=14)
+    local = ZoneInfo(zone)
+    while instant.astimezone(local).replace(tzinfo=None) < wall:
+        instant += timedelta(minutes=1)
+    assert found.instant_ms == int(instant.timestamp() * 1000)
+
+
+@pytest.mark.parametrize(
+    ('local', 'zone'),
+    [
+        ('tomorrow', 'Europe/Athens'),
+        ('2026-01-01T10:00', 'Nowhere/None'),
+        ('2026-01-01T10:00', '../etc'),
+        ('2026-01-01T10:00', ''),
+        ('2026-01-01T10:00+02:00', 'Europe/Athens'),
+        ('0001-01-01T00:00', 'Asia/Karachi'),
+    ],
+)
+def test_invalid_deadlines_are_refused(local: str, zone: str) -> None:
+    """Guards against a fault, or a guess, for a deadline that has none."""
+    assert isinstance(resolve_deadline(local, zone), Err)
+
+
+@pytest.mark.parametrize(
+    ('fates', 'down', 'ran'),
+    [([], True, 'not_run'), (['dropped'] * 99, False, 'unknown')],
+)
+def test_refusals_in_an_outage_are_true(
+    fates: list[str],
+    down: bool,
+    ran: str,
+) -> None:
+    """Guards against `not_run` for a job that may have been accepted."""
+    shared = Shared()
+    service = make_service(shared, [0])
+
+    async def step() -> Any:
+        source = io.BytesIO(jsonl(['a']))
+        stored = (await service.store_file('barf', 'f', source, 1)).unwrap()
+        service.store.down = down  # type: ignore[attr-defined]
+        service.store.script = list(fates)  # type: ignore[attr-defined]
+        request = JobRequest('barf', stored.file_id, ENDPOINT)
+        return await service.create_job(request)
+
+    refused = run(step).unwrap_err()
+    assert (refused.status, refused.ran) == (503, ran)
+
+
+def test_results_expire_and_the_contents_can_run_again() -> None:
+    """Guards against records kept for ever and a job lost by its expiry."""
+    shared = Shared()
+    now_ms = [10_000_000]
+    service = make_service(shared, now_ms)
+
+    async def upload() -> str:
+        source = io.BytesIO(jsonl(['a']))
+        stored = await service.store_file('barf', 'f', source, 1)
+        return str(stored.unwrap().file_id)
+
+    async def step() -> None:
+        file_id = await upload()
+        request = JobRequest('barf', file_id, ENDPOINT)
+        job_id = (await service.create_job(request)).unwrap().job.job_id
+        service.stop_everywhere = yes
+        cancelled = (await service.cancel('barf', job_id)).unwrap()
+        assert cancelled.job.state == 'cancelled'
+        for passed_ms, expired in ((HOUR_MS, False), (HOUR_MS, True)):
+            now_ms[0] += passed_ms
+            due = retention.Retention(service.store, HOUR_MS + 1, now_ms[0])
+            assert (await retention.sweep(due)).is_ok()
+            found = await service.results('barf', job_id)
+            assert found.is_err() is expired
+        error = found.unwrap_err()
+        assert (error.status, error.code) == (404, 'expired')
+        assert (await service.file('barf', file_id)).unwrap_err().code == (
+            'expired'
+        )
+        left = [key for key in shared.records if key[:4] in {'inpu', 'prog'}]
+        assert not left
+        again = JobRequest('barf', await upload(), ENDPOINT)
+        renewed = (await service.create_job(again)).unwrap().job
+        assert renewed.state == 'in_progress'
+
+    run(step)
+
+
+async def yes(_: object) -> bool:
+    """Say that every process has stopped."""
+    return True
--- /dev/null
+++ b/tests/test_batch_rules.py
@@ -0,0 +1,243 @@
+"""Rules of running jobs: tries, preemption, cancel, outages, stops."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import anyio
+import pytest
+from batch_bed import POOL, Bed, scenario
+from test_batch_runs import prompts_of
+
+from quetzaldyke.connection import messages as m
+from quetzaldyke.durable import keys
+from quetzaldyke.durable.records import Progress, unpack
+from quetzaldyke.parts.kv import Envelope
+from quetzaldyke.process import batch_part, fleet
+
+
+def progress_of(bed: Bed, job_id: str, segment: int = 0) -> Progress:
+    """Return a segment's record as it is stored."""
+    record = bed.shared.records[keys.progress_key(job_id, segment)]
+    return unpack(Progress, Envelope.unpack(record.value).payload)
+
+
+async def claimed(bed: Bed, job_id: str) -> str:
+    """Wait until the first segment runs; return its owner."""
+    key = keys.progress_key(job_id, 0)
+    await bed.wait(
+        lambda: key in bed.shared.records and bed.starts != [],
+        60,
+    )
+    return progress_of(bed, job_id).owner
+
+
+def test_items_that_can_not_be_done_are_recorded_with_a_reason() -> None:
+    """Guards against a never-doable item that holds its job up."""
+    prompts = ['BREAK', 'INVALID', *prompts_of(60)]
+
+    async def body(bed: Bed) -> None:
+        job_id = await bed.submit(prompts)
+        await bed.finished(job_id)
+        await bed.check(job_id, prompts)
+        bad = await bed.lines(job_id, failed=True)
+        found = [(one['error']['code'], one['history']['tries']) for one in bad]
+        assert found == [('too_many_tries', 5), ('invalid_item', 1)]
+        assert bad[0]['error']['message'] == 'stream broke'
+        assert bad[1]['response']['status_code'] == 400
+        assert bed.job(job_id).failed == 2
+
+    scenario(body)
+
+
+def test_preempted_items_resume_and_are_not_a_try() -> None:
+    """Guards against items that fail, or start over, because of bursts."""
+    prompts = prompts_of(100)
+
+    async def body(bed: Bed) -> None:
+        resumed: list[int] = []
+        for sidecar in bed.sidecars.values():
+            sidecar.preempt_rate = 0.6
+            submit = sidecar.submit
+
+            def note(entry: str, message: m.Submit, submit=submit) -> None:  # type: ignore[no-untyped-def]
+                resumed.append(message.resume_tokens)
+                assert message.attempt == 1
+                submit(entry, message)
+
+            sidecar.submit = note  # type: ignore[method-assign]
+        job_id = await bed.submit(prompts)
+        await bed.finished(job_id)
+        await bed.check(job_id, prompts)
+        assert len(resumed) > 200
+        assert {1, 2, 3} <= set(resumed)
+        assert bed.job(job_id).failed == 0
+
+    scenario(body)
+
+
+def test_writes_of_an_owner_that_resumes_lose() -> None:
+    """Guards against a paused owner that records over its successor."""
+    prompts = prompts_of(400)
+
+    async def body(bed: Bed) -> None:
+        job_id = await bed.submit(prompts)
+        owner = await claimed(bed, job_id)
+        old = bed.entries[owner]
+        segment = old.parts.worker.segments[job_id, 0]
+        await bed.wait(lambda: len(segment.held) > 0, 30)
+        old.pause()
+        await anyio.sleep(4)
+        bed.disconnect(owner, listed=True)
+        await bed.wait(lambda: progress_of(bed, job_id).epoch == 2, 60)
+        successor = progress_of(bed, job_id).owner
+        assert successor != owner
+        old.resume()
+        await bed.connect()
+        await bed.finished(job_id)
+        await bed.wait(lambda: not old.parts.worker.segments, 60)
+        assert bed.events['segment_lost'] == 1
+        await bed.check(job_id, prompts)
+
+    scenario(body)
+
+
+def test_cancel_is_resumed_when_the_canceller_dies() -> None:
+    """Guards against a job that stays half cancelled."""
+    prompts = prompts_of(1000)
+
+    async def body(bed: Bed) -> None:
+        job_id = await bed.submit(prompts)
+        await claimed(bed, job_id)
+        bed.sidecars['sidecar-0'].mute = True
+        await bed.service().cancel('barf', job_id)
+        assert bed.job(job_id).state == 'cancelling'
+        bed.kill('entry-0')
+        bed.sidecars['sidecar-0'].mute = False
+        await bed.finished(job_id)
+        assert bed.job(job_id).state == 'cancelled'
+
+    scenario(body, entries=3)
+
+
+def test_job_stays_cancelling_until_each_sidecar_stopped_or_left() -> None:
+    """Guards against a false acknowledgement of a cancel."""
+
+    async def body(bed: Bed) -> None:
+        job_id = await bed.submit(prompts_of(1000))
+        await claimed(bed, job_id)
+        bed.sidecars['sidecar-0'].mute = True
+        status = await bed.service().cancel('barf', job_id)
+        assert status.unwrap().job.state == 'cancelling'
+        await anyio.sleep(30)
+        assert bed.job(job_id).state == 'cancelling'
+        for entry in bed.entries.values():
+            entry.fleet.instances.pop('sidecar-0')
+            link = entry.fleet.links['sidecar-0']
+            fleet.closed(entry.fleet, link.session)
+        await bed.finished(job_id)
+        assert bed.job(job_id).state == 'cancelled'
+
+    scenario(body)
+
+
+def test_outage_holds_results_up_to_the_memory_bound() -> None:
+    """Guards against lost results, and against memory without a bound."""
+    prompts = prompts_of(1000)
+    bound = 20_000
+
+    async def body(bed: Bed) -> None:
+        job_id = await bed.submit(prompts)
+        await claimed(bed, job_id)
+        workers = [one.parts.worker for one in bed.entries.values()]
+        for entry in bed.entries.values():
+            entry.client.down = True
+        for worker in workers:
+            worker.options = replace(worker.options, held_results_bytes=bound)
+        await anyio.sleep(30)
+        full = [one for one in workers if one.held_bytes() >= bound]
+        assert full
+        # What was running when the bound was reached still ends.
+        assert all(one.held_bytes() < 1.5 * bound for one in workers)
+        running = [one.segments.values() for one in full]
+        assert not any(seg.running for part in running for seg in part)
+        started = len(bed.starts)
+        await anyio.sleep(10)
+        assert len(bed.starts) == started or len(full) < len(workers)
+        for entry in bed.entries.values():
+            entry.client.down = False
+        await bed.finished(job_id)
+        await bed.check(job_id, prompts)
+
+    scenario(body)
+
+
+def test_planned_stop_hands_segments_over() -> None:
+    """Guards against results that a stopping entry takes with it."""
+    prompts = prompts_of(600)
+
+    async def body(bed: Bed) -> None:
+        job_id = await bed.submit(prompts)
+        owner = await claimed(bed, job_id)
+        await anyio.sleep(3)
+        entry = bed.entries[owner]
+        entry.process.stopping.set()
+        await batch_part.stop(entry.process)
+        record = progress_of(bed, job_id)
+        assert record.owner != owner
+        assert record.finished_count > 0
+        assert not entry.parts.worker.segments
+        bed.kill(owner)
+        await bed.finished(job_id)
+        await bed.check(job_id, prompts)
+
+    scenario(body)
+
+
+def test_late_job_goes_on_and_is_at_risk_and_late() -> None:
+    """Guards against a job that is dropped at its deadline."""
+    prompts = prompts_of(1000)
+
+    async def body(bed: Bed) -> None:
+        fields = {
+            'deadline_local': '2020-01-01T18:00',
+            'deadline_zone': 'Asia/Karachi',
+        }
+        job_id = await bed.submit(prompts, **fields)
+        await anyio.sleep(10)
+        status = (await bed.service().status('barf', job_id)).unwrap()
+        assert status.figures.at_risk
+        assert status.figures.estimate_ms > status.now_ms
+        assert status.figures.finished > 0
+        await bed.finished(job_id)
+        assert bed.job(job_id).state == 'completed'
+        late = (await bed.service().status('barf', job_id)).unwrap()
+        assert late.late
+
+    scenario(body)
+
+
+@pytest.mark.parametrize('stale', ['grant', 'ownership'])
+def test_nothing_starts_on_doubtful_ownership(stale: str) -> None:
+    """Guards against starts by an owner that was paused meanwhile."""
+
+    async def body(bed: Bed) -> None:
+        job_id = await bed.submit(prompts_of(1000))
+        owner = await claimed(bed, job_id)
+        entry = bed.entries[owner]
+        worker = entry.parts.worker
+        entry.pause()
+        await anyio.sleep(3.5)
+        if stale == 'ownership':
+            # The tick after the pause has run, the records are not read.
+            worker.last_alive_s = anyio.current_time()
+            for segment in worker.segments.values():
+                segment.confirmed = False
+        link = next(iter(entry.fleet.links.values()))
+        running = [len(one.running) for one in worker.segments.values()]
+        grant = m.BatchGrant(999_999, POOL, job_id, 3)
+        await worker.on_grant(link.session, grant)
+        assert running == [len(one.running) for one in worker.segments.values()]
+        entry.resume()
+
+    scenario(body)
