--- a/src/quetzaldyke/connection/batch_messages.py
+++ b/src/quetzaldyke/connection/batch_messages.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from quetzaldyke.connection.messages import Message, register
+from quetzaldyke.connection.codec import register
+from quetzaldyke.connection.messages import Message
 
 
 @register
--- a/tests/batch_bed.py
+++ b/tests/batch_bed.py
@@ -19,9 +19,10 @@
 from typing import Any
 
 import anyio
-from batch_store import Client, Shared
 
+from batch_store import Client, Shared
 from quetzaldyke.connection import messages as m
+from quetzaldyke.connection.codec import from_row, to_row
 from quetzaldyke.durable import keys
 from quetzaldyke.durable.records import JobRecord, Progress, unpack
 from quetzaldyke.durable.service import JobRequest
@@ -81,7 +82,7 @@
     def send(self, message: m.Message) -> None:
         """Queue a message in its wire form."""
         if not self.closed:
-            self.queue.append(m.from_row(m.to_row(message)))
+            self.queue.append(from_row(to_row(message)))
             self.filled.set()
 
     async def pump(self, gate: Callable[[], anyio.Event | None]) -> None:
--- a/tests/test_batch_durable.py
+++ b/tests/test_batch_durable.py
@@ -12,8 +12,6 @@
 
 import anyio
 import pytest
-from batch_bed import CONFIG, ENDPOINT, jsonl
-from batch_store import Client, Shared
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -24,6 +22,8 @@
 )
 from result import Err
 
+from batch_bed import CONFIG, ENDPOINT, jsonl
+from batch_store import Client, Shared
 from quetzaldyke.durable import keys, progress, retention
 from quetzaldyke.durable.active import read_active
 from quetzaldyke.durable.deadlines import resolve_deadline
--- a/tests/test_batch_rules.py
+++ b/tests/test_batch_rules.py
@@ -6,14 +6,14 @@
 
 import anyio
 import pytest
-from batch_bed import POOL, Bed, scenario
-from test_batch_runs import prompts_of
 
+from batch_bed import POOL, Bed, scenario
 from quetzaldyke.connection import messages as m
 from quetzaldyke.durable import keys
 from quetzaldyke.durable.records import Progress, unpack
 from quetzaldyke.parts.kv import Envelope
 from quetzaldyke.process import batch_part, fleet
+from test_batch_runs import prompts_of
 
 
 def progress_of(bed: Bed, job_id: str, segment: int = 0) -> Progress:
@@ -65,7 +65,7 @@
                 assert message.attempt == 1
                 submit(entry, message)
 
-            sidecar.submit = note  # type: ignore[method-assign]
+            sidecar.submit = note  # type: ignore[method-assign, assignment]
         job_id = await bed.submit(prompts)
         await bed.finished(job_id)
         await bed.check(job_id, prompts)
--- a/tests/test_batch_runs.py
+++ b/tests/test_batch_runs.py
@@ -6,6 +6,7 @@
 
 import anyio
 import pytest
+
 from batch_bed import Bed, scenario
 
 
--- a/tests/test_patches.py
+++ b/tests/test_patches.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
 import anyio
@@ -22,7 +22,7 @@
 from result import Err, Ok, Result
 
 from quetzaldyke.parts import kv
-from quetzaldyke.parts.kv import Envelope, KvError, Record
+from quetzaldyke.parts.kv import Envelope, KeyValueStore, KvError, Record
 from quetzaldyke.version import store as store_module
 from quetzaldyke.version.configuration import (
     Configuration,
@@ -323,7 +323,8 @@
         operations = [{'op': 'replace', 'path': '/organisations', 'value': {}}]
         operations[0]['value'] = large
         submit(faulty, number, f'p{number}', operations)
-    head = anyio.run(read_head, faulty).unwrap()
+    store = cast(KeyValueStore, faulty)
+    head = anyio.run(read_head, store).unwrap()
     kept = [bool(one.packed_operations) for one in head.patches]
     assert len(kept) == 4
     assert not all(kept)
@@ -354,7 +355,7 @@
     '/lending/-',
     '/max_item_tries',
 )
-VALUES = (
+VALUES: tuple[object, ...] = (
     3,
     'text',
     {},
