Measure gaps between ticks at the entry

Cause: blocked event loops show as latency without a trace of their own. Change: the entry records the gap between ticks as timer_gap_ms.

--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -313,6 +313,9 @@
     assert entry.once is not None
     timers = entry.timers
     timers.on_failure = entry.on_timer_failure
+    timers.on_pause(
+        lambda gap_s: entry.metrics.observe_ms('timer_gap_ms', gap_s * MS_IN_S),
+    )
     timers.subscribe('instances', LIST_INTERVAL_S, entry.membership.refresh)
     timers.subscribe('deadlines', EXPIRY_INTERVAL_S, entry.expire_calls)
     timers.subscribe('outcomes', SETTLE_INTERVAL_S, entry.claims.settle)
