--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -7,7 +7,9 @@
 import anyio
 import pytest
 
-from entry_rig import Answer, configuration, make_fleet, until
+from entry_rig import KEYS, Answer, configuration, make_fleet, until
+from quetzaldyke.process import answers_http, callers_gate
+from quetzaldyke.request import execute
 from quetzaldyke.standins.engine_text import answer_text
 
 
@@ -294,3 +296,69 @@
             assert answer.text == answer_text('still here', 3)
 
     anyio.run(scenario)
+
+
+def test_answer_too_large_to_hold(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an answer that fills the entry's memory."""
+    monkeypatch.setattr(execute, 'MAX_ANSWER_BYTES', 100_000)
+
+    async def scenario() -> None:
+        async with make_fleet(services=1) as fleet:
+            service = fleet.services['service-1']
+            service.executions.update(f'{n:0>100}' for n in range(10_000))
+            refused = await fleet.ask('/services/dispatch/roster')
+            assert refused.status == 502
+            assert refused.error['ran'] == 'ran'
+            service.executions.clear()
+            assert (await fleet.ask('/services/dispatch/roster')).status == 200
+
+    anyio.run(scenario)
+
+
+def test_slow_upload_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a caller that holds a place without sending."""
+    monkeypatch.setattr(callers_gate, 'BODY_TIMEOUT_S', 0.05)
+
+    async def scenario() -> None:
+        async with make_fleet(engines=1) as fleet:
+            host, port = fleet.entry().callers_address.split(':')
+            stream = await anyio.connect_tcp(host, int(port))
+            async with stream:
+                head = (
+                    'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+                    f'Authorization: Bearer {KEYS["barf"]}\r\n'
+                    'Content-Length: 100\r\n\r\nx'
+                )
+                await stream.send(head.encode())
+                assert b'408' in await stream.receive()
+            await until(lambda: fleet.entry().open_requests.count == 0)
+
+    anyio.run(scenario)
+
+
+def test_caller_that_does_not_read_is_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a caller that holds its request past the deadline."""
+    monkeypatch.setattr(answers_http, 'READING_GRACE_S', 0.1)
+
+    async def scenario() -> None:
+        async with make_fleet(engines=1, engine={'step_ms': 0.1}) as fleet:
+            host, port = fleet.entry().callers_address.split(':')
+            stream = await anyio.connect_tcp(host, int(port))
+            body = (
+                b'{"model":"orders","prompt":"x","stream":true,'
+                b'"max_tokens":900000}'
+            )
+            head = (
+                'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+                f'Authorization: Bearer {KEYS["barf"]}\r\n'
+                'X-Request-Timeout-Ms: 500\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n'
+            )
+            async with stream:
+                await stream.send(head.encode() + body)
+                await until(lambda: fleet.entry().open_requests.count == 1)
+                await until(lambda: fleet.entry().open_requests.count == 0)
+
+    anyio.run(scenario)
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,269 @@
+"""Tests of the routing state and of the decisions after a failure."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any, cast
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from entry_rig import configuration
+from quetzaldyke.connection.calls import CallTable
+from quetzaldyke.connection.messages import Failed, Report
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.timers import Clock
+from quetzaldyke.process.fleet import Fleet, Instance, SidecarLink
+from quetzaldyke.request.model import OnlineRequest
+from quetzaldyke.request.prefixes import prefix_names
+from quetzaldyke.request.retry import (
+    Progress,
+    combine,
+    may_retry,
+    unsent_text,
+)
+from quetzaldyke.request.router import Router
+from quetzaldyke.standins import engine_text
+from quetzaldyke.version.configuration import (
+    Configuration,
+    LendingRule,
+    Pool,
+)
+
+OWN = Instance('entry-1', 'entry', 'a', '127.0.0.1:1')
+
+
+class Holder:
+    """A configuration that does not change."""
+
+    def __init__(self, current: Configuration) -> None:
+        self.current = current
+
+
+def report(pool: str, **more: Any) -> Report:
+    """Return the report of an idle endpoint."""
+    fields = {
+        'pool': pool,
+        'endpoint_up': True,
+        'leaving': False,
+        'limit': 4,
+        'online_running': 0,
+        'online_queued': 0,
+        'batch_running': 0,
+        'batch_room': 0,
+        'ttft_ms': 0.0,
+        'tbt_ms': 0.0,
+        'model': 'model',
+        'version': '1',
+        'adapter': '',
+        'fencing_token': 0,
+        'prefixes': [],
+        'failure_domain': 'a',
+    }
+    return Report(**{**fields, **more})
+
+
+def make_request(**more: Any) -> OnlineRequest:
+    """Return a request for the pool of models."""
+    fields = {
+        'request_id': 'r1',
+        'organisation': 'barf',
+        'pool': 'orders',
+        'kind': 'engine',
+        'method': 'POST',
+        'path': '/v1/completions',
+        'headers': {},
+        'body': b'{}',
+        'stream': True,
+        'idempotent': True,
+        'deadline_s': 60.0,
+        'fingerprint': 'f1',
+    }
+    return OnlineRequest(**{**fields, **more})
+
+
+class Bench:
+    """A router over links that are not connected to anything."""
+
+    def __init__(self, config: Configuration | None = None) -> None:
+        self.now_s = 0.0
+        self.fleet = Fleet(OWN, 20)
+        self.router = Router(
+            self.fleet,
+            Holder(config or configuration()),
+            Clock(lambda: self.now_s),
+            Random(5),
+        )
+
+    def add(self, name: str, pool: str = 'orders', **more: Any) -> SidecarLink:
+        """Add a usable link."""
+        session = cast(PeerSession, type('Session', (), {'closed': False})())
+        link = SidecarLink(
+            Instance(name, 'sidecar', 'a', '', pool),
+            session,
+            CallTable(session),
+            report(pool, **more),
+        )
+        self.fleet.links[name] = link
+        return link
+
+    def picked(self, request: OnlineRequest | None = None) -> set[str]:
+        """Return the endpoints that 60 choices lead to."""
+        names = set()
+        for _ in range(60):
+            pick = self.router.pick(request or make_request(), ())
+            names.add(pick.link.instance.instance if pick else '')
+        return names
+
+
+def test_ejected_endpoint_rests_and_comes_back() -> None:
+    """Guards against new requests for an endpoint that just broke."""
+    bench = Bench()
+    bench.add('good')
+    bench.add('bad')
+    bench.router.eject('bad')
+    assert bench.picked() == {'good'}
+    bench.router.eject('good')
+    assert bench.picked() == {'good', 'bad'}
+    bench.now_s = 1.5
+    assert bench.picked() == {'good', 'bad'}
+
+
+@pytest.mark.parametrize(
+    'more',
+    [
+        {'endpoint_up': False},
+        {'leaving': True},
+        {'model': 'another'},
+    ],
+    ids=str,
+)
+def test_unusable_endpoint_is_never_chosen(more: dict[str, Any]) -> None:
+    """Guards against work for an endpoint that can't or must not run it."""
+    bench = Bench()
+    bench.add('only', **more)
+    assert bench.picked() == {''}
+
+
+def test_load_counts_what_was_sent_since_the_report() -> None:
+    """Guards against herding to the endpoint whose last report was idle."""
+    bench = Bench()
+    link = bench.add('one', online_running=3, online_queued=1)
+    bench.router.at_report['one'] = 2
+    link.running_online = 5
+    assert bench.router.load_of(link) == 7
+    link.running_online = 0
+    assert bench.router.load_of(link) == 2
+
+
+def test_longest_cached_prefix_wins() -> None:
+    """Guards against a hint that ignores how much is cached."""
+    names = prefix_names('word ' * 64)
+    bench = Bench()
+    bench.add('cold')
+    bench.add('short', prefixes=[names[0]])
+    bench.add('long', prefixes=[names[0], names[2]])
+    assert bench.picked(make_request(prefixes=names)) == {'long'}
+
+
+@given(words=st.integers(0, 100))
+def test_prefixes_are_named_as_the_engine_names_them(words: int) -> None:
+    """Guards against names that never match the engine's."""
+    prompt = ' '.join(f'w{number}' for number in range(words))
+    assert list(prefix_names(prompt)) == engine_text.prefix_names(prompt)
+
+
+@pytest.mark.parametrize(
+    ('share', 'lender_load', 'borrowed', 'expected'),
+    [
+        (1.0, 0, 0, 'lender'),
+        (1.0, 4, 0, 'own'),  # the lender is busy itself
+        (0.5, 0, 2, 'own'),  # the rule's share is used up
+        (0.5, 0, 1, 'lender'),
+    ],
+)
+def test_lending_keeps_to_the_rule(
+    share: float,
+    lender_load: int,
+    borrowed: int,
+    expected: str,
+) -> None:
+    """Guards against borrowing from a busy lender or over the share."""
+    rule = LendingRule(
+        borrower='orders',
+        lender='spare',
+        work='online',
+        max_share=share,
+    )
+    pools = {'orders': Pool(model='model'), 'spare': Pool(model='model')}
+    bench = Bench(configuration(pools=pools, lending=(rule,)))
+    bench.add('own', online_running=4)
+    bench.add('lender', 'spare', online_running=lender_load)
+    bench.router.borrowed['orders', 'spare'] = borrowed
+    assert bench.picked() == {expected}
+
+
+def test_idle_pool_borrows_nothing() -> None:
+    """Guards against borrowing while the own pool has room."""
+    rule = LendingRule(borrower='orders', lender='spare', work='online')
+    pools = {'orders': Pool(model='model'), 'spare': Pool(model='model')}
+    bench = Bench(configuration(pools=pools, lending=(rule,)))
+    bench.add('own', online_running=3)
+    bench.add('lender', 'spare')
+    assert bench.picked() == {'own'}
+
+
+rans = st.sampled_from(['not_run', 'unknown', 'ran'])
+
+
+@given(first=rans, second=rans, idempotent=st.booleans())
+def test_retries_never_risk_a_second_run(
+    first: Any,
+    second: Any,
+    idempotent: bool,
+) -> None:
+    """Guards against a retry of what may have run, and false statements."""
+    request = make_request(idempotent=idempotent)
+    progress = Progress()
+    for ran in (first, second):
+        failed = Failed('r1', ran, 'broken')
+        progress.note_failure('e1', failed)
+        allowed = may_retry(request, progress, failed)
+        assert allowed is (idempotent or ran == 'not_run')
+    both = {first, second}
+    assert (combine(first, second) == 'not_run') is (both == {'not_run'})
+    assert progress.ran == combine(first, second)
+
+
+@given(
+    sent=st.lists(st.text(min_size=1), max_size=5),
+    waiting=st.text(),
+    earlier=st.text(min_size=1),
+)
+def test_text_of_a_failure_is_neither_lost_nor_repeated(
+    sent: list[str],
+    waiting: str,
+    earlier: str,
+) -> None:
+    """Guards against text that is generated or given out twice."""
+    progress = Progress()
+    progress.begin_attempt()
+    progress.add_text(earlier, 1)
+    progress.begin_attempt()
+    for text in sent:
+        progress.add_text(text, 1)
+    whole = ''.join(sent) + waiting
+    failed = Failed('r1', 'ran', 'preempted', 0, whole, len(sent) + 2)
+    text, tokens = unsent_text(progress, failed)
+    assert text == waiting if whole else text == ''
+    assert tokens == (2 if whole else 0)
+
+
+def test_text_that_does_not_continue_is_not_used() -> None:
+    """Guards against an answer put together from different texts."""
+    progress = Progress()
+    progress.begin_attempt()
+    progress.add_text('one', 1)
+    failed = Failed('r1', 'ran', 'broken', 0, 'other text', 2)
+    assert unsent_text(progress, failed) == ('', 0)
