Close gaps that a mutation check of the entry's tests found

Change: tests now also check the resume text of a next attempt, the burst of a bucket, both size checks of uploads, a stream longer than the linger, the messages of a replaced link and the reading deadline.

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -102,6 +102,8 @@
         time.now_s += passed_s
         taken += sum(bucket.try_take() for _ in range(wanted))
         assert taken <= burst + rate * time.now_s + 1e-6
+    time.now_s += 1000
+    assert sum(bucket.try_take() for _ in range(100)) <= burst
 
 
 def make_limits(time: ManualTime, entries: int = 2) -> Limits:
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -6,6 +6,7 @@
 
 import anyio
 import pytest
+from starlette.types import Message
 
 from entry_rig import KEYS, Answer, configuration, make_fleet, until
 from quetzaldyke.process import answers_http, callers_gate
@@ -315,22 +316,34 @@
     anyio.run(scenario)
 
 
-def test_slow_upload_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against a caller that holds a place without sending."""
-    monkeypatch.setattr(callers_gate, 'BODY_TIMEOUT_S', 0.05)
+@pytest.mark.parametrize(
+    ('head', 'status'),
+    [
+        ('Content-Length: 100\r\n\r\nx', '408'),
+        ('Content-Length: 5000\r\n\r\n', '413'),
+        ('Transfer-Encoding: chunked\r\n\r\n1388\r\n' + 'x' * 5000, '413'),
+    ],
+    ids=['slow', 'declared too large', 'chunks too large'],
+)
+def test_unfinished_upload_is_ended(
+    head: str,
+    status: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a caller that holds a place or fills the memory."""
+    limit_s = 0.05 if status == '408' else 60.0
+    monkeypatch.setattr(callers_gate, 'BODY_TIMEOUT_S', limit_s)
 
     async def scenario() -> None:
-        async with make_fleet(engines=1) as fleet:
+        options = {'max_body_bytes': 4096}
+        async with make_fleet(engines=1, entry=options) as fleet:
             host, port = fleet.entry().callers_address.split(':')
             stream = await anyio.connect_tcp(host, int(port))
+            key = f'Authorization: Bearer {KEYS["barf"]}\r\n'
+            start = 'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
             async with stream:
-                head = (
-                    'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
-                    f'Authorization: Bearer {KEYS["barf"]}\r\n'
-                    'Content-Length: 100\r\n\r\nx'
-                )
-                await stream.send(head.encode())
-                assert b'408' in await stream.receive()
+                await stream.send(f'{start}{key}{head}'.encode())
+                assert status.encode() in await stream.receive()
             await until(lambda: fleet.entry().open_requests.count == 0)
 
     anyio.run(scenario)
@@ -340,25 +353,18 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a caller that holds its request past the deadline."""
-    monkeypatch.setattr(answers_http, 'READING_GRACE_S', 0.1)
+    monkeypatch.setattr(answers_http, 'READING_GRACE_S', 0.01)
 
     async def scenario() -> None:
-        async with make_fleet(engines=1, engine={'step_ms': 0.1}) as fleet:
-            host, port = fleet.entry().callers_address.split(':')
-            stream = await anyio.connect_tcp(host, int(port))
-            body = (
-                b'{"model":"orders","prompt":"x","stream":true,'
-                b'"max_tokens":900000}'
-            )
-            head = (
-                'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
-                f'Authorization: Bearer {KEYS["barf"]}\r\n'
-                'X-Request-Timeout-Ms: 500\r\n'
-                f'Content-Length: {len(body)}\r\n\r\n'
+        async def receive() -> Message:
+            await anyio.sleep_forever()
+            return {}
+
+        with anyio.fail_after(10):
+            await answers_http.run_until_disconnect(
+                receive,
+                0.01,
+                anyio.sleep_forever,
             )
-            async with stream:
-                await stream.send(head.encode() + body)
-                await until(lambda: fleet.entry().open_requests.count == 1)
-                await until(lambda: fleet.entry().open_requests.count == 0)
 
     anyio.run(scenario)
--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -71,6 +71,16 @@
     anyio.run(scenario)
 
 
+def busy_with_long(fleet: Fleet) -> list[str]:
+    """Return the engines that run the long request."""
+    return [
+        name
+        for name, engine in fleet.engines.items()
+        for stream in engine.batch.running.values()
+        if stream.max_tokens == 250
+    ]
+
+
 def test_planned_stop_of_an_entry_under_load() -> None:
     """Guards against callers that a stopping entry cuts off."""
     order: list[str] = []
@@ -84,6 +94,14 @@
             await fleet.until_connected()
             role = fleet.entries['entry-2']
             answers: dict[str, Answer] = {}
+            long_answers = []
+
+            async def ask_long() -> None:
+                prompt = 'longer than the linger'
+                long_answers.append(
+                    await fleet.complete(prompt, 250, entry='entry-2'),
+                )
+
             async with anyio.create_task_group() as group:
                 for caller in range(12):
                     group.start_soon(
@@ -96,9 +114,13 @@
                     )
                 await until(lambda: len(answers) > 10)
                 assert role.process.unready_reason() == ''
+                group.start_soon(ask_long)
+                await until(lambda: bool(busy_with_long(fleet)))
                 await role.stop()
                 order.append('stopped')
             assert_all_whole(answers)
+            expected = answer_text('longer than the linger', 250)
+            assert long_answers[0].text == expected
             assert role.process.unready_reason() == 'stopping'
             assert order == ['part stopped', 'stopped']
             with pytest.raises(httpcore.ConnectError):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,6 +16,7 @@
         async with make_fleet(engines=1, engine={'step_ms': 5.0}) as fleet:
             entry = fleet.entry()
             first = entry.fleet.links['engine-1']
+            engine = fleet.engines['engine-1']
             texts = []
 
             async def ask() -> None:
@@ -33,8 +34,12 @@
                         await until(
                             lambda: entry.fleet.links['engine-1'] is not first,
                         )
+                        seen = engine.counts.tokens
+                        await until(lambda: engine.counts.tokens > seen + 5)
                         scope.cancel()
                 assert entry.fleet.links['engine-1'] is first
             assert texts == [answer_text('two links', 100)]
+            names = [event.name for event in entry.timeline.events]
+            assert 'attempt_failed' not in names
 
     anyio.run(scenario)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -15,6 +15,7 @@
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.fleet import Fleet, Instance, SidecarLink
+from quetzaldyke.request.execute import make_submit
 from quetzaldyke.request.model import OnlineRequest
 from quetzaldyke.request.prefixes import prefix_names
 from quetzaldyke.request.retry import (
@@ -214,6 +215,22 @@
     assert bench.picked() == {'own'}
 
 
+def test_next_attempt_continues_after_the_text_so_far() -> None:
+    """Guards against text that is generated again or skipped."""
+    request = make_request()
+    progress = Progress()
+    progress.begin_attempt()
+    first = make_submit(request, progress, 2.5)
+    progress.add_text(' one', 1)
+    progress.add_text(' two three', 2)
+    progress.begin_attempt()
+    second = make_submit(request, progress, 2.5)
+    assert (first.resume_text, first.resume_tokens) == ('', 0)
+    assert (second.resume_text, second.resume_tokens) == (' one two three', 3)
+    assert first.request_id != second.request_id
+    assert second.remaining_ms == 2500
+
+
 rans = st.sampled_from(['not_run', 'unknown', 'ran'])
 
 
