--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -6,8 +6,11 @@
 
 import anyio
 import pytest
+from starlette.types import Message
 
-from entry_rig import Answer, configuration, make_fleet, until
+from entry_rig import KEYS, Answer, configuration, make_fleet, until
+from quetzaldyke.process import answers_http, callers_gate
+from quetzaldyke.request import execute
 from quetzaldyke.standins.engine_text import answer_text
 
 
@@ -294,3 +297,74 @@
             assert answer.text == answer_text('still here', 3)
 
     anyio.run(scenario)
+
+
+def test_answer_too_large_to_hold(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an answer that fills the entry's memory."""
+    monkeypatch.setattr(execute, 'MAX_ANSWER_BYTES', 100_000)
+
+    async def scenario() -> None:
+        async with make_fleet(services=1) as fleet:
+            service = fleet.services['service-1']
+            service.executions.update(f'{n:0>100}' for n in range(10_000))
+            refused = await fleet.ask('/services/dispatch/roster')
+            assert refused.status == 502
+            assert refused.error['ran'] == 'ran'
+            service.executions.clear()
+            assert (await fleet.ask('/services/dispatch/roster')).status == 200
+
+    anyio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('head', 'status'),
+    [
+        ('Content-Length: 100\r\n\r\nx', '408'),
+        ('Content-Length: 5000\r\n\r\n', '413'),
+        ('Transfer-Encoding: chunked\r\n\r\n1388\r\n' + 'x' * 5000, '413'),
+    ],
+    ids=['slow', 'declared too large', 'chunks too large'],
+)
+def test_unfinished_upload_is_ended(
+    head: str,
+    status: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a caller that holds a place or fills the memory."""
+    limit_s = 0.05 if status == '408' else 60.0
+    monkeypatch.setattr(callers_gate, 'BODY_TIMEOUT_S', limit_s)
+
+    async def scenario() -> None:
+        options = {'max_body_bytes': 4096}
+        async with make_fleet(engines=1, entry=options) as fleet:
+            host, port = fleet.entry().callers_address.split(':')
+            stream = await anyio.connect_tcp(host, int(port))
+            key = f'Authorization: Bearer {KEYS["barf"]}\r\n'
+            start = 'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+            async with stream:
+                await stream.send(f'{start}{key}{head}'.encode())
+                assert status.encode() in await stream.receive()
+            await until(lambda: fleet.entry().open_requests.count == 0)
+
+    anyio.run(scenario)
+
+
+def test_caller_that_does_not_read_is_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a caller that holds its request past the deadline."""
+    monkeypatch.setattr(answers_http, 'READING_GRACE_S', 0.01)
+
+    async def scenario() -> None:
+        async def receive() -> Message:
+            await anyio.sleep_forever()
+            return {}
+
+        with anyio.fail_after(10):
+            await answers_http.run_until_disconnect(
+                receive,
+                0.01,
+                anyio.sleep_forever,
+            )
+
+    anyio.run(scenario)
