Bound the offers and reads of a coordinator and settle resends without a key

Cause: at the planned size each round would offer and read every segment; a job made again after its expiry got the id that sidecars refuse; a broken connection between entries moved segments at once; a refused item went to the front and could hold its job up.

--- a/src/quetzaldyke/durable/jobs.py
+++ b/src/quetzaldyke/durable/jobs.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
@@ -34,6 +34,7 @@
 
 JobChange = Callable[[JobRecord | None], JobRecord | Refused[str]]
 JobResult = Result[JobRecord, JobError]
+Admit = Callable[[], Awaitable[Result[None, JobError]]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,17 +104,27 @@
 async def accept_job(
     store: KeyValueStore,
     new: NewJob,
+    admit: Admit,
     now_ms: int,
 ) -> JobResult:
-    """Accept a job, or return the job that an earlier request made."""
+    """Accept a job, or return the job that an earlier request made.
+
+    `admit` may refuse a job that does not exist yet.
+    """
     known = await read_job(store, new.organisation, new.job_id)
     if isinstance(known, Err):
         return Err(errors.store_error(known.err_value))
-    if known.ok_value is not None:
-        return await accept_again(store, new, known.ok_value, now_ms)
-    job_id = await settle_contents(store, new)
+    job = known.ok_value
+    if job is not None and (job.keyed or not job.purged):
+        return await accept_again(store, new, job)
+    proposed = new.job_id
+    if job is not None:
+        # The id stays with the expired job: processes remember the ids of
+        # cancelled jobs and would refuse a later job of the same id.
+        proposed = keys.later_job_id(job.job_id, now_ms)
+    job_id = await settle_contents(store, new, proposed, admit)
     if isinstance(job_id, Err):
-        return Err(errors.store_error(job_id.err_value))
+        return job_id
     return await write_job(store, new, job_id.ok_value, now_ms)
 
 
@@ -121,7 +132,6 @@
     store: KeyValueStore,
     new: NewJob,
     known: JobRecord,
-    now_ms: int,
 ) -> JobResult:
     """Answer a resend from the record of the first request."""
     if known.contents != new.contents:
@@ -134,39 +144,47 @@
         )
     if known.state != 'expired':
         return await list_job(store, known)
-    if known.keyed or not known.purged:
-        return Err(
-            JobError(
-                errors.CONFLICT,
-                'expired',
-                'the job of this key was deleted after its retention time',
-            ),
-        )
-    return await write_job(store, new, known.job_id, now_ms)
+    return Err(
+        JobError(
+            errors.CONFLICT,
+            'expired',
+            'the job was deleted after its retention time',
+        ),
+    )
 
 
 async def settle_contents(
     store: KeyValueStore,
     new: NewJob,
-) -> Result[str, KvError]:
+    proposed: str,
+    admit: Admit,
+) -> Result[str, JobError]:
     """Return the id of the one job that these contents have.
 
     The first request writes its job's id; later ones with another key read
     it. A job that was meant to be a duplicate does not take part.
     """
-    if new.allow_duplicate:
-        return Ok(new.job_id)
     key = keys.contents_key(new.organisation, new.contents)
+    found = await read(store, key)
+    if isinstance(found, Err):
+        return Err(errors.store_error(found.err_value))
+    if found.ok_value.payload and not new.allow_duplicate:
+        return Ok(found.ok_value.payload.decode())
+    admitted = await admit()
+    if isinstance(admitted, Err):
+        return admitted
+    if new.allow_duplicate:
+        return Ok(proposed)
 
     def change(payload: bytes) -> bytes | Refused[str]:
-        return Refused(payload.decode()) if payload else new.job_id.encode()
+        return Refused(payload.decode()) if payload else proposed.encode()
 
     written = await swap(store, key, change)
     if isinstance(written, Ok):
-        return Ok(new.job_id)
+        return Ok(proposed)
     if isinstance(written.err_value, Refused):
         return Ok(written.err_value.reason)
-    return Err(written.err_value)
+    return Err(errors.store_error(written.err_value))
 
 
 async def write_job(
@@ -188,8 +206,7 @@
     record = record_of(new, pinned.ok_value, job_id, now_ms)
 
     def create(known: JobRecord | None) -> JobRecord | Refused[str]:
-        replaceable = known is not None and known.purged and not known.keyed
-        return record if known is None or replaceable else known
+        return record if known is None else known
 
     written = await change_job(store, new.organisation, job_id, create)
     if isinstance(written, Err):
--- a/src/quetzaldyke/durable/keys.py
+++ b/src/quetzaldyke/durable/keys.py
@@ -52,6 +52,11 @@
     return f'batch_{hash_parts(organisation, "contents", contents)}'
 
 
+def later_job_id(job_id: str, now_ms: int) -> str:
+    """Return the id of a job that follows an expired one."""
+    return f'batch_{hash_parts(job_id, str(now_ms))}'
+
+
 def file_key(organisation: str, file_id: str) -> str:
     """Return the key of a file's record."""
     return f'{FILES_PREFIX}{organisation}/{file_id}'
--- a/src/quetzaldyke/durable/order.py
+++ b/src/quetzaldyke/durable/order.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
 MS_IN_S: Final = 1000
-# Jobs whose slack differs by less are equally urgent, so that organisations
-# take turns instead of following small differences of the estimate.
-SLACK_STEP_S: Final = 60
 # Weight of the newest rate sample in the estimate.
 RATE_WEIGHT: Final = 0.3
 # Used before the first rate is known, so that a new job is neither late nor
@@ -50,16 +47,6 @@
         return remaining / (self.per_s or FIRST_RATE)
 
 
-@dataclass(frozen=True, slots=True)
-class Waiting:
-    """A job with items that could start now."""
-
-    job_id: str
-    organisation: str
-    slack_s: float
-    created_ms: int = 0
-
-
 def slack_s(deadline_ms: int, now_ms: int, remaining_s: float) -> float:
     """Return the time left minus the time that the items need.
 
@@ -69,31 +56,6 @@
     return (deadline_ms - now_ms) / MS_IN_S - remaining_s
 
 
-def in_order(
-    jobs: Iterable[Waiting],
-    running: Mapping[str, int],
-    weights: Mapping[str, float],
-) -> list[Waiting]:
-    """Return jobs by urgency, then by their organisation's weighted use.
-
-    >>> jobs = [Waiting('a', 'x', 70.0), Waiting('b', 'y', 110.0)]
-    >>> [job.job_id for job in in_order(jobs, {'x': 3, 'y': 1}, {})]
-    ['b', 'a']
-    """
-
-    def rank(job: Waiting) -> tuple[float, float, int, str]:
-        use = running.get(job.organisation, 0)
-        share = use / weights.get(job.organisation, 1.0)
-        return (
-            job.slack_s // SLACK_STEP_S,
-            share,
-            job.created_ms,
-            job.job_id,
-        )
-
-    return sorted(jobs, key=rank)
-
-
 ItemT = TypeVar('ItemT')
 
 
@@ -114,3 +76,25 @@
         if position < len(queue)
     ]
     return turns[:limit]
+
+
+def deal_fairly(
+    queues: Sequence[tuple[str, Sequence[ItemT]]],
+    limit: int,
+) -> list[ItemT]:
+    """Return up to `limit` items, organisations in turns.
+
+    Each queue is a job's with its organisation, the most urgent first; the
+    jobs of one organisation take turns within its share.
+
+    >>> deal_fairly([('x', ['a1', 'a2']), ('x', ['b1']), ('y', ['c1'])], 3)
+    ['a1', 'c1', 'b1']
+    """
+    by_organisation: dict[str, list[Sequence[ItemT]]] = {}
+    for organisation, queue in queues:
+        by_organisation.setdefault(organisation, []).append(queue)
+    dealt = [
+        deal_in_turns(own, sum(len(queue) for queue in own))
+        for own in by_organisation.values()
+    ]
+    return deal_in_turns(dealt, limit)
--- a/src/quetzaldyke/durable/retention.py
+++ b/src/quetzaldyke/durable/retention.py
@@ -25,8 +25,9 @@
     Refused,
 )
 
-# Expired jobs answer `expired` for this long, then they are unknown.
-EXPIRED_KEPT_MS: Final = 604_800_000  # a week
+# Expired jobs answer `expired` for this long, then they are unknown. Within
+# it no other job gets the same id; sidecars remember cancelled ids for days.
+EXPIRED_KEPT_MS: Final = 2_592_000_000  # 30 days
 MS_IN_S: Final = 1000
 NOT_DUE: Final = Refused('not due')
 Swept = Result[int, KvError]
--- a/src/quetzaldyke/durable/service.py
+++ b/src/quetzaldyke/durable/service.py
@@ -8,6 +8,7 @@
 
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from typing import BinaryIO, Final, Protocol
 
 from result import Err, Ok, Result
@@ -132,10 +133,12 @@
         if isinstance(checked, Err):
             return checked
         new = checked.ok_value
-        room = await self.check_room(new)
-        if isinstance(room, Err):
-            return room
-        accepted = await jobs.accept_job(self.store, new, self.now_ms())
+        accepted = await jobs.accept_job(
+            self.store,
+            new,
+            partial(self.check_room, new),
+            self.now_ms(),
+        )
         return accepted.map(lambda job: JobStatus(job, None, self.now_ms()))
 
     def check_request(
--- a/src/quetzaldyke/process/batch_coordinator.py
+++ b/src/quetzaldyke/process/batch_coordinator.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import anyio
 from result import Err
 
 from quetzaldyke.connection.batch_messages import SegmentState
@@ -24,62 +25,35 @@
 from quetzaldyke.durable import active, cancel, jobs, keys, progress
 from quetzaldyke.durable.order import (
     MS_IN_S,
-    RateEstimate,
-    deal_in_turns,
+    deal_fairly,
     slack_s,
 )
 from quetzaldyke.durable.records import FINAL_STATES, ActiveJob, JobRecord
 from quetzaldyke.parts.rendezvous import first_for
+from quetzaldyke.process.batch_views import (
+    JobView,
+    Offer,
+    SegmentView,
+    offers_of,
+)
 from quetzaldyke.process.batch_worker import BatchWorker
 
 # Offers of one list in one round; bounds the bytes that offers cost.
-OFFERS_IN_ROUND: Final = 64
+# Some of them refresh the slack at owners, the rest finds new owners.
+NEW_OFFERS: Final = 48
+REFRESHED_OFFERS: Final = 16
+# Jobs at risk take at most this many new offers, so that jobs that can't
+# make their deadline never stop the others.
+URGENT_OFFERS: Final = 36
+READS_AT_ONCE: Final = 16
 # Rounds after which a job's record is read again.
 REREAD_ROUNDS: Final = 5
 # Rounds between writes of the figures.
 FIGURES_ROUNDS: Final = 3
-# A segment whose owner has not answered for this long is read again.
-SILENCE_S: Final = 8.0
 
 StopEverywhere = Callable[[JobRecord], Awaitable[bool]]
 
 
-@dataclass(slots=True)
-class SegmentView:
-    """What the coordinator knows of one segment."""
-
-    state: str = 'unread'  # or open, closed (to be read) and done
-    owner: str = ''
-    finished: int = 0
-    failed: int = 0
-    heard_s: float = 0.0
-
-
-@dataclass(slots=True)
-class JobView:
-    """What the coordinator knows of one job."""
-
-    job: JobRecord
-    segments: list[SegmentView]
-    rate: RateEstimate = field(default_factory=RateEstimate)
-    age_rounds: int = 0
-
-    @property
-    def finished(self) -> int:
-        """Return the recorded items."""
-        return sum(one.finished for one in self.segments)
-
-    @property
-    def failed(self) -> int:
-        """Return the items recorded as failed."""
-        return sum(one.failed for one in self.segments)
-
-    @property
-    def done(self) -> bool:
-        """Tell whether every segment is verified to be done."""
-        return all(one.state == 'done' for one in self.segments)
-
-
 @dataclass(slots=True)
 class Coordinator:
     """Coordinating part of one entry."""
@@ -237,13 +211,16 @@
     async def read_segments(self, view: JobView) -> None:
         """Read the records of segments that are unknown, ended or silent."""
         now_s = self.worker.clock.now()
-        for number, segment in enumerate(view.segments):
-            silent = now_s - segment.heard_s > SILENCE_S
-            if segment.state == 'done':
-                continue
-            if segment.state == 'open' and not silent:
-                continue
-            await self.read_segment(view, number, segment)
+        limiter = anyio.CapacityLimiter(READS_AT_ONCE)
+
+        async def read_one(number: int, segment: SegmentView) -> None:
+            async with limiter:
+                await self.read_segment(view, number, segment)
+
+        async with anyio.create_task_group() as group:
+            for number, segment in enumerate(view.segments):
+                if segment.needs_reading(now_s):
+                    group.start_soon(read_one, number, segment)
 
     async def read_segment(
         self,
@@ -278,31 +255,46 @@
         for view in views:
             view.rate.sample(view.finished, now_s)
             slacks[view.job.job_id] = self.slack_of(view)
-        ordered = sorted(views, key=lambda view: slacks[view.job.job_id])
-        queues = [self.offers_of(view, slacks) for view in ordered]
-        for owner, offer in deal_in_turns(queues, OFFERS_IN_ROUND):
-            self.send_offer(owner, offer)
+        views = sorted(views, key=lambda view: slacks[view.job.job_id])
+        urgent = [one for one in views if slacks[one.job.job_id] < 0]
+        others = [one for one in views if slacks[one.job.job_id] >= 0]
+        dealt = self.deal(urgent, slacks, URGENT_OFFERS)
+        dealt.extend(self.deal(others, slacks, NEW_OFFERS - len(dealt)))
+        for offer in (*dealt, *self.refreshes(views, slacks)):
+            self.send_offer(*offer)
+
+    def deal(
+        self,
+        views: list[JobView],
+        slacks: dict[str, float],
+        limit: int,
+    ) -> list[Offer]:
+        """Return offers of segments that need an owner, fairly chosen."""
+        members = set(self.reachable())
 
-    def offers_of(
+        def ownerless(owner: str) -> bool:
+            return owner not in members
+
+        queues = [
+            (view.job.organisation, offers_of(view, slacks, ownerless))
+            for view in views
+        ]
+        return deal_fairly(queues, limit)
+
+    def refreshes(
         self,
-        view: JobView,
+        views: list[JobView],
         slacks: dict[str, float],
-    ) -> list[tuple[str, SegmentOffer]]:
-        """Return the offers of one job with their owners."""
-        job = view.job
-        return [
-            (
-                segment.owner,
-                SegmentOffer(
-                    job.organisation,
-                    job.job_id,
-                    number,
-                    slacks[job.job_id],
-                ),
-            )
-            for number, segment in enumerate(view.segments)
-            if segment.state == 'open'
+    ) -> list[Offer]:
+        """Return offers to present owners; they take turns over the rounds."""
+        members = set(self.reachable())
+        owned = [
+            offer
+            for view in views
+            for offer in offers_of(view, slacks, members.__contains__)
         ]
+        start = self.rounds * REFRESHED_OFFERS % max(1, len(owned))
+        return [*owned[start:], *owned[:start]][:REFRESHED_OFFERS]
 
     def send_offer(self, owner: str, offer: SegmentOffer) -> None:
         """Offer a segment to its present owner or to who ranks first."""
--- a/src/quetzaldyke/process/batch_items.py
+++ b/src/quetzaldyke/process/batch_items.py
@@ -102,6 +102,12 @@
             case End() | Failed():
                 self.last = event
 
+    @property
+    def interrupted(self) -> bool:
+        """Tell whether the attempt was stopped through no fault of its own."""
+        last = self.last
+        return isinstance(last, Failed) and last.reason in NOT_A_TRY
+
     def partial(self) -> Partial:
         """Return the whole text so far, to be continued elsewhere.
 
@@ -156,8 +162,22 @@
             return None
         case Failed(reason=reason) if reason in NOT_A_TRY:
             return None
+    return count_try(
+        attempt,
+        failure_reason(received.last),
+        max_tries,
+        now_ms,
+    )
+
+
+def count_try(
+    attempt: Attempt,
+    reason: str,
+    max_tries: int,
+    now_ms: int,
+) -> ItemResult | None:
+    """Count a failed try; return the result of the last allowed one."""
     if attempt.tries >= max_tries:
-        reason = failure_reason(received.last)
         return failure(attempt, 'too_many_tries', reason, now_ms)
     attempt.segment.tries[attempt.index] = attempt.tries
     return None
--- a/src/quetzaldyke/process/batch_state.py
+++ b/src/quetzaldyke/process/batch_state.py
@@ -43,9 +43,8 @@
     # The record as this owner last wrote or read it.
     progress: Progress
     items: list[Item]
-    # Slack of the job as last told, and when.
+    # Slack of the job as the coordinator last told it.
     slack_s: float = 0.0
-    slack_at_s: float = 0.0
     waiting: deque[int] = field(default_factory=deque)
     running: dict[int, anyio.CancelScope] = field(default_factory=dict)
     partials: dict[int, Partial] = field(default_factory=dict)
@@ -87,15 +86,6 @@
         """Return the key of the segment in tables."""
         return self.job.job_id, self.number
 
-    def note_slack(self, slack_s: float, now_s: float) -> None:
-        """Keep the slack that the coordinator computed."""
-        self.slack_s = slack_s
-        self.slack_at_s = now_s
-
-    def slack_now_s(self, now_s: float) -> float:
-        """Return the last known slack, less the time since."""
-        return self.slack_s - (now_s - self.slack_at_s)
-
     @property
     def held_bytes(self) -> int:
         """Return the size of the results that are not recorded yet."""
@@ -143,19 +133,19 @@
         for scope in list(self.running.values()):
             scope.cancel()
 
-    def put_back(self, index: int, failed: bool) -> None:
+    def put_back(self, index: int, interrupted: bool) -> None:
         """Let an item wait again.
 
-        A failed item goes behind the others, so that one that keeps failing
-        never holds the rest up. An interrupted one goes first, because its
-        text is already partly there.
+        A failed or refused item goes behind the others, so that one that
+        can't run never holds the rest up. An interrupted one goes first,
+        because part of its text is already there.
         """
         if self.dropped:
             return
-        if failed:
-            self.waiting.append(index)
-        else:
+        if interrupted:
             self.waiting.appendleft(index)
+        else:
+            self.waiting.append(index)
 
 
 def state_of(segment: OwnedSegment) -> SegmentState:
--- a/src/quetzaldyke/process/batch_stop.py
+++ b/src/quetzaldyke/process/batch_stop.py
@@ -44,6 +44,7 @@
     After a long pause no item starts until the records have confirmed the
     ownership.
     """
+    worker.claims.note_absent()
     now_s = worker.clock.now()
     paused = now_s - worker.last_alive_s > PAUSE_LIMIT_S
     if paused:
--- a/src/quetzaldyke/process/batch_worker.py
+++ b/src/quetzaldyke/process/batch_worker.py
@@ -22,12 +22,12 @@
     SegmentOffer,
 )
 from quetzaldyke.connection.peer import PeerSession
-from quetzaldyke.durable import inputs, jobs, progress
 from quetzaldyke.durable.records import ItemResult
 from quetzaldyke.durable.service import ConfigurationHolder
 from quetzaldyke.parts.hlc import wall_clock_ms
 from quetzaldyke.parts.kv import KeyValueStore
 from quetzaldyke.parts.timers import Clock
+from quetzaldyke.process.batch_claims import Claims
 from quetzaldyke.process.batch_commit import CommitOutcome, Committer
 from quetzaldyke.process.batch_demand import (
     DemandBook,
@@ -38,6 +38,7 @@
 from quetzaldyke.process.batch_items import (
     Attempt,
     RunOn,
+    count_try,
     judge,
     receive,
     request_id_of,
@@ -91,12 +92,14 @@
     demands: DemandBook = field(default_factory=DemandBook)
     stopping: bool = False
     last_alive_s: float = 0.0
-    # Called with the state of a segment that this entry has finished.
+    claims: Claims = field(init=False)
+    # Called with the state of a segment after each commit.
     on_state: Reply = field(default=lambda _: None)
 
     def __post_init__(self) -> None:
         """Start the pause check at the present time."""
         self.last_alive_s = self.clock.now()
+        self.claims = Claims(self.store, self.fleet, self.clock.now)
 
     @property
     def committer(self) -> Committer:
@@ -135,7 +138,7 @@
         segment_id = (message.job_id, message.segment)
         owned = self.segments.get(segment_id)
         if owned is not None:
-            owned.note_slack(message.slack_s, self.clock.now())
+            owned.slack_s = message.slack_s
             reply(state_of(owned))
             return
         if segment_id in self.claiming or not self.has_room(message):
@@ -161,17 +164,21 @@
 
     async def claim(self, message: SegmentOffer, reply: Reply) -> None:
         """Claim a segment and start to ask for its items."""
+        segment_id = (message.job_id, message.segment)
         try:
-            claimed = await self.try_claim(message, reply)
+            outcome = await self.claims.claim(message)
         finally:
-            self.claiming.discard((message.job_id, message.segment))
-        if claimed is None:
+            self.claiming.discard(segment_id)
+        if isinstance(outcome, Err):
+            if outcome.err_value == 'taken':
+                reply(closed_state(message))
             return
+        claimed = outcome.ok_value
         if self.stopping or message.job_id in self.cancelled:
             await self.committer.release(claimed)
             return
-        claimed.note_slack(message.slack_s, self.clock.now())
-        self.segments[claimed.segment_id] = claimed
+        claimed.slack_s = message.slack_s
+        self.segments[segment_id] = claimed
         self.log_event(
             'segment_claimed',
             job_id=message.job_id,
@@ -181,55 +188,6 @@
         reply(state_of(claimed))
         self.send_demands()
 
-    async def try_claim(
-        self,
-        message: SegmentOffer,
-        reply: Reply,
-    ) -> OwnedSegment | None:
-        """Return the claimed segment, or None when it is not available."""
-        found = await jobs.read_job(
-            self.store,
-            message.organisation,
-            message.job_id,
-        )
-        job = found.unwrap_or(None)
-        if job is None or job.state != 'in_progress':
-            return None
-        segment = job.segments[message.segment]
-        items = await inputs.read_segment(self.store, segment.digest)
-        if isinstance(items, Err):
-            return None
-        claimed = await progress.claim(
-            self.store,
-            job.job_id,
-            message.segment,
-            segment.items,
-            self.own,
-            self.may_take_from,
-        )
-        if isinstance(claimed, Err):
-            if claimed.err_value == progress.CLOSED:
-                reply(closed_state(message))
-            return None
-        return OwnedSegment.from_claim(
-            job,
-            message.segment,
-            claimed.ok_value,
-            items.ok_value,
-        )
-
-    def may_take_from(self, owner: str) -> bool:
-        """Tell whether another owner has left.
-
-        An owner that lost its connection to this entry may be paused; it
-        can't write any more after the claim.
-        """
-        if owner == self.own:
-            return True
-        if owner not in self.fleet.live_entries():
-            return True
-        return owner not in self.fleet.entries
-
     # Starts
 
     def may_start(self) -> bool:
@@ -283,7 +241,28 @@
         return fingerprint(segment.job.pool, item.url, item.body)
 
     async def run_item(self, attempt: Attempt) -> None:
-        """Run one item and keep or repeat its outcome."""
+        """Run one item; a fault of its handling counts as a failed try."""
+        try:
+            judged, interrupted = await self.try_item(attempt)
+        except Exception as exc:
+            self.log_event('item_fault', fault=repr(exc))
+            judged = count_try(attempt, 'fault', self.max_tries, self.now_ms())
+            interrupted = False
+        finally:
+            attempt.segment.running.pop(attempt.index, None)
+        if judged is None:
+            attempt.segment.put_back(attempt.index, interrupted)
+            job_id = attempt.segment.job.job_id
+            self.demands.refused(attempt.link.session, job_id)
+            return
+        attempt.segment.partials.pop(attempt.index, None)
+        attempt.segment.hold(judged, self.clock.now())
+
+    async def try_item(
+        self,
+        attempt: Attempt,
+    ) -> tuple[ItemResult | None, bool]:
+        """Return the result, if there is one, and if it was interrupted."""
         segment, index = attempt.segment, attempt.index
         submit = attempt.submit(request_id_of(attempt))
         self.log_event(
@@ -293,38 +272,24 @@
             endpoint=attempt.link.instance.instance,
         )
         received = None
-        try:
-            with segment.running[index]:
-                received = await receive(self.run, attempt, submit)
-        finally:
-            segment.running.pop(index, None)
-        if received is None or segment.dropped:
-            return
-        tries_before = segment.tries.get(index, 0)
-        judged = judge(
-            attempt,
-            received,
-            self.holder.current.max_item_tries,
-            self.now_ms(),
-        )
+        with segment.running[index]:
+            received = await receive(self.run, attempt, submit)
+        if received is None:
+            return None, True
+        judged = judge(attempt, received, self.max_tries, self.now_ms())
+        segment.partials[index] = received.partial()
         self.log_event(
             'item_ended',
             request_id=submit.request_id,
             job_id=submit.job_id,
             recordable=judged is not None,
         )
-        if judged is not None:
-            self.finish_item(segment, judged)
-            return
-        segment.partials[index] = received.partial()
-        failed = segment.tries.get(index, 0) > tries_before
-        segment.put_back(index, failed)
-        self.demands.refused(attempt.link.session, submit.job_id)
+        return judged, received.interrupted
 
-    def finish_item(self, segment: OwnedSegment, judged: ItemResult) -> None:
-        """Hold a result until the next commit."""
-        segment.partials.pop(judged.index, None)
-        segment.hold(judged, self.clock.now())
+    @property
+    def max_tries(self) -> int:
+        """Return the tries after which an item is recorded as failed."""
+        return self.holder.current.max_item_tries
 
     # Demands
 
@@ -365,7 +330,7 @@
             job.organisation,
             job.job_id,
             count,
-            segment.slack_now_s(self.clock.now()),
+            segment.slack_s,
         )
 
     # Results
@@ -384,6 +349,8 @@
 
     def apply(self, segment: OwnedSegment, outcome: CommitOutcome) -> None:
         """Act on what a commit or a check found."""
+        if outcome == 'open':
+            self.on_state(state_of(segment))
         if outcome in {'open', 'retry'}:
             return
         segment.drop()
--- a/src/quetzaldyke/process/batches_http.py
+++ b/src/quetzaldyke/process/batches_http.py
@@ -19,11 +19,14 @@
 from quetzaldyke.durable.errors import JobError
 from quetzaldyke.durable.records import FileRecord
 from quetzaldyke.durable.service import JobRequest, JobService, JobStatus
+from quetzaldyke.process.callers_gate import read_body
+from quetzaldyke.request.outcome import Refusal
 
 MS_IN_S: Final = 1000
 OUTPUT_PREFIX: Final = 'output-'
 ERRORS_PREFIX: Final = 'errors-'
 LIST_LIMIT: Final = 100
+MAX_JOB_BYTES: Final = 65_536
 REQUEST_ID_BYTES: Final = 10
 SERVER_FAULT: Final = 500
 JSON_LINES: Final = 'application/jsonl'
@@ -90,7 +93,10 @@
         return stream(await open_lines(service, organisation, file_id))
 
     async def create(request: Request, organisation: str) -> Response:
-        parsed = job_request(await request.body(), request, organisation)
+        read = await read_body(request.receive, request.headers, MAX_JOB_BYTES)
+        if isinstance(read, Err):
+            return refusal_response(read.err_value, request)
+        parsed = job_request(read.ok_value, request, organisation)
         if isinstance(parsed, Err):
             return error_response(parsed.err_value)
         created = await service.create_job(parsed.ok_value)
@@ -248,6 +254,12 @@
     )
 
 
+def refusal_response(refusal: Refusal, request: Request) -> Response:
+    """Return the response of a refusal by the callers' gate."""
+    request_id = str(getattr(request.state, 'request_id', ''))
+    return JSONResponse(refusal.body(request_id), refusal.status)
+
+
 def seconds_or_none(at_ms: int) -> int | None:
     """Return a time in seconds; None for a time that has not come."""
     return at_ms // MS_IN_S if at_ms else None
