--- a/tests/test_batch_rules.py
+++ b/tests/test_batch_rules.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import anyio
 import pytest
-
 from batch_bed import POOL, Bed, scenario
+from test_batch_runs import prompts_of
+
 from quetzaldyke.connection import messages as m
 from quetzaldyke.durable import keys
 from quetzaldyke.durable.records import Progress, unpack
 from quetzaldyke.parts.kv import Envelope
 from quetzaldyke.process import batch_part, fleet
-from test_batch_runs import prompts_of
 
 
 def progress_of(bed: Bed, job_id: str, segment: int = 0) -> Progress:
@@ -60,12 +61,12 @@
             sidecar.preempt_rate = 0.6
             submit = sidecar.submit
 
-            def note(entry: str, message: m.Submit, submit=submit) -> None:  # type: ignore[no-untyped-def]
+            def note(entry: str, message: Any, submit: Any = submit) -> None:
                 resumed.append(message.resume_tokens)
                 assert message.attempt == 1
                 submit(entry, message)
 
-            sidecar.submit = note  # type: ignore[method-assign, assignment]
+            sidecar.submit = note  # type: ignore[method-assign,assignment]
         job_id = await bed.submit(prompts)
         await bed.finished(job_id)
         await bed.check(job_id, prompts)
