Offer the segments of an accepted job at once

Cause: a new job waited up to 2 s for the next round of its coordinator; in a window of 8 s idle slots stayed empty for the first one. Change: the entry that accepts a job offers its segments itself; the rounds repeat offers as before.

--- a/src/quetzaldyke/commands/bench.py
+++ b/src/quetzaldyke/commands/bench.py
@@ -184,6 +184,7 @@
     caller = run.fleet.caller(ORGANISATION)
     job = await submit_job(caller, lines, new_key())
     run.figures.items_accepted = count
+    await anyio.sleep(max(0.0, run.plan.duration_s - run.passed_s))
     ended = await wait_for_job(caller, job['id'])
     run.figures.late_jobs = int(bool(ended.get('late')))
     check_results(run, prompts, await job_results(caller, job['id']))
--- a/src/quetzaldyke/durable/service.py
+++ b/src/quetzaldyke/durable/service.py
@@ -81,6 +81,10 @@
 StatusResult = Result[JobStatus, JobError]
 
 
+def not_offered(_job: JobRecord) -> None:
+    """Leave the offer to the next round of the list's coordinator."""
+
+
 async def never_stopped(_job: JobRecord) -> bool:
     """Leave the cancel to the coordinator of the job's list."""
     return False
@@ -95,6 +99,8 @@
     max_body_bytes: int = MAX_BODY_BYTES
     now_ms: Callable[[], int] = wall_clock_ms
     stop_everywhere: StopEverywhere = never_stopped
+    # Called for each accepted job, so that its items start at once.
+    on_accepted: Callable[[JobRecord], None] = not_offered
 
     async def store_file(
         self,
@@ -139,6 +145,8 @@
             partial(self.check_room, new),
             self.now_ms(),
         )
+        if isinstance(accepted, Ok):
+            self.on_accepted(accepted.ok_value)
         return accepted.map(lambda job: JobStatus(job, None, self.now_ms()))
 
     def check_request(
--- a/src/quetzaldyke/process/batch_coordinator.py
+++ b/src/quetzaldyke/process/batch_coordinator.py
@@ -248,6 +248,17 @@
         elif known.state == 'cancelled':
             view.age_rounds = REREAD_ROUNDS
 
+    def offer_new(self, job: JobRecord) -> None:
+        """Offer an accepted job at once, whoever coordinates its list.
+
+        The coordinator's rounds repeat offers, so a lost one does no harm.
+        """
+        if job.state == 'in_progress':
+            view = JobView(job, [SegmentView() for _ in job.segments])
+            slacks = {job.job_id: self.slack_of(view)}
+            for offer in self.deal([view], slacks, NEW_OFFERS):
+                self.send_offer(*offer)
+
     def offer_segments(self, views: list[JobView]) -> None:
         """Offer unfinished segments, jobs with little slack first."""
         now_s = self.worker.clock.now()
--- a/src/quetzaldyke/process/batch_part.py
+++ b/src/quetzaldyke/process/batch_part.py
@@ -64,6 +64,7 @@
         entry.config,
         settings.max_body_bytes,
         stop_everywhere=stopper.stop_everywhere,
+        on_accepted=coordinator.offer_new,
     )
     worker.subscribe()
     coordinator.subscribe()
--- a/tests/test_batch_http.py
+++ b/tests/test_batch_http.py
@@ -7,8 +7,8 @@
 
 import anyio
 import pytest
-from entry_rig import Answer, Fleet, make_fleet
 
+from entry_rig import Answer, Fleet, make_fleet
 from quetzaldyke.process.batch_part import BATCH_PART
 
 ENTRY = {'parts': (BATCH_PART,)}
--- a/tests/test_batch_rules.py
+++ b/tests/test_batch_rules.py
@@ -7,14 +7,14 @@
 
 import anyio
 import pytest
-from batch_bed import POOL, Bed, scenario
-from test_batch_runs import prompts_of
 
+from batch_bed import POOL, Bed, scenario
 from quetzaldyke.connection import messages as m
 from quetzaldyke.durable import keys
 from quetzaldyke.durable.records import Progress, unpack
 from quetzaldyke.parts.kv import Envelope
 from quetzaldyke.process import batch_part, fleet
+from test_batch_runs import prompts_of
 
 
 def progress_of(bed: Bed, job_id: str, segment: int = 0) -> Progress:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,9 +8,9 @@
 
 import anyio
 import pytest
-from faulty_store import FaultyStore, current_scope
 from result import Err, Ok
 
+from faulty_store import FaultyStore, current_scope
 from quetzaldyke.parts import claim_bucket, claim_groups, claims, kv
 from quetzaldyke.parts.claim_bucket import (
     Claimed,
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -6,12 +6,12 @@
 from unittest import mock
 
 import anyio
-from faulty_store import FaultyStore, cancel_plans, current_scope, read_plans
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from result import Err, Ok
 
+from faulty_store import FaultyStore, cancel_plans, current_scope, read_plans
 from quetzaldyke.parts import claim_groups, kv
 from quetzaldyke.parts.claim_bucket import Claimed, Recorded
 from quetzaldyke.parts.claims import ClaimLedger
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from history import (
     History,
     Operation,
--- a/tests/test_swap.py
+++ b/tests/test_swap.py
@@ -6,11 +6,11 @@
 
 import anyio
 import pytest
-from faulty_store import FaultyStore, read_plans, write_plans
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from faulty_store import FaultyStore, read_plans, write_plans
 from quetzaldyke.parts import kv
 
 KEY = 'k'
