--- a/src/quetzaldyke/parts/claim_groups.py
+++ b/src/quetzaldyke/parts/claim_groups.py
@@ -30,6 +30,9 @@
 
 BUCKETS: Final = 64
 MAX_GROUP: Final = 500
+# A service that hangs is given up after this; the retries of `swap` alone
+# would keep a caller waiting for half a minute.
+COMMIT_LIMIT_S: Final = 5.0
 # Memory for outcomes and releases that could not be written; beyond it they
 # are dropped, their claims stay claimed, and later attempts get `unknown`.
 MAX_KEPT_BYTES: Final = 16_777_216
@@ -180,7 +183,12 @@
                 self.retention_ms,
             )
 
-        return await swap(self.store, bucket_key(number), change)
+        with anyio.move_on_after(COMMIT_LIMIT_S):
+            return await swap(self.store, bucket_key(number), change)
+        # Nothing was sent to be written before `change` was called.
+        if any(operation.seen is not None for operation in group):
+            return Err(KvError('unknown', 'no answer within the limit'))
+        return Err(KvError('unavailable', 'no answer within the limit'))
 
 
 def answer_group(
--- a/src/quetzaldyke/standins/faults.py
+++ b/src/quetzaldyke/standins/faults.py
@@ -23,6 +23,9 @@
     App,
     HttpOptions,
     HttpServer,
+    Receive,
+    Scope,
+    Send,
     serve_http,
 )
 
@@ -39,6 +42,7 @@
     # Set when the graceful stop is complete.
     stopped: anyio.Event = field(default_factory=anyio.Event)
     address: str = ''
+    # None while connections are refused.
     http: HttpServer | None = None
 
     def break_answer(self, request: Request) -> Response:
@@ -48,6 +52,21 @@
             self.http.break_connection((host, port))
         return Response(status_code=500)
 
+    def guard(self, app: App) -> App:
+        """Return an app that answers nothing once the stand-in is down.
+
+        The listener is closed a moment later than the switch is set.
+        """
+
+        async def guarded(scope: Scope, receive: Receive, send: Send) -> None:
+            if not self.is_down():
+                await app(scope, receive, send)
+                return
+            request = Request(scope)
+            await self.break_answer(request)(scope, receive, send)
+
+        return guarded
+
     async def serve(
         self,
         app: App,
@@ -65,7 +84,7 @@
             async with anyio.create_task_group() as group:
                 self.http = await group.start(
                     serve_http,
-                    app,
+                    self.guard(app),
                     HttpOptions(self.address, DRAIN_S),
                     self.stopping,
                 )
@@ -76,6 +95,7 @@
                 await self.wait_for_outage()
                 if not self.stopping.is_set():
                     group.cancel_scope.cancel()
+            self.http = None
         self.stopped.set()
 
     async def wait_for_outage(self) -> None:
--- a/tests/faulty_store.py
+++ b/tests/faulty_store.py
@@ -71,6 +71,8 @@
         fault = self.read_plan.popleft() if self.read_plan else 'ok'
         if fault == 'unavailable':
             return Err(KvError('unavailable'))
+        if fault == 'hang':
+            await anyio.sleep_forever()
         if fault == 'unknown':
             return Err(KvError('unknown'))
         return await MemoryStore.get(self, key)
@@ -102,6 +104,8 @@
             answer = await apply()
             if fault == 'cancel_after':
                 await cancel_task()
+            if fault == 'hang':
+                await anyio.sleep_forever()
             if fault != 'lost':
                 return answer
         return Err(KvError('unknown'))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -36,7 +36,10 @@
     async def main() -> T:
         return await steps(FaultyStore())
 
-    with mock.patch.object(kv, 'RETRY_PAUSE_S', 0):
+    with (
+        mock.patch.object(kv, 'RETRY_PAUSE_S', 0),
+        mock.patch.object(claim_groups, 'COMMIT_LIMIT_S', 0.5),
+    ):
         return anyio.run(main)
 
 
@@ -101,6 +104,8 @@
         (['ok', *['unavailable'] * 16], ['dropped'], 'unknown'),
         ([], ['dropped'] * 16, 'unknown'),
         (['ok', *['unavailable'] * 16], ['latest'], 'unknown'),
+        (['hang'], [], 'not_run'),
+        ([], ['hang'], 'unknown'),
     ],
 )
 def test_outage_is_told_truthfully(
