--- /dev/null
+++ b/src/quetzaldyke/commands/standin.py
@@ -0,0 +1,134 @@
+"""Runs one stand-in of the platform as a process of its own.
+
+Flags are the fields of the stand-in's options. SIGTERM and SIGINT stop it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any, Final, Protocol
+
+import anyio
+from result import Err, Ok, Result
+
+from quetzaldyke.parts.errors import Errors
+from quetzaldyke.process.settings import check_address
+from quetzaldyke.standins.engine import run_engine
+from quetzaldyke.standins.engine_options import EngineOptions
+from quetzaldyke.standins.instances import InstancesOptions, run_instances
+from quetzaldyke.standins.kv import KvOptions, run_kv
+from quetzaldyke.standins.service import ServiceOptions, run_service
+
+USAGE_STATUS: Final = 2
+
+
+class Standin(Protocol):
+    """What all running stand-ins have."""
+
+    @property
+    def address(self) -> str:
+        """Return the bound address."""
+
+    @property
+    def stopping(self) -> anyio.Event:
+        """Return the event that stops the stand-in."""
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of stand-in."""
+
+    options: type[Any]
+    run: Callable[..., Coroutine[Any, Any, None]]
+
+
+KINDS: Final = {
+    'kv': Kind(KvOptions, run_kv),
+    'engine': Kind(EngineOptions, run_engine),
+    'service': Kind(ServiceOptions, run_service),
+    'instances': Kind(InstancesOptions, run_instances),
+}
+
+
+def parse_options(kind: str, flags: dict[str, object]) -> Result[Any, Errors]:
+    """Return a stand-in's options, or every finding.
+
+    >>> parse_options('kv', {'seed': 7}).ok_value
+    KvOptions(address='127.0.0.1:0', seed=7)
+    >>> print(parse_options('kv', {'seed': 'x', 'no': 1}).err_value.render())
+    --no: is not a flag of this stand-in
+    --seed: must be of type int
+    """
+    errors = Errors()
+    if kind not in KINDS:
+        errors.add('kind', f'must be one of {", ".join(KINDS)}')
+        return Err(errors)
+    model = KINDS[kind].options
+    defaults = dataclasses.asdict(model())
+    given: dict[str, object] = {}
+    for name, setting in flags.items():
+        place = f'--{name.replace("_", "-")}'
+        if name not in defaults:
+            errors.add(place, 'is not a flag of this stand-in')
+            continue
+        expected = type(defaults[name])
+        given[name] = as_type(setting, expected)
+        if given[name] is None:
+            errors.add(place, f'must be of type {expected.__name__}')
+    check_given_address(given, errors)
+    return Err(errors) if errors.found else Ok(model(**given))
+
+
+def as_type(setting: object, expected: type) -> object:
+    """Return a flag's value in the type of its field, or None."""
+    # bool is a kind of int, but not a number here.
+    if isinstance(setting, bool) is not (expected is bool):
+        return None
+    if expected is float and isinstance(setting, int):
+        return float(setting)
+    if expected is str and isinstance(setting, int | float):
+        return str(setting)
+    return setting if isinstance(setting, expected) else None
+
+
+def check_given_address(given: dict[str, object], errors: Errors) -> None:
+    """Check the listener's address if one was given."""
+    try:
+        check_address(str(given.get('address', '127.0.0.1:0')))
+    except ValueError as exc:
+        errors.add('--address', str(exc))
+
+
+async def serve_standin(kind: str, options: object) -> None:
+    """Run a stand-in until a signal; prints its address when it listens."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async with anyio.create_task_group() as group:
+            standin: Standin = await group.start(KINDS[kind].run, options)
+            address = standin.address
+            print(f'event=standin_started kind={kind} address={address}')
+            sys.stdout.flush()
+            await anext(aiter(received))
+            standin.stopping.set()
+
+
+def run_standin(kind: str, **flags: object) -> None:
+    """Run a stand-in: kv, engine, service or instances.
+
+    Args:
+        kind: which stand-in.
+        flags: fields of its options, for example --address 127.0.0.1:7001.
+    """
+    options = parse_options(kind, flags)
+    if isinstance(options, Err):
+        print(options.err_value.render(), file=sys.stderr)
+        sys.exit(USAGE_STATUS)
+    anyio.run(
+        serve_standin,
+        kind,
+        options.ok_value,
+        backend_options={'use_uvloop': True},
+    )
