--- a/tests/batch_bed.py
+++ b/tests/batch_bed.py
@@ -146,7 +146,8 @@
         """Start an item if its grant is valid."""
         grant = self.grants.pop(submit.grant_id, None)
         now_s = anyio.current_time()
-        valid = grant and grant[:2] == (entry, submit.job_id)
+        refused = 'REFUSED' in submit.body.decode()
+        valid = grant and grant[:2] == (entry, submit.job_id) and not refused
         if not valid or grant[2] < now_s or submit.job_id in self.cancelled:  # type: ignore[index]
             failed = m.Failed(submit.request_id, 'not_run', 'no valid grant')
             self.to_entry[entry].send(failed)
--- a/tests/test_batch_rules.py
+++ b/tests/test_batch_rules.py
@@ -256,3 +256,48 @@
         entry.resume()
 
     scenario(body)
+
+
+def test_refused_item_does_not_hold_others_up() -> None:
+    """Guards against a queue that is blocked by its first item."""
+    prompts = ['REFUSED', *prompts_of(20)]
+
+    async def body(bed: Bed) -> None:
+        bed.sidecars['sidecar-0'].slots = 1
+        job_id = await bed.submit(prompts)
+        await claimed(bed, job_id)
+        await bed.wait(
+            lambda: progress_of(bed, job_id).finished_count == 20, 90
+        )
+        assert not progress_of(bed, job_id).is_finished(0)
+        assert progress_of(bed, job_id).tries == {}
+
+    scenario(body, sidecars=1)
+
+
+def test_jobs_with_less_slack_finish_first() -> None:
+    """Guards against a deadline that is missed for a job due later."""
+    due = {'b': '2031', 'c': '2033', 'a': '2032', 'd': '2030'}
+
+    async def body(bed: Bed) -> None:
+        job_ids = [
+            await bed.submit(
+                [f'{name}{number}' for number in range(400)],
+                deadline_local=f'{year}-01-01T18:00',
+                deadline_zone='Asia/Karachi',
+            )
+            for name, year in due.items()
+        ]
+        for job_id in job_ids:
+            await bed.finished(job_id)
+        jobs = [bed.job(job_id) for job_id in job_ids]
+        ended = [
+            max(at_s for one, at_s in bed.starts if one == job.job_id)
+            for job in jobs
+        ]
+        by_deadline = sorted(
+            range(4), key=lambda n: jobs[n].deadline.instant_ms
+        )
+        assert sorted(range(4), key=lambda n: ended[n]) == by_deadline
+
+    scenario(body)
