--- a/src/quetzaldyke/connection/batch_messages.py
+++ b/src/quetzaldyke/connection/batch_messages.py
@@ -20,3 +20,4 @@
     state: str
     finished: int
     failed: int
+    waiting: int  # items that have not started
