--- a/tests/test_claims_sockets.py
+++ b/tests/test_claims_sockets.py
@@ -14,9 +14,9 @@
 
 import anyio
 import pytest
-from history import History, check
 from result import Err
 
+from history import History, check
 from quetzaldyke.connection.kv_http import HttpKeyValueStore
 from quetzaldyke.parts.claim_bucket import Claimed, InProgress, Recorded
 from quetzaldyke.parts.claim_groups import bucket_key, bucket_of
