--- a/src/quetzaldyke/commands/bench.py
+++ b/src/quetzaldyke/commands/bench.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 import json
+import sys
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from pathlib import Path
@@ -21,6 +21,7 @@
 import httpcore
 
 from quetzaldyke.commands.arrivals import Arrival, Burst, LoadPlan, arrivals
+from quetzaldyke.commands.bench_faults import FAULTS, Faults
 from quetzaldyke.commands.bench_figures import Figures, p99, ratio
 from quetzaldyke.commands.bench_modes import (
     ENGINE,
@@ -56,8 +57,6 @@
 # Requests of callers; items of jobs have other ids.
 ONLINE_PREFIX: Final = 'req-'
 
-Faults = Callable[[ProcessFleet, float], Coroutine[Any, Any, None]]
-
 
 @dataclass(slots=True)
 class Run:
@@ -307,12 +306,16 @@
     }
 
 
-async def run_bench(window_s: float, seed: int) -> dict[str, Figures]:
-    """Run every mode on the same arrivals."""
+async def run_bench(
+    window_s: float,
+    seed: int,
+    fault: str,
+) -> dict[str, Figures]:
+    """Run every mode on the same arrivals, with a fault if one is named."""
     plan = load_plan(window_s, seed)
     found = {}
     for mode in MODES:
-        figures = await run_mode(mode, plan)
+        figures = await run_mode(mode, plan, FAULTS[fault])
         found[mode.name] = figures
         print('\n'.join(figures.lines()), flush=True)
         for note, count in Counter(figures.notes).most_common(3):
@@ -324,19 +327,28 @@
     quick: bool = False,
     seed: int = 1,
     json_file: str = '',
+    fault: str = 'none',
 ) -> None:
     """Compare the policies; `--quick` ends within 45 s."""
+    if fault not in FAULTS:
+        sys.exit(f'--fault: one of {", ".join(FAULTS)}')
     window_s = QUICK_WINDOW_S if quick else FULL_WINDOW_S
     found = anyio.run(
         run_bench,
         window_s,
         seed,
+        fault,
         backend_options={'use_uvloop': True},
     )
     compared = compare(found)
     for name, figure in compared.items():
-        print(f'figure={name} value={figure:.4g} seed={seed}')
+        print(f'figure={name} value={figure:.4g} seed={seed} fault={fault}')
     if json_file:
         document = {name: one.rows() for name, one in found.items()}
-        content = {'seed': seed, 'modes': document, 'compared': compared}
+        content = {
+            'seed': seed,
+            'fault': fault,
+            'modes': document,
+            'compared': compared,
+        }
         Path(json_file).write_text(json.dumps(content, indent=2))
