--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -94,6 +94,8 @@
     incarnation: str
     # Set by the batch part: the service behind files and batches.
     jobs: object = None
+    # Set by the configuration part: its spread and queries.
+    versions: object = None
     group: TaskGroup | None = None
     link_options: LinkOptions | None = None
     once: OnceContext | None = None
@@ -300,6 +302,7 @@
         group,
         entry.log_event,
     )
+    entry.membership.subscribe()
     stack.push_async_callback(entry.membership.aclose)
     await entry.membership.refresh()
 
