Place replicas by one fenced giver of orders; add the operators' commands

Cause: nothing gave orders to engines yet, and operators had no command to change the configuration, follow jobs or tell a request's history. Change: the placement value holds the epoch, the assignments and the running loads. An order needs a nonce and, after it, a compare-and-swap that checks the epoch and takes a place among the loads. A replica moves after 30 s of shortage, only from a pool with more than its count, and stays 300 s unless its own pool lacks it. `config`, `job`, `timeline`, `explain` and `check-settings` work over the listeners; /explain answers in sentences. An endpoint that refused every order kept taking the only place of a load before; those that refuse now go last. The commands have no tests yet.

--- /dev/null
+++ b/src/quetzaldyke/commands/check_settings.py
@@ -0,0 +1,78 @@
+"""Checks a role's settings and reports every finding at once."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Final
+
+from result import Err
+
+from quetzaldyke.commands.daemons import parse_flags
+from quetzaldyke.parts.errors import Errors
+from quetzaldyke.process.settings import (
+    ENV_PREFIX,
+    EntrySettings,
+    ProcessSettings,
+    SidecarSettings,
+    load_settings,
+    variable_of,
+)
+
+FINDINGS_STATUS: Final = 2
+ROLES: Final[dict[str, type[ProcessSettings]]] = {
+    'entry': EntrySettings,
+    'sidecar': SidecarSettings,
+}
+# Variables of the commands, which are no settings of a role.
+COMMAND_VARIABLES: Final = frozenset((variable_of('caller_key'),))
+
+
+def findings_for(
+    role: str,
+    flags: Mapping[str, object],
+    environ: Mapping[str, str],
+) -> Errors:
+    """Return every mistake in a role's settings.
+
+    A variable that no role knows is one too, because a misspelt variable
+    would otherwise silently leave the default in force.
+    """
+    errors = Errors()
+    if role not in ROLES:
+        errors.add('ROLE', f'must be one of {", ".join(ROLES)}')
+        return errors
+    loaded = load_settings(ROLES[role], flags, environ)
+    if isinstance(loaded, Err):
+        errors.findings.extend(loaded.err_value.findings)
+    known = {
+        variable_of(name)
+        for model in ROLES.values()
+        for name in model.model_fields
+    }
+    for variable in sorted(environ):
+        if not variable.startswith(ENV_PREFIX):
+            continue
+        if variable not in known and variable not in COMMAND_VARIABLES:
+            errors.add(variable, 'is not known')
+    return errors
+
+
+def check(arguments: Sequence[str], environ: Mapping[str, str]) -> Errors:
+    """Check a command line: the role, then its flags."""
+    role, *flags = arguments or ['']
+    return findings_for(role, parse_flags(flags), environ)
+
+
+def check_settings(*_arguments: str, **_flags: object) -> None:
+    """Print every finding with its flag and variable; exit with 2 on any.
+
+    Reads the process's own arguments, because the command-line library
+    turns texts that look like numbers into numbers.
+    """
+    errors = check(sys.argv[2:], os.environ)
+    if errors.found:
+        sys.stderr.write(f'{errors.render()}\n')
+        sys.exit(FINDINGS_STATUS)
+    print('ok')
--- /dev/null
+++ b/src/quetzaldyke/commands/job.py
@@ -0,0 +1,123 @@
+"""Submits and follows batch jobs through an entry."""
+
+from __future__ import annotations
+
+import json
+import sys
+import uuid
+from pathlib import Path
+from typing import Any, Final
+
+from quetzaldyke.commands.http_client import (
+    Answer,
+    Client,
+    callers_client,
+    exit_unless_ok,
+    finish,
+)
+
+MAX_SENDS: Final = 5
+BOUNDARY_PREFIX: Final = 'quetzaldyke-'
+
+
+def submit(
+    file: str,
+    endpoint: str = '/v1/chat/completions',
+    deadline: str = '',
+    zone: str = '',
+    idempotency_key: str = '',
+    callers_address: str = '',
+    caller_key: str = '',
+) -> None:
+    """Upload a file of items, one JSON object a line, and create its job.
+
+    `deadline` is a local time such as 2026-03-01T19:30 in the IANA `zone`.
+    Sending the same job again gives the first job.
+    """
+    client = callers_client(callers_address, caller_key)
+    uploaded = upload(client, Path(file))
+    if not uploaded.ok:
+        finish(uploaded)
+    body: dict[str, Any] = {
+        'input_file_id': uploaded.document()['id'],
+        'endpoint': endpoint,
+    }
+    if deadline:
+        body['deadline'] = {'local': deadline, 'zone': zone}
+    headers = {'idempotency-key': str(idempotency_key or uuid.uuid4())}
+    sys.stderr.write(f'idempotency key {headers["idempotency-key"]}\n')
+    answer = Answer(0, b'')
+    for _ in range(MAX_SENDS):
+        answer = client.call(
+            'POST',
+            '/v1/batches',
+            json.dumps(body).encode(),
+            headers,
+        )
+        if answer.status:
+            break
+    finish(answer)
+
+
+def upload(client: Client, path: Path) -> Answer:
+    """Upload a file as a multipart form."""
+    boundary = f'{BOUNDARY_PREFIX}{uuid.uuid4().hex}'
+    name = path.name.replace('"', '_')
+    parts = (
+        f'--{boundary}\r\nContent-Disposition: form-data; name="purpose"'
+        '\r\n\r\nbatch\r\n'
+        f'--{boundary}\r\nContent-Disposition: form-data; name="file"; '
+        f'filename="{name}"\r\nContent-Type: application/jsonl\r\n\r\n'
+    )
+    content = parts.encode() + path.read_bytes()
+    content += f'\r\n--{boundary}--\r\n'.encode()
+    kind = f'multipart/form-data; boundary={boundary}'
+    return client.call('POST', '/v1/files', content, {'content-type': kind})
+
+
+def status(
+    job_id: str,
+    callers_address: str = '',
+    caller_key: str = '',
+) -> None:
+    """Print how a job stands, with its estimate and risk."""
+    client = callers_client(callers_address, caller_key)
+    finish(client.call('GET', f'/v1/batches/{job_id}'))
+
+
+def cancel(
+    job_id: str,
+    callers_address: str = '',
+    caller_key: str = '',
+) -> None:
+    """Cancel a job."""
+    client = callers_client(callers_address, caller_key)
+    finish(client.call('POST', f'/v1/batches/{job_id}/cancel'))
+
+
+def results(
+    job_id: str,
+    errors: bool = False,
+    callers_address: str = '',
+    caller_key: str = '',
+) -> None:
+    """Print the recorded results, or the items that failed, as lines."""
+    client = callers_client(callers_address, caller_key)
+    job = client.call('GET', f'/v1/batches/{job_id}')
+    if not job.ok:
+        finish(job)
+    which = 'error_file_id' if errors else 'output_file_id'
+    file_id = job.document().get(which)
+    if not file_id:
+        return
+    answer = client.call('GET', f'/v1/files/{file_id}/content')
+    sys.stdout.write(answer.content.decode())
+    exit_unless_ok(answer)
+
+
+JOB_COMMANDS: Final = {
+    'submit': submit,
+    'status': status,
+    'results': results,
+    'cancel': cancel,
+}
--- /dev/null
+++ b/src/quetzaldyke/commands/timeline.py
@@ -0,0 +1,137 @@
+"""Merges log files and the live buffers of the fleet by stamp."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Final
+from urllib.parse import urlencode
+
+from quetzaldyke.commands.http_client import finish, operators_client
+from quetzaldyke.parts.hlc import Stamp
+from quetzaldyke.parts.timeline import Event, merge
+from quetzaldyke.process.event_query import event_from_row, matches
+from quetzaldyke.process.logs import render_value
+
+MAX_EVENTS: Final = 2000
+ESCAPES: Final = {'n': '\n', 'r': '\r'}
+NOT_FIELDS: Final = frozenset(('event', 'stamp', 'process'))
+
+
+def split_pairs(line: str) -> Iterator[tuple[str, str]]:
+    """Yield the key=value pairs of a log line.
+
+    >>> list(split_pairs('event=x reason="a \\\\"b\\\\" c" n=1'))
+    [('event', 'x'), ('reason', 'a "b" c'), ('n', '1')]
+    """
+    position = 0
+    while position < len(line):
+        key, equals, rest = line[position:].partition('=')
+        if not equals:
+            return
+        start = position + len(key) + 1
+        if rest.startswith('"'):
+            text, position = read_quoted(line, start + 1)
+        else:
+            text = rest.partition(' ')[0]
+            position = start + len(text)
+        yield key.strip(), text
+
+
+def read_quoted(line: str, position: int) -> tuple[str, int]:
+    """Return a quoted text and the position after its closing quote."""
+    chars: list[str] = []
+    while position < len(line) and line[position] != '"':
+        if line[position] == '\\':
+            position += 1
+            escaped = line[position : position + 1]
+            chars.append(ESCAPES.get(escaped, escaped))
+        else:
+            chars.append(line[position])
+        position += 1
+    return ''.join(chars), position + 1
+
+
+def parse_stamp(text: str) -> Stamp | None:
+    """Return a stamp, or None for another text.
+
+    >>> parse_stamp('00000000000005.00002@e1')
+    Stamp(wall_ms=5, counter=2, process='e1')
+    """
+    numbers, _, process = text.partition('@')
+    wall_ms, _, counter = numbers.partition('.')
+    if not (wall_ms.isdecimal() and counter.isdecimal() and process):
+        return None
+    return Stamp(int(wall_ms), int(counter), process)
+
+
+def parse_line(line: str) -> Event | None:
+    """Return the event of a log line; None for lines of other programs."""
+    fields = dict(split_pairs(line.rstrip('\n')))
+    stamp = parse_stamp(fields.get('stamp', ''))
+    if stamp is None or 'event' not in fields:
+        return None
+    kept = {key: text for key, text in fields.items() if key not in NOT_FIELDS}
+    return Event(stamp, fields['event'], kept)
+
+
+def read_log(path: str) -> list[Event]:
+    """Return the events of a log file in stamp order."""
+    with Path(path).open(errors='replace') as lines:
+        events = [event for line in lines if (event := parse_line(line))]
+    return sorted(events, key=lambda event: event.stamp)
+
+
+def read_live(address: str, key: str, contains: str) -> list[Event]:
+    """Return the events that an entry gathers from its peers."""
+    query = urlencode({'contains': contains, 'limit': MAX_EVENTS})
+    answer = operators_client(address, key).call('GET', f'/events?{query}')
+    if not answer.ok:
+        finish(answer)
+    events = [event_from_row(row) for row in answer.document()['events']]
+    return sorted(
+        (event for event in events if event is not None),
+        key=lambda event: event.stamp,
+    )
+
+
+def merged(buffers: Iterable[list[Event]], contains: str) -> list[Event]:
+    """Return matching events in order, each once.
+
+    A file and a live buffer often hold the same event; its stamp is unique.
+    """
+    by_stamp = {event.stamp: event for event in merge(buffers)}
+    return [event for event in by_stamp.values() if matches(event, contains)]
+
+
+def gather(
+    files: Iterable[str],
+    contains: str,
+    address: str,
+    key: str,
+) -> list[Event]:
+    """Return the events of files and, with an address, of the live fleet."""
+    buffers = [read_log(str(path)) for path in files]
+    if address or not buffers:
+        buffers.append(read_live(address, key, contains))
+    return merged(buffers, contains)
+
+
+def render_event(event: Event) -> str:
+    """Return one line of the output."""
+    pairs = ' '.join(
+        f'{key}={render_value(text)}' for key, text in event.fields.items()
+    )
+    return f'{event.stamp} {event.name} {pairs}'.rstrip()
+
+
+def timeline(
+    *files: str,
+    contains: str = '',
+    operators_address: str = '',
+    operator_key: str = '',
+) -> None:
+    """Print the events of log files and the live fleet in stamp order."""
+    found = gather(files, str(contains), operators_address, operator_key)
+    sys.stdout.writelines(f'{render_event(event)}\n' for event in found)
--- a/src/quetzaldyke/process/config_part.py
+++ b/src/quetzaldyke/process/config_part.py
@@ -6,21 +6,27 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+import anyio
 from starlette.routing import BaseRoute
 
 from quetzaldyke.process.entry_parts import EntryPart
 from quetzaldyke.process.event_query import EventQueries
+from quetzaldyke.process.explain import explain
+from quetzaldyke.process.fleet import Instance, keep_dialled
 from quetzaldyke.process.operators_http import (
     OperatorsContext,
     make_operators_app,
 )
 from quetzaldyke.version.everywhere import EverywhereWait
+from quetzaldyke.version.order_calls import OrderCalls
+from quetzaldyke.version.order_giver import RECONCILE_INTERVAL_S, OrderGiver
+from quetzaldyke.version.seen import SeenEndpoints
 from quetzaldyke.version.spread import Spread
 
 if TYPE_CHECKING:
     from quetzaldyke.process.entry import EntryProcess
 
-MAX_EXPLAINED: Final = 200
+MAX_EXPLAINED: Final = 500
 
 
 @dataclass(slots=True)
@@ -30,6 +36,7 @@
     spread: Spread
     everywhere: EverywhereWait
     events: EventQueries
+    orders: OrderGiver
 
 
 async def start(entry: EntryProcess) -> None:
@@ -47,19 +54,51 @@
     events.subscribe()
     everywhere = EverywhereWait(entry.fleet, spread.exchange, entry.clock)
     everywhere.subscribe()
-    entry.versions = ConfigParts(spread, everywhere, events)
+    orders = make_order_giver(entry)
+    orders.subscribe()
+    entry.versions = ConfigParts(spread, everywhere, events, orders)
+    entry.timers.subscribe(
+        'placement',
+        RECONCILE_INTERVAL_S,
+        orders.reconcile,
+    )
     entry.group.start_soon(spread.run)
     entry.group.start_soon(everywhere.run)
 
 
-async def tell_events(events: EventQueries, name: str) -> str:
-    """Return the events that mention a name, one a line."""
-    found = await events.gather(name, MAX_EXPLAINED)
-    return '\n'.join(
-        f'{event.stamp} {event.name} {event.fields}' for event in found
+def make_order_giver(entry: EntryProcess) -> OrderGiver:
+    """Return the entry's part in giving orders to engines."""
+    assert entry.group is not None
+
+    async def reach(one: Instance) -> None:
+        options = entry.link_options
+        assert options is not None
+        await keep_dialled(entry.fleet, one, options, anyio.CancelScope())
+
+    return OrderGiver(
+        entry.store,
+        entry.config,
+        entry.fleet,
+        entry.log_event,
+        entry.group,
+        SeenEndpoints(entry.fleet, reach),
+        OrderCalls(entry.fleet),
     )
 
 
+def unready_reason(entry: EntryProcess, spread: Spread) -> str:
+    """Return why the entry is not ready, or nothing."""
+    reason = entry.unready_reason()
+    if not reason and not spread.settled:
+        return 'the configuration may be older than that of the peers'
+    return reason
+
+
+async def tell_events(events: EventQueries, name: str) -> str:
+    """Return the history of a name in sentences."""
+    return explain(name, await events.gather(name, MAX_EXPLAINED))
+
+
 def operator_routes(entry: EntryProcess) -> Sequence[BaseRoute]:
     """Return the routes for operators."""
     parts = entry.versions
@@ -72,7 +111,7 @@
         metrics=entry.metrics,
         versions=parts.everywhere,
         log_event=entry.log_event,
-        unready_reason=entry.unready_reason,
+        unready_reason=lambda: unready_reason(entry, parts.spread),
         gather_events=parts.events.gather,
         explain=lambda name: tell_events(parts.events, name),
         on_head=parts.spread.on_head,
--- a/src/quetzaldyke/version/everywhere.py
+++ b/src/quetzaldyke/version/everywhere.py
@@ -113,6 +113,8 @@
 
     def told_by(self, instance: str) -> int | None:
         """Return the version that a process last reported."""
+        if instance == self.fleet.own.instance:
+            return self.exchange.holder.version
         return self.exchange.told_by(instance)
 
     def peers_have(self, version: int) -> bool:
--- /dev/null
+++ b/src/quetzaldyke/version/placement.py
@@ -0,0 +1,241 @@
+"""What every endpoint should serve: the plan, without its execution.
+
+A pool with a `replicas` count gets that many endpoints. An endpoint serves
+its own pool's model unless it is assigned to another pool that lacks
+replicas while its own has more than it needs.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgpack
+
+from quetzaldyke.version.configuration import Configuration, Pool
+
+# A shortage must last this long before an endpoint is moved: a restarted
+# engine is back within it, and a load takes as long as several restarts.
+SHORTAGE_HOLD_MS: Final = 30_000
+# An endpoint that was moved stays for this long, unless its own pool lacks
+# replicas.
+MIN_STAY_MS: Final = 300_000
+# A load that was not seen to end counts against the limit for this long.
+LOAD_LIMIT_MS: Final = 900_000
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """What is known of one endpoint."""
+
+    instance: str
+    pool: str
+    up: bool
+    model: str
+    version: str
+    adapter: str
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Contents of the value `placement`."""
+
+    # Rises with each change of the giver; the fencing token of its orders.
+    epoch: int = 0
+    giver: str = ''
+    # Endpoints that serve another pool than their own.
+    assigned: Mapping[str, str] = field(default_factory=dict)
+    moved_ms: Mapping[str, int] = field(default_factory=dict)
+    # Endpoints that load now, by the time the load was first ordered.
+    loads: Mapping[str, int] = field(default_factory=dict)
+
+    @classmethod
+    def unpack(cls, payload: bytes) -> Placement:
+        """Decode a stored payload; an empty one has epoch 0."""
+        return cls(*msgpack.unpackb(payload)) if payload else cls()
+
+    def pack(self) -> bytes:
+        """Encode for storage."""
+        row = [
+            self.epoch,
+            self.giver,
+            dict(self.assigned),
+            dict(self.moved_ms),
+            dict(self.loads),
+        ]
+        return bytes(msgpack.packb(row))
+
+    def pool_of(self, endpoint: Endpoint) -> str:
+        """Return the pool that an endpoint should serve."""
+        return self.assigned.get(endpoint.instance, endpoint.pool)
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Decision to let an endpoint serve another pool."""
+
+    instance: str
+    from_pool: str
+    to_pool: str
+
+
+def managed_pools(configuration: Configuration) -> dict[str, Pool]:
+    """Return the pools whose endpoints get orders."""
+    return {
+        name: pool
+        for name, pool in configuration.pools.items()
+        if pool.kind == 'engine' and pool.replicas and pool.model
+    }
+
+
+def is_placed(endpoint: Endpoint, pool: Pool) -> bool:
+    """Tell whether an endpoint serves what the pool asks for.
+
+    A version or adapter that the pool leaves open is not compared.
+    """
+    wanted = (pool.model, pool.version, pool.adapter)
+    present = (endpoint.model, endpoint.version, endpoint.adapter)
+    return all(
+        not one or one == other
+        for one, other in zip(wanted, present, strict=True)
+    )
+
+
+def misplaced(
+    placement: Placement,
+    pools: Mapping[str, Pool],
+    endpoints: Sequence[Endpoint],
+) -> list[Endpoint]:
+    """Return the endpoints that need an order, loading ones included."""
+    return [
+        one
+        for one in endpoints
+        if one.up
+        and placement.pool_of(one) in pools
+        and not is_placed(one, pools[placement.pool_of(one)])
+    ]
+
+
+def surplus_of(
+    placement: Placement,
+    pools: Mapping[str, Pool],
+    endpoints: Sequence[Endpoint],
+) -> dict[str, int]:
+    """Return by how many endpoints each pool exceeds its count."""
+    counts = Counter(placement.pool_of(one) for one in endpoints if one.up)
+    return {name: counts[name] - pool.replicas for name, pool in pools.items()}
+
+
+@dataclass(slots=True)
+class ShortageWatch:
+    """Since when each pool has lacked endpoints that another could give."""
+
+    since_ms: dict[str, int] = field(default_factory=dict)
+
+    def lasting(self, surplus: Mapping[str, int], now_ms: int) -> list[str]:
+        """Return the pools whose shortage has lasted, the worst first.
+
+        >>> watch = ShortageWatch()
+        >>> watch.lasting({'a': -1, 'b': 2}, 0)
+        []
+        >>> watch.lasting({'a': -1, 'b': 2}, SHORTAGE_HOLD_MS)
+        ['a']
+        >>> watch.lasting({'a': 0, 'b': 1}, SHORTAGE_HOLD_MS)
+        []
+        """
+        can_give = any(extra > 0 for extra in surplus.values())
+        short = [
+            name for name, extra in surplus.items() if extra < 0 and can_give
+        ]
+        self.since_ms = {
+            name: self.since_ms.get(name, now_ms) for name in short
+        }
+        held = [
+            name
+            for name in short
+            if now_ms - self.since_ms[name] >= SHORTAGE_HOLD_MS
+        ]
+        return sorted(held, key=lambda name: (surplus[name], name))
+
+
+def plan_move(
+    placement: Placement,
+    pools: Mapping[str, Pool],
+    endpoints: Sequence[Endpoint],
+    watch: ShortageWatch,
+    now_ms: int,
+) -> Move | None:
+    """Return the next move, or None when nothing should move.
+
+    Only a pool with more endpoints than its count gives one, so a move
+    never makes a shortage and no move is undone by the next.
+    """
+    surplus = surplus_of(placement, pools, endpoints)
+    for taker in watch.lasting(surplus, now_ms):
+        candidates = [
+            one
+            for one in endpoints
+            if one.up
+            and surplus.get(placement.pool_of(one), 0) > 0
+            and may_move(placement, one, taker, now_ms)
+        ]
+        # An endpoint that returns to its own pool goes first.
+        own = [one for one in candidates if one.pool == taker]
+        for chosen in own or candidates:
+            return Move(chosen.instance, placement.pool_of(chosen), taker)
+    return None
+
+
+def may_move(
+    placement: Placement,
+    endpoint: Endpoint,
+    taker: str,
+    now_ms: int,
+) -> bool:
+    """Tell whether an endpoint may move now."""
+    if endpoint.instance in placement.loads:
+        return False
+    if endpoint.pool == taker:
+        return True
+    moved_ms = placement.moved_ms.get(endpoint.instance)
+    return moved_ms is None or now_ms - moved_ms >= MIN_STAY_MS
+
+
+def with_move(placement: Placement, move: Move, home: str) -> Placement:
+    """Return the assignment after a move; `moved_ms` is set by the caller."""
+    assigned = dict(placement.assigned)
+    if move.to_pool == home:
+        assigned.pop(move.instance, None)
+    else:
+        assigned[move.instance] = move.to_pool
+    return Placement(
+        placement.epoch,
+        placement.giver,
+        assigned,
+        placement.moved_ms,
+        placement.loads,
+    )
+
+
+def ended_loads(
+    placement: Placement,
+    pools: Mapping[str, Pool],
+    endpoints: Sequence[Endpoint],
+    refused: set[str],
+    now_ms: int,
+) -> set[str]:
+    """Return the loads that no longer use the weight store."""
+    by_name = {one.instance: one for one in endpoints}
+    ended = set(refused)
+    for name, started_ms in placement.loads.items():
+        endpoint = by_name.get(name)
+        if now_ms - started_ms >= LOAD_LIMIT_MS:
+            ended.add(name)
+        if endpoint is None:
+            continue
+        pool = pools.get(placement.pool_of(endpoint))
+        if pool is None or (endpoint.up and is_placed(endpoint, pool)):
+            ended.add(name)
+    return ended & placement.loads.keys()
--- /dev/null
+++ b/src/quetzaldyke/version/seen.py
@@ -0,0 +1,133 @@
+"""What the giver of orders knows of the endpoints.
+
+Endpoints that it is connected to report by themselves. Those outside its
+subset are visited in turn, because one process can't hold a connection to
+each of 7,900 sidecars within its limits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from quetzaldyke.connection.messages import Message, Report
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.process.fleet import Fleet, Instance
+from quetzaldyke.version.placement import Endpoint
+
+# Visits in one round of 2 s. A visit costs about 1 KB; one turn through 7,900
+# endpoints takes about half an hour.
+VISITS: Final = 8
+VISIT_WAIT_S: Final = 2.0
+POLL_S: Final = 0.05
+
+# Connects to an instance until it is cancelled.
+Reach = Callable[[Instance], Coroutine[Any, Any, None]]
+
+
+@dataclass(slots=True)
+class SeenEndpoints:
+    """Latest report of each endpoint."""
+
+    fleet: Fleet
+    reach: Reach
+    reports: dict[str, Report] = field(default_factory=dict)
+    visited: set[str] = field(default_factory=set)
+    visit_order: list[str] = field(default_factory=list)
+
+    def subscribe(self) -> None:
+        """Take part in the fleet's messages."""
+        self.fleet.subscribe(Report, self.on_report)
+
+    async def on_report(self, session: PeerSession, report: Message) -> None:
+        """Remember what an endpoint serves."""
+        if isinstance(report, Report):
+            self.reports[session.remote.instance] = report
+
+    def endpoints(self) -> list[Endpoint]:
+        """Return the listed endpoints of pools that have engines."""
+        links = self.fleet.links
+        known = dict(self.fleet.instances)
+        known.update({name: link.instance for name, link in links.items()})
+        rows = (
+            (one, self.reports.get(name))
+            for name, one in sorted(known.items())
+            if one.role == 'sidecar'
+        )
+        return [
+            Endpoint(
+                one.instance,
+                one.pool,
+                report.endpoint_up and not (report.leaving or one.leaving),
+                report.model,
+                report.version,
+                report.adapter,
+            )
+            for one, report in rows
+            if report is not None
+        ]
+
+    def knows_all(self, pools: Collection[str]) -> bool:
+        """Tell whether every listed endpoint of the pools was looked at."""
+        known = {*self.visited, *self.reports}
+        return all(
+            one.instance in known
+            for one in self.fleet.instances.values()
+            if one.role == 'sidecar' and one.pool in pools
+        )
+
+    def home_of(self, instance: str) -> str:
+        """Return the pool that an endpoint belongs to."""
+        link = self.fleet.links.get(instance)
+        row = link.instance if link else self.fleet.instances.get(instance)
+        return row.pool if row else ''
+
+    async def session_to(
+        self,
+        instance: str,
+        group: TaskGroup,
+    ) -> PeerSession | None:
+        """Return a session to an endpoint; None when it can't be reached."""
+        link = self.fleet.links.get(instance)
+        row = self.fleet.instances.get(instance)
+        if link is None and row is not None:
+            group.start_soon(self.reach, row)
+            with anyio.move_on_after(VISIT_WAIT_S):
+                while instance not in self.fleet.links:
+                    await anyio.sleep(POLL_S)
+            link = self.fleet.links.get(instance)
+        return link.session if link else None
+
+    async def visit(self, pools: Collection[str]) -> None:
+        """Fetch the reports of a few endpoints outside the subset."""
+        for name in list(self.reports):
+            if name not in self.fleet.instances | self.fleet.links:
+                self.reports.pop(name)
+        absent = {
+            one.instance
+            for one in self.fleet.instances.values()
+            if one.role == 'sidecar'
+            and one.pool in pools
+            and one.instance not in self.fleet.links
+        }
+        kept = [name for name in self.visit_order if name in absent]
+        queue = [*sorted(absent.difference(kept)), *kept]
+        self.visit_order = [*queue[VISITS:], *queue[:VISITS]]
+        async with anyio.create_task_group() as group:
+            for name in queue[:VISITS]:
+                group.start_soon(self.visit_one, name)
+
+    async def visit_one(self, instance: str) -> None:
+        """Connect to an endpoint until it has reported."""
+        self.visited.add(instance)
+        self.reports.pop(instance, None)
+        with anyio.move_on_after(VISIT_WAIT_S):
+            async with anyio.create_task_group() as group:
+                await self.session_to(instance, group)
+                while instance not in self.reports:
+                    await anyio.sleep(POLL_S)
+                group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,606 @@
+"""Tests of placement: one giver, fencing, bounded loads, no flapping."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+from unittest import mock
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Result
+
+from quetzaldyke.connection import messages
+from quetzaldyke.connection.calls import CallTable
+from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.fencing import FencingGate
+from quetzaldyke.parts.hlc import HybridClock
+from quetzaldyke.parts.kv import Envelope, KvError, Record
+from quetzaldyke.parts.memory_store import MemoryStore
+from quetzaldyke.parts.timers import Clock
+from quetzaldyke.process.fleet import Fleet, Instance, SidecarLink
+from quetzaldyke.process.logs import make_log_event
+from quetzaldyke.version.configuration import Configuration, pack_document
+from quetzaldyke.version.holder import ConfigHolder
+from quetzaldyke.version.order_calls import OrderCalls
+from quetzaldyke.version.order_giver import (
+    INHERITED_MS,
+    PLACEMENT_KEY,
+    OrderGiver,
+)
+from quetzaldyke.version.placement import (
+    LOAD_LIMIT_MS,
+    MIN_STAY_MS,
+    SHORTAGE_HOLD_MS,
+    Endpoint,
+    Placement,
+    ShortageWatch,
+    ended_loads,
+    managed_pools,
+    plan_move,
+    surplus_of,
+    with_move,
+)
+from quetzaldyke.version.seen import SeenEndpoints
+
+LIMIT_S = 20.0
+
+
+def two_pools(first: int, second: int, loads: int = 2) -> Configuration:
+    """Return a configuration with two engine pools."""
+    return Configuration.model_validate(
+        {
+            'pools': {
+                'a': {'model': 'ma', 'replicas': first},
+                'b': {'model': 'mb', 'replicas': second},
+            },
+            'weight_store': {'concurrent_loads': loads},
+        }
+    )
+
+
+@dataclass
+class Engine:
+    """A sidecar with its endpoint, as the givers see it."""
+
+    name: str
+    pool: str
+    group: TaskGroup
+    world: World
+    model: str = ''
+    gate: FencingGate = field(default_factory=lambda: FencingGate(Clock()))
+    refusals: list[str] = field(default_factory=list)
+    loaded: list[int] = field(default_factory=list)
+    # Orders are kept here instead of delivered while this is a list.
+    held: list[tuple[OrderGiver, messages.Order]] | None = None
+
+    def report(self) -> messages.Report:
+        """Return the present state."""
+        return messages.Report(
+            *(self.pool, True, False, 4, 0, 0, 0, 0, 0.0, 0.0),
+            *(self.model, '', '', 0, [], 'a'),
+        )
+
+    async def receive(self, giver: OrderGiver, message: Any) -> None:
+        """Answer a giver."""
+        match message:
+            case messages.OrderPrepare(order_id=order_id):
+                nonce = self.gate.prepare(order_id)
+                await self.reply(giver, messages.OrderNonce(order_id, nonce))
+            case messages.Order() if self.held is not None:
+                self.held.append((giver, message))
+            case messages.Order():
+                await self.carry_out(giver, message)
+
+    async def carry_out(self, giver: OrderGiver, order: messages.Order) -> None:
+        """Load a model if the gate lets the order through."""
+        passed = self.gate.admit(
+            order.order_id, order.nonce, order.fencing_token
+        )
+        if isinstance(passed, Err):
+            self.refusals.append(passed.err_value)
+        else:
+            await self.world.load()
+            self.loaded.append(order.fencing_token)
+            self.model = order.model
+            await self.world.tell(self)
+        refusal = '' if passed.is_ok() else 'refused'
+        await self.reply(
+            giver, messages.OrderResult(order.order_id, not refusal, refusal)
+        )
+
+    async def reply(self, giver: OrderGiver, message: messages.Message) -> None:
+        """Send an answer to a giver."""
+        session = giver.fleet.links[self.name].session
+        await giver.calls.on_answer(session, message)
+
+
+class EngineSession:
+    """Session of one giver to one engine."""
+
+    def __init__(self, engine: Engine, world: World, entry: str) -> None:
+        """Keep both ends."""
+        self.engine = engine
+        self.world = world
+        self.entry = entry
+        self.closed = False
+        self.remote = messages.Hello(1, 'sidecar', engine.name, 'a', 'i')
+
+    def send(self, message: messages.Message) -> None:
+        """Hand a message to the engine."""
+        giver = self.world.givers[self.entry]
+        self.world.group.start_soon(self.engine.receive, giver, message)
+
+
+@dataclass
+class World:
+    """Engines, givers and the weight store between them."""
+
+    group: TaskGroup
+    store: MemoryStore = field(default_factory=MemoryStore)
+    engines: dict[str, Engine] = field(default_factory=dict)
+    givers: dict[str, OrderGiver] = field(default_factory=dict)
+    now_ms: int = 1_000_000
+    loading: int = 0
+    most_loading: int = 0
+    proceed: anyio.Event = field(default_factory=anyio.Event)
+
+    async def load(self) -> None:
+        """Fetch weights until the test lets the loads proceed."""
+        self.loading += 1
+        self.most_loading = max(self.most_loading, self.loading)
+        await self.proceed.wait()
+        self.loading -= 1
+
+    async def tell(self, engine: Engine) -> None:
+        """Report an engine's state to all givers."""
+        for giver in self.givers.values():
+            link = giver.fleet.links.get(engine.name)
+            if link is None:
+                continue
+            session = link.session
+            await giver.seen.on_report(session, engine.report())
+
+    async def add_giver(
+        self, name: str, configuration: Configuration, store: Any = None
+    ) -> OrderGiver:
+        """Add an entry that is connected to all engines."""
+        fleet = Fleet(Instance(name, 'entry', 'a', ''), 20)
+        holder = ConfigHolder()
+        holder.adopt(1, pack_document(configuration))
+        giver = OrderGiver(
+            store or self.store,
+            holder,
+            fleet,
+            make_log_event(name, HybridClock(name))[0],
+            self.group,
+            SeenEndpoints(fleet, no_reach),
+            OrderCalls(fleet),
+            lambda: self.now_ms,
+        )
+        self.givers[name] = giver
+        for engine in self.engines.values():
+            row = Instance(engine.name, 'sidecar', 'a', '', engine.pool)
+            session = cast(PeerSession, EngineSession(engine, self, name))
+            fleet.links[engine.name] = SidecarLink(
+                row, session, CallTable(session)
+            )
+            await giver.seen.on_report(session, engine.report())
+        return giver
+
+    async def settle(self) -> None:
+        """Let all tasks run until they wait."""
+        for _ in range(60):
+            await anyio.lowlevel.checkpoint()
+
+    async def stored(self) -> Placement:
+        """Return the stored placement."""
+        record = (await self.store.get(PLACEMENT_KEY)).unwrap()
+        assert record is not None
+        return Placement.unpack(Envelope.unpack(record.value).payload)
+
+
+async def no_reach(instance: Instance) -> None:
+    """Reach nothing."""
+
+
+def run_world(
+    engines: dict[str, str], scenario: Callable[[World], Awaitable[None]]
+) -> None:
+    """Run a scenario with engines by name and pool."""
+
+    async def main() -> None:
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as group:
+                world = World(group)
+                for name, pool in engines.items():
+                    world.engines[name] = Engine(name, pool, group, world)
+                await scenario(world)
+                group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize('limit', [1, 3])
+def test_loads_are_bounded_and_all_are_done(limit: int) -> None:
+    """Guards against more loads at once than the weight store allows."""
+
+    async def scenario(world: World) -> None:
+        giver = await world.add_giver('e1', two_pools(8, 0, limit))
+        # Rounds that come before the first orders have taken their places.
+        for _ in range(4):
+            await giver.reconcile()
+        for _ in range(5):
+            await world.settle()
+            await giver.reconcile()
+        assert world.loading == limit
+        for _ in range(20):
+            world.proceed.set()
+            await world.settle()
+            world.proceed = anyio.Event()
+            await giver.reconcile()
+            await world.settle()
+        assert world.most_loading == limit
+        assert {one.model for one in world.engines.values()} == {'ma'}
+        assert (await world.stored()).loads == {}
+
+    run_world({f's{number}': 'a' for number in range(8)}, scenario)
+
+
+def test_a_new_giver_keeps_the_bound_and_repeats_lost_loads() -> None:
+    """Guards against a change of giver that doubles the loads."""
+
+    async def scenario(world: World) -> None:
+        old = await world.add_giver('e1', two_pools(4, 0, 2))
+        await old.reconcile()
+        await world.settle()
+        new = await world.add_giver('e2', two_pools(4, 0, 2))
+        for _ in range(3):
+            await new.reconcile()
+            await world.settle()
+        assert (world.loading, new.epoch) == (2, 2)
+        # The loads got lost with the old giver's sidecars: ordered again.
+        world.now_ms += INHERITED_MS
+        await new.reconcile()
+        await world.settle()
+        assert new.ordered == set((await world.stored()).loads)
+        assert len(new.ordered) == 2
+
+    run_world({f's{number}': 'a' for number in range(4)}, scenario)
+
+
+class PausingStore:
+    """Store whose calls wait while a process is paused."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        """Keep the store."""
+        self.store = store
+        self.running = anyio.Event()
+        self.running.set()
+
+    async def get(self, key: str) -> Result[Record | None, KvError]:
+        """Read once the process runs."""
+        await self.running.wait()
+        return await self.store.get(key)
+
+    async def put_if(
+        self, key: str, value: bytes, revision: int, lease_id: int = 0
+    ) -> Result[int, KvError]:
+        """Write once the process runs."""
+        await self.running.wait()
+        return await self.store.put_if(key, value, revision, lease_id)
+
+
+def test_giver_paused_before_it_reads_the_epoch() -> None:
+    """Guards against an order of a giver that lost its epoch."""
+
+    async def scenario(world: World) -> None:
+        store = PausingStore(world.store)
+        old = await world.add_giver('e1', two_pools(1, 0), store)
+        await old.claim()
+        placement = await world.stored()
+        store.running = anyio.Event()
+        old.order_misplaced(placement)
+        await world.settle()
+        new = await world.add_giver('e2', two_pools(1, 0))
+        await new.claim()
+        store.running.set()
+        await world.settle()
+        assert (old.epoch, new.epoch) == (0, 2)
+        assert world.loading == 0
+        assert (await world.stored()).loads == {}
+        # It does not take the epoch back at once.
+        await old.reconcile()
+        assert (await world.stored()).giver == 'e2'
+
+    run_world({'s1': 'a'}, scenario)
+
+
+@pytest.mark.parametrize(
+    ('late_s', 'refusal'),
+    [(0.0, 'token is stale'), (5.0, 'nonce not valid')],
+)
+def test_giver_paused_before_it_sends(late_s: float, refusal: str) -> None:
+    """Guards against a late order that undoes a newer one."""
+
+    async def scenario(world: World) -> None:
+        world.proceed.set()
+        engine = world.engines['s1']
+        now_s = [0.0]
+        engine.gate = FencingGate(Clock(lambda: now_s[0]))
+        engine.held = []
+        old = await world.add_giver('e1', two_pools(1, 0))
+        await old.reconcile()
+        await world.settle()
+        [(_, late_order)] = engine.held
+        engine.held = None
+        changed = two_pools(1, 0).model_copy(
+            update={
+                'pools': {
+                    'a': two_pools(1, 0)
+                    .pools['a']
+                    .model_copy(update={'model': 'newer'})
+                }
+            }
+        )
+        new = await world.add_giver('e2', changed)
+        world.now_ms += LOAD_LIMIT_MS
+        for _ in range(2):
+            await new.reconcile()
+            await world.settle()
+        now_s[0] += late_s
+        await engine.carry_out(old, late_order)
+        assert engine.refusals == [refusal]
+        assert (engine.model, engine.loaded) == ('newer', [2])
+
+    run_world({'s1': 'a'}, scenario)
+
+
+def test_endpoint_that_refuses_does_not_block_the_others() -> None:
+    """Guards against refused loads that keep or retake the only place."""
+
+    async def scenario(world: World) -> None:
+        world.proceed.set()
+        world.engines['s1'].gate.highest = 99
+        giver = await world.add_giver('e1', two_pools(3, 0, 1))
+        for _ in range(10):
+            await giver.reconcile()
+            await world.settle()
+        models = [one.model for one in world.engines.values()]
+        assert models == ['', 'ma', 'ma']
+        # It is ordered again and again, until it takes the order.
+        world.engines['s1'].gate.highest = 0
+        for _ in range(3):
+            await giver.reconcile()
+            await world.settle()
+        assert world.engines['s1'].model == 'ma'
+
+    run_world({'s1': 'a', 's2': 'a', 's3': 'a'}, scenario)
+
+
+def test_another_entry_that_ranks_first_gives_the_orders() -> None:
+    """Guards against two entries that give orders all the time."""
+
+    async def scenario(world: World) -> None:
+        givers = [
+            await world.add_giver(name, two_pools(1, 0))
+            for name in ('e1', 'e2', 'e3')
+        ]
+        for giver in givers:
+            for other in givers:
+                if other is not giver:
+                    own = other.fleet.own
+                    giver.fleet.instances[own.instance] = own
+        for giver in givers:
+            await giver.reconcile()
+        assert sum(bool(giver.epoch) for giver in givers) == 1
+        assert (await world.stored()).epoch == 1
+
+    run_world({'s1': 'a'}, scenario)
+
+
+def test_replica_moves_once_and_stays() -> None:
+    """Guards against moves that are lost, repeated or undone."""
+
+    async def scenario(world: World) -> None:
+        world.proceed.set()
+        for engine in world.engines.values():
+            engine.model = f'm{engine.pool}'
+        giver = await world.add_giver('e1', two_pools(3, 1))
+        unseen = Instance('a9', 'sidecar', 'a', '', 'a')
+        giver.fleet.instances['a9'] = unseen
+        with mock.patch.object(SeenEndpoints, 'visit', no_visit):
+            for _ in range(20):
+                world.now_ms += 2000
+                await giver.reconcile()
+                await world.settle()
+        # An endpoint that was never looked at may be the missing one.
+        assert (await world.stored()).assigned == {}
+        giver.fleet.instances.pop('a9')
+        for _ in range(300):
+            world.now_ms += 2000
+            await giver.reconcile()
+            await world.settle()
+        assert (await world.stored()).assigned == {'b1': 'a'}
+        assert world.engines['b1'].model == 'ma'
+        assert len(world.engines['b1'].loaded) == 1
+
+    layout = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'b2': 'b'}
+    run_world(layout, scenario)
+
+
+async def no_visit(seen: SeenEndpoints, pools: Any) -> None:
+    """Visit nothing."""
+
+
+def test_endpoints_outside_the_subset_are_visited_and_ordered() -> None:
+    """Guards against endpoints that the giver is not connected to."""
+
+    async def scenario(world: World) -> None:
+        world.proceed.set()
+        giver = await world.add_giver('e1', two_pools(3, 0))
+        hidden = dict(giver.fleet.links)
+        giver.fleet.links.clear()
+        giver.seen.reports.clear()
+
+        async def reach(one: Instance) -> None:
+            giver.fleet.links[one.instance] = hidden[one.instance]
+            await world.tell(world.engines[one.instance])
+            try:
+                await anyio.sleep_forever()
+            finally:
+                giver.fleet.links.pop(one.instance)
+
+        giver.seen.reach = reach
+        for link in hidden.values():
+            giver.fleet.instances[link.instance.instance] = link.instance
+        while {one.model for one in world.engines.values()} != {'ma'}:
+            await giver.reconcile()
+            await world.settle()
+        assert not giver.fleet.links
+
+    run_world({'s1': 'a', 's2': 'a', 's3': 'a'}, scenario)
+
+
+def engines_of(layout: dict[str, str], down: set[str]) -> list[Endpoint]:
+    """Return endpoints by name and pool."""
+    return [
+        Endpoint(name, pool, name not in down, f'm{pool}', '', '')
+        for name, pool in layout.items()
+    ]
+
+
+LAYOUT = {'a1': 'a', 'a2': 'a', 'a3': 'a', 'b1': 'b', 'b2': 'b', 'b3': 'b'}
+
+
+@pytest.mark.parametrize(
+    ('counts', 'down', 'held_ms', 'moved'),
+    [
+        ((3, 3), set(), SHORTAGE_HOLD_MS, ''),
+        ((4, 2), set(), SHORTAGE_HOLD_MS, 'b1'),
+        ((4, 2), set(), SHORTAGE_HOLD_MS - 1, ''),
+        ((4, 3), set(), SHORTAGE_HOLD_MS, ''),
+        ((3, 2), {'a1'}, SHORTAGE_HOLD_MS, 'b1'),
+        ((3, 2), {'a1', 'b1'}, SHORTAGE_HOLD_MS, ''),
+        ((4, 0), set(), SHORTAGE_HOLD_MS, ''),
+    ],
+)
+def test_moves(
+    counts: tuple[int, int], down: set[str], held_ms: int, moved: str
+) -> None:
+    """Guards against moves that are early, or from a pool that needs all."""
+    pools = managed_pools(two_pools(*counts))
+    endpoints = engines_of(LAYOUT, down)
+    watch = ShortageWatch()
+    assert plan_move(Placement(), pools, endpoints, watch, 0) is None
+    move = plan_move(Placement(), pools, endpoints, watch, held_ms)
+    assert (move.instance if move else '') == moved
+
+
+@pytest.mark.parametrize(
+    ('counts', 'assigned', 'moved_ms', 'moved'),
+    [
+        # The endpoint that returns to its own pool goes first.
+        ((2, 3), {'b3': 'a'}, {}, 'b3'),
+        ((2, 3), {'b3': 'a'}, {'b3': 1}, 'b3'),
+        # One that was moved lately does not go away again.
+        ((4, 2), {}, {'b1': 1}, 'b2'),
+        ((4, 2), {}, {'b1': 1, 'b2': 1, 'b3': 1}, ''),
+        ((4, 2), {}, {'b1': 1 - MIN_STAY_MS, 'b2': 1, 'b3': 1}, 'b1'),
+    ],
+)
+def test_choice_of_the_endpoint(
+    counts: tuple[int, int],
+    assigned: dict[str, str],
+    moved_ms: dict[str, int],
+    moved: str,
+) -> None:
+    """Guards against endpoints that are moved to and fro."""
+    pools = managed_pools(two_pools(*counts))
+    placement = Placement(1, '', assigned, moved_ms)
+    endpoints = engines_of(LAYOUT, set())
+    watch = ShortageWatch()
+    plan_move(placement, pools, endpoints, watch, 0)
+    move = plan_move(placement, pools, endpoints, watch, SHORTAGE_HOLD_MS)
+    assert (move.instance if move else '') == moved
+
+
+def test_only_a_pool_with_a_surplus_gives() -> None:
+    """Guards against a shortage that is passed on to a third pool."""
+    configuration = two_pools(4, 3)
+    third = configuration.pools['a'].model_copy(update={'replicas': 1})
+    pools = {**configuration.pools, 'c': third}
+    endpoints = engines_of({**LAYOUT, 'c1': 'c', 'c2': 'c'}, set())
+    watch = ShortageWatch()
+    plan_move(Placement(), pools, endpoints, watch, 0)
+    move = plan_move(Placement(), pools, endpoints, watch, SHORTAGE_HOLD_MS)
+    assert move is not None
+    assert move.instance == 'c1'
+
+
+@settings(max_examples=150)
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sets(st.sampled_from(sorted(LAYOUT))),
+            st.integers(1, 5),
+            st.integers(1, 5),
+            st.integers(2_000, 40_000),
+        ),
+        max_size=40,
+    )
+)
+def test_moves_never_make_a_shortage_nor_flap(steps: list[Any]) -> None:
+    """Guards against endpoints that go to and fro between pools."""
+    placement = Placement()
+    watch = ShortageWatch()
+    now_ms = 0
+    last: dict[str, int] = {}
+    for down, first, second, passed_ms in steps:
+        now_ms += passed_ms
+        pools = managed_pools(two_pools(first, second))
+        endpoints = engines_of(LAYOUT, down)
+        move = plan_move(placement, pools, endpoints, watch, now_ms)
+        if move is None:
+            continue
+        home = LAYOUT[move.instance]
+        moved_ms = {**placement.moved_ms, move.instance: now_ms}
+        placement = with_move(
+            Placement(1, '', placement.assigned, moved_ms), move, home
+        )
+        surplus = surplus_of(placement, pools, endpoints)
+        assert surplus[move.from_pool] >= 0
+        if move.to_pool != home and move.instance in last:
+            assert now_ms - last[move.instance] >= MIN_STAY_MS
+        last[move.instance] = now_ms
+
+
+@pytest.mark.parametrize(
+    ('model', 'up', 'refused', 'age_ms', 'ended'),
+    [
+        ('mb', True, set(), 0, False),
+        ('ma', True, set(), 0, True),
+        ('ma', False, set(), 0, False),
+        ('mb', True, {'s1'}, 0, True),
+        ('mb', True, set(), LOAD_LIMIT_MS, True),
+    ],
+)
+def test_ended_loads(
+    model: str, up: bool, refused: set[str], age_ms: int, ended: bool
+) -> None:
+    """Guards against places that are freed early or never."""
+    placement = Placement(1, 'e1', {}, {}, {'s1': 0})
+    pools = managed_pools(two_pools(1, 1))
+    endpoint = Endpoint('s1', 'a', up, model, '', '')
+    found = ended_loads(placement, pools, [endpoint], refused, age_ms)
+    assert found == ({'s1'} if ended else set())
+
+
+def test_placement_survives_storage() -> None:
+    """Guards against a placement that does not survive its storage."""
+    placement = Placement(3, 'e1', {'s1': 'b'}, {'s1': 5}, {'s2': 6})
+    assert Placement.unpack(placement.pack()) == placement
