--- a/src/quetzaldyke/durable/service.py
+++ b/src/quetzaldyke/durable/service.py
@@ -8,6 +8,7 @@
 
 from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from typing import BinaryIO, Final, Protocol
 
 from result import Err, Ok, Result
@@ -80,6 +81,10 @@
 StatusResult = Result[JobStatus, JobError]
 
 
+def not_offered(_job: JobRecord) -> None:
+    """Leave the offer to the next round of the list's coordinator."""
+
+
 async def never_stopped(_job: JobRecord) -> bool:
     """Leave the cancel to the coordinator of the job's list."""
     return False
@@ -94,6 +99,8 @@
     max_body_bytes: int = MAX_BODY_BYTES
     now_ms: Callable[[], int] = wall_clock_ms
     stop_everywhere: StopEverywhere = never_stopped
+    # Called for each accepted job, so that its items start at once.
+    on_accepted: Callable[[JobRecord], None] = not_offered
 
     async def store_file(
         self,
@@ -132,10 +139,14 @@
         if isinstance(checked, Err):
             return checked
         new = checked.ok_value
-        room = await self.check_room(new)
-        if isinstance(room, Err):
-            return room
-        accepted = await jobs.accept_job(self.store, new, self.now_ms())
+        accepted = await jobs.accept_job(
+            self.store,
+            new,
+            partial(self.check_room, new),
+            self.now_ms(),
+        )
+        if isinstance(accepted, Ok):
+            self.on_accepted(accepted.ok_value)
         return accepted.map(lambda job: JobStatus(job, None, self.now_ms()))
 
     def check_request(
