Let the order of jobs be tested with all of them waiting

Ruled out: the order of demands; with all four waiting it always held. Change: the fake sidecars have no room until all four jobs are announced; the assertion is unchanged.

--- a/src/quetzaldyke/commands/caller.py
+++ b/src/quetzaldyke/commands/caller.py
@@ -14,7 +14,6 @@
 
 from quetzaldyke.connection.engine_client import EventReader, Progress, absorb
 from quetzaldyke.connection.engine_client import Piece as Part
-from quetzaldyke.connection.http_endpoint import make_pool
 
 OK_STATUS: Final = 200
 MS_IN_S: Final = 1000
@@ -30,6 +29,17 @@
     'timeout': {'connect': 10.0, 'pool': 10.0, 'write': 30.0, 'read': 60.0},
 }
 
+MAX_CONNECTIONS: Final = 1024
+KEEPALIVE_S: Final = 4.0
+
+
+def make_pool() -> httpcore.AsyncConnectionPool:
+    """Return the connections to one address."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS,
+        keepalive_expiry=KEEPALIVE_S,
+    )
+
 
 @dataclass(slots=True)
 class ChatOutcome:
--- a/tests/test_batch_rules.py
+++ b/tests/test_batch_rules.py
@@ -280,6 +280,10 @@
     due = {'b': '2031', 'c': '2033', 'a': '2032', 'd': '2030'}
 
     async def body(bed: Bed) -> None:
+        # No room until all four wait: the first job would start alone.
+        slots = {name: one.slots for name, one in bed.sidecars.items()}
+        for sidecar in bed.sidecars.values():
+            sidecar.slots = 0
         job_ids = [
             await bed.submit(
                 [f'{name}{number}' for number in range(400)],
@@ -288,6 +292,15 @@
             )
             for name, year in due.items()
         ]
+        await bed.wait(
+            lambda: all(
+                {job_id for _, job_id in one.demands} == set(job_ids)
+                for one in bed.sidecars.values()
+            ),
+            60,
+        )
+        for name, sidecar in bed.sidecars.items():
+            sidecar.slots = slots[name]
         for job_id in job_ids:
             await bed.finished(job_id)
         jobs = [bed.job(job_id) for job_id in job_ids]
