--- a/src/quetzaldyke/commands/process_fleet.py
+++ b/src/quetzaldyke/commands/process_fleet.py
@@ -159,6 +159,18 @@
     )
 
 
+def engine_flags(pool: PoolPlan, number: int) -> dict[str, object]:
+    """Return the flags of an engine's stand-in."""
+    return {
+        'model': pool.name,
+        'seed': number,
+        'max_streams': pool.engine.max_streams,
+        'step_ms': pool.engine.step_ms,
+        'per_stream_ms': pool.engine.per_stream_ms,
+        'prefill_ms_per_token': pool.engine.prefill_ms_per_token,
+    }
+
+
 async def start_endpoint(
     fleet: ProcessFleet,
     pool: PoolPlan,
@@ -168,18 +180,11 @@
     domains = fleet.plan.failure_domains
     domain = domains[number % len(domains)]
     name = f'{pool.name}-{number}'
-    engine = await start_standin(
+    endpoint = await start_standin(
         fleet,
-        f'engine-{name}',
-        'engine',
-        {
-            'model': pool.name,
-            'seed': number,
-            'max_streams': pool.engine.max_streams,
-            'step_ms': pool.engine.step_ms,
-            'per_stream_ms': pool.engine.per_stream_ms,
-            'prefill_ms_per_token': pool.engine.prefill_ms_per_token,
-        },
+        f'{pool.kind}-{name}',
+        pool.kind,
+        engine_flags(pool, number) if pool.kind == 'engine' else {},
     )
     address = free_address()
     sidecar = await start_process(
@@ -192,13 +197,14 @@
             'instance': name,
             'failure_domain': domain,
             'peer_address': address,
-            'endpoint_address': engine.address,
+            'endpoint_address': endpoint.address,
+            'endpoint_kind': pool.kind,
             'pool': pool.name,
             'max_streams': pool.max_streams or pool.engine.max_streams,
             'max_queue': pool.max_queue,
         },
     )
-    for member in (engine, sidecar):
+    for member in (endpoint, sidecar):
         member.pool = pool.name
         member.failure_domain = domain
     fleet.rows[name] = row_of(name, 'sidecar', address, domain, pool.name)
