End accepting before the listener closes

Cause: asyncio forgets a connection, without closing it, when its accept is followed by the listener's close; the client waits for ever. Change: the listener stops accepting and some turns of the loop pass before it is closed, at a planned stop and at a crash.

--- a/src/quetzaldyke/connection/http_server.py
+++ b/src/quetzaldyke/connection/http_server.py
@@ -7,9 +7,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
-from collections.abc import Awaitable, Callable, Iterator, MutableMapping
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+    MutableMapping,
+)
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -26,6 +33,8 @@
 # a connection that the server is just closing.
 KEEP_ALIVE_S: Final = 75
 BACKLOG: Final = 1024
+# An accepted connection gets its transport and protocol within these.
+ACCEPT_TURNS: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +62,14 @@
         await super().startup(sockets)
         self.listening.set()
 
+    async def shutdown(
+        self,
+        sockets: list[socket.socket] | None = None,
+    ) -> None:
+        """Give accepted connections their handlers, then stop."""
+        await end_accepting(self.servers)
+        await super().shutdown(sockets)
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the process's signal handlers alone."""
@@ -67,11 +84,18 @@
     server: QuietServer
     aborted: bool = False
 
-    def abort(self) -> None:
+    async def abort(self) -> None:
         """Close the listener, break all connections, end all requests."""
-        self.aborted = True
-        for listener in getattr(self.server, 'servers', ()):
+        listeners = getattr(self.server, 'servers', ())
+        self.break_all()
+        await end_accepting(listeners)
+        for listener in listeners:
             listener.close()
+        self.break_all()
+
+    def break_all(self) -> None:
+        """Break all connections and end their requests."""
+        self.aborted = True
         for connection in list(self.server.server_state.connections):
             abort_transport(connection)
         for task in list(self.server.server_state.tasks):
@@ -84,6 +108,22 @@
                 abort_transport(connection)
 
 
+async def end_accepting(listeners: Iterable[asyncio.Server]) -> None:
+    """Leave new connections in the listeners' queues.
+
+    asyncio forgets a connection, without closing it, whose accept is
+    followed by the listener's close; its client then waits for ever.
+    Accepting therefore ends some turns of the loop before the close.
+    """
+    loop = asyncio.get_running_loop()
+    for listener in listeners:
+        for bound in listener.sockets:
+            loop.remove_reader(bound.fileno())
+    with anyio.CancelScope(shield=True):
+        for _ in range(ACCEPT_TURNS):
+            await anyio.sleep(0)
+
+
 def abort_transport(connection: Any) -> None:
     """Break a connection without sending what is buffered."""
     if connection.transport is not None:
@@ -170,7 +210,7 @@
             await http.server.serve(sockets=[bound])
             group.cancel_scope.cancel()
     finally:
-        http.abort()
+        await http.abort()
         bound.close()
 
 
