--- /dev/null
+++ b/src/quetzaldyke/durable/order.py
@@ -0,0 +1,100 @@
+"""Order of batch work: slack first, then fairness among organisations."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+MS_IN_S: Final = 1000
+# Weight of the newest rate sample in the estimate.
+RATE_WEIGHT: Final = 0.3
+# Used before the first rate is known, so that a new job is neither late nor
+# endless: one item a second.
+FIRST_RATE: Final = 1.0
+
+
+@dataclass(slots=True)
+class RateEstimate:
+    """Items that a job finishes in a second, as a moving average.
+
+    >>> rate = RateEstimate()
+    >>> rate.sample(0, 0.0)
+    >>> rate.sample(20, 10.0)
+    >>> rate.remaining_s(40)
+    20.0
+    """
+
+    per_s: float = 0.0
+    finished: int = -1
+    at_s: float = 0.0
+
+    def sample(self, finished: int, now_s: float) -> None:
+        """Take the number of items finished so far."""
+        passed_s = now_s - self.at_s
+        if self.finished < 0 or passed_s <= 0:
+            self.finished, self.at_s = max(finished, self.finished), now_s
+            return
+        newest = max(0, finished - self.finished) / passed_s
+        self.finished, self.at_s = finished, now_s
+        if self.per_s == 0:
+            self.per_s = newest
+            return
+        self.per_s += RATE_WEIGHT * (newest - self.per_s)
+
+    def remaining_s(self, remaining: int) -> float:
+        """Return the estimated time of the remaining items."""
+        return remaining / (self.per_s or FIRST_RATE)
+
+
+def slack_s(deadline_ms: int, now_ms: int, remaining_s: float) -> float:
+    """Return the time left minus the time that the items need.
+
+    >>> slack_s(10_000, 4_000, 2.0)
+    4.0
+    """
+    return (deadline_ms - now_ms) / MS_IN_S - remaining_s
+
+
+ItemT = TypeVar('ItemT')
+
+
+def deal_in_turns(
+    queues: Sequence[Sequence[ItemT]],
+    limit: int,
+) -> list[ItemT]:
+    """Return up to `limit` items of the queues in turns, first queue first.
+
+    >>> deal_in_turns([['a1', 'a2', 'a3'], ['b1']], 3)
+    ['a1', 'b1', 'a2']
+    """
+    longest = max((len(queue) for queue in queues), default=0)
+    turns = [
+        queue[position]
+        for position in range(longest)
+        for queue in queues
+        if position < len(queue)
+    ]
+    return turns[:limit]
+
+
+def deal_fairly(
+    queues: Sequence[tuple[str, Sequence[ItemT]]],
+    limit: int,
+) -> list[ItemT]:
+    """Return up to `limit` items, organisations in turns.
+
+    Each queue is a job's with its organisation, the most urgent first; the
+    jobs of one organisation take turns within its share.
+
+    >>> deal_fairly([('x', ['a1', 'a2']), ('x', ['b1']), ('y', ['c1'])], 3)
+    ['a1', 'c1', 'b1']
+    """
+    by_organisation: dict[str, list[Sequence[ItemT]]] = {}
+    for organisation, queue in queues:
+        by_organisation.setdefault(organisation, []).append(queue)
+    dealt = [
+        deal_in_turns(own, sum(len(queue) for queue in own))
+        for own in by_organisation.values()
+    ]
+    return deal_in_turns(dealt, limit)
--- a/tests/test_sidecar_service.py
+++ b/tests/test_sidecar_service.py
@@ -8,7 +8,6 @@
 
 import anyio
 import pytest
-from sidecar_rig import LIMIT_S, SECRET, EntryClient, make_submit, until
 
 from quetzaldyke.connection.answers import READ_AHEAD_BYTES
 from quetzaldyke.connection.messages import Submit, Window
@@ -21,6 +20,7 @@
     ServiceStandin,
     run_service,
 )
+from sidecar_rig import LIMIT_S, SECRET, EntryClient, make_submit, until
 
 
 @asynccontextmanager
