Withdraw a job's demand whatever organisation is named

Cause: an entry that gives a grant back without a known demand names no organisation, so the granted room stayed reserved for 2 s. Change: a count of 0 matches by connection, pool and job.

--- a/src/quetzaldyke/connection/http_endpoint.py
+++ b/src/quetzaldyke/connection/http_endpoint.py
@@ -76,6 +76,11 @@
     completion_tokens: int = 0
 
 
+def make_pool() -> httpcore.AsyncConnectionPool:
+    """Return a pool for commands that call other processes' HTTP."""
+    return httpcore.AsyncConnectionPool(keepalive_expiry=KEEPALIVE_S)
+
+
 @dataclass(slots=True)
 class Connections:
     """Connections to one endpoint, each used by one request at a time.
--- a/src/quetzaldyke/parts/limiter.py
+++ b/src/quetzaldyke/parts/limiter.py
@@ -150,7 +150,7 @@
 class Headroom:
     """Slots kept free of batch for the arrivals during one preemption.
 
-    >>> headroom = Headroom()
+    >>> headroom = Headroom(yield_s=0.05)
     >>> headroom.slots(limit=16, now_s=0.0)
     1
     >>> for _ in range(10):
--- a/src/quetzaldyke/process/batch_grants.py
+++ b/src/quetzaldyke/process/batch_grants.py
@@ -93,8 +93,7 @@
             message.job_id,
         )
         if message.count <= 0:
-            self.demands.pop(key, None)
-            self.drop_grants(lambda grant: grant.key == key)
+            self.withdraw(key)
             return
         granted = sum(
             grant.count for grant in self.grants.values() if grant.key == key
@@ -106,6 +105,20 @@
             bounded(message.slack_s),
         )
 
+    def withdraw(self, key: DemandKey) -> None:
+        """Forget what an entry wants for a job.
+
+        An entry that gives a grant back may not know the organisation.
+        """
+
+        def same_job(other: DemandKey) -> bool:
+            return other._replace(organisation=key.organisation) == key
+
+        self.drop_grants(lambda grant: same_job(grant.key))
+        for other in list(self.demands):
+            if same_job(other):
+                self.demands.pop(other)
+
     def drop_grants(self, unwanted: Callable[[Grant], bool]) -> None:
         """Withdraw the grants that a test picks."""
         for number, grant in list(self.grants.items()):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -193,8 +193,9 @@
     endpoint.demand(2)
     endpoint.demand(2)
     assert sum(grant.count for grant in endpoint.session.grants) == 2
-    endpoint.demand(0)
+    endpoint.demand(0, organisation='')
     assert endpoint.admission.grants.outstanding() == 0
+    assert not endpoint.admission.grants.demands
 
 
 @in_loop
@@ -327,7 +328,7 @@
 
 def test_headroom_follows_the_arrival_peak() -> None:
     """Guards against headroom that forgets a burst at once, or never."""
-    headroom = Headroom()
+    headroom = Headroom(yield_s=0.05)
     for _ in range(5):
         headroom.note_arrival(now_s=1.0)
     headroom.note_yield(0.05)
