Cover connection reuse, own streams and report urgency at the sidecar

Change: tests for connections that the endpoint closed, for live streams when a hung engine answers again, for reports that go out at once, and a stricter test of a request id in use.

--- a/tests/test_sidecar_life.py
+++ b/tests/test_sidecar_life.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
+from typing import Any
 
 import anyio
 import pytest
@@ -12,19 +14,25 @@
     ConfigVersion,
     EventsReply,
     EventsRequest,
+    Hello,
     LeavingNotice,
+    Message,
     Report,
     Window,
 )
+from quetzaldyke.parts.suspects import SuspectBook
+from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process import sidecar_messages
 from quetzaldyke.process.sidecar import run_sidecar
 from quetzaldyke.process.sidecar_drain import POLL_S
+from quetzaldyke.process.sidecar_peers import SidecarPeers
 from quetzaldyke.version.configuration import (
     Configuration,
     Pool,
     pack_document,
 )
 from sidecar_rig import make_item, make_rig, make_submit, until, whole
+from quetzaldyke.version.holder import ConfigHolder
 
 PACKED = pack_document(Configuration(pools={'pool': Pool()}))
 
@@ -169,6 +177,65 @@
     anyio.run(scenario)
 
 
+class CountingSession:
+    """Counts what goes out at once and what waits for the next write."""
+
+    def __init__(self) -> None:
+        self.remote = Hello(1, 'entry', 'entry-1', 'a', 'inc')
+        self.sent: list[Message] = []
+        self.waiting: list[Message] = []
+
+    def send(self, message: Message) -> None:
+        """Count a message that goes out at once."""
+        self.sent.append(message)
+
+    def send_with_next(self, message: Message) -> None:
+        """Count a message that travels along."""
+        self.waiting.append(message)
+
+
+@pytest.mark.parametrize(
+    ('field', 'changed', 'at_once'),
+    [
+        ('endpoint_up', False, True),
+        ('leaving', True, True),
+        ('model', 'other', True),
+        ('online_queued', 1, True),
+        ('online_running', 3, False),
+        ('tbt_ms', 60.0, False),
+    ],
+)
+def test_decisive_changes_are_reported_at_once(
+    field: str,
+    changed: object,
+    at_once: bool,
+) -> None:
+    """Guards against work sent to an endpoint that can't take it."""
+    state = Report(
+        'pool', True, False, 4, 0, 0, 0, 3, 1.0, 1.0, 'm', '1', '', 0, [], 'a'
+    )
+    now = [0.0]
+    peers = SidecarPeers(
+        'sidecar-1',
+        Clock(read=lambda: now[0]),
+        ConfigHolder(),
+        SuspectBook(),
+        make_report=lambda: replace(state),
+        now_ms=lambda: 0,
+    )
+    session: Any = CountingSession()
+    peers.add(session)
+    peers.report()
+    session.sent.clear()
+    peers.report()
+    assert not session.sent + session.waiting
+    now[0] = 0.5
+    setattr(state, field, changed)
+    peers.report()
+    assert bool(session.sent) is at_once
+    assert bool(session.waiting) is not at_once
+
+
 def test_events_are_answered_from_the_time_line() -> None:
     """Guards against requests whose history can't be explained."""
 
--- a/tests/test_sidecar_relay.py
+++ b/tests/test_sidecar_relay.py
@@ -175,6 +175,44 @@
     anyio.run(scenario)
 
 
+def test_endpoint_that_was_restarted_gets_new_connections() -> None:
+    """Guards against requests lost on connections of a former process."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            for _ in range(2):
+                answers = [
+                    entry.begin(make_submit(f'p{number}', 8))
+                    for number in range(4)
+                ]
+                for number, (outcome, done) in enumerate(answers):
+                    await done.wait()
+                    assert outcome.text == whole(f'p{number}', 8)
+                rig.engine.faults.down = True
+                await until(lambda: not rig.sidecar.watch.up)
+                rig.engine.faults.down = False
+                await until(lambda: rig.sidecar.watch.up)
+
+    anyio.run(scenario)
+
+
+def test_own_streams_are_no_orphans() -> None:
+    """Guards against live streams lost when a hung engine answers again."""
+
+    async def scenario() -> None:
+        async with make_rig() as rig:
+            entry = await rig.entry()
+            outcome, done = entry.begin(make_submit('hello', 100))
+            await until(lambda: len(outcome.texts) > 1)
+            rig.sidecar.watch.up = False
+            await rig.sidecar.watch.come_up()
+            await done.wait()
+            assert outcome.text == whole('hello', 100)
+
+    anyio.run(scenario)
+
+
 def test_request_id_in_use_is_refused() -> None:
     """Guards against two answers mixed under one request id."""
 
@@ -182,14 +220,16 @@
         async with make_rig() as rig:
             first = await rig.entry('entry-1')
             second = await rig.entry('entry-2')
-            submit = make_submit('hello', 50)
+            submit = make_submit('hello', 200)
             outcome, done = first.begin(submit)
             await until(lambda: outcome.started)
             refused = await second.ask(submit)
             assert refused.failed is not None
             assert refused.failed.ran == 'not_run'
+            work = rig.sidecar.streams.works[submit.request_id]
+            assert work.session.remote.instance == 'entry-1'
             await done.wait()
-            assert outcome.text == whole('hello', 50)
+            assert outcome.text == whole('hello', 200)
 
     anyio.run(scenario)
 
