--- a/src/quetzaldyke/connection/calls.py
+++ b/src/quetzaldyke/connection/calls.py
@@ -7,17 +7,12 @@
 
 from __future__ import annotations
 
-import math
+import asyncio
+from collections import deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Final
 
-import anyio
-from anyio.streams.memory import (
-    MemoryObjectReceiveStream,
-    MemoryObjectSendStream,
-)
-
 from quetzaldyke.connection.messages import (
     Cancel,
     Chunk,
@@ -36,13 +31,53 @@
 CallEvent = Started | Chunk | End | Failed
 
 
+@dataclass(slots=True)
+class EventQueue:
+    """Events of one request on their way to its only reader.
+
+    anyio's memory stream passes control to the event loop on every receive,
+    which costs a task switch for each token even when events wait.
+    """
+
+    events: deque[CallEvent] = field(default_factory=deque)
+    closed: bool = False
+    waiter: asyncio.Future[None] | None = None
+
+    def send_nowait(self, event: CallEvent) -> None:
+        """Queue an event."""
+        self.events.append(event)
+        self.wake()
+
+    def close(self) -> None:
+        """End the queue after the events in it."""
+        self.closed = True
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the reader go on."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def __aiter__(self) -> EventQueue:
+        """Return the queue itself."""
+        return self
+
+    async def __anext__(self) -> CallEvent:
+        """Return the next event."""
+        while not self.events:
+            if self.closed:
+                raise StopAsyncIteration
+            self.waiter = asyncio.get_running_loop().create_future()
+            await self.waiter
+        return self.events.popleft()
+
+
 @dataclass(slots=True)
 class Call:
     """One request in flight on a connection."""
 
     submit: Submit
-    sink: MemoryObjectSendStream[CallEvent]
-    source: MemoryObjectReceiveStream[CallEvent]
+    source: EventQueue = field(default_factory=EventQueue)
     next_seq: int = 0
     started: bool = False
     finished: bool = False
@@ -57,8 +92,7 @@
 
     def begin(self, submit: Submit) -> Call:
         """Send a request and return its stream."""
-        sink, source = anyio.create_memory_object_stream[CallEvent](math.inf)
-        call = Call(submit, sink, source)
+        call = Call(submit)
         self.calls[submit.request_id] = call
         self.session.send(submit)
         return call
@@ -91,14 +125,14 @@
             case _:
                 self.close_call(call, event)
                 return
-        call.sink.send_nowait(event)
+        call.source.send_nowait(event)
 
     def close_call(self, call: Call, event: CallEvent) -> None:
         """Queue the last event of a request."""
         call.finished = True
         self.calls.pop(call.submit.request_id, None)
-        call.sink.send_nowait(event)
-        call.sink.close()
+        call.source.send_nowait(event)
+        call.source.close()
 
     def fail_all(self, reason: str) -> None:
         """Fail every request after the connection was lost."""
@@ -112,7 +146,7 @@
         call.finished = True
         self.calls.pop(call.submit.request_id, None)
         self.session.send(Cancel(call.submit.request_id))
-        call.sink.close()
+        call.source.close()
 
 
 def broken(call: Call, reason: str) -> Failed:
--- a/src/quetzaldyke/connection/links.py
+++ b/src/quetzaldyke/connection/links.py
@@ -134,6 +134,7 @@
     options.open_sessions += 1
     async with anyio.create_task_group() as group:
         group.start_soon(write_until_closed, session, group.cancel_scope)
+        group.start_soon(session.end_when_silent, group.cancel_scope)
         group.start_soon(
             session.send_heartbeats,
             lambda: make_heartbeat(options),
--- a/src/quetzaldyke/connection/peer.py
+++ b/src/quetzaldyke/connection/peer.py
@@ -65,6 +65,8 @@
     silence_limit_s: float = HEARTBEAT_INTERVAL_S * MISSED_INTERVALS
     # The peer asks for at most one unforced message in this time.
     peer_interval_s: float = HEARTBEAT_INTERVAL_S
+    # When the last bytes came.
+    heard_s: float = 0.0
     # Frames sent since the last heartbeat was due.
     sent_frames: int = 0
     # Latest state that goes out with the next write, by message kind.
@@ -91,11 +93,25 @@
         while True:
             row = self.reader.buffered()
             if row is None:
-                row = await read_or_none(self.reader, self.silence_limit_s)
+                row = await read_or_none(self.reader)
+                self.heard_s = anyio.current_time()
             if row is None:
                 return
             yield from_row(row)
 
+    async def end_when_silent(self, scope: anyio.CancelScope) -> None:
+        """Cancel the session's scope after too long a silence.
+
+        One sleeping task costs less than a timeout around every read.
+        """
+        self.heard_s = anyio.current_time()
+        left_s = self.silence_limit_s
+        while left_s > 0:
+            await anyio.sleep(left_s)
+            due_s = self.heard_s + self.silence_limit_s
+            left_s = due_s - anyio.current_time()
+        scope.cancel()
+
     async def write_queued(self) -> None:
         """Write queued frames, gathered over one flush interval."""
         while not self.closed:
@@ -138,16 +154,11 @@
         await self.stream.send(self.outbox.drain())
 
 
-async def read_or_none(
-    reader: FrameReader,
-    limit_s: float,
-) -> list[object] | None:
-    """Read a row; None when the stream ended or stayed silent too long."""
+async def read_or_none(reader: FrameReader) -> list[object] | None:
+    """Read a row; None when the stream has ended."""
     try:
-        with anyio.fail_after(limit_s):
-            return await reader.read()
+        return await reader.read()
     except (
-        TimeoutError,
         anyio.EndOfStream,
         anyio.BrokenResourceError,
         anyio.ClosedResourceError,
--- a/src/quetzaldyke/request/execute.py
+++ b/src/quetzaldyke/request/execute.py
@@ -155,13 +155,16 @@
     def watch_deadline(table: CallTable, call: Call) -> None:
         context.deadlines.add(request.deadline_s, table, call)
 
-    context.log_event(
-        'request_routed',
-        request_id=request.request_id,
-        attempt=progress.attempt,
-        endpoint=pick.link.instance.instance,
-        resumed_at=progress.tokens,
-    )
+    # The end of a request names its endpoint; a line for each first attempt
+    # would double the cost of logging.
+    if progress.attempt > 1:
+        context.log_event(
+            'request_routed',
+            request_id=request.request_id,
+            attempt=progress.attempt,
+            endpoint=pick.link.instance.instance,
+            resumed_at=progress.tokens,
+        )
     with context.router.borrowing(request, pick):
         attempt = run_on(pick.link, submit, watch_deadline, context.clock.now)
         async with aclosing(attempt) as events:  # type: ignore[type-var]
@@ -316,7 +319,13 @@
     context.router.note_success(pick.link.instance.instance)
     context.note_service(request.pool, taken_s)
     context.metrics.count('requests_total', pool=request.pool, ran='ran')
-    context.log_event('request_ended', request_id=request.request_id)
+    context.log_event(
+        'request_ended',
+        request_id=request.request_id,
+        attempt=progress.attempt,
+        endpoint=pick.link.instance.instance,
+        tokens=progress.tokens,
+    )
 
 
 def note_refusal(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Any, cast
+
 import anyio
+import pytest
 
 from entry_rig import make_fleet, until
 from quetzaldyke.connection.links import dial
+from quetzaldyke.connection.messages import Hello
+from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.standins.engine_text import answer_text
 
 
@@ -43,3 +48,22 @@
             assert 'attempt_failed' not in names
 
     anyio.run(scenario)
+
+
+@pytest.mark.parametrize(('limit_s', 'ended'), [(0.01, True), (600.0, False)])
+def test_silent_peer_is_dropped(limit_s: float, ended: bool) -> None:
+    """Guards against a dead peer that keeps its place among the live."""
+
+    async def scenario() -> None:
+        nothing = cast(Any, None)
+        remote = Hello(1, 'sidecar', 'engine-1', 'a', 'inc')
+        session = PeerSession(nothing, nothing, remote)
+        session.silence_limit_s = limit_s
+        async with anyio.create_task_group() as group:
+            group.start_soon(session.end_when_silent, group.cancel_scope)
+            with anyio.move_on_after(5 if ended else 0.1):
+                await anyio.sleep_forever()
+            assert group.cancel_scope.cancel_called is ended
+            group.cancel_scope.cancel()
+
+    anyio.run(scenario)
