--- a/src/quetzaldyke/process/callers_http.py
+++ b/src/quetzaldyke/process/callers_http.py
@@ -53,6 +53,7 @@
 from quetzaldyke.request.prefixes import prefix_names, prompt_of
 from quetzaldyke.request.router import Holder
 
+HTTP_SERVER_FAULT: Final = 500
 COMPLETIONS_PATH: Final = '/v1/completions'
 SERVICES_PREFIX: Final = '/services/'
 METHODS: Final = ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH')
@@ -339,6 +340,18 @@
     return JSONResponse(document, refusal.status)
 
 
+async def refuse_fault(http: Request, exc: Exception) -> Response:
+    """Answer a request whose handling failed inside the entry."""
+    refusal = Refusal(
+        HTTP_SERVER_FAULT,
+        'internal_fault',
+        f'the entry failed: {type(exc).__name__}',
+        'unknown',
+    )
+    document = refusal.body(http.state.request_id)
+    return JSONResponse(document, refusal.status)
+
+
 def caller_routes(context: CallersContext) -> list[BaseRoute]:
     """Return the routes of online requests."""
 
@@ -373,6 +386,10 @@
     """Return the callers' application."""
     app = Starlette(
         routes=[*caller_routes(context), *more_routes],
-        exception_handlers={404: refuse_unknown, 405: refuse_unknown},
+        exception_handlers={
+            404: refuse_unknown,
+            405: refuse_unknown,
+            Exception: refuse_fault,
+        },
     )
     return Gate(app, KeyIndex(context.holder), limits, open_requests)
--- a/src/quetzaldyke/process/entry.py
+++ b/src/quetzaldyke/process/entry.py
@@ -185,21 +185,33 @@
         )
 
     async def on_open(self, session: PeerSession) -> None:
-        """Register a peer."""
+        """Register a peer; a fault in a handler must not end the entry."""
         self.log_event('peer_opened', peer=session.remote.instance)
-        await opened(self.fleet, session)
+        try:
+            await opened(self.fleet, session)
+        except Exception as exc:
+            self.note_fault(session, 'opened', exc)
 
     async def on_message(self, session: PeerSession, message: Message) -> None:
         """Handle a message; a fault in a handler must not end the entry."""
         try:
             await dispatch(self.fleet, session, message)
         except Exception as exc:
-            self.log_event(
-                'handler_failed',
-                peer=session.remote.instance,
-                message=type(message).__name__,
-                fault=repr(exc),
-            )
+            self.note_fault(session, type(message).__name__, exc)
+
+    def note_fault(
+        self,
+        session: PeerSession,
+        message: str,
+        exc: Exception,
+    ) -> None:
+        """Log a handler that failed."""
+        self.log_event(
+            'handler_failed',
+            peer=session.remote.instance,
+            message=message,
+            fault=repr(exc),
+        )
 
     def on_close(self, session: PeerSession) -> None:
         """Forget a peer and fail its requests."""
--- a/src/quetzaldyke/request/once.py
+++ b/src/quetzaldyke/request/once.py
@@ -244,14 +244,8 @@
     sink: MemoryObjectSendStream[AnswerEvent],
 ) -> None:
     """Run a claimed request to its end and record the outcome."""
-    events: list[AnswerEvent] = []
     try:
-        async for event in execute_online(context.execute, request):
-            events.append(event)
-            if not isinstance(event, AnswerEnd | Refusal):
-                give(sink, event)
-        if not events or not isinstance(events[-1], AnswerEnd | Refusal):
-            events.append(incomplete('the answer has no end mark'))
+        events = await run_to_end(context, request, sink)
         await settle(context, request, claim, events)
         give(sink, events[-1])
     finally:
@@ -259,6 +253,32 @@
         sink.close()
 
 
+async def run_to_end(
+    context: OnceContext,
+    request: OnlineRequest,
+    sink: MemoryObjectSendStream[AnswerEvent],
+) -> list[AnswerEvent]:
+    """Run a request and return its events; the last one ends it.
+
+    The task belongs to the entry, so a fault here must not end the entry.
+    """
+    events: list[AnswerEvent] = []
+    try:
+        async for event in execute_online(context.execute, request):
+            events.append(event)
+            if not isinstance(event, AnswerEnd | Refusal):
+                give(sink, event)
+    except Exception as exc:
+        context.execute.log_event(
+            'run_failed',
+            request_id=request.request_id,
+            fault=repr(exc),
+        )
+    if not events or not isinstance(events[-1], AnswerEnd | Refusal):
+        events.append(incomplete('the answer has no end mark'))
+    return events
+
+
 def give(
     sink: MemoryObjectSendStream[AnswerEvent],
     event: AnswerEvent,
--- a/tests/test_entry_once.py
+++ b/tests/test_entry_once.py
@@ -6,6 +6,7 @@
 import pytest
 
 from entry_rig import make_fleet, until, uuid7
+from quetzaldyke.request.router import Router
 
 
 def test_resend_through_another_entry_after_a_lost_answer() -> None:
@@ -163,6 +164,22 @@
     anyio.run(scenario)
 
 
+def test_fault_inside_the_entry(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one request's fault that ends the whole entry."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1) as fleet:
+            with monkeypatch.context() as patch:
+                patch.setattr(Router, 'pick', None)
+                detached = await fleet.book('guard-18', uuid7())
+                attached = await fleet.ask('/services/dispatch/roster')
+            for answer in (detached, attached):
+                assert answer.error['ran'] == 'unknown'
+            assert (await fleet.book('guard-19', uuid7())).status == 201
+
+    anyio.run(scenario)
+
+
 def test_outage_of_the_store() -> None:
     """Guards against a run without a claim, and against harm to others."""
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -13,9 +13,16 @@
 from quetzaldyke.connection.calls import CallTable
 from quetzaldyke.connection.messages import Failed, Report
 from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.suspects import SuspectBook
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.fleet import Fleet, Instance, SidecarLink
-from quetzaldyke.request.execute import make_submit
+from quetzaldyke.process.metrics import Metrics
+from quetzaldyke.request.deadline import DeadlineQueue
+from quetzaldyke.request.execute import (
+    ExecuteContext,
+    make_submit,
+    refuse_early,
+)
 from quetzaldyke.request.model import OnlineRequest
 from quetzaldyke.request.prefixes import prefix_names
 from quetzaldyke.request.retry import (
@@ -24,7 +31,7 @@
     may_retry,
     unsent_text,
 )
-from quetzaldyke.request.router import Router
+from quetzaldyke.request.router import Pick, Router
 from quetzaldyke.standins import engine_text
 from quetzaldyke.version.configuration import (
     Configuration,
@@ -231,6 +238,38 @@
     assert second.remaining_ms == 2500
 
 
+@pytest.mark.parametrize(
+    ('load', 'remaining_s', 'code'),
+    [
+        (8, 60.0, None),
+        (8, 5.0, 'overloaded'),
+        (3, 5.0, None),
+        (0, 0.0, 'deadline_exceeded'),
+    ],
+)
+def test_hopeless_requests_are_shed_early(
+    load: int,
+    remaining_s: float,
+    code: str | None,
+) -> None:
+    """Guards against waiting past the deadline, and needless refusals."""
+    bench = Bench()
+    link = bench.add('one')
+    context = ExecuteContext(
+        bench.router,
+        bench.router.clock,
+        DeadlineQueue(),
+        cast(Any, None),
+        Metrics(),
+        SuspectBook(),
+        service_s={'orders': 6.0},
+    )
+    request = make_request(deadline_s=remaining_s)
+    refusal = refuse_early(context, request, Pick(link, load, 4))
+    assert (refusal.code if refusal else None) == code
+    assert refusal is None or refusal.ran == 'not_run'
+
+
 rans = st.sampled_from(['not_run', 'unknown', 'ran'])
 
 
