--- a/src/quetzaldyke/version/spread.py
+++ b/src/quetzaldyke/version/spread.py
@@ -115,6 +115,7 @@
         if later is not None and self.holder.adopt_patches(
             head.version,
             [patch.packed_operations for patch in later],
+            head.digest,
         ):
             return
         if not self.holder.adopt(head.version, head.document):
--- a/src/quetzaldyke/version/store.py
+++ b/src/quetzaldyke/version/store.py
@@ -29,6 +29,7 @@
     Operations,
     apply_patch,
     digest_of,
+    digest_of_document,
     pack_operations,
     unpack_operations,
 )
@@ -85,23 +86,23 @@
     version: int = 0
     document: bytes = b''
     patches: tuple[AppliedPatch, ...] = ()
+    # Of the document, so that a replay of patches can be checked.
+    digest: str = ''
 
     @classmethod
     def unpack(cls, payload: bytes) -> Head:
         """Decode a stored payload; an empty one is version 0."""
         if not payload:
             return cls()
-        version, document, rows = msgpack.unpackb(payload)
-        return cls(
-            version,
-            document,
-            tuple(AppliedPatch(*row) for row in rows),
-        )
+        version, document, rows, digest = msgpack.unpackb(payload)
+        patches = tuple(AppliedPatch(*row) for row in rows)
+        return cls(version, document, patches, digest)
 
     def pack(self) -> bytes:
         """Encode for storage."""
         rows = [patch.as_row() for patch in self.patches]
-        return bytes(msgpack.packb([self.version, self.document, rows]))
+        row = [self.version, self.document, rows, self.digest]
+        return bytes(msgpack.packb(row))
 
     @property
     def configuration(self) -> Configuration:
@@ -289,7 +290,12 @@
         pack_operations(patch.operations),
     )
     kept = (*head.patches, applied)[-KEPT_PATCHES:]
-    return Head(version, pack_document(configuration), trim(kept))
+    return Head(
+        version,
+        pack_document(configuration),
+        trim(kept),
+        digest_of_document(configuration),
+    )
 
 
 def trim(patches: tuple[AppliedPatch, ...]) -> tuple[AppliedPatch, ...]:
