--- a/tests/test_batch_rules.py
+++ b/tests/test_batch_rules.py
@@ -121,21 +121,32 @@
     scenario(body, entries=3)
 
 
-def test_job_stays_cancelling_until_each_sidecar_stopped_or_left() -> None:
-    """Guards against a false acknowledgement of a cancel."""
+@pytest.mark.parametrize('silent', ['sidecar-0', 'entry-1'])
+def test_job_stays_cancelling_until_each_process_stopped_or_left(
+    silent: str,
+) -> None:
+    """Guards against a false acknowledgement of a cancel.
+
+    An entry that has not heard of the cancel could start an item at a
+    sidecar that joins later.
+    """
 
     async def body(bed: Bed) -> None:
         job_id = await bed.submit(prompts_of(1000))
         await claimed(bed, job_id)
-        bed.sidecars['sidecar-0'].mute = True
+        if silent == 'entry-1':
+            bed.disconnect(silent, listed=True)
+        else:
+            bed.sidecars[silent].mute = True
         status = await bed.service().cancel('barf', job_id)
         assert status.unwrap().job.state == 'cancelling'
         await anyio.sleep(30)
         assert bed.job(job_id).state == 'cancelling'
         for entry in bed.entries.values():
-            entry.fleet.instances.pop('sidecar-0')
-            link = entry.fleet.links['sidecar-0']
-            fleet.closed(entry.fleet, link.session)
+            entry.fleet.instances.pop(silent, None)
+            link = entry.fleet.links.get(silent)
+            if link is not None:
+                fleet.closed(entry.fleet, link.session)
         await bed.finished(job_id)
         assert bed.job(job_id).state == 'cancelled'
 
@@ -174,7 +185,7 @@
 
 
 def test_planned_stop_hands_segments_over() -> None:
-    """Guards against results that a stopping entry takes with it."""
+    """Guards against results and items that a stopping entry loses."""
     prompts = prompts_of(600)
 
     async def body(bed: Bed) -> None:
@@ -182,11 +193,14 @@
         owner = await claimed(bed, job_id)
         await anyio.sleep(3)
         entry = bed.entries[owner]
+        segment = entry.parts.worker.segments[job_id, 0]
+        await bed.wait(lambda: len(segment.held) > 10, 30)
+        known = set(segment.held) | set(segment.running)
         entry.process.stopping.set()
         await batch_part.stop(entry.process)
         record = progress_of(bed, job_id)
         assert record.owner != owner
-        assert record.finished_count > 0
+        assert known and all(record.is_finished(one) for one in known)
         assert not entry.parts.worker.segments
         bed.kill(owner)
         await bed.finished(job_id)
@@ -242,3 +256,61 @@
         entry.resume()
 
     scenario(body)
+
+
+def test_refused_item_does_not_hold_others_up() -> None:
+    """Guards against a queue that is blocked by its first item."""
+    prompts = ['REFUSED', *prompts_of(20)]
+
+    async def body(bed: Bed) -> None:
+        bed.sidecars['sidecar-0'].slots = 1
+        job_id = await bed.submit(prompts)
+        await claimed(bed, job_id)
+        await bed.wait(
+            lambda: progress_of(bed, job_id).finished_count == 20, 90
+        )
+        assert not progress_of(bed, job_id).is_finished(0)
+        assert progress_of(bed, job_id).tries == {}
+
+    scenario(body, sidecars=1)
+
+
+def test_jobs_with_less_slack_finish_first() -> None:
+    """Guards against a deadline that is missed for a job due later."""
+    due = {'b': '2031', 'c': '2033', 'a': '2032', 'd': '2030'}
+
+    async def body(bed: Bed) -> None:
+        # No room until all four wait: the first job would start alone.
+        slots = {name: one.slots for name, one in bed.sidecars.items()}
+        for sidecar in bed.sidecars.values():
+            sidecar.slots = 0
+        job_ids = [
+            await bed.submit(
+                [f'{name}{number}' for number in range(400)],
+                deadline_local=f'{year}-01-01T18:00',
+                deadline_zone='Asia/Karachi',
+            )
+            for name, year in due.items()
+        ]
+        await bed.wait(
+            lambda: all(
+                {job_id for _, job_id in one.demands} == set(job_ids)
+                for one in bed.sidecars.values()
+            ),
+            60,
+        )
+        for name, sidecar in bed.sidecars.items():
+            sidecar.slots = slots[name]
+        for job_id in job_ids:
+            await bed.finished(job_id)
+        jobs = [bed.job(job_id) for job_id in job_ids]
+        ended = [
+            max(at_s for one, at_s in bed.starts if one == job.job_id)
+            for job in jobs
+        ]
+        by_deadline = sorted(
+            range(4), key=lambda n: jobs[n].deadline.instant_ms
+        )
+        assert sorted(range(4), key=lambda n: ended[n]) == by_deadline
+
+    scenario(body)
