Watch from now on when the service discarded the last revision

Cause: after a compaction past the value's last change, every watch from that revision was cancelled at once, so only the poll every 4 s brought new versions. The fallback asked for revision 1, which is discarded as well. Change: the fallback asks for the present revision. Result: a test with a compacted stand-in gets the next version by the watch alone; with the former start revision it goes red.

--- a/src/quetzaldyke/version/spread.py
+++ b/src/quetzaldyke/version/spread.py
@@ -44,7 +44,8 @@
 # so that it does not start from a peer that is itself behind.
 PEERS_WAIT_S: Final = 3.0
 WATCH_RETRY_S: Final = 0.5
-FROM_NOW: Final = 0
+# The service's protocol takes the next revision; 0 means the present one.
+FROM_NOW: Final = -1
 
 
 @dataclass(slots=True)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
+from unittest import mock
 
 import anyio
 import pytest
@@ -237,6 +238,36 @@
     run_scenario(scenario)
 
 
+def test_watch_works_after_the_service_discarded_its_revision() -> None:
+    """Guards against a rarely changed value that can't be watched again."""
+
+    async def scenario(standin: KvStandin, start: Any) -> None:
+        writer = await start('e0')
+        await writer.submit(11)
+        await writer.spread.refresh()
+        for _ in range(3):
+            standin.state.put(b'other', b'', 0)
+        standin.state.compacted = standin.state.revision
+        node = await start('e1', HttpKeyValueStore)
+        stop_polling(node)
+        # The first watch is cancelled at once; the second one stays.
+        while standin.counts.calls['watch'] < 2 or not (
+            standin.counts.open_watches and node.spread.watch_gave
+        ):
+            await anyio.sleep(0.01)
+        refreshed: list[int] = []
+
+        async def refresh(spread: Spread) -> None:
+            refreshed.append(1)
+
+        with mock.patch.object(Spread, 'refresh', refresh):
+            version = await writer.submit(12)
+            await node.holder.wait_for(version)
+        assert not refreshed
+
+    run_scenario(scenario)
+
+
 def test_poll_finds_a_version_whose_writer_died() -> None:
     """Guards against a version that only its dead writer knew of."""
 
