--- a/src/quetzaldyke/version/spread.py
+++ b/src/quetzaldyke/version/spread.py
@@ -44,7 +44,8 @@
 # so that it does not start from a peer that is itself behind.
 PEERS_WAIT_S: Final = 3.0
 WATCH_RETRY_S: Final = 0.5
-FROM_NOW: Final = 0
+# The service's protocol takes the next revision; 0 means the present one.
+FROM_NOW: Final = -1
 
 
 @dataclass(slots=True)
@@ -115,6 +116,7 @@
         if later is not None and self.holder.adopt_patches(
             head.version,
             [patch.packed_operations for patch in later],
+            head.digest,
         ):
             return
         if not self.holder.adopt(head.version, head.document):
