--- a/tests/test_kv_http.py
+++ b/tests/test_kv_http.py
@@ -70,6 +70,8 @@
     """Guards against `unknown` for calls that were never sent."""
 
     async def steps(kv: KvStandin, store: HttpKeyValueStore) -> None:
+        # Leaves an open connection that the outage breaks.
+        assert await store.get('a') == Ok(None)
         kv.faults.down = True
         await wait_until(lambda: not kv.outage.listening)
         assert kind_of(await store.put_if('a', b'', 0)) == 'unavailable'
@@ -80,6 +82,26 @@
     run(steps)
 
 
+def test_no_place_in_line_is_unavailable() -> None:
+    """Guards against `unknown` for calls that waited and were never sent."""
+
+    async def steps(kv: KvStandin, store: HttpKeyValueStore) -> list[str]:
+        store.calls.max_connections = 1
+        kv.faults.delay_s = 30
+        kinds: list[str] = []
+
+        async def write(key: str) -> None:
+            kinds.append(kind_of(await store.put_if(key, b'', 0)))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(write, 'first')
+            await anyio.wait_all_tasks_blocked()
+            group.start_soon(write, 'second')
+        return sorted(kinds)
+
+    assert run(steps, timeout_s=1) == ['unavailable', 'unknown']
+
+
 def test_timeout_is_unknown() -> None:
     """Guards against `unavailable` for a write that is applied later."""
 
