--- a/src/quetzaldyke/commands/process_fleet.py
+++ b/src/quetzaldyke/commands/process_fleet.py
@@ -34,6 +34,8 @@
 STOP_LIMIT_S: Final = 8.0
 POLL_S: Final = 0.05
 OK_STATUS: Final = 200
+# Each process starts at another place, so that two runs seldom meet.
+PORTS: Final = iter(range(10_000 + os.getpid() * 37 % 15_000, 32_000))
 CLOCK_TICKS: Final = os.sysconf('SC_CLK_TCK')
 # utime and stime count from the end of the command's name in stat.
 UTIME_FIELD: Final = 11
@@ -99,11 +101,20 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
+    """Return a port that is free now and that no fleet here was given.
+
+    The ports are below the range from which the system takes the ports of
+    outgoing connections, so that none of those can take one before the
+    process that it is meant for listens.
+    """
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
         return port
+    raise RuntimeError('no free port is left')
 
 
 def free_address() -> str:
--- a/src/quetzaldyke/parts/claim_groups.py
+++ b/src/quetzaldyke/parts/claim_groups.py
@@ -203,15 +203,18 @@
     for operation in group:
         if operation.seen is None or (failed and operation.needs_write):
             error = outcome.err_value if isinstance(outcome, Err) else None
-            operation.answer = Err(store_error(error, operation.maybe_written))
+            # An unread bucket may hold the claim of an earlier attempt,
+            # which may have run the request.
+            doubtful = operation.maybe_written or operation.seen is None
+            operation.answer = Err(store_error(error, doubtful))
         else:
             operation.answer = operation.seen
 
 
-def store_error(error: object, maybe_written: bool) -> ClaimError:
+def store_error(error: object, doubtful: bool) -> ClaimError:
     """Return what a failed write means for the request."""
     certain = isinstance(error, KvError) and error.kind != 'unknown'
-    if certain and not maybe_written:
+    if certain and not doubtful:
         return ClaimError('not_run', 'store_failed', str(error))
     return ClaimError('unknown', 'store_failed', str(error))
 
--- a/src/quetzaldyke/parts/claims.py
+++ b/src/quetzaldyke/parts/claims.py
@@ -253,7 +253,7 @@
             lambda _payload: packed,
         )
         if isinstance(written, Err):
-            return Err(store_error(written.err_value, maybe_written=False))
+            return Err(store_error(written.err_value, doubtful=False))
         operation = Operation('record', key_hash, claim_id, elsewhere=True)
         return (await self.writer.submit(operation)).map(lambda _reply: None)
 
--- a/tests/test_entry_once.py
+++ b/tests/test_entry_once.py
@@ -211,3 +211,19 @@
             assert fleet.executions('guard-17') == 1
 
     anyio.run(scenario)
+
+
+def test_resend_in_an_outage_is_not_called_not_run() -> None:
+    """Guards against `not_run` for a request that ran before the outage."""
+
+    async def scenario() -> None:
+        async with make_fleet(services=1, entries=2) as fleet:
+            key = uuid7()
+            first = await fleet.book('guard-18', key)
+            fleet.kv.faults.down = True
+            again = await fleet.book('guard-18', key, entry='entry-2')
+            assert first.status == 201
+            assert again.status == 503
+            assert again.error['ran'] == 'unknown'
+
+    anyio.run(scenario)
--- a/tests/test_http_endpoint.py
+++ b/tests/test_http_endpoint.py
@@ -4,9 +4,9 @@
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
-from sidecar_rig import LIMIT_S
 
 from quetzaldyke.connection.http_endpoint import Connections
+from sidecar_rig import LIMIT_S
 
 RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
--- a/tests/test_sidecar_life.py
+++ b/tests/test_sidecar_life.py
@@ -31,8 +31,8 @@
     Pool,
     pack_document,
 )
-from sidecar_rig import make_item, make_rig, make_submit, until, whole
 from quetzaldyke.version.holder import ConfigHolder
+from sidecar_rig import make_item, make_rig, make_submit, until, whole
 
 PACKED = pack_document(Configuration(pools={'pool': Pool()}))
 
