--- a/src/quetzaldyke/commands/capacity.py
+++ b/src/quetzaldyke/commands/capacity.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
 from typing import Final
 
 import anyio
@@ -10,36 +12,76 @@
 from quetzaldyke.commands import probes_fleet as fleets
 from quetzaldyke.commands.slopes import Probe, Slope, measure
 
-PROBES: Final[tuple[tuple[str, str, Probe, tuple[int, ...]], ...]] = (
-    ('frame_cost', 'us/frame', probes.frame_cost_us, (1, 4, 8, 32)),
-    ('session_memory', 'KB', probes.session_memory_kb, (20, 60, 120)),
-    ('session_cpu', '%core', probes.session_cpu_percent, (20, 60, 120)),
-    ('document_size', 'KB', probes.document_kb, (700, 1400, 2800, 5600)),
-    ('document_adopt', 'ms', probes.adopt_ms, (700, 1400, 2800, 5600)),
-    ('subset_choice', 'ms', probes.subset_ms, (155, 310, 620)),
-    ('owner_choice', 'us', probes.owner_us, (155, 310, 620)),
-)
-FLEET_PROBES: Final[tuple[tuple[str, str, Probe, tuple[int, ...]], ...]] = (
-    ('entry_relay', 'us/request', fleets.entry_relay_us, (16, 64, 192)),
-    ('sidecar_relay', 'us/request', fleets.sidecar_relay_us, (16, 64, 192)),
-    ('entry_idle', '%core', fleets.entry_idle_percent, (4, 12, 24)),
-    ('sidecar_idle', '%core', fleets.sidecar_idle_percent, (1, 4, 8)),
-    ('entry_memory', 'MB', fleets.entry_memory_mb, (4, 12, 24)),
-    ('sidecar_memory', 'MB', fleets.sidecar_memory_mb, (1, 4, 8)),
-    ('store_calls', 'calls/s', fleets.store_calls_per_s, (1, 3, 6)),
-)
 RUNS: Final = 3
 FLEET_RUNS: Final = 2
 
 
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """A probe, the units of its costs and the sizes to measure at."""
+
+    units: Mapping[str, str]
+    probe: Probe
+    sizes: tuple[int, ...]
+    runs: int = RUNS
+
+
+def single(
+    name: str,
+    unit: str,
+    probe: Callable[[int], Awaitable[float]],
+    sizes: tuple[int, ...],
+) -> Measurement:
+    """Return the measurement of a probe with one cost."""
+
+    async def named(size: int) -> Mapping[str, float]:
+        return {name: await probe(size)}
+
+    return Measurement({name: unit}, named, sizes)
+
+
+ORGANISATIONS: Final = (700, 1400, 2800, 5600)
+ENTRIES: Final = (155, 310, 620)
+MEASUREMENTS: Final = (
+    single('frame_cost', 'us/frame', probes.frame_cost_us, (1, 4, 8, 32)),
+    single('session_memory', 'KB', probes.session_memory_kb, (20, 60, 120)),
+    single('session_cpu', '%core', probes.session_cpu_percent, (20, 60, 120)),
+    single('document_size', 'KB', probes.document_kb, ORGANISATIONS),
+    single('document_adopt', 'ms', probes.adopt_ms, ORGANISATIONS),
+    single('subset_choice', 'ms', probes.subset_ms, ENTRIES),
+    single('owner_choice', 'us', probes.owner_us, ENTRIES),
+    Measurement(
+        {'entry_relay': 'us/request', 'sidecar_relay': 'us/request'},
+        fleets.relay_costs,
+        (16, 64, 160),
+        FLEET_RUNS,
+    ),
+    Measurement(
+        {'entry_idle': '%core', 'entry_memory': 'MB'},
+        fleets.entry_costs,
+        (4, 12, 24),
+        FLEET_RUNS,
+    ),
+    Measurement(
+        {
+            'sidecar_idle': '%core',
+            'sidecar_memory': 'MB',
+            'store_calls': 'calls/s',
+        },
+        fleets.sidecar_costs,
+        (1, 4, 8),
+        FLEET_RUNS,
+    ),
+)
+
+
 async def measure_all() -> list[Slope]:
     """Measure every slope, one after the other."""
-    found = []
-    for table, runs in ((PROBES, RUNS), (FLEET_PROBES, FLEET_RUNS)):
-        for name, unit, probe, sizes in table:
-            slope = await measure(name, unit, probe, sizes, runs)
-            print(slope.line(), flush=True)
-            found.append(slope)
+    found: list[Slope] = []
+    for one in MEASUREMENTS:
+        slopes = await measure(one.units, one.probe, one.sizes, one.runs)
+        print('\n'.join(slope.line() for slope in slopes), flush=True)
+        found.extend(slopes)
     return found
 
 
--- a/src/quetzaldyke/commands/probes_fleet.py
+++ b/src/quetzaldyke/commands/probes_fleet.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from statistics import fmean
 from typing import Final
 
 import anyio
@@ -14,9 +15,10 @@
 
 ORGANISATION: Final = 'capacity'
 POOL: Final = 'model'
+ROLES: Final = ('entry', 'sidecar')
 REQUESTS: Final = 120
 LANES: Final = 12
-IDLE_S: Final = 6.0
+IDLE_S: Final = 4.0
 SETTLE_S: Final = 2.0
 US_IN_S: Final = 1_000_000
 ENGINE: Final = EngineOptions(
@@ -63,69 +65,46 @@
             group.start_soon(lane, number)
 
 
-async def relay_cpu_us(tokens: int) -> dict[str, float]:
+async def relay_costs(tokens: int) -> dict[str, float]:
     """Return CPU in us for one request of this many tokens, by role."""
     async with running(1, 1) as fleet:
         await drive(fleet, 4)
-        roles = ('entry', 'sidecar')
-        before = {role: fleet.named(role)[0].cpu_s() for role in roles}
+        before = {role: fleet.named(role)[0].cpu_s() for role in ROLES}
         await drive(fleet, tokens)
         return {
-            role: (fleet.named(role)[0].cpu_s() - before[role])
+            f'{role}_relay': (fleet.named(role)[0].cpu_s() - before[role])
             / REQUESTS
             * US_IN_S
-            for role in roles
+            for role in ROLES
         }
 
 
-async def entry_relay_us(tokens: int) -> float:
-    """CPU of an entry for one streamed request."""
-    return (await relay_cpu_us(tokens))['entry']
+async def idle_costs(fleet: ProcessFleet, role: str) -> dict[str, float]:
+    """Return what one idle process of a role uses, averaged."""
+    members = fleet.named(role)
+    before = sum(one.cpu_s() for one in members)
+    calls_before = await calls_of(fleet)
+    await anyio.sleep(IDLE_S)
+    used_s = sum(one.cpu_s() for one in members) - before
+    return {
+        f'{role}_idle': used_s / len(members) / IDLE_S * 100,
+        f'{role}_memory': fmean([one.memory_mb() for one in members]),
+        'store_calls': (await calls_of(fleet) - calls_before) / IDLE_S,
+    }
 
 
-async def sidecar_relay_us(tokens: int) -> float:
-    """CPU of a sidecar for one streamed request."""
-    return (await relay_cpu_us(tokens))['sidecar']
-
-
-async def idle_share(role: str, entries: int, endpoints: int) -> float:
-    """Return the per cent of a core that an idle process of a role uses."""
-    async with running(entries, endpoints) as fleet:
-        members = fleet.named(role)
-        before = sum(one.cpu_s() for one in members)
-        await anyio.sleep(IDLE_S)
-        used_s = sum(one.cpu_s() for one in members) - before
-        return used_s / len(members) / IDLE_S * 100
-
-
-async def entry_idle_percent(endpoints: int) -> float:
-    """Per cent of a core of one idle entry before `endpoints` sidecars."""
-    return await idle_share('entry', 1, endpoints)
-
-
-async def sidecar_idle_percent(entries: int) -> float:
-    """Per cent of a core of one idle sidecar behind `entries` entries."""
-    return await idle_share('sidecar', entries, 1)
-
-
-async def entry_memory_mb(endpoints: int) -> float:
-    """Resident MB of one idle entry before `endpoints` sidecars."""
+async def entry_costs(endpoints: int) -> dict[str, float]:
+    """Return what an idle entry before `endpoints` sidecars uses."""
     async with running(1, endpoints) as fleet:
-        return fleet.named('entry')[0].memory_mb()
+        found = await idle_costs(fleet, 'entry')
+        found.pop('store_calls')
+        return found
 
 
-async def sidecar_memory_mb(entries: int) -> float:
-    """Resident MB of one idle sidecar behind `entries` entries."""
+async def sidecar_costs(entries: int) -> dict[str, float]:
+    """Return what an idle sidecar behind `entries` entries uses."""
     async with running(entries, 1) as fleet:
-        return fleet.named('sidecar')[0].memory_mb()
-
-
-async def store_calls_per_s(entries: int) -> float:
-    """Calls a second to the key-value service by an idle fleet."""
-    async with running(entries, 2) as fleet:
-        before = await calls_of(fleet)
-        await anyio.sleep(IDLE_S)
-        return (await calls_of(fleet) - before) / IDLE_S
+        return await idle_costs(fleet, 'sidecar')
 
 
 async def calls_of(fleet: ProcessFleet) -> int:
--- a/src/quetzaldyke/commands/slopes.py
+++ b/src/quetzaldyke/commands/slopes.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
 from statistics import fmean, median
 
-Probe = Callable[[int], Awaitable[float]]
+Probe = Callable[[int], Awaitable[Mapping[str, float]]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,22 +57,34 @@
 
 
 async def measure(
+    units: Mapping[str, str],
+    probe: Probe,
+    sizes: Sequence[int],
+    runs: int,
+) -> list[Slope]:
+    """Run a probe several times at each size and fit a line to each cost."""
+    found: dict[str, list[list[float]]] = {name: [] for name in units}
+    for size in sizes:
+        results = [await probe(size) for _ in range(runs)]
+        for name in units:
+            found[name].append([one[name] for one in results])
+    return [
+        slope_of(name, unit, sizes, found[name]) for name, unit in units.items()
+    ]
+
+
+def slope_of(
     name: str,
     unit: str,
-    probe: Probe,
     sizes: Sequence[int],
-    runs: int = 3,
+    runs: Sequence[Sequence[float]],
 ) -> Slope:
-    """Run a probe several times at each size and fit a line."""
-    medians = []
-    spread = 0.0
-    for size in sizes:
-        costs = [await probe(size) for _ in range(runs)]
-        middle = median(costs)
-        medians.append(middle)
-        if middle:
-            widest = max(abs(cost - middle) for cost in costs)
-            spread = max(spread, widest / middle)
+    """Fit a line to the medians of the runs at each size."""
+    medians = [median(costs) for costs in runs]
+    spread = max(
+        max(abs(cost - middle) for cost in costs) / middle if middle else 0.0
+        for costs, middle in zip(runs, medians, strict=True)
+    )
     per_unit, base = fit(sizes, medians)
     return Slope(
         name,
--- a/src/quetzaldyke/process/event_query.py
+++ b/src/quetzaldyke/process/event_query.py
@@ -40,7 +40,8 @@
 ) -> list[Event]:
     """Return the latest matching events of this process."""
     found = [one for one in timeline.events if matches(one, contains)]
-    return found[-min(limit, MAX_EVENTS) :]
+    kept = max(0, min(limit, MAX_EVENTS, len(found)))
+    return found[len(found) - kept :]
 
 
 def event_from_row(row: list[object]) -> Event | None:
--- a/src/quetzaldyke/process/sidecar_messages.py
+++ b/src/quetzaldyke/process/sidecar_messages.py
@@ -11,7 +11,6 @@
     CancelJob,
     ConfigPush,
     ConfigVersion,
-    EventsReply,
     EventsRequest,
     Heartbeat,
     JobStopped,
@@ -24,15 +23,14 @@
     Window,
 )
 from quetzaldyke.connection.peer import PeerSession
-from quetzaldyke.parts.timeline import Timeline
 from quetzaldyke.process.admission import Refusal
+from quetzaldyke.process.event_query import answer_query
 from quetzaldyke.process.sidecar_drain import leave
 from quetzaldyke.process.sidecar_state import SidecarProcess
 from quetzaldyke.process.work import Work
 
 # After this gap the entries have closed their connections for silence.
 PAUSE_LIMIT_S: Final = 3.0
-MAX_EVENT_ROWS: Final = 4096
 
 
 def make_open_handler(process: SidecarProcess) -> OnOpen:
@@ -125,7 +123,7 @@
         case LeavingNotice() if message.instance == process.settings.instance:
             leave(process)
         case EventsRequest():
-            session.send(select_events(process.timeline, message))
+            answer_query(session, process.timeline, message)
 
 
 def submit(
@@ -198,19 +196,6 @@
     process.group.start_soon(answer)
 
 
-def select_events(timeline: Timeline, query: EventsRequest) -> EventsReply:
-    """Return the latest events that hold a text in a field."""
-    chosen = [
-        event.as_row()
-        for event in timeline.events
-        if not query.contains
-        or any(query.contains in text for text in event.fields.values())
-    ]
-    limit = max(0, min(query.limit, MAX_EVENT_ROWS))
-    rows = chosen[len(chosen) - min(limit, len(chosen)) :]
-    return EventsReply(query.query_id, timeline.clock.process, rows)
-
-
 def check_pause(process: SidecarProcess) -> None:
     """Notice a pause of the process before acting on what was buffered."""
     if process.timers.delay_s > PAUSE_LIMIT_S:
