Keep a slot free for batch-free arrivals only as often as they come

Cause: the headroom was the peak of 0.1 s in 30 s times the yield time, rounded up: 2 to 3 of 8 slots, while 0.3 to 0.6 arrivals are expected during one preemption. Change: the rate of the last second; the fraction is the share of turns in which one slot is kept, with endpoints out of step.

--- a/src/quetzaldyke/parts/limiter.py
+++ b/src/quetzaldyke/parts/limiter.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Final
@@ -23,10 +24,15 @@
 # limit below this share of the maximum is not tried.
 MIN_SHARE: Final = 0.25
 ARRIVAL_BUCKET_S: Final = 0.1
-ARRIVAL_BUCKETS: Final = 300
+# The rate of the last second follows the start of a burst quickly.
+ARRIVAL_BUCKETS: Final = 10
+# A turn is one second, about as long as a batch item runs, so that a slot is
+# free by the end of an item and need not be preempted. Steps by the golden
+# ratio spread the turns of endpoints evenly.
+TURN_STEP: Final = 0.618034
 YIELD_WEIGHT: Final = 0.2
-# Used until the first preemption was measured; in trials one took 3 to 10 ms.
-INITIAL_YIELD_S: Final = 0.02
+# Used until the first preemption was measured.
+INITIAL_YIELD_S: Final = 0.05
 
 
 def quantile(samples: list[float], share: float) -> float:
@@ -150,27 +156,33 @@
 class Headroom:
     """Slots kept free of batch for the arrivals during one preemption.
 
-    >>> headroom = Headroom(yield_s=0.05)
+    The expected number is mostly below one. Whole slots would then leave a
+    large part of the idle capacity unused, so the fraction is the share of
+    the time in which one slot is kept. Endpoints take turns by their phase,
+    and requests go to the endpoints with a free slot.
+
+    >>> headroom = Headroom(phase=0.5)
     >>> headroom.slots(limit=16, now_s=0.0)
-    1
-    >>> for _ in range(10):
+    0
+    >>> for _ in range(30):
     ...     headroom.note_arrival(now_s=0.0)
-    >>> headroom.slots(limit=16, now_s=0.0)
-    5
+    >>> headroom.expected
+    1.5
+    >>> headroom.slots(limit=16, now_s=0.0), headroom.slots(16, now_s=0.9)
+    (1, 1)
     """
 
     yield_s: float = INITIAL_YIELD_S
+    phase: float = field(default_factory=random.random)
     bucket: int = 0
     arrivals: deque[int] = field(
         default_factory=lambda: deque([0], maxlen=ARRIVAL_BUCKETS),
     )
-    peak: int = 0  # most arrivals in one bucket
 
     def note_arrival(self, now_s: float) -> None:
         """Count an online arrival."""
         self.advance(now_s)
         self.arrivals[-1] += 1
-        self.peak = max(self.peak, self.arrivals[-1])
 
     def note_yield(self, yield_s: float) -> None:
         """Add the time that one preemption took to free its slot."""
@@ -179,16 +191,20 @@
     def advance(self, now_s: float) -> None:
         """Open the buckets up to the present one."""
         bucket = int(now_s / ARRIVAL_BUCKET_S)
-        if bucket <= self.bucket:
-            return
         for _ in range(min(bucket - self.bucket, ARRIVAL_BUCKETS)):
             self.arrivals.append(0)
-        self.bucket = bucket
-        self.peak = max(self.arrivals)
+        self.bucket = max(bucket, self.bucket)
+
+    @property
+    def expected(self) -> float:
+        """Return the arrivals expected while one slot is being freed."""
+        window_s = ARRIVAL_BUCKETS * ARRIVAL_BUCKET_S
+        return sum(self.arrivals) / window_s * self.yield_s
 
     def slots(self, limit: int, now_s: float) -> int:
         """Return the slots to keep free; one slot is left for batch."""
         self.advance(now_s)
-        peak_per_s = self.peak / ARRIVAL_BUCKET_S
-        wanted = max(1, math.ceil(peak_per_s * self.yield_s))
-        return min(wanted, limit - 1)
+        whole = math.floor(self.expected)
+        turn = int(now_s) * TURN_STEP + self.phase
+        extra = self.expected - whole > turn - math.floor(turn)
+        return min(whole + extra, limit - 1)
