Measure entries before up to 18 endpoints

Cause: the probe waited for 24 connections, but a subset has 20, and the start of the fleet timed out. Change: sizes 4, 10 and 18.

--- a/src/quetzaldyke/commands/capacity.py
+++ b/src/quetzaldyke/commands/capacity.py
@@ -59,7 +59,7 @@
     Measurement(
         {'entry_idle': '%core', 'entry_memory': 'MB'},
         fleets.entry_costs,
-        (4, 12, 24),
+        (4, 10, 18),
         FLEET_RUNS,
     ),
     Measurement(
