Share the dialling outside the subset and the endpoint's headers

Cause: the last read found the same closure in the batch and configuration parts and the same header list in both endpoint clients. Change: make_reach in fleet.py and request_headers in http_endpoint.py; no behaviour changes. A first try as a method of the entry failed 9 batch tests, whose fake entry has no such method, and was dropped.

--- a/src/quetzaldyke/connection/engine_client.py
+++ b/src/quetzaldyke/connection/engine_client.py
@@ -34,8 +34,8 @@
     EndpointFailure,
     failure_of,
     headers_of,
-    passed_on,
     read_body,
+    request_headers,
 )
 from quetzaldyke.connection.messages import Order, Submit
 
@@ -203,10 +203,7 @@
             async with self.connections.stream(
                 submit.method,
                 submit.path,
-                [
-                    *passed_on(submit.headers),
-                    ('X-Request-Id', submit.request_id),
-                ],
+                request_headers(submit),
                 stream_body(submit),
             ) as response:
                 if response.status >= SUCCESS_LIMIT:
--- a/src/quetzaldyke/connection/http_endpoint.py
+++ b/src/quetzaldyke/connection/http_endpoint.py
@@ -15,6 +15,7 @@
 import httpcore
 
 from quetzaldyke.connection.http_stream import LoopbackBackend
+from quetzaldyke.connection.messages import Submit
 
 KEEPALIVE_S: Final = 4.0
 MAX_IDLE: Final = 64
@@ -167,6 +168,11 @@
     ]
 
 
+def request_headers(submit: Submit) -> list[tuple[str, str]]:
+    """Return the headers of a request that is sent to the endpoint."""
+    return [*passed_on(submit.headers), ('X-Request-Id', submit.request_id)]
+
+
 def headers_of(response: httpcore.Response) -> dict[str, str]:
     """Return a response's headers without those of the connection."""
     named = {
--- a/src/quetzaldyke/connection/service_client.py
+++ b/src/quetzaldyke/connection/service_client.py
@@ -22,7 +22,7 @@
     EndpointFailure,
     failure_of,
     headers_of,
-    passed_on,
+    request_headers,
 )
 from quetzaldyke.connection.messages import Submit
 
@@ -61,10 +61,7 @@
             async with self.connections.stream(
                 submit.method,
                 submit.path,
-                [
-                    *passed_on(submit.headers),
-                    ('X-Request-Id', submit.request_id),
-                ],
+                request_headers(submit),
                 submit.body,
             ) as response:
                 rest = await pass_parts(response, on_raw)
--- a/src/quetzaldyke/process/batch_part.py
+++ b/src/quetzaldyke/process/batch_part.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-import anyio
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import BaseRoute
@@ -20,7 +19,7 @@
 from quetzaldyke.process.batch_worker import BatchWorker, WorkerOptions
 from quetzaldyke.process.batches_http import make_batch_routes
 from quetzaldyke.process.entry_parts import EntryPart
-from quetzaldyke.process.fleet import Instance, keep_dialled
+from quetzaldyke.process.fleet import make_reach
 
 if TYPE_CHECKING:
     from quetzaldyke.process.entry import EntryProcess
@@ -75,13 +74,9 @@
 
 def make_stopper(entry: EntryProcess, worker: BatchWorker) -> JobStopper:
     """Return what sends cancels, also to sidecars outside the subset."""
-
-    async def reach(one: Instance) -> None:
-        options = entry.link_options
-        assert options is not None
-        await keep_dialled(entry.fleet, one, options, anyio.CancelScope())
-
-    return JobStopper(worker, reach)
+    return JobStopper(
+        worker, make_reach(entry.fleet, lambda: entry.link_options)
+    )
 
 
 async def start(entry: EntryProcess) -> None:
--- a/src/quetzaldyke/process/config_part.py
+++ b/src/quetzaldyke/process/config_part.py
@@ -6,13 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-import anyio
 from starlette.routing import BaseRoute
 
 from quetzaldyke.process.entry_parts import EntryPart
 from quetzaldyke.process.event_query import EventQueries
 from quetzaldyke.process.explain import explain
-from quetzaldyke.process.fleet import Instance, keep_dialled
+from quetzaldyke.process.fleet import make_reach
 from quetzaldyke.process.operators_http import (
     OperatorsContext,
     make_operators_app,
@@ -70,18 +69,15 @@
     """Return the entry's part in giving orders to engines."""
     assert entry.group is not None
 
-    async def reach(one: Instance) -> None:
-        options = entry.link_options
-        assert options is not None
-        await keep_dialled(entry.fleet, one, options, anyio.CancelScope())
-
     return OrderGiver(
         entry.store,
         entry.config,
         entry.fleet,
         entry.log_event,
         entry.group,
-        SeenEndpoints(entry.fleet, reach),
+        SeenEndpoints(
+            entry.fleet, make_reach(entry.fleet, lambda: entry.link_options)
+        ),
         OrderCalls(entry.fleet),
     )
 
--- a/src/quetzaldyke/process/fleet.py
+++ b/src/quetzaldyke/process/fleet.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final
 
 import anyio
 from anyio.abc import TaskGroup
@@ -275,3 +275,17 @@
             row = fleet.instances.get(instance.instance, instance)
             await dial(row.peer_address, options)
             await anyio.sleep(REDIAL_PAUSE_S)
+
+
+def make_reach(
+    fleet: Fleet,
+    find_options: Callable[[], LinkOptions | None],
+) -> Callable[[Instance], Coroutine[Any, Any, None]]:
+    """Return what stays connected to a process outside the subset."""
+
+    async def reach(instance: Instance) -> None:
+        options = find_options()
+        assert options is not None
+        await keep_dialled(fleet, instance, options, anyio.CancelScope())
+
+    return reach
