--- /dev/null
+++ b/src/quetzaldyke/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The processes of a platform installation: entry and keeper."""
--- /dev/null
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -0,0 +1,162 @@
+"""What this entry believes about the endpoints of each service.
+
+Load pattern: endpoints come, leave, crash and come back while requests
+flow, and the list that names them lags or goes away.
+
+Three kinds of evidence are kept apart. The platform's list says who exists
+and who leaves. An outage of the list itself makes entries lapse although
+their endpoints live, so a removal during an outage or shortly after it only
+counts when the entry stays away. Failures that this entry met itself put an
+endpoint aside for a short time, which grows while it keeps failing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.gateway.model import Endpoint
+
+# Entries that lapsed in an outage are back within two seconds of its end.
+LAPSE_GRACE_S: Final = 2.2
+FIRST_EJECTION_S: Final = 0.5
+MAX_EJECTION_S: Final = 4.0
+# Weight of the latest answer in an endpoint's share of failures.
+FAILURE_WEIGHT: Final = 0.15
+# An endpoint that fails this share of its requests is put aside although
+# every other request succeeds.
+MAX_FAILURE_SHARE: Final = 0.3
+
+
+@dataclass(slots=True)
+class EndpointBelief:
+    """One endpoint and what was seen of it."""
+
+    endpoint: Endpoint
+    # Set while its entry is missing because of an outage.
+    lapsed: bool = False
+    ejected_until_s: float = 0.0
+    failures_in_row: int = 0
+    failure_share: float = 0.0
+
+
+@dataclass(slots=True)
+class EndpointBook:
+    """Endpoints by id."""
+
+    beliefs: dict[str, EndpointBelief] = field(default_factory=dict)
+    by_service: dict[str, list[EndpointBelief]] = field(default_factory=dict)
+    outage: bool = False
+    # Time at which lapsed entries that did not come back count as gone.
+    lapse_ends_s: float = 0.0
+
+    def replace_all(
+        self,
+        endpoints: Iterable[Endpoint],
+        now_s: float,
+    ) -> list[str]:
+        """Take over a whole list; return the ids that are gone."""
+        listed = {one.endpoint_id: one for one in endpoints}
+        missing = [one for one in self.beliefs if one not in listed]
+        gone = [one for one in missing if self.remove(one, now_s)]
+        for endpoint in listed.values():
+            self.put(endpoint)
+        return gone
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Add an endpoint or take over a change of its entry."""
+        known = self.beliefs.get(endpoint.endpoint_id)
+        if known is not None:
+            known.lapsed = False
+            restarted = known.endpoint.started_ms != endpoint.started_ms
+            known.endpoint = endpoint
+            if not restarted:
+                return
+            known.ejected_until_s = 0.0
+            known.failures_in_row = 0
+            known.failure_share = 0.0
+        else:
+            self.beliefs[endpoint.endpoint_id] = EndpointBelief(endpoint)
+        self.index()
+
+    def remove(self, endpoint_id: str, now_s: float) -> bool:
+        """Note that an entry is missing; tell whether it counts as gone."""
+        known = self.beliefs.get(endpoint_id)
+        if known is None:
+            return False
+        leaving = known.endpoint.state == 'draining'
+        if not leaving and (self.outage or now_s < self.lapse_ends_s):
+            known.lapsed = True
+            return False
+        del self.beliefs[endpoint_id]
+        self.index()
+        return True
+
+    def index(self) -> None:
+        """Group the beliefs by service."""
+        self.by_service = {}
+        for belief in self.beliefs.values():
+            service = belief.endpoint.service
+            self.by_service.setdefault(service, []).append(belief)
+
+    def outage_began(self) -> None:
+        """Keep entries that go missing from now on."""
+        self.outage = True
+
+    def outage_ended(self, now_s: float) -> None:
+        """Give lapsed entries time to come back."""
+        self.outage = False
+        self.lapse_ends_s = now_s + LAPSE_GRACE_S
+
+    def drop_lapsed(self, now_s: float) -> list[str]:
+        """Remove entries that did not come back after an outage."""
+        if self.outage or now_s < self.lapse_ends_s:
+            return []
+        gone = [key for key, one in self.beliefs.items() if one.lapsed]
+        for endpoint_id in gone:
+            del self.beliefs[endpoint_id]
+        if gone:
+            self.index()
+        return gone
+
+    def usable(
+        self,
+        service: str,
+        now_s: float,
+        excluded: Iterable[str] = (),
+    ) -> list[Endpoint]:
+        """Return the endpoints that may get a new request.
+
+        Those put aside are used only when no other is left, so that a
+        fault of this entry's own cannot stop a whole service.
+        """
+        listed = [
+            one
+            for one in self.by_service.get(service, ())
+            if one.endpoint.state == 'ready'
+            and one.endpoint.endpoint_id not in excluded
+        ]
+        sound = [one for one in listed if one.ejected_until_s <= now_s]
+        return [one.endpoint for one in sound or listed]
+
+    def note_success(self, endpoint_id: str) -> None:
+        """An endpoint answered."""
+        known = self.beliefs.get(endpoint_id)
+        if known is not None:
+            known.failures_in_row = 0
+            known.failure_share *= 1 - FAILURE_WEIGHT
+
+    def note_failure(self, endpoint_id: str, now_s: float) -> float:
+        """An endpoint failed; return for how long it is put aside."""
+        known = self.beliefs.get(endpoint_id)
+        if known is None:
+            return 0.0
+        known.failures_in_row += 1
+        known.failure_share += FAILURE_WEIGHT * (1 - known.failure_share)
+        doublings = min(known.failures_in_row - 1, 8)
+        aside_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
+        if known.failure_share > MAX_FAILURE_SHARE:
+            aside_s = MAX_EJECTION_S
+        known.ejected_until_s = now_s + aside_s
+        return aside_s
--- /dev/null
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -0,0 +1,158 @@
+"""Datagrams between entries: what runs where, and requests to make room.
+
+Load pattern: slots change hands many times a second, far faster than the
+store could tell. Reports hold the whole state of their sender, so a lost
+datagram is mended by the next one; the interval grows with the number of
+peers, so that the traffic of one entry stays bounded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Final, cast
+
+import msgpack
+
+from quetzaldyke.gateway.loads import Running
+
+MIN_INTERVAL_S: Final = 0.01
+INTERVAL_PER_PEER_S: Final = 0.0025
+# Sent even if nothing changed, so that peers know that this entry lives.
+HEARTBEAT_S: Final = 0.3
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Requests of the sender by endpoint id."""
+
+    sender: str
+    counts: dict[str, Running]
+
+
+@dataclass(frozen=True, slots=True)
+class MakeRoom:
+    """Asks the receiver to stop one batch run on an endpoint."""
+
+    sender: str
+    endpoint_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobEnded:
+    """Tells that a job was ended by its caller."""
+
+    sender: str
+    job_id: str
+
+
+GossipMessage = LoadReport | MakeRoom | JobEnded
+
+
+def encode(message: GossipMessage) -> bytes:
+    """Return the datagram of a message."""
+    match message:
+        case LoadReport(sender, counts):
+            rows = [
+                [key, one.online, one.batch] for key, one in counts.items()
+            ]
+            return bytes(msgpack.packb(['load', sender, rows]))
+        case MakeRoom(sender, endpoint_id):
+            return bytes(msgpack.packb(['room', sender, endpoint_id]))
+        case JobEnded(sender, job_id):
+            return bytes(msgpack.packb(['ended', sender, job_id]))
+
+
+def decode(datagram: bytes) -> GossipMessage | None:
+    """Return the message of a datagram, or None if it is not readable.
+
+    >>> decode(encode(MakeRoom('a', 'e1')))
+    MakeRoom(sender='a', endpoint_id='e1')
+    >>> decode(b'?')
+    """
+    try:
+        kind, sender, content = msgpack.unpackb(datagram)
+    except (ValueError, TypeError, msgpack.UnpackException):
+        return None
+    if kind == 'room':
+        return MakeRoom(sender, content)
+    if kind == 'ended':
+        return JobEnded(sender, content)
+    if kind == 'load':
+        counts = {key: Running(online, batch) for key, online, batch in content}
+        return LoadReport(sender, counts)
+    return None
+
+
+@dataclass(slots=True)
+class Gossip(asyncio.DatagramProtocol):
+    """The datagram socket of one entry."""
+
+    own_id: str
+    read_counts: Callable[[], dict[str, Running]]
+    on_message: Callable[[GossipMessage], None]
+    peers: dict[str, Address] = field(default_factory=dict)
+    transport: asyncio.DatagramTransport | None = None
+    changed: bool = False
+    sent_s: float = 0.0
+    handle: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast('asyncio.DatagramTransport', transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Hand a readable message over."""
+        message = decode(data)
+        if message is not None and message.sender != self.own_id:
+            self.on_message(message)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore a peer that is not there; it leaves by its lease."""
+
+    def note_change(self) -> None:
+        """Send a report soon; changes in the meantime share it."""
+        if self.handle is not None or self.transport is None:
+            return
+        loop = asyncio.get_running_loop()
+        interval_s = max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * len(self.peers))
+        due_s = max(0.0, self.sent_s + interval_s - loop.time())
+        self.handle = loop.call_later(due_s, self.send_report)
+
+    def send_report(self) -> None:
+        """Tell all peers the own counts."""
+        self.handle = None
+        self.sent_s = asyncio.get_running_loop().time()
+        self.broadcast(LoadReport(self.own_id, self.read_counts()))
+
+    async def heartbeat(self) -> None:
+        """Report if nothing was sent lately."""
+        if asyncio.get_running_loop().time() - self.sent_s > HEARTBEAT_S:
+            self.send_report()
+
+    def broadcast(self, message: GossipMessage) -> None:
+        """Send a message to all peers."""
+        datagram = encode(message)
+        for address in self.peers.values():
+            self.send_to(address, datagram)
+
+    def tell(self, peer: str, message: GossipMessage) -> None:
+        """Send a message to one peer."""
+        address = self.peers.get(peer)
+        if address is not None:
+            self.send_to(address, encode(message))
+
+    def send_to(self, address: Address, datagram: bytes) -> None:
+        """Send a datagram; one that can't be sent is as good as lost."""
+        if self.transport is not None:
+            self.transport.sendto(datagram, address)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self.handle is not None:
+            self.handle.cancel()
+        if self.transport is not None:
+            self.transport.close()
--- /dev/null
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -0,0 +1,437 @@
+"""HTTP/1.1 connections to endpoints and to the store.
+
+httpcore neither tells an answer that comes on an idle connection nor bytes
+that follow a complete answer, and both must end a connection's reuse here:
+the next answer on it could belong to another request. This client parses
+with httptools, as uvicorn does, and reports exactly how an exchange ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Final, cast
+
+import httptools
+
+# An opening packet that is dropped is sent again only after a second.
+CONNECT_TIMEOUT_S: Final = 0.4
+# Used when the peer does not say for how long it keeps idle connections.
+DEFAULT_KEEP_ALIVE_S: Final = 4.0
+# The peer may close a little before the time that it states.
+KEEP_ALIVE_SHARE: Final = 0.6
+FIRST_FINAL_STATUS: Final = 200
+# Reading pauses above this many bytes that the reader has not taken.
+MAX_UNREAD_BYTES: Final = 262_144
+
+
+class Failure(Enum):
+    """How an exchange failed."""
+
+    # No connection: the request was certainly not sent.
+    NOT_CONNECTED = 'not_connected'
+    # Reset or closed before the whole answer came.
+    BROKEN = 'broken'
+    # The bytes are no answer.
+    MALFORMED = 'malformed'
+    # Nothing came within the time allowed.
+    STALLED = 'stalled'
+    # Given up by this process.
+    CANCELLED = 'cancelled'
+
+
+class ExchangeError(Exception):
+    """An exchange ended without a whole answer."""
+
+    def __init__(self, failure: Failure, detail: str = '') -> None:
+        """Keep how it failed."""
+        super().__init__(f'{failure.value} {detail}'.strip())
+        self.failure = failure
+
+
+@dataclass(slots=True)
+class ResponseHead:
+    """Status and headers of an answer; names are in lower case."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first header of that name."""
+        for known, content in self.headers:
+            if known == name:
+                return content
+        return None
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request and its answer as it arrives."""
+
+    # Header that the answer must repeat; other answers are skipped.
+    echo_header: bytes = b''
+    echo: bytes = b''
+    head: ResponseHead | None = None
+    chunks: deque[bytes] = field(default_factory=deque)
+    complete: bool = False
+    failure: Failure | None = None
+    detail: str = ''
+    waiter: asyncio.Future[None] | None = None
+    connection: Connection | None = None
+    sent_at_s: float = 0.0
+    unread_bytes: int = 0
+    # Monotonic time at which the watchdog ends the wait; 0 for never.
+    expires_at_s: float = 0.0
+
+    def wake(self) -> None:
+        """Let the reader look again."""
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def fail(self, failure: Failure, detail: str = '') -> None:
+        """End the exchange; what has arrived can still be read."""
+        if self.complete or self.failure is not None:
+            return
+        self.failure = failure
+        self.detail = detail
+        self.wake()
+
+    async def wait(self) -> None:
+        """Wait for the next arrival."""
+        self.waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self.waiter
+        finally:
+            self.waiter = None
+
+    async def read_head(self) -> ResponseHead:
+        """Return the head of the answer."""
+        while self.head is None:
+            if self.failure is not None:
+                raise ExchangeError(self.failure, self.detail)
+            await self.wait()
+        return self.head
+
+    async def read_chunk(self) -> bytes:
+        """Return the next bytes of the body; none at its end."""
+        while not self.chunks:
+            if self.complete:
+                return b''
+            if self.failure is not None:
+                raise ExchangeError(self.failure, self.detail)
+            await self.wait()
+        chunk = self.chunks.popleft()
+        self.unread_bytes -= len(chunk)
+        if self.connection is not None and not self.unread_bytes:
+            self.connection.resume_reading()
+        return chunk
+
+    async def read_body(self) -> bytes:
+        """Return the whole body."""
+        body = bytearray()
+        while chunk := await self.read_chunk():
+            body += chunk
+        return bytes(body)
+
+    def cancel(self, failure: Failure = Failure.CANCELLED) -> None:
+        """Break the connection unless the answer is complete."""
+        if self.connection is not None and not self.complete:
+            self.connection.abort()
+        self.fail(failure)
+
+
+class Connection(asyncio.Protocol):
+    """One connection; it carries one exchange at a time."""
+
+    def __init__(self, on_idle: Callable[[Connection], None]) -> None:
+        """Create a connection that is not yet open."""
+        self.on_idle = on_idle
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.exchange: Exchange | None = None
+        self.closed = False
+        self.paused = False
+        self.keep = True
+        self.skipping = False
+        self.framed = False
+        self.answer_ended = False
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self.idle_since_s = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast('asyncio.Transport', transport)
+
+    def send(self, exchange: Exchange, request: bytes) -> None:
+        """Send a request whose answer goes to the exchange."""
+        assert self.transport is not None
+        self.exchange = exchange
+        self.answer_ended = False
+        exchange.connection = self
+        exchange.sent_at_s = time.monotonic()
+        self.transport.write(request)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of an answer."""
+        if self.exchange is None:
+            # An answer to nothing; a later request could take it for its own.
+            self.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            self.finish_broken(Failure.MALFORMED, repr(exc))
+
+    def eof_received(self) -> bool:
+        """Close as soon as the peer does."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange; a body without a length ends with a clean close."""
+        self.closed = True
+        exchange = self.exchange
+        if exchange is None:
+            return
+        self.exchange = None
+        if exc is None and exchange.head and not self.framed:
+            exchange.complete = True
+            exchange.wake()
+            return
+        exchange.fail(Failure.BROKEN, repr(exc))
+
+    def on_message_begin(self) -> None:
+        """Start an answer; one after our answer ends the connection."""
+        self.headers = []
+        if self.answer_ended:
+            self.keep = False
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Collect a header."""
+        self.headers.append((name.lower(), content))
+
+    def on_headers_complete(self) -> None:
+        """Hand over the head if the answer is for our request."""
+        exchange = self.exchange
+        status = self.parser.get_status_code()
+        if exchange is None or self.answer_ended:
+            return
+        head = ResponseHead(status, self.headers)
+        self.skipping = status < FIRST_FINAL_STATUS or is_foreign(exchange, head)
+        if self.skipping:
+            return
+        self.framed = (
+            head.get(b'content-length') is not None
+            or head.get(b'transfer-encoding') is not None
+        )
+        self.read_keep_alive(head)
+        exchange.head = head
+        exchange.wake()
+
+    def read_keep_alive(self, head: ResponseHead) -> None:
+        """Note whether and for how long the peer keeps the connection."""
+        connection = head.get(b'connection')
+        if connection is not None and connection.lower() == b'close':
+            self.keep = False
+        if not self.framed:
+            self.keep = False
+        stated = head.get(b'keep-alive')
+        if stated is None:
+            return
+        for part in stated.split(b','):
+            name, _, amount = part.strip().partition(b'=')
+            if name.lower() == b'timeout' and amount.isdigit():
+                self.keep_alive_s = float(amount)
+
+    def on_body(self, body: bytes) -> None:
+        """Hand over a part of the body."""
+        exchange = self.exchange
+        if exchange is None or self.skipping or self.answer_ended:
+            return
+        exchange.chunks.append(body)
+        exchange.unread_bytes += len(body)
+        if exchange.unread_bytes > MAX_UNREAD_BYTES and not self.paused:
+            assert self.transport is not None
+            self.paused = True
+            self.transport.pause_reading()
+        exchange.wake()
+
+    def on_message_complete(self) -> None:
+        """End the exchange and offer the connection for reuse."""
+        exchange = self.exchange
+        if exchange is None or self.answer_ended:
+            return
+        if self.skipping:
+            # The answer to our request is still due behind this one.
+            self.skipping = False
+            return
+        self.answer_ended = True
+        exchange.complete = True
+        exchange.wake()
+        asyncio.get_running_loop().call_soon(self.release)
+
+    def release(self) -> None:
+        """Keep or close the connection, after all bytes at hand were read."""
+        self.exchange = None
+        transport = self.transport
+        if self.closed or transport is None:
+            return
+        unsent = transport.get_write_buffer_size()
+        if not self.keep or unsent or transport.is_closing():
+            transport.abort() if unsent else transport.close()
+            self.closed = True
+            return
+        self.idle_since_s = time.monotonic()
+        self.on_idle(self)
+
+    def resume_reading(self) -> None:
+        """Read again after the reader has caught up."""
+        if self.paused and self.transport is not None and not self.closed:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def finish_broken(self, failure: Failure, detail: str) -> None:
+        """End the exchange and break the connection."""
+        exchange = self.exchange
+        self.exchange = None
+        self.abort()
+        if exchange is not None:
+            exchange.fail(failure, detail)
+
+    def abort(self) -> None:
+        """Break the connection at once."""
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def is_foreign(exchange: Exchange, head: ResponseHead) -> bool:
+    """Tell whether an answer names another request than ours."""
+    if not exchange.echo_header:
+        return False
+    echoed = head.get(exchange.echo_header)
+    return echoed is not None and echoed != exchange.echo
+
+
+@dataclass(slots=True)
+class AddressPool:
+    """Idle connections to one address, latest last."""
+
+    host: str
+    port: int
+    idle: list[Connection] = field(default_factory=list)
+
+    def take(self, max_idle_s: float) -> Connection | None:
+        """Return a connection that the peer still keeps, if there is one."""
+        now_s = time.monotonic()
+        while self.idle:
+            connection = self.idle.pop()
+            limit_s = min(max_idle_s, connection.keep_alive_s * KEEP_ALIVE_SHARE)
+            if connection.closed:
+                continue
+            if now_s - connection.idle_since_s < limit_s:
+                return connection
+            connection.abort()
+        return None
+
+    def keep(self, connection: Connection) -> None:
+        """Keep a connection for the next request."""
+        self.idle.append(connection)
+
+    def drop_expired(self, now_s: float) -> None:
+        """Close the connections that were idle for too long."""
+        kept = []
+        for connection in self.idle:
+            limit_s = connection.keep_alive_s * KEEP_ALIVE_SHARE
+            if connection.closed:
+                continue
+            if now_s - connection.idle_since_s < limit_s:
+                kept.append(connection)
+            else:
+                connection.abort()
+        self.idle = kept
+
+
+@dataclass(slots=True)
+class HttpClient:
+    """Connections to any number of addresses."""
+
+    pools: dict[tuple[str, int], AddressPool] = field(default_factory=dict)
+    active: set[Exchange] = field(default_factory=set)
+    opened: int = 0
+
+    def pool(self, host: str, port: int) -> AddressPool:
+        """Return the pool of an address."""
+        known = self.pools.get((host, port))
+        if known is None:
+            known = self.pools[host, port] = AddressPool(host, port)
+        return known
+
+    async def connect(
+        self,
+        pool: AddressPool,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> Connection:
+        """Open a connection; raises `ExchangeError` NOT_CONNECTED."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(pool.keep),
+                    pool.host,
+                    pool.port,
+                )
+        except (OSError, TimeoutError) as exc:
+            raise ExchangeError(Failure.NOT_CONNECTED, repr(exc)) from exc
+        self.opened += 1
+        return connection
+
+    async def start(
+        self,
+        host: str,
+        port: int,
+        request: bytes,
+        exchange: Exchange,
+        max_idle_s: float = DEFAULT_KEEP_ALIVE_S,
+    ) -> None:
+        """Send a request; raises `ExchangeError` when it was not sent."""
+        pool = self.pool(host, port)
+        connection = pool.take(max_idle_s) or await self.connect(pool)
+        connection.send(exchange, request)
+
+    def drop_expired(self) -> None:
+        """Close idle connections whose time is over."""
+        now_s = time.monotonic()
+        for address, pool in list(self.pools.items()):
+            pool.drop_expired(now_s)
+            if not pool.idle:
+                del self.pools[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self.pools.values():
+            for connection in pool.idle:
+                connection.abort()
+        self.pools.clear()
+
+
+def encode_request(
+    method: bytes,
+    target: bytes,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+) -> bytes:
+    """Return the bytes of a request.
+
+    >>> encode_request(b'GET', b'/a', [(b'host', b'h')], b'')
+    b'GET /a HTTP/1.1\\r\\nhost: h\\r\\n\\r\\n'
+    """
+    lines = [b'%b %b HTTP/1.1' % (method, target)]
+    lines.extend(b'%b: %b' % pair for pair in headers)
+    if body or method not in {b'GET', b'DELETE', b'HEAD'}:
+        lines.append(b'content-length: %d' % len(body))
+    return b'\r\n'.join([*lines, b'', body])
--- /dev/null
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -0,0 +1,267 @@
+"""Calls of callers about batch jobs: submit, read, read a body, end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+from urllib.parse import parse_qs
+
+import anyio
+from result import Err, Ok, Result
+
+from quetzaldyke.gateway.ingress import AsgiCaller, ReceivedRequest
+from quetzaldyke.gateway.job_book import JobView
+from quetzaldyke.gateway.job_store import JobStore, NewJob, make_job
+from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.model import Route
+from quetzaldyke.parts.kv import KvError
+from quetzaldyke.platform import names
+from quetzaldyke.platform.jobs import (
+    ReadResult,
+    decode_submission,
+    encode_results,
+)
+
+MS_IN_S: Final = 1000
+STATUS_OK: Final = 200
+STATUS_ACCEPTED: Final = 202
+STATUS_BAD_REQUEST: Final = 400
+STATUS_NOT_FOUND: Final = 404
+STATUS_TOO_MANY: Final = 429
+STATUS_BAD_GATEWAY: Final = 502
+STATUS_UNAVAILABLE: Final = 503
+MAX_PAGE_BYTES: Final = 900_000
+MAX_WAIT_S: Final = 1.0
+OUTAGE_RETRY_S: Final = b'1.0'
+QUOTA_RETRY_S: Final = b'2.0'
+JSON_TYPE: Final = (b'content-type', b'application/json')
+
+
+@dataclass(slots=True)
+class JobApi:
+    """Handler of the calls about batch jobs."""
+
+    store: JobStore
+    # Starts to run a job that this entry has just accepted.
+    run_accepted: Callable[[NewJob], None]
+    # Tells the peers that a job was ended.
+    tell_ended: Callable[[str], None]
+    # Whether the store answered lately.
+    store_up: Callable[[], bool]
+    # Set at a planned stop.
+    stopping: bool = False
+
+    async def handle(
+        self,
+        request: ReceivedRequest,
+        route: Route | None,
+        caller: AsgiCaller,
+    ) -> bool:
+        """Serve a call about a job; False when it is another request."""
+        path = request.path
+        if path.startswith(names.JOB_PATH):
+            job_id = path.removeprefix(names.JOB_PATH)
+            if request.method == b'DELETE':
+                await self.end(job_id, caller)
+            else:
+                await self.read(job_id, request, caller)
+            return True
+        if path.startswith(names.ITEM_PATH):
+            job_id = path.removeprefix(names.ITEM_PATH)
+            await self.read_body(job_id, request, caller)
+            return True
+        if route is not None and route.kind == 'batch':
+            await self.submit(request, route, caller)
+            return True
+        return False
+
+    async def submit(
+        self,
+        request: ReceivedRequest,
+        route: Route,
+        caller: AsgiCaller,
+    ) -> None:
+        """Accept a job, once however often it is sent."""
+        raw_id = request.header(names.ATTEMPT_ID)
+        decoded = decode_submission(request.body)
+        if not raw_id or isinstance(decoded, Err):
+            await answer(caller, STATUS_BAD_REQUEST)
+            return
+        job_id = raw_id.decode('latin-1')
+        if self.store.book.view_known(job_id):
+            await answer(caller, STATUS_ACCEPTED)
+            return
+        if not self.store_up():
+            log_event('job_refused', job=job_id, reason='store_down')
+            await refuse(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_S)
+            return
+        job = make_job(job_id, route, decoded.ok_value)
+        accepted = await self.store.accept(job, route)
+        if isinstance(accepted, Ok):
+            log_event(
+                'job_accepted',
+                job=job_id,
+                route=route.name,
+                items=len(job.record.items),
+                tokens=job.tokens,
+            )
+            self.run_accepted(job)
+            await answer(caller, STATUS_ACCEPTED)
+            return
+        failure = accepted.err_value
+        log_event(
+            'job_refused',
+            job=job_id,
+            reason=failure,
+            tokens=job.tokens,
+            waiting=self.store.book.waiting_tokens(route.name),
+        )
+        if failure == 'unknown':
+            await answer(caller, STATUS_BAD_GATEWAY)
+        elif failure == 'over_quota':
+            await refuse(caller, STATUS_TOO_MANY, QUOTA_RETRY_S)
+        else:
+            await refuse(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_S)
+
+    async def find(self, job_id: str, caller: AsgiCaller) -> JobView | None:
+        """Return a job; answers the caller when there is none."""
+        found = await self.store.find(job_id)
+        if isinstance(found, Err):
+            await self.unavailable(job_id, found.err_value, caller)
+            return None
+        if found.ok_value is None or not found.ok_value.known:
+            await answer(caller, STATUS_NOT_FOUND)
+            return None
+        return found.ok_value
+
+    async def unavailable(
+        self,
+        job_id: str,
+        error: KvError,
+        caller: AsgiCaller,
+    ) -> None:
+        """Say that a job can't be read now."""
+        log_event('job_not_readable', job=job_id, reason=str(error))
+        await refuse(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_S)
+
+    async def read(
+        self,
+        job_id: str,
+        request: ReceivedRequest,
+        caller: AsgiCaller,
+    ) -> None:
+        """Return the results from a position on."""
+        view = await self.find(job_id, caller)
+        if view is None:
+            return
+        after = read_number(request.query, 'after')
+        wait_ms = request.number(names.WAIT) or 0
+        await wait_for_result(view, after, min(wait_ms / MS_IN_S, MAX_WAIT_S))
+        page = await self.page(view, after)
+        if isinstance(page, Err):
+            await self.unavailable(job_id, page.err_value, caller)
+            return
+        await answer(caller, STATUS_OK, page.ok_value, [JSON_TYPE])
+
+    async def page(self, view: JobView, after: int) -> Result[bytes, KvError]:
+        """Return one page of results."""
+        assert view.record is not None
+        assert view.state is not None
+        results: list[ReadResult] = []
+        size = 0
+        for listed in view.state.listed[after:]:
+            outputs = await self.store.read_outputs(
+                view.record.job_id,
+                listed.part,
+            )
+            if isinstance(outputs, Err):
+                return outputs
+            output = outputs.ok_value[listed.item]
+            size += len(output)
+            if results and size > MAX_PAGE_BYTES:
+                break
+            item = view.record.items[listed.item]
+            results.append(ReadResult(item.item_id, listed.completed, output))
+        total = len(view.record.items)
+        return Ok(encode_results(total, after, results))
+
+    async def read_body(
+        self,
+        job_id: str,
+        request: ReceivedRequest,
+        caller: AsgiCaller,
+    ) -> None:
+        """Return the body of an item."""
+        view = await self.find(job_id, caller)
+        if view is None:
+            return
+        assert view.record is not None
+        item_id = read_text(request.query, 'id')
+        item = next(
+            (one for one in view.record.items if one.item_id == item_id),
+            None,
+        )
+        if item is None:
+            await answer(caller, STATUS_NOT_FOUND)
+            return
+        part = await self.store.read_body_part(job_id, item.body_part)
+        if isinstance(part, Err):
+            await self.unavailable(job_id, part.err_value, caller)
+            return
+        end = item.body_start + item.body_size
+        body = part.ok_value[item.body_start : end]
+        await answer(caller, STATUS_OK, body)
+
+    async def end(self, job_id: str, caller: AsgiCaller) -> None:
+        """End a job."""
+        ended = await self.store.end(job_id)
+        if isinstance(ended, Err):
+            await self.unavailable(job_id, ended.err_value, caller)
+            return
+        if ended.ok_value:
+            self.tell_ended(job_id)
+        log_event('job_ended', job=job_id, found=ended.ok_value)
+        await answer(caller, STATUS_OK if ended.ok_value else STATUS_NOT_FOUND)
+
+
+async def wait_for_result(view: JobView, after: int, wait_s: float) -> None:
+    """Wait until a result at a position is listed, or the job is over."""
+    with anyio.move_on_after(wait_s):
+        while view.open and view.state and len(view.state.listed) <= after:
+            await view.changed.wait()
+
+
+async def answer(
+    caller: AsgiCaller,
+    status: int,
+    body: bytes = b'',
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    """Send a whole answer."""
+    length = (b'content-length', b'%d' % len(body))
+    await caller.start(status, [*(headers or []), length])
+    if body:
+        await caller.send(body)
+    await caller.finish()
+
+
+async def refuse(caller: AsgiCaller, status: int, retry_after: bytes) -> None:
+    """Refuse a call and say when to come back."""
+    await answer(caller, status, b'', [(names.RETRY_AFTER, retry_after)])
+
+
+def read_text(query: bytes, name: str) -> str:
+    """Return a parameter of a query string.
+
+    >>> read_text(b'id=a%2Fb', 'id')
+    'a/b'
+    """
+    values = parse_qs(query.decode('latin-1')).get(name, [''])
+    return values[0]
+
+
+def read_number(query: bytes, name: str) -> int:
+    """Return a parameter that holds a number, 0 when it is missing."""
+    text = read_text(query, name)
+    return int(text) if text.isdecimal() else 0
--- /dev/null
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -0,0 +1,347 @@
+"""Writes and reads batch jobs in the store.
+
+Acceptance, listing and ending are one transaction each. A write whose answer
+is lost is settled by reading back before anything is said about it.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Final, Literal
+
+import anyio
+from result import Err, Ok, Result
+
+from quetzaldyke.gateway.job_book import JobBook, JobView
+from quetzaldyke.gateway.job_records import (
+    END_PREFIX,
+    JOB_PREFIX,
+    QUOTA_PREFIX,
+    STATE_PREFIX,
+    ItemRecord,
+    JobRecord,
+    JobState,
+    body_key,
+    pack_outputs,
+    result_key,
+    unpack_outputs,
+)
+from quetzaldyke.gateway.model import Route
+from quetzaldyke.parts.kv import ABSENT, KvError
+from quetzaldyke.parts.transactions import (
+    Put,
+    Transaction,
+    TransactionalStore,
+)
+from quetzaldyke.platform.jobs import SubmittedItem
+
+MS_IN_S: Final = 1000
+# Bodies and results are split into parts below the store's value limit.
+MAX_PART_BYTES: Final = 500_000
+# Below this share of the limit, jobs that others accept at the same moment
+# can't exceed it, so acceptances need not follow one another.
+UNORDERED_QUOTA_SHARE: Final = 0.5
+ACCEPT_TRIES: Final = 6
+VIEW_WAIT_S: Final = 0.4
+RESULT_CACHE_BYTES: Final = 6_000_000
+
+AcceptFailure = Literal['over_quota', 'unavailable', 'unknown']
+
+
+@dataclass(slots=True)
+class PartCache:
+    """Parts that were read lately, bounded by their size."""
+
+    parts: OrderedDict[str, bytes] = field(default_factory=OrderedDict)
+    size: int = 0
+
+    def get(self, key: str) -> bytes | None:
+        """Return a part and mark it as used."""
+        known = self.parts.get(key)
+        if known is not None:
+            self.parts.move_to_end(key)
+        return known
+
+    def put(self, key: str, part: bytes) -> None:
+        """Keep a part and drop those that were not used for longest."""
+        if key in self.parts:
+            return
+        self.parts[key] = part
+        self.size += len(part)
+        while self.size > RESULT_CACHE_BYTES:
+            _, dropped = self.parts.popitem(last=False)
+            self.size -= len(dropped)
+
+
+@dataclass(frozen=True, slots=True)
+class NewJob:
+    """A job on its way into the store."""
+
+    record: JobRecord
+    bodies: dict[int, bytes]
+    tokens: int
+
+
+@dataclass(slots=True)
+class JobStore:
+    """Jobs in the store, as one entry writes and reads them."""
+
+    store: TransactionalStore
+    book: JobBook
+    owner_id: str
+    instance: str
+    cache: PartCache = field(default_factory=PartCache)
+
+    async def accept(
+        self,
+        job: NewJob,
+        route: Route,
+    ) -> Result[None, AcceptFailure]:
+        """Accept a job once; `unknown` if it may have been accepted."""
+        job_id = job.record.job_id
+        uncertain = False
+        for _ in range(ACCEPT_TRIES):
+            if self.book.view_known(job_id):
+                return Ok(None)
+            fits, condition = self.check_quota(job, route)
+            if not fits and not uncertain:
+                return Err('over_quota')
+            written = await self.store.transact(
+                self.acceptance(job, route, condition),
+            )
+            if isinstance(written, Ok):
+                return Ok(None)
+            kind = written.err_value.kind
+            if kind == 'unavailable' and not uncertain:
+                return Err('unavailable')
+            if kind != 'conflict':
+                uncertain = True
+            settled = await self.find(job_id)
+            if isinstance(settled, Ok) and settled.ok_value:
+                return Ok(None)
+            if isinstance(settled, Err) or kind != 'conflict':
+                continue
+            await self.wait_for_news()
+        return Err('unknown' if uncertain else 'unavailable')
+
+    def check_quota(
+        self,
+        job: NewJob,
+        route: Route,
+    ) -> tuple[bool, int | None]:
+        """Tell whether a job fits, and the revision that must still hold."""
+        limit = route.batch.max_waiting_tokens if route.batch else 0
+        if not limit:
+            return True, None
+        waiting = self.book.waiting_tokens(route.name) + job.tokens
+        if waiting > limit:
+            return False, None
+        if waiting <= limit * UNORDERED_QUOTA_SHARE:
+            return True, None
+        return True, self.book.quota_revisions.get(route.name, ABSENT)
+
+    def acceptance(
+        self,
+        job: NewJob,
+        route: Route,
+        quota_revision: int | None,
+    ) -> Transaction:
+        """Return the transaction that accepts a job."""
+        job_id = job.record.job_id
+        conditions = {f'{JOB_PREFIX}{job_id}': ABSENT}
+        quota_key = f'{QUOTA_PREFIX}{route.name}'
+        if quota_revision is not None:
+            conditions[quota_key] = quota_revision
+        state = JobState(self.owner_id, self.instance)
+        puts = [
+            Put(f'{JOB_PREFIX}{job_id}', job.record.pack()),
+            Put(f'{STATE_PREFIX}{job_id}', state.pack()),
+        ]
+        if route.batch is not None and route.batch.max_waiting_tokens:
+            puts.append(Put(quota_key, job_id.encode()))
+        puts.extend(
+            Put(body_key(job_id, part), body)
+            for part, body in job.bodies.items()
+        )
+        return Transaction(conditions, tuple(puts))
+
+    async def wait_for_news(self) -> None:
+        """Wait until the followed records have moved on."""
+        with anyio.move_on_after(VIEW_WAIT_S):
+            await self.book.advanced.wait()
+
+    async def find(self, job_id: str) -> Result[JobView | None, KvError]:
+        """Return a job, reading it if it was not seen yet."""
+        view = self.book.jobs.get(job_id)
+        if view is not None and view.known:
+            return Ok(view)
+        job = await self.store.get(f'{JOB_PREFIX}{job_id}')
+        if isinstance(job, Err):
+            return job
+        if job.ok_value is None:
+            return Ok(None)
+        state = await self.store.get(f'{STATE_PREFIX}{job_id}')
+        if isinstance(state, Err):
+            return state
+        for record in (job.ok_value, state.ok_value):
+            if record is not None:
+                self.book.apply(record.key, record.revision, record.value)
+        return Ok(self.book.view(job_id))
+
+    async def end(self, job_id: str) -> Result[bool, KvError]:
+        """End a job; False when there is no such job."""
+        found = await self.find(job_id)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is None:
+            return Ok(False)
+        if found.ok_value.ended:
+            return Ok(True)
+        key = f'{END_PREFIX}{job_id}'
+        written = await self.store.transact(
+            Transaction({}, (Put(key, b'1'),)),
+        )
+        if isinstance(written, Err):
+            return written
+        self.book.apply(key, written.ok_value, b'1')
+        return Ok(True)
+
+    async def list_results(
+        self,
+        job_id: str,
+        outcomes: list[tuple[int, bool, bytes]],
+        failures: dict[int, int],
+    ) -> Result[None, KvError]:
+        """Append results to a job that this entry owns."""
+        view = self.book.view(job_id)
+        state = view.state
+        if state is None or state.owner_id != self.owner_id:
+            return Err(KvError('conflict', 'another entry owns the job'))
+        done = {one.item for one in state.listed}
+        new = [row for row in outcomes if row[0] not in done]
+        if not new:
+            return Ok(None)
+        key = f'{STATE_PREFIX}{job_id}'
+        part_key = result_key(job_id, state.parts)
+        after = state.with_results([row[:2] for row in new], failures)
+        part = pack_outputs([(row[0], row[2]) for row in new])
+        written = await self.store.transact(
+            Transaction(
+                {key: view.state_revision},
+                (Put(key, after.pack()), Put(part_key, part)),
+            ),
+        )
+        if isinstance(written, Ok):
+            self.book.apply(key, written.ok_value, after.pack())
+            self.cache.put(part_key, part)
+            return Ok(None)
+        await self.refresh_state(job_id)
+        return written
+
+    async def refresh_state(self, job_id: str) -> None:
+        """Read the state of a job after a write that did not succeed."""
+        key = f'{STATE_PREFIX}{job_id}'
+        answer = await self.store.get(key)
+        if isinstance(answer, Ok) and answer.ok_value is not None:
+            record = answer.ok_value
+            self.book.apply(key, record.revision, record.value)
+
+    async def take_over(self, job_id: str) -> Result[None, KvError]:
+        """Become the owner of a job whose owner is gone."""
+        view = self.book.view(job_id)
+        assert view.state is not None
+        old = view.state
+        state = JobState(
+            self.owner_id,
+            self.instance,
+            old.parts,
+            old.listed,
+            old.failures,
+        )
+        key = f'{STATE_PREFIX}{job_id}'
+        written = await self.store.transact(
+            Transaction(
+                {key: view.state_revision},
+                (Put(key, state.pack()),),
+            ),
+        )
+        if isinstance(written, Err):
+            await self.refresh_state(job_id)
+            return written
+        self.book.apply(key, written.ok_value, state.pack())
+        return Ok(None)
+
+    async def read_part(self, key: str) -> Result[bytes, KvError]:
+        """Return a value that never changes once it is written."""
+        known = self.cache.get(key)
+        if known is not None:
+            return Ok(known)
+        for stale in (True, False):
+            answer = await self.store.get(key, stale=stale)
+            if isinstance(answer, Err):
+                return answer
+            if answer.ok_value is not None:
+                self.cache.put(key, answer.ok_value.value)
+                return Ok(answer.ok_value.value)
+        return Err(KvError('unknown', f'{key} is missing'))
+
+    async def read_body_part(
+        self,
+        job_id: str,
+        part: int,
+    ) -> Result[bytes, KvError]:
+        """Return one part of a job's bodies."""
+        return await self.read_part(body_key(job_id, part))
+
+    async def read_outputs(
+        self,
+        job_id: str,
+        part: int,
+    ) -> Result[dict[int, bytes], KvError]:
+        """Return the outputs of one part of a job's results."""
+        answer = await self.read_part(result_key(job_id, part))
+        if isinstance(answer, Err):
+            return answer
+        return Ok(unpack_outputs(answer.ok_value))
+
+
+def make_job(
+    job_id: str,
+    route: Route,
+    submitted: list[SubmittedItem],
+) -> NewJob:
+    """Return the records of a submitted job."""
+    bodies: dict[int, bytearray] = {0: bytearray()}
+    items: list[ItemRecord] = []
+    for one in submitted:
+        part = len(bodies) - 1
+        if bodies[part] and len(bodies[part]) + len(one.body) > MAX_PART_BYTES:
+            part += 1
+            bodies[part] = bytearray()
+        start = len(bodies[part])
+        bodies[part] += one.body
+        items.append(
+            ItemRecord(
+                one.item_id,
+                one.path,
+                one.headers,
+                one.tokens,
+                part,
+                start,
+                len(one.body),
+            ),
+        )
+    record = JobRecord(
+        job_id,
+        route.name,
+        route.host,
+        int(time.time() * MS_IN_S),
+        tuple(items),
+    )
+    return NewJob(
+        record,
+        {part: bytes(body) for part, body in bodies.items()},
+        sum(one.tokens for one in submitted),
+    )
--- /dev/null
+++ b/src/quetzaldyke/gateway/loads.py
@@ -0,0 +1,113 @@
+"""How many requests run on each endpoint, over all entries.
+
+Load pattern: several entries fill the same endpoints at once, and engines
+admit in order of arrival, so an entry that counts only its own requests
+overfills some endpoints while others have room.
+
+Each entry counts its own requests exactly and tells its peers the counts;
+what a silent peer said is forgotten after a second.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+PEER_REPORT_LIFE_S: Final = 1.0
+
+
+@dataclass(slots=True)
+class Running:
+    """Requests on one endpoint."""
+
+    online: int = 0
+    batch: int = 0
+
+    @property
+    def total(self) -> int:
+        """Return all requests."""
+        return self.online + self.batch
+
+
+@dataclass(slots=True)
+class PeerReport:
+    """The counts of one peer and when they came."""
+
+    counts: dict[str, Running]
+    received_s: float
+
+
+@dataclass(slots=True)
+class LoadTable:
+    """Counts of this entry and of its peers, by endpoint id."""
+
+    own: dict[str, Running] = field(default_factory=dict)
+    peers: dict[str, PeerReport] = field(default_factory=dict)
+    others: dict[str, Running] = field(default_factory=dict)
+
+    def own_of(self, endpoint_id: str) -> Running:
+        """Return this entry's counts."""
+        known = self.own.get(endpoint_id)
+        if known is None:
+            known = self.own[endpoint_id] = Running()
+        return known
+
+    def online(self, endpoint_id: str) -> int:
+        """Return the online requests of all entries."""
+        others = self.others.get(endpoint_id)
+        own = self.own.get(endpoint_id)
+        return (own.online if own else 0) + (others.online if others else 0)
+
+    def total(self, endpoint_id: str) -> int:
+        """Return all requests of all entries."""
+        others = self.others.get(endpoint_id)
+        own = self.own.get(endpoint_id)
+        return (own.total if own else 0) + (others.total if others else 0)
+
+    def batch_peers(self, endpoint_id: str) -> list[tuple[int, str]]:
+        """Return the peers with batch work on an endpoint, most first."""
+        found = [
+            (report.counts[endpoint_id].batch, peer)
+            for peer, report in self.peers.items()
+            if endpoint_id in report.counts
+            and report.counts[endpoint_id].batch
+        ]
+        return sorted(found, reverse=True)
+
+    def take_report(
+        self,
+        peer: str,
+        counts: dict[str, Running],
+        now_s: float,
+    ) -> None:
+        """Replace what a peer said."""
+        self.peers[peer] = PeerReport(counts, now_s)
+        self.sum_peers()
+
+    def forget_silent(self, now_s: float) -> list[str]:
+        """Drop the reports of peers that fell silent."""
+        silent = [
+            peer
+            for peer, report in self.peers.items()
+            if now_s - report.received_s > PEER_REPORT_LIFE_S
+        ]
+        for peer in silent:
+            del self.peers[peer]
+        if silent:
+            self.sum_peers()
+        return silent
+
+    def sum_peers(self) -> None:
+        """Add up the peers' counts."""
+        sums: dict[str, Running] = {}
+        for report in self.peers.values():
+            for endpoint_id, running in report.counts.items():
+                known = sums.setdefault(endpoint_id, Running())
+                known.online += running.online
+                known.batch += running.batch
+        self.others = sums
+
+    def report(self) -> dict[str, Running]:
+        """Return what to tell the peers, and forget idle endpoints."""
+        self.own = {key: one for key, one in self.own.items() if one.total}
+        return self.own
--- /dev/null
+++ b/src/quetzaldyke/gateway/membership.py
@@ -0,0 +1,169 @@
+"""This entry's own registration, and whose jobs it has to run.
+
+A lease says which entries run. It only decides who tries: a job's state is
+changed under a condition, so two entries that both believe to own a job
+can't both list results. Jobs of a lost entry go to the entry that ranks
+first for them, once the store has been well for long enough that its own
+outage can't be what made the lease lapse.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err
+
+from quetzaldyke.gateway.job_book import JobBook, JobView
+from quetzaldyke.gateway.job_records import MEMBER_PREFIX, Member
+from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.parts.rendezvous import first_for
+from quetzaldyke.parts.transactions import (
+    Put,
+    Transaction,
+    TransactionalStore,
+)
+
+LEASE_TTL_S: Final = 3.0
+RENEWAL_INTERVAL_S: Final = 1.0
+# An owner whose lease has lapsed gets this long to come back.
+OWNER_GRACE_S: Final = 0.7
+# After an outage of the store, leases that lapsed in it are granted again.
+OUTAGE_GRACE_S: Final = 2.5
+
+
+@dataclass(slots=True)
+class Registration:
+    """The lease of one entry."""
+
+    store: TransactionalStore
+    member: Member
+    lease_id: int = 0
+    ended: bool = False
+
+    @property
+    def key(self) -> str:
+        """Return the key of the member record."""
+        return f'{MEMBER_PREFIX}{self.member.owner_id}'
+
+    async def renew(self) -> None:
+        """Renew the lease, or register again when it has lapsed."""
+        if self.ended:
+            return
+        if self.lease_id:
+            answer = await self.store.renew_lease(self.lease_id)
+            if not isinstance(answer, Err):
+                return
+            if answer.err_value.kind != 'no_lease':
+                return
+            log_event('lease_lapsed', lease=self.lease_id)
+            self.lease_id = 0
+        await self.register()
+
+    async def register(self) -> None:
+        """Take a lease and write the member record under it."""
+        granted = await self.store.grant_lease(LEASE_TTL_S)
+        if isinstance(granted, Err):
+            return
+        lease_id = granted.ok_value.lease_id
+        written = await self.store.transact(
+            Transaction({}, (Put(self.key, self.member.pack(), lease_id),)),
+        )
+        if isinstance(written, Err):
+            return
+        self.lease_id = lease_id
+        log_event('registered', lease=lease_id, revision=written.ok_value)
+
+    async def end(self) -> None:
+        """Give the lease up, so that others take over at once."""
+        self.ended = True
+        if self.lease_id:
+            await self.store.end_lease(self.lease_id)
+
+
+@dataclass(slots=True)
+class Ownership:
+    """Decides which jobs without an owner this entry takes over."""
+
+    book: JobBook
+    member: Member
+    # When an owner was first seen to be missing.
+    missing_since: dict[str, float]
+
+    @classmethod
+    def of(cls, book: JobBook, member: Member) -> Ownership:
+        """Start without suspicions."""
+        return cls(book, member, {})
+
+    def orphans(
+        self,
+        now_s: float,
+        store_well_since_s: float,
+        heard: Collection[str],
+    ) -> list[str]:
+        """Return the jobs that this entry should take over now.
+
+        `heard` are the entries that were heard from directly.
+        """
+        members = self.book.members
+        owners = {
+            view.state.owner_id: view.state.owner_instance
+            for view in self.book.jobs.values()
+            if view.open and view.state is not None
+        }
+        gone = {
+            owner
+            for owner, instance in owners.items()
+            if self.is_gone(owner, instance, now_s, heard)
+        }
+        for owner in list(self.missing_since):
+            if owner in members or owner not in owners:
+                del self.missing_since[owner]
+        if now_s - store_well_since_s < OUTAGE_GRACE_S:
+            gone = {owner for owner in gone if self.is_predecessor(owners[owner])}
+        return [
+            job_id
+            for job_id, view in self.book.jobs.items()
+            if view.open and self.is_mine(job_id, view, gone)
+        ]
+
+    def is_gone(
+        self,
+        owner_id: str,
+        instance: str,
+        now_s: float,
+        heard: Collection[str],
+    ) -> bool:
+        """Tell whether an owner runs no more."""
+        if owner_id == self.member.owner_id:
+            return False
+        if self.is_predecessor(instance):
+            return True
+        if owner_id in self.book.members or owner_id in heard:
+            self.missing_since.pop(owner_id, None)
+            return False
+        since_s = self.missing_since.setdefault(owner_id, now_s)
+        return now_s - since_s >= OWNER_GRACE_S
+
+    def is_predecessor(self, instance: str) -> bool:
+        """Tell whether an owner was an earlier process of this instance."""
+        return instance == self.member.instance
+
+    def is_mine(
+        self,
+        job_id: str,
+        view: JobView,
+        gone: Collection[str],
+    ) -> bool:
+        """Tell whether this entry ranks first for an orphaned job."""
+        assert view.state is not None
+        if view.state.owner_id not in gone:
+            return False
+        if self.is_predecessor(view.state.owner_instance):
+            return True
+        candidates = {*self.book.members, self.member.owner_id}
+        return first_for(candidates, job_id) == self.member.owner_id
+
+
+OnOwned = Callable[[str], None]
--- /dev/null
+++ b/src/quetzaldyke/gateway/placement.py
@@ -0,0 +1,81 @@
+"""Chooses the endpoint of an online request.
+
+Load pattern: short bursts of online streams over long batch runs on engines
+with few slots. A free slot in the own failure domain is best, a free slot
+anywhere next, then a slot that batch work gives up, then a short place in an
+engine's own queue. Without any of these the request has to wait here.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from quetzaldyke.gateway.loads import LoadTable
+from quetzaldyke.gateway.model import Endpoint
+
+# Requests beyond its slots that an engine may be given: their wait for a
+# slot is shorter than the time for the news of a free slot to get around.
+QUEUED_PER_ENGINE: Final = 1
+# Requests beyond its slots that a plain service may be given.
+QUEUED_PER_SERVICE: Final = 12
+# How much fuller the own failure domain may be, as a share of the slots.
+LOCAL_PREFERENCE: Final = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The chosen endpoint, and whether batch work must make room."""
+
+    endpoint: Endpoint
+    yield_batch: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementPolicy:
+    """What the choice depends on besides the load."""
+
+    failure_domain: str
+    generator: random.Random
+    loads: LoadTable
+
+    def choose(
+        self,
+        candidates: Sequence[Endpoint],
+        queue_allowed: int,
+    ) -> Placement | None:
+        """Return where a request goes, or None if it has to wait."""
+        if not candidates:
+            return None
+        free = [
+            one
+            for one in candidates
+            if self.loads.total(one.endpoint_id) < one.slots
+        ]
+        if free:
+            return Placement(min(free, key=self.fullness), yield_batch=False)
+        best = min(candidates, key=self.online_fullness)
+        online = self.loads.online(best.endpoint_id)
+        if online < best.slots:
+            return Placement(best, yield_batch=True)
+        if online < best.slots + queue_allowed:
+            return Placement(best, yield_batch=False)
+        return None
+
+    def fullness(self, endpoint: Endpoint) -> float:
+        """Return the share of slots in use, lower in the own domain."""
+        used = self.loads.total(endpoint.endpoint_id) / endpoint.slots
+        return used + self.distance(endpoint)
+
+    def online_fullness(self, endpoint: Endpoint) -> float:
+        """Return the share of slots that online requests use."""
+        used = self.loads.online(endpoint.endpoint_id) / endpoint.slots
+        return used + self.distance(endpoint)
+
+    def distance(self, endpoint: Endpoint) -> float:
+        """Return the handicap of an endpoint, with a random tie-break."""
+        remote = endpoint.failure_domain != self.failure_domain
+        tie_break = self.generator.random() / (4 * endpoint.slots)
+        return tie_break + (LOCAL_PREFERENCE if remote else 0.0)
--- /dev/null
+++ b/src/quetzaldyke/gateway/store_health.py
@@ -0,0 +1,58 @@
+"""Whether the platform's store answers this process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+# Failed calls in a row after which the store counts as down.
+DOWN_AFTER_FAILURES: Final = 2
+
+
+@dataclass(slots=True)
+class StoreHealth:
+    """Belief about the store from the outcomes of calls.
+
+    >>> health = StoreHealth()
+    >>> health.note(answered=False, now_s=1.0)
+    >>> health.up
+    True
+    >>> health.note(answered=False, now_s=2.0)
+    >>> health.up
+    False
+    >>> health.note(answered=True, now_s=3.0)
+    >>> health.up, health.well_since_s
+    (True, 3.0)
+    """
+
+    up: bool = True
+    failures: int = 0
+    last_answer_s: float = 0.0
+    # Since when every call was answered.
+    well_since_s: float = 0.0
+    on_lost: list[Callable[[], None]] = field(default_factory=list)
+    on_regained: list[Callable[[], None]] = field(default_factory=list)
+
+    def note(self, *, answered: bool, now_s: float) -> None:
+        """Take over the outcome of one call."""
+        if answered:
+            self.note_answer(now_s)
+            return
+        self.failures += 1
+        self.well_since_s = now_s
+        if self.up and self.failures >= DOWN_AFTER_FAILURES:
+            self.up = False
+            for handler in self.on_lost:
+                handler()
+
+    def note_answer(self, now_s: float) -> None:
+        """The store answered a call."""
+        self.failures = 0
+        self.last_answer_s = now_s
+        if self.up:
+            return
+        self.up = True
+        self.well_since_s = now_s
+        for handler in self.on_regained:
+            handler()
--- a/src/quetzaldyke/parts/kv.py
+++ b/src/quetzaldyke/parts/kv.py
@@ -25,7 +25,14 @@
 # Revision of a key that does not exist; `put_if` with it creates the key.
 ABSENT: Final = 0
 
-ErrorKind = Literal['unavailable', 'unknown', 'conflict', 'too_large']
+ErrorKind = Literal[
+    'unavailable',
+    'unknown',
+    'conflict',
+    'too_large',
+    'compacted',
+    'no_lease',
+]
 T = TypeVar('T')
 
 
@@ -35,6 +42,7 @@
 
     `unavailable`: certainly not applied. `unknown`: may have been applied.
     `conflict`: the revision differed. `too_large`: the value limit.
+    `compacted`: the history asked for is gone. `no_lease`: it has lapsed.
     """
 
     kind: ErrorKind
