Carry store calls through peers; order returning callers

Change: calls go through a peer that reaches the store; entries register at once and tell how many wait; refused callers get staggered return times and callers that returned wait in line.

--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -139,6 +139,8 @@
     jobs: dict[str, ActiveJob] = field(default_factory=dict)
     # Set at a planned stop: nothing new starts.
     stopping: bool = False
+    # Whether the peers' use of the endpoints is known.
+    joined: bool = False
     handle: asyncio.TimerHandle | None = None
 
     def activate(
@@ -194,7 +196,7 @@
             self.handle.cancel()
         self.handle = None
         self.make_all_room()
-        if self.stopping or not self.jobs:
+        if self.stopping or not self.joined or not self.jobs:
             return
         now_s = self.dispatcher.clock.now()
         by_service: dict[str, list[Candidate]] = {}
@@ -212,7 +214,7 @@
         now_s: float,
     ) -> None:
         """Start the most urgent items on the emptiest endpoints."""
-        if self.dispatcher.line(service).heap:
+        if len(self.dispatcher.line(service)):
             return
         usable = self.dispatcher.book.usable(service, now_s)
         rooms = self.policy.rooms(usable, self.count_entries())
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -19,9 +19,12 @@
     PlacementPolicy,
 )
 from quetzaldyke.gateway.waiting_line import (
+    FIRST_EVENT_S,
+    WAIT_SHARE,
     Waiter,
     WaitingLine,
     may_wait,
+    patience_s,
     retry_after_s,
 )
 from quetzaldyke.parts.timers import Clock
@@ -59,6 +62,8 @@
     generator: random.Random
     # Whether the endpoints of a service are engines.
     is_engine: Callable[[str], bool]
+    # Entries that share the endpoints.
+    count_entries: Callable[[], int] = lambda: 1
     # Asks for batch work to leave an endpoint.
     make_room: Callable[[Endpoint], None] = lambda endpoint: None
     # Told when the own counts of an endpoint changed.
@@ -114,45 +119,54 @@
         else:
             running.batch -= 1
         self.on_change(place.endpoint.endpoint_id)
-        self.line(service).serve()
+        self.line(service).serve(self.clock.now())
 
     async def place(
         self,
         service: str,
         route: Route,
-        give_up_s: float,
+        deadline_s: float,
         excluded: Collection[str],
     ) -> Result[Place, Refusal]:
         """Take a place, wait for one, or refuse."""
-        if not self.book.usable(service, self.clock.now()):
+        now_s = self.clock.now()
+        if not self.book.usable(service, now_s):
             return Err(Refusal('no_endpoint', NO_ENDPOINT_RETRY_S))
-        line = self.line(service)
-        if not line:
+        if not len(self.line(service)):
             place = self.try_place(service, excluded)
             if place is not None:
                 return Ok(place)
-        expected_s = line.expected_wait_s(self.slots_share(service))
-        if not may_wait(expected_s, route.target_s):
-            pause_s = retry_after_s(expected_s, self.generator.random())
-            return Err(Refusal('no_slot_in_time', pause_s))
-        return await self.wait_in_line(service, route, give_up_s, excluded)
-
-    def slots_share(self, service: str) -> float:
-        """Return the slots that free up for this entry's requests."""
+        left_s = deadline_s - now_s
+        expected_s = self.expected_wait_s(service)
+        if not may_wait(expected_s, route.target_s, left_s, route.timeout_s):
+            return Err(self.refusal('no_slot_in_time', service, left_s))
+        return await self.wait_in_line(service, route, deadline_s, excluded)
+
+    def refusal(self, reason: str, service: str, left_s: float) -> Refusal:
+        """Return a refusal with the time to come back."""
         now_s = self.clock.now()
         usable = self.book.usable(service, now_s)
-        slots = sum(one.slots for one in usable)
-        own = sum(
-            self.loads.own_of(one.endpoint_id).online for one in usable
+        slots = sum(one.slots for one in usable) / self.count_entries()
+        return_s = self.line(service).next_return_s(now_s, slots)
+        return Refusal(reason, retry_after_s(return_s, now_s, left_s))
+
+    def expected_wait_s(self, service: str) -> float:
+        """Return how long one more online request would wait."""
+        usable = self.book.usable(service, self.clock.now())
+        return self.line(service).expected_wait_s(
+            sum(one.slots for one in usable),
+            self.loads.waiting_elsewhere(service),
         )
-        everyone = sum(self.loads.online(one.endpoint_id) for one in usable)
-        return slots * (own + 1) / (everyone + 1)
+
+    def waiting(self) -> dict[str, int]:
+        """Return how many wait by service."""
+        return {key: len(line) for key, line in self.lines.items() if line}
 
     async def wait_in_line(
         self,
         service: str,
         route: Route,
-        give_up_s: float,
+        deadline_s: float,
         excluded: Collection[str],
     ) -> Result[Place, Refusal]:
         """Wait until a place is free or the time is over."""
@@ -172,7 +186,18 @@
             if not outcome.done():
                 outcome.set_result(None)
 
-        waiter = Waiter(route.priority, give_up_s, try_start, refuse)
+        now_s = self.clock.now()
+        longest_s = min(
+            patience_s(route.target_s, route.max_gap_s),
+            WAIT_SHARE * (deadline_s - now_s),
+        )
+        waiter = Waiter(
+            route.priority,
+            now_s + route.target_s - FIRST_EVENT_S,
+            now_s + longest_s,
+            try_start,
+            refuse,
+        )
         self.line(service).add(waiter)
         try:
             place = await outcome
@@ -185,15 +210,12 @@
             raise
         if place is not None:
             return Ok(place)
-        expected_s = self.line(service).expected_wait_s(
-            self.slots_share(service),
-        )
-        pause_s = retry_after_s(expected_s, self.generator.random())
-        return Err(Refusal('waited_too_long', pause_s))
+        left_s = deadline_s - self.clock.now()
+        return Err(self.refusal('waited_too_long', service, left_s))
 
     async def tick(self) -> None:
         """Serve and refuse waiting requests as time passes."""
         now_s = self.clock.now()
         for line in self.lines.values():
-            line.serve()
+            line.serve(now_s)
             line.drop_late(now_s)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -48,6 +48,7 @@
 from quetzaldyke.gateway.placement import PlacementPolicy
 from quetzaldyke.gateway.relay import RelayContext
 from quetzaldyke.gateway.store_health import StoreHealth
+from quetzaldyke.gateway.store_tunnel import serve_tunnels
 from quetzaldyke.gateway.watch import Follower
 from quetzaldyke.parts.timers import Clock, TimerService
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
@@ -67,6 +68,8 @@
 CONFIG_TRUST_S: Final = 4.0
 # The balancer takes an unready entry out after two misses.
 LINGER_S: Final = 2.6
+# Members that don't report by then after this entry's start are not there.
+JOIN_WAIT_S: Final = 2.0
 # Kept free before the kill at the end of the grace time.
 STOP_RESERVE_S: Final = 0.7
 
@@ -99,6 +102,7 @@
     runner: BatchRunner | None = None
     config_seen_s: float = 0.0
     endpoints_seen: bool = False
+    started_s: float = 0.0
     stopping: anyio.Event = field(default_factory=anyio.Event)
     taking_over: set[str] = field(default_factory=set)
 
@@ -120,7 +124,7 @@
         )
         health = StoreHealth()
         client = HttpClient()
-        store = PlatformStore(
+        store = PlatformStore.from_address(
             installation.store_address,
             client,
             lambda answered, detail: health.note(
@@ -179,7 +183,12 @@
             job_store=job_store,
             gossip=Gossip(
                 owner_id,
-                loads.report,
+                lambda: LoadReport(
+                    owner_id,
+                    loads.report(),
+                    dispatcher.waiting(),
+                    store.path.direct.up,
+                ),
                 lambda message: entry.on_gossip(message),
             ),
             registration=Registration(store, member),
@@ -187,6 +196,7 @@
             ingress=ingress,
             api=api,
             policy=BatchPolicy(owner_id, loads, generator),
+            started_s=clock.now(),
         )
         entry.connect()
         return entry
@@ -195,6 +205,7 @@
         """Let the parts tell each other of changes."""
         self.dispatcher.on_change = self.on_load_change
         self.dispatcher.make_room = self.make_room
+        self.dispatcher.count_entries = self.count_entries
         self.health.on_lost.append(self.on_store_lost)
         self.health.on_regained.append(self.on_store_regained)
         self.jobs.on_members = self.on_members
@@ -230,6 +241,10 @@
             return 'no endpoints yet'
         return ''
 
+    def count_entries(self) -> int:
+        """Return how many entries share the endpoints."""
+        return max(1, len(self.jobs.members))
+
     def on_load_change(self, endpoint_id: str) -> None:
         """Own counts changed: tell peers, and look for room."""
         self.gossip.note_change()
@@ -251,8 +266,17 @@
     def on_gossip(self, message: GossipMessage) -> None:
         """Take over what a peer says."""
         match message:
-            case LoadReport(sender, counts):
-                self.loads.take_report(sender, counts, self.clock.now())
+            case LoadReport(sender, counts, waiting, store_up):
+                now_s = self.clock.now()
+                self.loads.take_report(sender, counts, waiting, now_s)
+                address = self.gossip.peers.get(sender)
+                if address is not None:
+                    self.store.path.hear(
+                        sender,
+                        address,
+                        store_up=store_up,
+                        now_s=now_s,
+                    )
                 if self.runner is not None:
                     self.runner.schedule_soon()
             case MakeRoom(_, endpoint_id):
@@ -417,7 +441,7 @@
                 revision=change.revision,
             )
         for line in self.dispatcher.lines.values():
-            line.serve()
+            line.serve(self.clock.now())
 
     def put_endpoint(self, key: str, raw: bytes) -> str:
         """Take over one entry; return its state for the log."""
@@ -440,8 +464,23 @@
     async def batch_tick(self) -> None:
         """Start items and list results."""
         if self.runner is not None:
+            self.runner.joined = self.knows_peers()
             await self.runner.tick()
 
+    def knows_peers(self) -> bool:
+        """Tell whether every other member was heard from since the start.
+
+        Until then the slots that others use are not known.
+        """
+        if self.runner is not None and self.runner.joined:
+            return True
+        if self.member.owner_id not in self.jobs.members:
+            return False
+        waited_s = self.clock.now() - self.started_s
+        return waited_s > JOIN_WAIT_S or all(
+            peer in self.loads.peers for peer in self.gossip.peers
+        )
+
     async def gossip_tick(self) -> None:
         """Report to peers, and forget the silent ones."""
         await self.gossip.heartbeat()
@@ -452,6 +491,7 @@
     async def clean(self) -> None:
         """Forget what is over."""
         self.client.drop_expired()
+        await self.store.probe_direct()
         gone = self.book.drop_lapsed(self.clock.now())
         if gone:
             log_event('endpoints_gone', endpoints=','.join(gone))
@@ -476,6 +516,12 @@
         stack.callback(entry.client.close)
         group = await stack.enter_async_context(anyio.create_task_group())
         start_runner(entry, group)
+        await group.start(
+            serve_tunnels,
+            installation.host,
+            installation.first_peer_port,
+            entry.store.path.store,
+        )
         await start_gossip(entry, stack)
         ended = anyio.Event()
         follow_store(entry, group)
@@ -486,6 +532,7 @@
             ended,
         )
         listener_ended = anyio.Event()
+        group.start_soon(entry.registration.renew)
         group.start_soon(entry.timers.run)
         group.start_soon(watch_signals, entry)
         await group.start(
@@ -517,7 +564,7 @@
         entry.job_store,
         entry.policy,
         group,
-        lambda: max(1, len(entry.jobs.members)),
+        entry.count_entries,
         find_route,  # type: ignore[arg-type]
     )
 
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -27,10 +27,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Requests of the sender by endpoint id."""
+    """Requests of the sender by endpoint id, and whether it has a store."""
 
     sender: str
     counts: dict[str, Running]
+    # Online requests that wait for a slot at the sender, by service.
+    waiting: dict[str, int]
+    # Whether the sender itself reaches the platform's store.
+    store_up: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +59,12 @@
 def encode(message: GossipMessage) -> bytes:
     """Return the datagram of a message."""
     match message:
-        case LoadReport(sender, counts):
+        case LoadReport(sender, counts, waiting, store_up):
             rows = [
                 [key, one.online, one.batch] for key, one in counts.items()
             ]
-            return bytes(msgpack.packb(['load', sender, rows]))
+            row = [rows, waiting, store_up]
+            return bytes(msgpack.packb(['load', sender, row]))
         case MakeRoom(sender, endpoint_id):
             return bytes(msgpack.packb(['room', sender, endpoint_id]))
         case JobEnded(sender, job_id):
@@ -82,8 +87,9 @@
     if kind == 'ended':
         return JobEnded(sender, content)
     if kind == 'load':
-        counts = {key: Running(online, batch) for key, online, batch in content}
-        return LoadReport(sender, counts)
+        rows, waiting, store_up = content
+        counts = {key: Running(online, batch) for key, online, batch in rows}
+        return LoadReport(sender, counts, waiting, store_up)
     return None
 
 
@@ -92,7 +98,7 @@
     """The datagram socket of one entry."""
 
     own_id: str
-    read_counts: Callable[[], dict[str, Running]]
+    make_report: Callable[[], LoadReport]
     on_message: Callable[[GossipMessage], None]
     peers: dict[str, Address] = field(default_factory=dict)
     transport: asyncio.DatagramTransport | None = None
@@ -126,7 +132,7 @@
         """Tell all peers the own counts."""
         self.handle = None
         self.sent_s = asyncio.get_running_loop().time()
-        self.broadcast(LoadReport(self.own_id, self.read_counts()))
+        self.broadcast(self.make_report())
 
     async def heartbeat(self) -> None:
         """Report if nothing was sent lately."""
--- a/src/quetzaldyke/gateway/keeper.py
+++ b/src/quetzaldyke/gateway/keeper.py
@@ -38,7 +38,7 @@
     health = StoreHealth()
     health.on_lost.append(lambda: log_dependency('dependency_lost'))
     health.on_regained.append(lambda: log_dependency('dependency_regained'))
-    store = PlatformStore(
+    store = PlatformStore.from_address(
         installation.store_address,
         HttpClient(),
         lambda answered, detail: health.note(
--- a/src/quetzaldyke/gateway/loads.py
+++ b/src/quetzaldyke/gateway/loads.py
@@ -34,6 +34,8 @@
     """The counts of one peer and when they came."""
 
     counts: dict[str, Running]
+    # Online requests in line by service.
+    waiting: dict[str, int]
     received_s: float
 
 
@@ -64,6 +66,12 @@
         own = self.own.get(endpoint_id)
         return (own.total if own else 0) + (others.total if others else 0)
 
+    def waiting_elsewhere(self, service: str) -> int:
+        """Return the online requests that wait at the peers."""
+        return sum(
+            report.waiting.get(service, 0) for report in self.peers.values()
+        )
+
     def batch_peers(self, endpoint_id: str) -> list[tuple[int, str]]:
         """Return the peers with batch work on an endpoint, most first."""
         found = [
@@ -78,10 +86,11 @@
         self,
         peer: str,
         counts: dict[str, Running],
+        waiting: dict[str, int],
         now_s: float,
     ) -> None:
         """Replace what a peer said."""
-        self.peers[peer] = PeerReport(counts, now_s)
+        self.peers[peer] = PeerReport(counts, waiting, now_s)
         self.sum_peers()
 
     def forget_silent(self, now_s: float) -> list[str]:
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -42,8 +42,6 @@
 # may run once goes on one only if it was used this recently.
 ONCE_MAX_IDLE_S: Final = 0.5
 REPEATABLE_MAX_IDLE_S: Final = 4.0
-# Waiting longer than this for a place only makes a late answer later.
-MAX_WAIT_SHARE: Final = 0.35
 STATUS_OK: Final = 200
 STATUS_ERROR: Final = 400
 STATUS_MISDIRECTED: Final = 421
@@ -158,7 +156,7 @@
         placed = await context.dispatcher.place(
             request.service,
             request.route,
-            give_up_time(request, progress, context.now()),
+            request.deadline_s,
             progress.tried,
         )
         if isinstance(placed, Err):
@@ -175,16 +173,6 @@
             return await give_up(caller, progress, *final)
 
 
-def give_up_time(
-    request: OnlineRequest,
-    progress: Progress,
-    now_s: float,
-) -> float:
-    """Return until when a request may wait for a place."""
-    left_s = request.deadline_s - now_s
-    return now_s + left_s * MAX_WAIT_SHARE
-
-
 def may_not_retry(
     context: RelayContext,
     request: OnlineRequest,
--- /dev/null
+++ b/src/quetzaldyke/gateway/store_path.py
@@ -0,0 +1,103 @@
+"""Which way this entry's calls take to the platform's store.
+
+Failure pattern: the store turns single instances away, or a cut separates
+them from it, while their peers still reach it. The calls then go through a
+peer that reports a working way of its own, and come back to the direct way
+as soon as a probe on it succeeds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.gateway.store_health import StoreHealth
+
+# A peer that was not heard from for this long carries no calls.
+PEER_LIFE_S: Final = 1.0
+# A peer through which a call failed is not used again for this long.
+PEER_PAUSE_S: Final = 2.0
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class PeerWay:
+    """A peer's report about its own way to the store."""
+
+    address: Address
+    store_up: bool
+    heard_s: float
+    paused_until_s: float = 0.0
+
+
+@dataclass(slots=True)
+class StorePath:
+    """The ways to the store and the one in use.
+
+    >>> path = StorePath(('10.0.0.1', 80))
+    >>> path.hear('p', ('10.0.0.2', 70), store_up=True, now_s=1.0)
+    >>> path.choose(1.0)
+    ('10.0.0.1', 80)
+    >>> for _ in range(2):
+    ...     path.note(('10.0.0.1', 80), answered=False, now_s=1.0)
+    >>> path.choose(1.0)
+    ('10.0.0.2', 70)
+    >>> path.note(('10.0.0.1', 80), answered=True, now_s=1.5)
+    >>> path.choose(1.5)
+    ('10.0.0.1', 80)
+    """
+
+    store: Address
+    direct: StoreHealth = field(default_factory=StoreHealth)
+    peers: dict[str, PeerWay] = field(default_factory=dict)
+    # Told when the way in use changes.
+    on_change: Callable[[Address], None] = lambda address: None
+    in_use: Address | None = None
+
+    def hear(
+        self,
+        peer: str,
+        address: Address,
+        *,
+        store_up: bool,
+        now_s: float,
+    ) -> None:
+        """Take over a peer's report."""
+        known = self.peers.get(peer)
+        if known is None:
+            self.peers[peer] = PeerWay(address, store_up, now_s)
+            return
+        known.address = address
+        known.store_up = store_up
+        known.heard_s = now_s
+
+    def choose(self, now_s: float) -> Address:
+        """Return the address that the next call goes to."""
+        address = self.best(now_s)
+        if address != self.in_use:
+            self.in_use = address
+            self.on_change(address)
+        return address
+
+    def best(self, now_s: float) -> Address:
+        """Return the direct way while it works, else that of a peer."""
+        if self.direct.up:
+            return self.store
+        for way in self.peers.values():
+            fresh = now_s - way.heard_s <= PEER_LIFE_S
+            if way.store_up and fresh and way.paused_until_s <= now_s:
+                return way.address
+        return self.store
+
+    def note(self, address: Address, *, answered: bool, now_s: float) -> None:
+        """Take over the outcome of a call on one way."""
+        if address == self.store:
+            self.direct.note(answered=answered, now_s=now_s)
+            return
+        if answered:
+            return
+        for way in self.peers.values():
+            if way.address == address:
+                way.paused_until_s = now_s + PEER_PAUSE_S
--- a/src/quetzaldyke/platform/store.py
+++ b/src/quetzaldyke/platform/store.py
@@ -9,8 +9,9 @@
 
 import asyncio
 import base64
+import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -25,6 +26,8 @@
     ResponseHead,
     encode_request,
 )
+from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.store_path import Address, StorePath
 from quetzaldyke.parts.kv import ErrorKind, KvError, Record
 from quetzaldyke.parts.transactions import (
     Lease,
@@ -36,7 +39,7 @@
 
 MS_IN_S: Final = 1000
 # The store answers in milliseconds; this bears answers sixty times as slow.
-CALL_TIMEOUT_S: Final = 1.2
+CALL_TIMEOUT_S: Final = 0.9
 # How much later than asked a waiting watch may answer.
 WATCH_SLACK_S: Final = 0.6
 CALLS_PATH: Final = '/quetzaldyke/'
@@ -60,10 +63,43 @@
 class PlatformStore:
     """Calls to the store at one address."""
 
-    address: str
     client: HttpClient
+    # The way that calls take.
+    path: StorePath
     # Told after each call whether the store answered it.
     on_result: Callable[[bool, str], None]
+    # Exchanges that wait on each way.
+    waiting: dict[Address, set[Exchange]] = field(default_factory=dict)
+
+    @classmethod
+    def from_address(
+        cls,
+        address: str,
+        client: HttpClient,
+        on_result: Callable[[bool, str], None],
+    ) -> PlatformStore:
+        """Return a client whose calls start on the direct way."""
+        host, _, port = address.rpartition(':')
+        store = cls(client, StorePath((host, int(port))), on_result)
+        store.path.on_change = store.leave_other_ways
+        return store
+
+    def leave_other_ways(self, address: Address) -> None:
+        """Cut the calls that wait on a way that is not used any more."""
+        for way, exchanges in self.waiting.items():
+            if way != address:
+                for exchange in list(exchanges):
+                    exchange.cancel()
+        log_event('store_way_changed', address=f'{address[0]}:{address[1]}')
+
+    async def probe_direct(self) -> None:
+        """Try the direct way while it counts as broken."""
+        if self.path.direct.up:
+            return
+        query = urlencode({'key': 'op/config', 'serializable': 1})
+        request = self.encode('GET', f'kv-key?{query}', None)
+        await self.exchange(request, CALL_TIMEOUT_S, self.path.store)
+        self.path.choose(time.monotonic())
 
     async def get(
         self,
@@ -192,39 +228,61 @@
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Result[Answer, KvError]:
         """Make one call and tell whether the store answered."""
-        request = encode_request(
+        request = self.encode(method, path, body)
+        address = self.path.choose(time.monotonic())
+        outcome = await self.exchange(request, timeout_s, address)
+        if isinstance(outcome, Err):
+            self.on_result(False, outcome.err_value.detail)
+            return outcome
+        self.on_result(True, '')
+        head, raw = outcome.ok_value
+        return decode_answer(head, raw)
+
+    def encode(self, method: str, path: str, body: object) -> bytes:
+        """Return the bytes of a call."""
+        host, port = self.path.store
+        return encode_request(
             method.encode(),
             f'{CALLS_PATH}{path}'.encode(),
             [
-                (b'host', self.address.encode()),
+                (b'host', f'{host}:{port}'.encode()),
                 (b'content-type', b'application/json'),
             ],
             b'' if body is None else orjson.dumps(body),
         )
-        outcome = await self.exchange(request, timeout_s)
-        if isinstance(outcome, Err):
-            self.on_result(False, outcome.err_value.detail)
-            return outcome
-        head, raw = outcome.ok_value
-        if head.status in REFUSALS:
-            self.on_result(False, f'status {head.status}')
-            return Err(KvError('unavailable', f'status {head.status}'))
-        self.on_result(True, '')
-        return decode_answer(head, raw)
 
     async def exchange(
         self,
         request: bytes,
         timeout_s: float,
+        address: Address,
     ) -> Result[tuple[ResponseHead, bytes], KvError]:
-        """Send bytes and return the whole answer."""
+        """Send a call on one way and note whether it was answered."""
+        outcome = await self.send(request, timeout_s, address)
+        answered = isinstance(outcome, Ok)
+        cancelled = (
+            isinstance(outcome, Err)
+            and outcome.err_value.detail == Failure.CANCELLED.value
+        )
+        if not cancelled:
+            self.path.note(address, answered=answered, now_s=time.monotonic())
+        return outcome
+
+    async def send(
+        self,
+        request: bytes,
+        timeout_s: float,
+        address: Address,
+    ) -> Result[tuple[ResponseHead, bytes], KvError]:
+        """Send bytes and return the whole answer unless it is a refusal."""
         exchange = Exchange()
-        host, _, port = self.address.rpartition(':')
+        waiting = self.waiting.setdefault(address, set())
+        waiting.add(exchange)
         try:
             async with asyncio.timeout(timeout_s):
-                await self.client.start(host, int(port), request, exchange)
+                await self.client.start(*address, request, exchange)
                 head = await exchange.read_head()
-                return Ok((head, await exchange.read_body()))
+                raw = await exchange.read_body()
         except ExchangeError as exc:
             unsent = exc.failure is Failure.NOT_CONNECTED
             kind: ErrorKind = 'unavailable' if unsent else 'unknown'
@@ -232,7 +290,11 @@
         except TimeoutError:
             return Err(KvError('unknown', f'no answer in {timeout_s} s'))
         finally:
+            waiting.discard(exchange)
             exchange.cancel()
+        if head.status in REFUSALS:
+            return Err(KvError('unavailable', f'status {head.status}'))
+        return Ok((head, raw))
 
 
 def decode_answer(head: ResponseHead, raw: bytes) -> Result[Answer, KvError]:
