Hand jobs over at planned stops, keep partial outputs, use every slot

Ruled out: ownership left with a stopped entry (takeover follows at once), endpoints put aside (none were). Change: at a planned stop jobs go to their heirs with the partial outputs; partial outputs are also kept every 2 s; stalled streams move early enough to be on time; a request that may run once avoids endpoints that have not answered since they failed; batch uses all slots.

--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
-from result import Err
+from result import Err, Ok
 
 from quetzaldyke.gateway.batch_schedule import (
     BatchPolicy,
@@ -30,10 +30,16 @@
     HttpClient,
     encode_request,
 )
-from quetzaldyke.gateway.job_records import ItemRecord, JobRecord
+from quetzaldyke.gateway.job_records import (
+    ItemRecord,
+    JobRecord,
+    Member,
+    PartialOutput,
+)
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Endpoint, Route
+from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
@@ -50,6 +56,10 @@
 # The endpoint may work this long on one run of an item.
 RUN_LIMIT_MS: Final = 60_000
 MAX_IDLE_S: Final = 4.0
+# A lost entry costs at most this much of the work of its runs.
+PARTIALS_INTERVAL_S: Final = 2.0
+# Events that make it worth while to keep them.
+MIN_NEW_EVENTS: Final = 30
 # Results wait this long for others of their job, to share one write.
 RESULT_DELAY_S: Final = 0.7
 
@@ -69,6 +79,11 @@
     running: bool = False
     finished: bool = False
 
+    @property
+    def events_done(self) -> int:
+        """Return the number of the last event."""
+        return self.splitter.last_id or 0
+
 
 @dataclass(frozen=True, slots=True)
 class FinishedItem:
@@ -91,6 +106,9 @@
     finished_since_s: float = 0.0
     listing: bool = False
     stopped: bool = False
+    saving: bool = False
+    saved_s: float = 0.0
+    saved_events: int = 0
 
     @property
     def due_ms(self) -> float:
@@ -112,7 +130,7 @@
                 self.record.job_id,
                 one.item,
                 self.due_ms,
-                len(one.outputs),
+                one.events_done,
             )
             for one in self.items.values()
             if not one.running
@@ -124,6 +142,18 @@
         """Return how many items run."""
         return sum(one.running for one in self.items.values())
 
+    def partials(self) -> list[PartialOutput]:
+        """Return what the runs of unfinished items produced."""
+        return [
+            PartialOutput(
+                one.item,
+                one.splitter.last_id or 0,
+                b'\n'.join(one.outputs),
+            )
+            for one in self.items.values()
+            if one.outputs and not one.finished
+        ]
+
 
 @dataclass(slots=True)
 class BatchRunner:
@@ -149,6 +179,7 @@
         listed: set[int],
         failures: dict[int, int],
         bodies: dict[int, bytes],
+        partials: list[PartialOutput],
     ) -> None:
         """Run the items of a job that have no result."""
         route = self.find_route(record.route)
@@ -159,12 +190,19 @@
             for index, item in enumerate(record.items)
             if index not in listed
         }
-        self.jobs[record.job_id] = ActiveJob(record, route, items, bodies)
+        for partial in partials:
+            if partial.item in items:
+                items[partial.item].splitter.last_id = partial.last_event
+                items[partial.item].outputs.append(partial.output)
+        job = ActiveJob(record, route, items, bodies)
+        job.saved_s = self.dispatcher.clock.now()
+        self.jobs[record.job_id] = job
         log_event(
             'job_activated',
             job=record.job_id,
             items=len(items),
             listed=len(listed),
+            begun=len(partials),
         )
         self.schedule_soon()
 
@@ -241,7 +279,7 @@
     def stop_one(self, endpoint_id: str) -> bool:
         """Stop the run on an endpoint that has done least."""
         runs = [
-            (-job.due_ms, len(one.outputs), number, one)
+            (-job.due_ms, one.events_done, number, one)
             for job in self.jobs.values()
             for number, one in job.items.items()
             if one.running
@@ -259,7 +297,7 @@
             'item_preempted',
             item=chosen.record.item_id,
             endpoint=endpoint_id,
-            events=len(chosen.outputs),
+            events=chosen.events_done,
         )
         return True
 
@@ -389,7 +427,7 @@
             item=progress.record.item_id,
             job=job.record.job_id,
             completed=completed,
-            events=len(progress.outputs),
+            events=progress.events_done,
             failures=progress.failures,
         )
 
@@ -415,7 +453,7 @@
             job=job.record.job_id,
             endpoint=endpoint.endpoint_id,
             failure=str(exc),
-            events=len(progress.outputs),
+            events=progress.events_done,
             aside_s=aside_s,
         )
 
@@ -425,6 +463,7 @@
         now_s = self.dispatcher.clock.now()
         for job in list(self.jobs.values()):
             self.give_up_old(job)
+            self.save_if_due(job, now_s)
             if not job.finished or job.listing:
                 continue
             waited_s = now_s - job.finished_since_s
@@ -433,6 +472,68 @@
                 job.listing = True
                 self.group.start_soon(self.list_results, job)
 
+    def save_if_due(self, job: ActiveJob, now_s: float) -> None:
+        """Keep partial outputs now and then."""
+        if job.saving or now_s - job.saved_s < PARTIALS_INTERVAL_S:
+            return
+        partials = job.partials()
+        events = sum(one.last_event for one in partials)
+        if abs(events - job.saved_events) < MIN_NEW_EVENTS:
+            return
+        job.saving = True
+        job.saved_s = now_s
+        job.saved_events = events
+        self.group.start_soon(self.save_partials, job, partials)
+
+    async def save_partials(
+        self,
+        job: ActiveJob,
+        partials: list[PartialOutput],
+    ) -> None:
+        """Write partial outputs to the store."""
+        try:
+            saved = await self.store.save_partials(job.record.job_id, partials)
+        finally:
+            job.saving = False
+        if isinstance(saved, Err):
+            log_event(
+                'partials_not_saved',
+                job=job.record.job_id,
+                reason=str(saved.err_value),
+            )
+
+    async def hand_over_all(self, heirs: Sequence[Member]) -> None:
+        """Stop all runs and give the jobs to other entries."""
+        self.stopping = True
+        for job_id in list(self.jobs):
+            await self.hand_over(job_id, heirs)
+
+    async def hand_over(self, job_id: str, heirs: Sequence[Member]) -> None:
+        """Give a job with its results and partial outputs to another."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        for one in job.items.values():
+            if one.exchange is not None:
+                one.exchange.cancel()
+        while job.listing:
+            await anyio.sleep(SCHEDULE_DELAY_S)
+        if job.finished:
+            job.listing = True
+            await self.list_results(job)
+        if not job.items or not heirs:
+            return
+        chosen = first_for([one.owner_id for one in heirs], job_id)
+        heir = next(one for one in heirs if one.owner_id == chosen)
+        handed = await self.store.hand_over(job_id, heir, job.partials())
+        log_event(
+            'job_handed_over',
+            job=job_id,
+            heir=heir.instance,
+            items=len(job.items),
+            outcome='ok' if isinstance(handed, Ok) else str(handed.err_value),
+        )
+
     def give_up_old(self, job: ActiveJob) -> None:
         """Give up the items of a job whose longest wait is over."""
         if time.time() * MS_IN_S < job.give_up_ms:
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -21,7 +21,7 @@
 from quetzaldyke.gateway.model import Endpoint
 
 # Slots of each engine that stay free for the next online request.
-RESERVED_SLOTS: Final = 1
+RESERVED_SLOTS: Final = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -48,6 +48,8 @@
     endpoint: Endpoint
     online: bool
     taken_s: float
+    # Whether the endpoint had no free slot when the place was taken.
+    queued: bool
     released: bool = False
 
 
@@ -81,11 +83,18 @@
         self,
         service: str,
         excluded: Collection[str] = (),
+        *,
+        careful: bool = False,
     ) -> Place | None:
         """Take a place for an online request if there is one."""
         engine = self.is_engine(service)
         choice = self.policy.choose(
-            self.book.usable(service, self.clock.now(), excluded),
+            self.book.usable(
+                service,
+                self.clock.now(),
+                excluded,
+                careful=careful,
+            ),
             QUEUED_PER_ENGINE if engine else QUEUED_PER_SERVICE,
         )
         if choice is None:
@@ -103,7 +112,8 @@
         else:
             running.batch += 1
         self.on_change(endpoint.endpoint_id)
-        return Place(endpoint, online, self.clock.now())
+        queued = self.loads.total(endpoint.endpoint_id) > endpoint.slots
+        return Place(endpoint, online, self.clock.now(), queued)
 
     def release(self, place: Place) -> None:
         """Give a place back and serve those that wait."""
@@ -133,7 +143,11 @@
         if not self.book.usable(service, now_s):
             return Err(Refusal('no_endpoint', NO_ENDPOINT_RETRY_S))
         if not len(self.line(service)):
-            place = self.try_place(service, excluded)
+            place = self.try_place(
+                service,
+                excluded,
+                careful=not route.idempotent,
+            )
             if place is not None:
                 return Ok(place)
         left_s = deadline_s - now_s
@@ -177,7 +191,11 @@
         def try_start() -> bool:
             if outcome.done():
                 return True
-            place = self.try_place(service, excluded)
+            place = self.try_place(
+                service,
+                excluded,
+                careful=not route.idempotent,
+            )
             if place is not None:
                 outcome.set_result(place)
             return place is not None
--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -125,11 +125,15 @@
         service: str,
         now_s: float,
         excluded: Iterable[str] = (),
+        *,
+        careful: bool = False,
     ) -> list[Endpoint]:
         """Return the endpoints that may get a new request.
 
         Those put aside are used only when no other is left, so that a
-        fault of this entry's own cannot stop a whole service.
+        fault of this entry's own cannot stop a whole service. A careful
+        choice, for a request that can't be repeated, also leaves out those
+        that have not answered since they last failed.
         """
         listed = [
             one
@@ -138,6 +142,9 @@
             and one.endpoint.endpoint_id not in excluded
         ]
         sound = [one for one in listed if one.ejected_until_s <= now_s]
+        if careful:
+            proved = [one for one in sound if not one.failures_in_row]
+            sound = proved or sound
         return [one.endpoint for one in sound or listed]
 
     def note_success(self, endpoint_id: str) -> None:
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -322,7 +322,7 @@
         if view is not None and (view.ended or not self.owns(view.state)):
             return
         if self.runner is not None:
-            self.runner.activate(job.record, set(), {}, dict(job.bodies))
+            self.runner.activate(job.record, set(), {}, dict(job.bodies), [])
 
     def owns(self, state: object) -> bool:
         """Tell whether a state names this entry; one not seen yet does."""
@@ -334,8 +334,8 @@
         if self.runner is None or self.stopping.is_set():
             return
         for view in list(self.jobs.jobs.values()):
-            if view.open and self.owns(view.state):
-                self.activate(view.record.job_id if view.record else '')
+            if view.open and view.record and self.owns(view.state):
+                await self.activate(view.record.job_id)
         if not self.health.up:
             return
         orphans = self.ownership.orphans(
@@ -353,17 +353,26 @@
                 else str(taken.err_value),
             )
             if isinstance(taken, Ok):
-                self.activate(job_id)
+                await self.activate(job_id)
 
-    def activate(self, job_id: str) -> None:
+    async def activate(self, job_id: str) -> None:
         """Run a job that this entry owns."""
         view = self.jobs.jobs.get(job_id)
         if view is None or view.record is None or view.state is None:
             return
         if self.runner is None or job_id in self.runner.jobs:
             return
+        partials = await self.job_store.read_partials(job_id)
+        if not view.open or not self.owns(view.state):
+            return
         listed = {one.item for one in view.state.listed}
-        self.runner.activate(view.record, listed, view.state.failures, {})
+        self.runner.activate(
+            view.record,
+            listed,
+            view.state.failures,
+            {},
+            partials,
+        )
 
     def take_configuration(self, raw: bytes) -> None:
         """Serve by a configuration unless a later one is in force."""
@@ -546,7 +555,7 @@
         )
         log_event('entry_listening')
         await entry.stopping.wait()
-        await stop(entry, listener_ended)
+        await stop(entry, group, listener_ended)
         group.cancel_scope.cancel()
     log_event('entry_stopped')
 
@@ -625,23 +634,31 @@
             entry.stopping.set()
 
 
-async def stop(entry: Entry, listener_ended: anyio.Event) -> None:
+async def stop(
+    entry: Entry,
+    group: TaskGroup,
+    listener_ended: anyio.Event,
+) -> None:
     """Leave the balancer, finish what runs, and hand the jobs over."""
     ends_s = entry.clock.now() + entry.installation.bounds.grace_s
     entry.ingress.closing = True
     runner = entry.runner
     assert runner is not None
-    runner.stopping = True
+    group.start_soon(leave_fleet, entry, runner)
     await anyio.sleep(LINGER_S)
     listener_ended.set()
     while entry.clock.now() < ends_s - STOP_RESERVE_S:
-        if not entry.ingress.open_requests and not any(
-            job.running() for job in runner.jobs.values()
-        ):
+        if not entry.ingress.open_requests:
             break
         await anyio.sleep(WATCHDOG_INTERVAL_S)
-    with anyio.move_on_after(STOP_RESERVE_S / 2):
-        for job in list(runner.jobs.values()):
-            if job.finished and not job.listing:
-                await runner.list_results(job)
-        await entry.registration.end()
+
+
+async def leave_fleet(entry: Entry, runner: BatchRunner) -> None:
+    """Hand the jobs over and give the lease up."""
+    heirs = [
+        one
+        for one in entry.jobs.members.values()
+        if one.owner_id in entry.loads.peers
+    ]
+    await runner.hand_over_all(heirs)
+    await entry.registration.end()
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -19,6 +19,8 @@
 STATE_PREFIX: Final = f'{FLEET_PREFIX}state/'
 END_PREFIX: Final = f'{FLEET_PREFIX}end/'
 QUOTA_PREFIX: Final = f'{FLEET_PREFIX}quota/'
+# What running items have produced so far.
+PARTIAL_PREFIX: Final = 'quetzaldyke/partial/'
 BODY_PREFIX: Final = 'quetzaldyke/body/'
 RESULT_PREFIX: Final = 'quetzaldyke/result/'
 
@@ -166,6 +168,31 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class PartialOutput:
+    """What the runs of an unfinished item have produced."""
+
+    item: int
+    # Number of the last whole event.
+    last_event: int
+    output: bytes
+
+
+def pack_partials(partials: list[PartialOutput]) -> bytes:
+    """Encode the partial outputs of a job.
+
+    >>> unpack_partials(pack_partials([PartialOutput(2, 7, b'x')]))
+    [PartialOutput(item=2, last_event=7, output=b'x')]
+    """
+    rows = [[one.item, one.last_event, one.output] for one in partials]
+    return bytes(msgpack.packb(rows))
+
+
+def unpack_partials(raw: bytes) -> list[PartialOutput]:
+    """Decode the partial outputs of a job."""
+    return [PartialOutput(*row) for row in msgpack.unpackb(raw)]
+
+
 def body_key(job_id: str, part: int) -> str:
     """Return the key of one part of a job's bodies."""
     return f'{BODY_PREFIX}{job_id}/{part}'
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -8,7 +8,7 @@
 
 import time
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, Literal
 
 import anyio
@@ -23,10 +23,15 @@
     ItemRecord,
     JobRecord,
     JobState,
+    Member,
+    PARTIAL_PREFIX,
+    PartialOutput,
     body_key,
     pack_outputs,
+    pack_partials,
     result_key,
     unpack_outputs,
+    unpack_partials,
 )
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.parts.kv import ABSENT, KvError
@@ -250,22 +255,46 @@
 
     async def take_over(self, job_id: str) -> Result[None, KvError]:
         """Become the owner of a job whose owner is gone."""
+        return await self.set_owner(job_id, self.owner_id, self.instance, None)
+
+    async def hand_over(
+        self,
+        job_id: str,
+        heir: Member,
+        partials: list[PartialOutput],
+    ) -> Result[None, KvError]:
+        """Make another entry the owner, with what the runs produced."""
+        return await self.set_owner(
+            job_id,
+            heir.owner_id,
+            heir.instance,
+            fitting(partials),
+        )
+
+    async def set_owner(
+        self,
+        job_id: str,
+        owner_id: str,
+        instance: str,
+        partials: list[PartialOutput] | None,
+    ) -> Result[None, KvError]:
+        """Change the owner of a job."""
         view = self.book.view(job_id)
-        assert view.state is not None
-        old = view.state
-        state = JobState(
-            self.owner_id,
-            self.instance,
-            old.parts,
-            old.listed,
-            old.failures,
+        if view.state is None:
+            return Err(KvError('unavailable', 'state not seen'))
+        state = replace(
+            view.state,
+            owner_id=owner_id,
+            owner_instance=instance,
         )
         key = f'{STATE_PREFIX}{job_id}'
+        puts = [Put(key, state.pack())]
+        if partials:
+            puts.append(
+                Put(f'{PARTIAL_PREFIX}{job_id}', pack_partials(partials)),
+            )
         written = await self.store.transact(
-            Transaction(
-                {key: view.state_revision},
-                (Put(key, state.pack()),),
-            ),
+            Transaction({key: view.state_revision}, tuple(puts)),
         )
         if isinstance(written, Err):
             await self.refresh_state(job_id)
@@ -273,6 +302,34 @@
         self.book.apply(key, written.ok_value, state.pack())
         return Ok(None)
 
+    async def save_partials(
+        self,
+        job_id: str,
+        partials: list[PartialOutput],
+    ) -> Result[None, KvError]:
+        """Keep what the runs of a job produced, for the next owner."""
+        view = self.book.view(job_id)
+        key = f'{STATE_PREFIX}{job_id}'
+        written = await self.store.transact(
+            Transaction(
+                {key: view.state_revision},
+                (
+                    Put(
+                        f'{PARTIAL_PREFIX}{job_id}',
+                        pack_partials(fitting(partials)),
+                    ),
+                ),
+            ),
+        )
+        return written if isinstance(written, Err) else Ok(None)
+
+    async def read_partials(self, job_id: str) -> list[PartialOutput]:
+        """Return what earlier runs of a job produced."""
+        answer = await self.store.get(f'{PARTIAL_PREFIX}{job_id}')
+        if isinstance(answer, Err) or answer.ok_value is None:
+            return []
+        return unpack_partials(answer.ok_value.value)
+
     async def read_part(self, key: str) -> Result[bytes, KvError]:
         """Return a value that never changes once it is written."""
         known = self.cache.get(key)
@@ -307,6 +364,18 @@
         return Ok(unpack_outputs(answer.ok_value))
 
 
+def fitting(partials: list[PartialOutput]) -> list[PartialOutput]:
+    """Return the partial outputs that fit into one value, longest first."""
+    kept = []
+    size = 0
+    for one in sorted(partials, key=lambda row: -len(row.output)):
+        size += len(one.output)
+        if size > MAX_PART_BYTES:
+            break
+        kept.append(one)
+    return kept
+
+
 def make_job(
     job_id: str,
     route: Route,
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -32,9 +32,12 @@
 # Sends that were certainly not run are not counted as attempts; this bounds
 # them, because each costs the caller time.
 MAX_SENDS: Final = 5
-# A stream that can go on elsewhere is moved after this silence.
-FIRST_EVENT_STALL_S: Final = 0.7
-MIN_GAP_STALL_S: Final = 0.4
+# A stream that can go on elsewhere is moved after this silence: early enough
+# to be on time there, where the endpoint had a free slot.
+FIRST_EVENT_STALL_SHARE: Final = 0.5
+QUEUED_STALL_S: Final = 0.7
+GAP_STALL_SHARE: Final = 0.6
+MIN_STALL_S: Final = 0.12
 # Share of the remaining time that a repeatable call waits for its first
 # endpoint before it tries another.
 FIRST_TRY_SHARE: Final = 0.45
@@ -259,7 +262,7 @@
         )
         progress.attempts += 1
         context.client.active.add(exchange)
-        set_first_limit(context, request, progress, exchange)
+        set_first_limit(context, request, progress, exchange, place)
         head = await exchange.read_head()
         if is_not_run(head):
             progress.attempts -= 1
@@ -271,6 +274,7 @@
             caller,
             progress,
             (endpoint, exchange, head),
+            place,
         )
     except ExchangeError as exc:
         note_failure(context, request, progress, endpoint, exc)
@@ -316,6 +320,7 @@
     request: OnlineRequest,
     progress: Progress,
     exchange: Exchange,
+    place: Place,
 ) -> None:
     """Bound the wait for the head of an answer."""
     now_s = context.now()
@@ -326,10 +331,17 @@
         left_s = limit_s - now_s
         limit_s = now_s + left_s * FIRST_TRY_SHARE
         if route.kind == 'stream':
-            limit_s = min(limit_s, now_s + FIRST_EVENT_STALL_S)
+            limit_s = min(limit_s, now_s + first_stall_s(route, place))
     exchange.expires_at_s = limit_s
 
 
+def first_stall_s(route: Route, place: Place) -> float:
+    """Return how long the first event of a stream may take."""
+    if place.queued:
+        return QUEUED_STALL_S
+    return max(MIN_STALL_S, FIRST_EVENT_STALL_SHARE * route.target_s)
+
+
 def is_not_run(head: ResponseHead) -> bool:
     """Tell whether an answer says that the endpoint did not run it."""
     return (
@@ -391,6 +403,7 @@
     caller: Caller,
     progress: Progress,
     answer: Answer,
+    place: Place,
 ) -> Outcome | None:
     """Pass an answer on to the caller."""
     endpoint, exchange, head = answer
@@ -398,7 +411,14 @@
     if head.status < STATUS_ERROR and not signed:
         raise ExchangeError(Failure.MALFORMED, 'no signature')
     if request.route.kind == 'stream' and head.status == STATUS_OK:
-        return await pass_events(context, request, caller, progress, answer)
+        return await pass_events(
+            context,
+            request,
+            caller,
+            progress,
+            answer,
+            place,
+        )
     exchange.expires_at_s = request.deadline_s
     body = await exchange.read_body()
     if head.status >= STATUS_ERROR:
@@ -460,6 +480,7 @@
     caller: Caller,
     progress: Progress,
     answer: Answer,
+    place: Place,
 ) -> Outcome | None:
     """Pass a stream on, event by event."""
     endpoint, exchange, head = answer
@@ -467,7 +488,7 @@
     splitter.restart()
     route = request.route
     more = route.resumable and progress.attempts < route.max_attempts
-    gap_s = max(MIN_GAP_STALL_S, route.max_gap_s * 1.6)
+    stall_s = first_stall_s(route, place)
     if not progress.started:
         progress.started = True
         await caller.start(head.status, answer_headers(head))
@@ -475,7 +496,6 @@
         now_s = context.now()
         limit_s = request.deadline_s
         if more:
-            stall_s = gap_s if progress.first_byte_s else FIRST_EVENT_STALL_S
             limit_s = min(limit_s, now_s + stall_s)
         exchange.expires_at_s = limit_s
         chunk = await exchange.read_chunk()
@@ -487,6 +507,7 @@
             raise ExchangeError(Failure.MALFORMED, str(exc)) from exc
         if events:
             progress.first_byte_s = progress.first_byte_s or context.now()
+            stall_s = max(MIN_STALL_S, GAP_STALL_SHARE * route.max_gap_s)
             await caller.send(events)
     if splitter.partial:
         raise ExchangeError(Failure.BROKEN, 'ended inside an event')
