Let items that can't be on time go behind those that can

Change: an item whose job is due sooner than its run can end goes behind the others, by run times learned from whole runs.

--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -15,6 +15,7 @@
 from quetzaldyke.gateway.batch_schedule import (
     BatchPolicy,
     Candidate,
+    RunTimes,
     start_order,
 )
 from quetzaldyke.gateway.dispatcher import Dispatcher, Place
@@ -123,14 +124,16 @@
         assert self.route.batch is not None
         return self.record.accepted_ms + self.route.batch.max_wait_s * MS_IN_S
 
-    def candidates(self, now_s: float) -> list[Candidate]:
+    def candidates(self, now_s: float, times: RunTimes) -> list[Candidate]:
         """Return the items that could start now."""
+        left_s = self.due_ms / MS_IN_S - time.time()
         return [
             Candidate(
                 self.record.job_id,
                 one.item,
                 self.due_ms,
                 one.events_done,
+                left_s < times.left_s(one.events_done),
             )
             for one in self.items.values()
             if not one.running
@@ -172,6 +175,7 @@
     # Whether the peers' use of the endpoints is known.
     joined: bool = False
     handle: asyncio.TimerHandle | None = None
+    times: RunTimes = field(default_factory=RunTimes)
 
     def activate(
         self,
@@ -240,7 +244,7 @@
         by_service: dict[str, list[Candidate]] = {}
         for job in self.jobs.values():
             service = job.route.services[0].service
-            by_service.setdefault(service, []).extend(job.candidates(now_s))
+            by_service.setdefault(service, []).extend(job.candidates(now_s, self.times))
         for service, candidates in by_service.items():
             if candidates:
                 self.start_on_free_slots(service, candidates, now_s)
@@ -396,6 +400,8 @@
         assert exchange is not None
         splitter = progress.splitter
         splitter.restart()
+        begun_s = self.dispatcher.clock.now()
+        done_before = progress.events_done
         while True:
             exchange.expires_at_s = self.dispatcher.clock.now() + STALL_S
             chunk = await exchange.read_chunk()
@@ -407,6 +413,9 @@
         if splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
         self.dispatcher.book.note_success(endpoint.endpoint_id)
+        if not done_before:
+            lasted_s = self.dispatcher.clock.now() - begun_s
+            self.times.note(progress.events_done, lasted_s)
         self.finish(job, progress, completed=True)
 
     def finish(
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -4,7 +4,8 @@
 bursts need within milliseconds, and several entries fill the same slots.
 
 Items start on slots that stay free beyond a reserve, the job that is due
-first before the others. All entries see the same free slots at the same
+first before the others. When there is too much work, items whose job can't
+be on time any more go behind those whose job can. All entries see the same free slots at the same
 moment, so each takes only its share of them until the next news. When an
 engine holds more requests than slots, the entry with most batch runs there
 stops some; a stopped item goes on later after its last event.
@@ -22,6 +23,13 @@
 
 # Slots of each engine that stay free for the next online request.
 RESERVED_SLOTS: Final = 0
+# Assumed until the first runs have ended.
+DEFAULT_EVENTS: Final = 100.0
+DEFAULT_EVENT_S: Final = 0.02
+# Weight of the latest run in the moving averages.
+TIMES_WEIGHT: Final = 0.1
+# An item that has passed the usual length is taken to be near its end.
+MIN_LEFT_SHARE: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,23 +41,60 @@
     # Unix time at which its job is due.
     due_ms: float
     events_done: int
+    # Whether it can't be done any more when its job is due.
+    late: bool
 
 
 def start_order(candidates: Iterable[Candidate]) -> list[Candidate]:
     """Return the items in the order in which they should start.
 
-    >>> late = Candidate('a', 0, due_ms=9.0, events_done=0)
-    >>> begun = Candidate('b', 0, due_ms=5.0, events_done=7)
-    >>> fresh = Candidate('b', 1, due_ms=5.0, events_done=0)
-    >>> start_order([late, fresh, begun]) == [begun, fresh, late]
+    >>> early = Candidate('a', 0, due_ms=1.0, events_done=0, late=True)
+    >>> later = Candidate('a', 0, due_ms=9.0, events_done=0, late=False)
+    >>> begun = Candidate('b', 0, due_ms=5.0, events_done=7, late=False)
+    >>> fresh = Candidate('b', 1, due_ms=5.0, events_done=0, late=False)
+    >>> ordered = start_order([early, later, fresh, begun])
+    >>> ordered == [begun, fresh, later, early]
     True
     """
     return sorted(
         candidates,
-        key=lambda one: (one.due_ms, -one.events_done, one.job_id, one.item),
+        key=lambda one: (
+            one.late,
+            one.due_ms,
+            -one.events_done,
+            one.job_id,
+            one.item,
+        ),
     )
 
 
+@dataclass(slots=True)
+class RunTimes:
+    """How long whole runs take, learned from those that ended.
+
+    >>> times = RunTimes()
+    >>> times.note(events=200, lasted_s=4.0)
+    >>> times.left_s(events_done=0) > times.left_s(events_done=100) > 0
+    True
+    """
+
+    events: float = DEFAULT_EVENTS
+    event_s: float = DEFAULT_EVENT_S
+
+    def note(self, events: int, lasted_s: float) -> None:
+        """A run without a break produced this many events."""
+        if not events:
+            return
+        self.events += TIMES_WEIGHT * (events - self.events)
+        pace_s = lasted_s / events
+        self.event_s += TIMES_WEIGHT * (pace_s - self.event_s)
+
+    def left_s(self, events_done: int) -> float:
+        """Return how long an item that has got so far still takes."""
+        left = max(self.events - events_done, MIN_LEFT_SHARE * self.events)
+        return left * self.event_s
+
+
 @dataclass(frozen=True, slots=True)
 class BatchPolicy:
     """Room for batch items, as one entry sees it."""
