Share free slots by demand and gather changes of the fleet

Change: an entry gathers changes of jobs and members for 20 ms a member, at most 0.6 s; entries tell how many items could start, and free slots are shared out by that once a round of news.

--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -15,6 +15,7 @@
 from quetzaldyke.gateway.batch_schedule import (
     BatchPolicy,
     Candidate,
+    Demand,
     RunTimes,
     start_order,
 )
@@ -167,7 +168,8 @@
     store: JobStore
     policy: BatchPolicy
     group: TaskGroup
-    count_entries: Callable[[], int]
+    # How old the news about other entries may be.
+    news_age_s: Callable[[], float]
     find_route: Callable[[str], Route | None]
     jobs: dict[str, ActiveJob] = field(default_factory=dict)
     # Set at a planned stop: nothing new starts.
@@ -177,6 +179,14 @@
     handle: asyncio.TimerHandle | None = None
     times: RunTimes = field(default_factory=RunTimes)
 
+    def pending(self) -> int:
+        """Return how many items could start, were there room."""
+        return sum(
+            not one.running and not one.finished
+            for job in self.jobs.values()
+            for one in job.items.values()
+        )
+
     def activate(
         self,
         record: JobRecord,
@@ -259,7 +269,12 @@
         if len(self.dispatcher.line(service)):
             return
         usable = self.dispatcher.book.usable(service, now_s)
-        rooms = self.policy.rooms(usable, self.count_entries())
+        demand = Demand(
+            len(candidates),
+            self.dispatcher.loads.pending_elsewhere(),
+            self.news_age_s(),
+        )
+        rooms = self.policy.rooms(usable, demand, now_s)
         ordered = start_order(candidates)
         for candidate, endpoint in zip(ordered, rooms, strict=False):
             job = self.jobs[candidate.job_id]
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -15,7 +15,7 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from quetzaldyke.gateway.loads import LoadTable
@@ -95,6 +95,16 @@
         return left * self.event_s
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Batch items that could start now, here and at the other entries."""
+
+    own: int
+    elsewhere: int
+    # How old the news about other entries may be.
+    news_age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class BatchPolicy:
     """Room for batch items, as one entry sees it."""
@@ -102,33 +112,52 @@
     own_id: str
     loads: LoadTable
     generator: random.Random
+    # When the free slots of an endpoint were shared out last.
+    shared_s: dict[str, float] = field(default_factory=dict)
 
     def rooms(
         self,
         endpoints: Sequence[Endpoint],
-        entries: int,
+        demand: Demand,
+        now_s: float,
     ) -> list[Endpoint]:
         """Return an endpoint for each item that may start now.
 
-        The emptiest endpoints come first.
+        The emptiest endpoints come first. Free slots that other entries
+        want too are shared out once for each round of news.
         """
         places: list[tuple[int, float, Endpoint]] = []
         for endpoint in endpoints:
             room = self.room(endpoint)
-            for number in range(self.share_of(room, entries)):
+            if not room or self.is_shared_out(endpoint, demand, now_s):
+                continue
+            self.shared_s[endpoint.endpoint_id] = now_s
+            for number in range(self.share_of(room, demand)):
                 draw = self.generator.random()
                 places.append((number - room, draw, endpoint))
         places.sort(key=lambda place: place[:2])
         return [place[2] for place in places]
 
+    def is_shared_out(
+        self,
+        endpoint: Endpoint,
+        demand: Demand,
+        now_s: float,
+    ) -> bool:
+        """Tell whether others may just have taken the same free slots."""
+        if not demand.elsewhere:
+            return False
+        shared_s = self.shared_s.get(endpoint.endpoint_id, 0.0)
+        return now_s - shared_s < demand.news_age_s
+
     def room(self, endpoint: Endpoint) -> int:
         """Return the slots of an endpoint that batch items may take."""
         used = self.loads.total(endpoint.endpoint_id)
         return max(0, endpoint.slots - RESERVED_SLOTS - used)
 
-    def share_of(self, room: int, entries: int) -> int:
+    def share_of(self, room: int, demand: Demand) -> int:
         """Return this entry's share of free slots, rounded by lot."""
-        exact = room / max(1, entries)
+        exact = room * demand.own / max(1, demand.own + demand.elsewhere)
         whole = int(exact)
         return whole + (self.generator.random() < exact - whole)
 
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -70,6 +70,11 @@
 LINGER_S: Final = 2.6
 # Members that don't report by then after this entry's start are not there.
 JOIN_WAIT_S: Final = 2.0
+# Time for which changes of jobs and members are gathered, for each entry.
+FLEET_PAUSE_S: Final = 0.02
+MAX_FLEET_PAUSE_S: Final = 0.6
+# Reports that may pass until an entry has heard of all others' choices.
+NEWS_INTERVALS: Final = 1.6
 # Kept free before the kill at the end of the grace time.
 STOP_RESERVE_S: Final = 0.7
 
@@ -187,6 +192,7 @@
                     owner_id,
                     loads.report(),
                     dispatcher.waiting(),
+                    entry.runner.pending() if entry.runner else 0,
                     store.path.direct.up,
                 ),
                 lambda message: entry.on_gossip(message),
@@ -245,6 +251,14 @@
         """Return how many entries share the endpoints."""
         return max(1, len(self.jobs.members))
 
+    def fleet_pause_s(self) -> float:
+        """Return how long changes of the fleet are gathered.
+
+        Each of them is told to every entry, so the calls for them would
+        otherwise grow with the square of the fleet.
+        """
+        return min(MAX_FLEET_PAUSE_S, FLEET_PAUSE_S * self.count_entries())
+
     def on_load_change(self, endpoint_id: str) -> None:
         """Own counts changed: tell peers, and look for room."""
         self.gossip.note_change()
@@ -266,9 +280,15 @@
     def on_gossip(self, message: GossipMessage) -> None:
         """Take over what a peer says."""
         match message:
-            case LoadReport(sender, counts, waiting, store_up):
+            case LoadReport(sender, counts, waiting, pending, store_up):
                 now_s = self.clock.now()
-                self.loads.take_report(sender, counts, waiting, now_s)
+                self.loads.take_report(
+                    sender,
+                    counts,
+                    waiting,
+                    pending,
+                    now_s,
+                )
                 address = self.gossip.peers.get(sender)
                 if address is not None:
                     self.store.path.hear(
@@ -573,7 +593,7 @@
         entry.job_store,
         entry.policy,
         group,
-        entry.count_entries,
+        lambda: NEWS_INTERVALS * entry.gossip.interval_s(),
         find_route,  # type: ignore[arg-type]
     )
 
@@ -608,6 +628,7 @@
             FLEET_PREFIX,
             entry.jobs.take_snapshot,
             entry.jobs.take_changes,
+            pause_s=entry.fleet_pause_s,
         ),
     ]
 
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -33,6 +33,8 @@
     counts: dict[str, Running]
     # Online requests that wait for a slot at the sender, by service.
     waiting: dict[str, int]
+    # Batch items that could start at the sender, were there room.
+    pending: int
     # Whether the sender itself reaches the platform's store.
     store_up: bool
 
@@ -59,11 +61,11 @@
 def encode(message: GossipMessage) -> bytes:
     """Return the datagram of a message."""
     match message:
-        case LoadReport(sender, counts, waiting, store_up):
+        case LoadReport(sender, counts, waiting, pending, store_up):
             rows = [
                 [key, one.online, one.batch] for key, one in counts.items()
             ]
-            row = [rows, waiting, store_up]
+            row = [rows, waiting, pending, store_up]
             return bytes(msgpack.packb(['load', sender, row]))
         case MakeRoom(sender, endpoint_id):
             return bytes(msgpack.packb(['room', sender, endpoint_id]))
@@ -87,9 +89,9 @@
     if kind == 'ended':
         return JobEnded(sender, content)
     if kind == 'load':
-        rows, waiting, store_up = content
+        rows, waiting, pending, store_up = content
         counts = {key: Running(online, batch) for key, online, batch in rows}
-        return LoadReport(sender, counts, waiting, store_up)
+        return LoadReport(sender, counts, waiting, pending, store_up)
     return None
 
 
@@ -119,13 +121,16 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore a peer that is not there; it leaves by its lease."""
 
+    def interval_s(self) -> float:
+        """Return the shortest time between two reports."""
+        return max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * len(self.peers))
+
     def note_change(self) -> None:
         """Send a report soon; changes in the meantime share it."""
         if self.handle is not None or self.transport is None:
             return
         loop = asyncio.get_running_loop()
-        interval_s = max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * len(self.peers))
-        due_s = max(0.0, self.sent_s + interval_s - loop.time())
+        due_s = max(0.0, self.sent_s + self.interval_s() - loop.time())
         self.handle = loop.call_later(due_s, self.send_report)
 
     def send_report(self) -> None:
--- a/src/quetzaldyke/gateway/loads.py
+++ b/src/quetzaldyke/gateway/loads.py
@@ -36,6 +36,8 @@
     counts: dict[str, Running]
     # Online requests in line by service.
     waiting: dict[str, int]
+    # Batch items that could start.
+    pending: int
     received_s: float
 
 
@@ -72,6 +74,10 @@
             report.waiting.get(service, 0) for report in self.peers.values()
         )
 
+    def pending_elsewhere(self) -> int:
+        """Return the batch items that could start at the peers."""
+        return sum(report.pending for report in self.peers.values())
+
     def batch_peers(self, endpoint_id: str) -> list[tuple[int, str]]:
         """Return the peers with batch work on an endpoint, most first."""
         found = [
@@ -87,10 +93,11 @@
         peer: str,
         counts: dict[str, Running],
         waiting: dict[str, int],
+        pending: int,
         now_s: float,
     ) -> None:
         """Replace what a peer said."""
-        self.peers[peer] = PeerReport(counts, waiting, now_s)
+        self.peers[peer] = PeerReport(counts, waiting, pending, now_s)
         self.sum_peers()
 
     def forget_silent(self, now_s: float) -> list[str]:
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -21,6 +21,12 @@
 QUEUED_PER_ENGINE: Final = 1
 # Requests beyond its slots that a plain service may be given.
 QUEUED_PER_SERVICE: Final = 12
+# Slots by which the random tie-break blurs the load, at most. News about
+# other entries is older in a larger fleet, and all of them would choose the
+# same emptiest endpoint.
+BLUR_PER_PEER: Final = 0.05
+MIN_BLUR: Final = 0.25
+MAX_BLUR: Final = 1.5
 # How much fuller the own failure domain may be, as a share of the slots.
 LOCAL_PREFERENCE: Final = 0.2
 
@@ -77,5 +83,6 @@
     def distance(self, endpoint: Endpoint) -> float:
         """Return the handicap of an endpoint, with a random tie-break."""
         remote = endpoint.failure_domain != self.failure_domain
-        tie_break = self.generator.random() / (4 * endpoint.slots)
-        return tie_break + (LOCAL_PREFERENCE if remote else 0.0)
+        blur = MIN_BLUR + BLUR_PER_PEER * len(self.loads.peers)
+        tie_break = self.generator.random() * min(blur, MAX_BLUR)
+        return tie_break / endpoint.slots + (LOCAL_PREFERENCE if remote else 0.0)
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -35,6 +35,8 @@
     on_snapshot: OnSnapshot
     on_changes: OnChanges
     wait_s: float = WATCH_WAIT_S
+    # Time to gather changes before the next call.
+    pause_s: Callable[[], float] = lambda: 0.0
     # Everything up to this revision was seen; None before the first list.
     revision: int | None = None
     failures: int = 0
@@ -47,6 +49,7 @@
             if await self.step():
                 self.failures = 0
                 self.on_step()
+                await anyio.sleep(self.pause_s())
                 continue
             self.failures += 1
             await anyio.sleep(pause_s(RETRY, self.failures, random.uniform))
