--- a/src/quetzaldyke/gateway/__main__.py
+++ b/src/quetzaldyke/gateway/__main__.py
@@ -1,49 +1,62 @@
 """Starts one process of a platform installation.
 
-Usage: python -m quetzaldyke.gateway entry|keeper
+Usage: python -m quetzaldyke.gateway entry METRICS_PORT
+       python -m quetzaldyke.gateway keeper
+       python -m quetzaldyke.gateway check-settings
+
+The settings come from the file that the platform lays for each process.
+Exit status: 0 after a planned stop, 2 for wrong arguments or settings.
 """
 
 from __future__ import annotations
 
 import sys
-from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final
 
 import anyio
 from result import Err
 
-from quetzaldyke.gateway.entry import run_entry
+from quetzaldyke.gateway.entry_process import run_entry
 from quetzaldyke.gateway.keeper import run_keeper
-from quetzaldyke.gateway.logs import LineWriter, start_logs
+from quetzaldyke.gateway.logs import start_logs
 from quetzaldyke.gateway.model import Installation
 from quetzaldyke.platform.settings import load_installation, settings_path
 
 USAGE_STATUS: Final = 2
-Program = Callable[[Installation, LineWriter], Awaitable[None]]
-PROGRAMS: Final[dict[str, Program]] = {
-    'entry': run_entry,
-    'keeper': run_keeper,
-}
 
 
 def main() -> None:
-    """Run the program that the argument names."""
-    name = sys.argv[1] if len(sys.argv) > 1 else ''
-    program = PROGRAMS.get(name)
-    if program is None:
-        sys.stderr.write(f'{__doc__}\n')
-        sys.exit(USAGE_STATUS)
+    """Run the program that the arguments name."""
+    match sys.argv[1:]:
+        case ['entry', port] if port.isdecimal():
+            run('entry', int(port))
+        case ['keeper']:
+            run('keeper', 0)
+        case ['check-settings']:
+            sys.stdout.write(f'{read_installation()}\n')
+        case _:
+            sys.stderr.write(f'{__doc__}\n')
+            sys.exit(USAGE_STATUS)
+
+
+def read_installation() -> Installation:
+    """Return the checked settings, or end with every finding."""
     loaded = load_installation(settings_path())
     if isinstance(loaded, Err):
         sys.stderr.write(f'{loaded.err_value.render()}\n')
         sys.exit(USAGE_STATUS)
-    installation = loaded.ok_value
+    return loaded.ok_value
+
+
+def run(program: str, metrics_port: int) -> None:
+    """Run one process until its planned stop."""
+    installation = read_installation()
     writer = start_logs(installation.instance)
-    anyio.run(
-        partial(program, installation, writer),
-        backend_options={'use_uvloop': True},
-    )
+    body = partial(run_keeper, installation)
+    if program == 'entry':
+        body = partial(run_entry, installation, writer, metrics_port)
+    anyio.run(body, backend_options={'use_uvloop': True})
 
 
 if __name__ == '__main__':
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -12,6 +12,11 @@
 from anyio.abc import TaskGroup
 from result import Err, Ok
 
+from quetzaldyke.gateway.active_job import (
+    ActiveJob,
+    FinishedItem,
+    ItemProgress,
+)
 from quetzaldyke.gateway.batch_schedule import (
     BatchPolicy,
     Candidate,
@@ -20,44 +25,19 @@
     start_order,
 )
 from quetzaldyke.gateway.dispatcher import Dispatcher, Place
-from quetzaldyke.gateway.event_stream import (
-    EventSplitter,
-    StreamOrderError,
-    data_of,
-)
-from quetzaldyke.gateway.http_client import (
-    Exchange,
-    ExchangeError,
-    Failure,
-    HttpClient,
-    encode_request,
-)
-from quetzaldyke.gateway.job_records import (
-    ItemRecord,
-    JobRecord,
-    Member,
-    PartialOutput,
-)
+from quetzaldyke.gateway.exchange import Exchange
+from quetzaldyke.gateway.http_client import HttpClient
+from quetzaldyke.gateway.item_run import ItemRun, RunContext
+from quetzaldyke.gateway.job_records import JobRecord, Member, PartialOutput
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.model import Endpoint, Route
+from quetzaldyke.gateway.model import Route
 from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
-STATUS_OK: Final = 200
-STATUS_MISDIRECTED: Final = 421
-STATUS_NEVER: Final = 422
-FIRST_FAILURE_STATUS: Final = 500
 # News within this time share one look at the free slots.
 SCHEDULE_DELAY_S: Final = 0.004
-# Events of a run come within milliseconds; this long a silence means that
-# its endpoint is lost.
-STALL_S: Final = 1.5
-ITEM_RETRY_PAUSE_S: Final = 0.15
-# The endpoint may work this long on one run of an item.
-RUN_LIMIT_MS: Final = 60_000
-MAX_IDLE_S: Final = 4.0
 # A lost entry costs at most this much of the work of its runs.
 PARTIALS_INTERVAL_S: Final = 2.0
 # Events that make it worth while to keep them.
@@ -66,99 +46,6 @@
 RESULT_DELAY_S: Final = 0.7
 
 
-@dataclass(slots=True)
-class ItemProgress:
-    """One item that has no result yet."""
-
-    item: int
-    record: ItemRecord
-    splitter: EventSplitter = field(default_factory=EventSplitter)
-    outputs: list[bytes] = field(default_factory=list)
-    failures: int = 0
-    not_before_s: float = 0.0
-    exchange: Exchange | None = None
-    endpoint_id: str = ''
-    running: bool = False
-    finished: bool = False
-
-    @property
-    def events_done(self) -> int:
-        """Return the number of the last event."""
-        return self.splitter.last_id or 0
-
-
-@dataclass(frozen=True, slots=True)
-class FinishedItem:
-    """A result that is not listed yet."""
-
-    item: int
-    completed: bool
-    output: bytes
-
-
-@dataclass(slots=True)
-class ActiveJob:
-    """A job that this entry owns and runs."""
-
-    record: JobRecord
-    route: Route
-    items: dict[int, ItemProgress]
-    bodies: dict[int, bytes]
-    finished: list[FinishedItem] = field(default_factory=list)
-    finished_since_s: float = 0.0
-    listing: bool = False
-    stopped: bool = False
-    saving: bool = False
-    saved_s: float = 0.0
-    saved_events: int = 0
-
-    @property
-    def due_ms(self) -> float:
-        """Return the Unix time at which all results are due."""
-        assert self.route.batch is not None
-        target_ms = self.route.batch.completion_target_s * MS_IN_S
-        return self.record.accepted_ms + target_ms
-
-    @property
-    def give_up_ms(self) -> float:
-        """Return the Unix time from which items may be given up."""
-        assert self.route.batch is not None
-        return self.record.accepted_ms + self.route.batch.max_wait_s * MS_IN_S
-
-    def candidates(self, now_s: float, times: RunTimes) -> list[Candidate]:
-        """Return the items that could start now."""
-        left_s = self.due_ms / MS_IN_S - time.time()
-        return [
-            Candidate(
-                self.record.job_id,
-                one.item,
-                self.due_ms,
-                one.events_done,
-                left_s < times.left_s(one.events_done),
-            )
-            for one in self.items.values()
-            if not one.running
-            and not one.finished
-            and one.not_before_s <= now_s
-        ]
-
-    def running(self) -> int:
-        """Return how many items run."""
-        return sum(one.running for one in self.items.values())
-
-    def partials(self) -> list[PartialOutput]:
-        """Return what the runs of unfinished items produced."""
-        return [
-            PartialOutput(
-                one.item,
-                one.splitter.last_id or 0,
-                b'\n'.join(one.outputs),
-            )
-            for one in self.items.values()
-            if one.outputs and not one.finished
-        ]
-
-
 @dataclass(slots=True)
 class BatchRunner:
     """Active jobs of one entry."""
@@ -254,7 +141,9 @@
         by_service: dict[str, list[Candidate]] = {}
         for job in self.jobs.values():
             service = job.route.services[0].service
-            by_service.setdefault(service, []).extend(job.candidates(now_s, self.times))
+            by_service.setdefault(service, []).extend(
+                job.candidates(now_s, self.times)
+            )
         for service, candidates in by_service.items():
             if candidates:
                 self.start_on_free_slots(service, candidates, now_s)
@@ -326,118 +215,41 @@
         progress: ItemProgress,
         place: Place,
     ) -> None:
-        """Run an item on one endpoint as far as it gets."""
-        endpoint = place.endpoint
-        progress.endpoint_id = endpoint.endpoint_id
+        """Run an item; a fault in one run must not end the entry."""
         exchange = Exchange(names.ATTEMPT_ID, progress.record.item_id.encode())
+        progress.endpoint_id = place.endpoint.endpoint_id
         progress.exchange = exchange
+        context = RunContext(
+            self.dispatcher,
+            self.client,
+            self.store,
+            self.times,
+            self.finish,
+        )
+        run = ItemRun(context, job, progress, place, exchange)
         try:
-            body = await self.body_of(job, progress.record)
-            if body is None or job.stopped or exchange.failure:
-                return
-            await self.exchange_item(job, progress, endpoint, body)
-        except ExchangeError as exc:
-            self.note_failure(job, progress, endpoint, exc)
-        except StreamOrderError as exc:
-            broken = ExchangeError(Failure.MALFORMED, str(exc))
-            self.note_failure(job, progress, endpoint, broken)
+            await run.run()
+        except Exception as exc:
+            run.wait_before_retry()
+            log_event(
+                'item_run_fault',
+                item=progress.record.item_id,
+                fault=repr(exc),
+            )
         finally:
-            exchange.cancel()
-            progress.running = False
-            progress.exchange = None
-            self.dispatcher.release(place)
-            self.schedule_soon()
-
-    async def body_of(self, job: ActiveJob, record: ItemRecord) -> bytes | None:
-        """Return the body of an item; None when it can't be read now."""
-        part = job.bodies.get(record.body_part)
-        if part is None:
-            job_id = job.record.job_id
-            answer = await self.store.read_body_part(job_id, record.body_part)
-            if isinstance(answer, Err):
-                await anyio.sleep(ITEM_RETRY_PAUSE_S)
-                return None
-            part = job.bodies[record.body_part] = answer.ok_value
-        return part[record.body_start : record.body_start + record.body_size]
+            self.end_run(progress, place)
 
-    async def exchange_item(
-        self,
-        job: ActiveJob,
-        progress: ItemProgress,
-        endpoint: Endpoint,
-        body: bytes,
-    ) -> None:
-        """Send an item and take its events."""
-        exchange = progress.exchange
-        assert exchange is not None
-        await self.client.start(
-            endpoint.host,
-            endpoint.port,
-            encode_item(job, progress, endpoint, body),
-            exchange,
-            MAX_IDLE_S,
-        )
-        self.client.active.add(exchange)
-        exchange.expires_at_s = self.dispatcher.clock.now() + STALL_S
-        head = await exchange.read_head()
-        if head.status == STATUS_OK and head.get(names.SIGNATURE) is not None:
-            await self.take_events(job, progress, endpoint)
-            return
-        answer = await exchange.read_body()
-        if head.status == STATUS_NEVER:
-            self.finish(job, progress, completed=False)
-            return
-        not_run = head.get(names.NOT_RUN) is not None
-        if not not_run and head.status != STATUS_MISDIRECTED:
-            progress.failures += 1
-        progress.not_before_s = self.dispatcher.clock.now() + ITEM_RETRY_PAUSE_S
-        log_event(
-            'item_failed',
-            item=progress.record.item_id,
-            job=job.record.job_id,
-            endpoint=endpoint.endpoint_id,
-            status=head.status,
-            ran=not not_run,
-            failures=progress.failures,
-            detail=answer[:80].decode('latin-1'),
-        )
-        if progress.failures >= job.route.max_attempts:
-            self.finish(job, progress, completed=False)
-
-    async def take_events(
-        self,
-        job: ActiveJob,
-        progress: ItemProgress,
-        endpoint: Endpoint,
-    ) -> None:
-        """Collect the events of a run until it is complete."""
-        exchange = progress.exchange
-        assert exchange is not None
-        splitter = progress.splitter
-        splitter.restart()
-        begun_s = self.dispatcher.clock.now()
-        done_before = progress.events_done
-        while True:
-            exchange.expires_at_s = self.dispatcher.clock.now() + STALL_S
-            chunk = await exchange.read_chunk()
-            if not chunk:
-                break
-            events = splitter.feed(chunk)
-            if events:
-                progress.outputs.extend(data_of(events))
-        if splitter.partial:
-            raise ExchangeError(Failure.BROKEN, 'ended inside an event')
-        self.dispatcher.book.note_success(endpoint.endpoint_id)
-        if not done_before:
-            lasted_s = self.dispatcher.clock.now() - begun_s
-            self.times.note(progress.events_done, lasted_s)
-        self.finish(job, progress, completed=True)
+    def end_run(self, progress: ItemProgress, place: Place) -> None:
+        """Give the place back and look for the next item."""
+        progress.running = False
+        progress.exchange = None
+        self.dispatcher.release(place)
+        self.schedule_soon()
 
     def finish(
         self,
         job: ActiveJob,
         progress: ItemProgress,
-        *,
         completed: bool,
     ) -> None:
         """Keep a result until it is listed."""
@@ -455,32 +267,6 @@
             failures=progress.failures,
         )
 
-    def note_failure(
-        self,
-        job: ActiveJob,
-        progress: ItemProgress,
-        endpoint: Endpoint,
-        exc: ExchangeError,
-    ) -> None:
-        """Keep what has arrived and let the item go on later."""
-        if exc.failure is Failure.CANCELLED:
-            return
-        now_s = self.dispatcher.clock.now()
-        progress.not_before_s = now_s + ITEM_RETRY_PAUSE_S
-        aside_s = self.dispatcher.book.note_failure(
-            endpoint.endpoint_id,
-            now_s,
-        )
-        log_event(
-            'item_interrupted',
-            item=progress.record.item_id,
-            job=job.record.job_id,
-            endpoint=endpoint.endpoint_id,
-            failure=str(exc),
-            events=progress.events_done,
-            aside_s=aside_s,
-        )
-
     async def tick(self) -> None:
         """Start items, give up those that are too old, list results."""
         self.schedule()
@@ -564,7 +350,7 @@
             return
         for one in job.items.values():
             if not one.finished and not one.running:
-                self.finish(job, one, completed=False)
+                self.finish(job, one, False)
 
     async def list_results(self, job: ActiveJob) -> None:
         """Write finished items to the store."""
@@ -602,25 +388,3 @@
         )
         if not job.items:
             self.jobs.pop(job.record.job_id, None)
-
-
-def encode_item(
-    job: ActiveJob,
-    progress: ItemProgress,
-    endpoint: Endpoint,
-    body: bytes,
-) -> bytes:
-    """Return the request for one run of an item."""
-    record = progress.record
-    headers = [
-        (name.lower().encode('latin-1'), text.encode('latin-1'))
-        for name, text in record.headers
-    ]
-    headers.append((b'host', job.record.host.encode('latin-1')))
-    headers.append((names.ATTEMPT_ID, record.item_id.encode('latin-1')))
-    headers.append((names.DEADLINE, b'%d' % RUN_LIMIT_MS))
-    headers.append((names.EXPECTED_ENDPOINT, endpoint.endpoint_id.encode()))
-    last_event = progress.splitter.last_id
-    if last_event is not None:
-        headers.append((names.LAST_EVENT, b'%d' % last_event))
-    return encode_request(b'POST', record.path.encode('latin-1'), headers, body)
--- /dev/null
+++ b/src/quetzaldyke/gateway/broken_answer.py
@@ -0,0 +1,7 @@
+"""The error that ends the channel of an answer that can't be completed."""
+
+from __future__ import annotations
+
+
+class BrokenAnswerError(Exception):
+    """An answer that had begun can't be completed; its channel must end."""
--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -22,6 +22,7 @@
 LAPSE_GRACE_S: Final = 2.2
 FIRST_EJECTION_S: Final = 0.5
 MAX_EJECTION_S: Final = 4.0
+EJECTION_FACTOR: Final = 2.0
 # Weight of the latest answer in an endpoint's share of failures.
 FAILURE_WEIGHT: Final = 0.15
 # An endpoint that fails this share of its requests is put aside although
@@ -133,14 +134,18 @@
         Those put aside are used only when no other is left, so that a
         fault of this entry's own cannot stop a whole service. A careful
         choice, for a request that can't be repeated, also leaves out those
-        that have not answered since they last failed.
+        that have not answered since they last failed. The excluded ones are
+        used again when there is no other.
         """
         listed = [
             one
             for one in self.by_service.get(service, ())
             if one.endpoint.state == 'ready'
-            and one.endpoint.endpoint_id not in excluded
         ]
+        fresh = [
+            one for one in listed if one.endpoint.endpoint_id not in excluded
+        ]
+        listed = fresh or listed
         sound = [one for one in listed if one.ejected_until_s <= now_s]
         if careful:
             proved = [one for one in sound if not one.failures_in_row]
@@ -162,7 +167,9 @@
         known.failures_in_row += 1
         known.failure_share += FAILURE_WEIGHT * (1 - known.failure_share)
         doublings = min(known.failures_in_row - 1, 8)
-        aside_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
+        aside_s = min(
+            MAX_EJECTION_S, FIRST_EJECTION_S * EJECTION_FACTOR**doublings
+        )
         if known.failure_share > MAX_FAILURE_SHARE:
             aside_s = MAX_EJECTION_S
         known.ejected_until_s = now_s + aside_s
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -2,24 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import secrets
-import signal
-from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
-from anyio.abc import TaskGroup
-from result import Err, Ok
 
-from quetzaldyke.connection.http_server import HttpOptions, serve_http
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
+from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
 from quetzaldyke.gateway.crashes import CrashBook
 from quetzaldyke.gateway.dispatcher import Dispatcher
+from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointBook
+from quetzaldyke.gateway.exchange import Failure
 from quetzaldyke.gateway.gossip import (
     Gossip,
     GossipMessage,
@@ -27,16 +24,13 @@
     LoadReport,
     MakeRoom,
 )
-from quetzaldyke.gateway.http_client import Failure, HttpClient
-from quetzaldyke.gateway.ingress import Ingress, readiness_app
+from quetzaldyke.gateway.http_client import HttpClient
+from quetzaldyke.gateway.ingress import Ingress
 from quetzaldyke.gateway.job_api import JobApi
 from quetzaldyke.gateway.job_book import JobBook
-from quetzaldyke.gateway.job_records import (
-    END_PREFIX,
-    FLEET_PREFIX,
-    Member,
-)
-from quetzaldyke.gateway.job_store import JobStore, NewJob
+from quetzaldyke.gateway.job_owner import JobOwner
+from quetzaldyke.gateway.job_records import END_PREFIX, Member
+from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.logs import LineWriter, log_event
 from quetzaldyke.gateway.membership import (
@@ -44,16 +38,12 @@
     Ownership,
     Registration,
 )
-from quetzaldyke.gateway.model import Configuration, Endpoint, Installation
+from quetzaldyke.gateway.model import Endpoint, Installation
+from quetzaldyke.gateway.new_job import NewJob
+from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.placement import PlacementPolicy
-from quetzaldyke.gateway.relay import RelayContext
 from quetzaldyke.gateway.store_health import StoreHealth
-from quetzaldyke.gateway.store_tunnel import serve_tunnels
-from quetzaldyke.gateway.watch import Follower
 from quetzaldyke.parts.timers import Clock, TimerService
-from quetzaldyke.parts.transactions import Snapshot, WatchedChange
-from quetzaldyke.platform import names
-from quetzaldyke.platform.records import decode_configuration, decode_endpoint
 from quetzaldyke.platform.store import PlatformStore
 from quetzaldyke.process.metrics import Metrics
 
@@ -62,12 +52,9 @@
 LINE_INTERVAL_S: Final = 0.05
 BATCH_INTERVAL_S: Final = 0.1
 OWNERSHIP_INTERVAL_S: Final = 0.5
+FORGET_INTERVAL_S: Final = 10.0
 CLEANING_INTERVAL_S: Final = 1.0
 GOSSIP_INTERVAL_S: Final = 0.1
-# A configuration that was not confirmed for this long may be an old one.
-CONFIG_TRUST_S: Final = 4.0
-# The balancer takes an unready entry out after two misses.
-LINGER_S: Final = 2.6
 # Members that don't report by then after this entry's start are not there.
 JOIN_WAIT_S: Final = 2.0
 # Time for which changes of jobs and members are gathered, for each entry.
@@ -75,8 +62,6 @@
 MAX_FLEET_PAUSE_S: Final = 0.65
 # Reports that may pass until an entry has heard of all others' choices.
 NEWS_INTERVALS: Final = 1.6
-# Kept free before the kill at the end of the grace time.
-STOP_RESERVE_S: Final = 0.7
 
 
 @dataclass(slots=True)
@@ -99,17 +84,15 @@
     job_store: JobStore
     gossip: Gossip
     registration: Registration
-    ownership: Ownership
     ingress: Ingress
     api: JobApi
     policy: BatchPolicy
-    configuration: Configuration | None = None
+    configurations: ConfigurationFeed
+    endpoints: EndpointFeed
     runner: BatchRunner | None = None
-    config_seen_s: float = 0.0
-    endpoints_seen: bool = False
+    owner: JobOwner | None = None
     started_s: float = 0.0
     stopping: anyio.Event = field(default_factory=anyio.Event)
-    taking_over: set[str] = field(default_factory=set)
 
     @classmethod
     def from_installation(
@@ -145,7 +128,7 @@
             PlacementPolicy(installation.failure_domain, generator, loads),
             clock,
             generator,
-            is_engine=lambda service: entry.is_engine(service),
+            is_engine=lambda service: entry.configurations.is_engine(service),
         )
         jobs = JobBook()
         job_store = JobStore(store, jobs, owner_id, installation.instance)
@@ -169,7 +152,7 @@
             metrics,
             generator,
             api.handle,
-            is_current=lambda: entry.config_is_current(),
+            is_current=lambda: entry.configurations.is_current(),
         )
         entry = cls(
             installation=installation,
@@ -198,10 +181,15 @@
                 lambda message: entry.on_gossip(message),
             ),
             registration=Registration(store, member),
-            ownership=Ownership.of(jobs, member),
             ingress=ingress,
             api=api,
             policy=BatchPolicy(owner_id, loads, generator),
+            configurations=ConfigurationFeed(clock.now, ingress.configure),
+            endpoints=EndpointFeed(
+                book,
+                clock.now,
+                lambda: entry.serve_lines(),
+            ),
             started_s=clock.now(),
         )
         entry.connect()
@@ -215,38 +203,29 @@
         self.health.on_lost.append(self.on_store_lost)
         self.health.on_regained.append(self.on_store_regained)
         self.jobs.on_members = self.on_members
-        self.jobs.on_job = self.on_job
         timers = self.timers
         timers.on_failure = on_timer_failure
         timers.subscribe('watchdog', WATCHDOG_INTERVAL_S, self.watch_exchanges)
         timers.subscribe('lines', LINE_INTERVAL_S, self.dispatcher.tick)
-        timers.subscribe('batch', BATCH_INTERVAL_S, self.batch_tick)
         timers.subscribe('gossip', GOSSIP_INTERVAL_S, self.gossip_tick)
         timers.subscribe('lease', RENEWAL_INTERVAL_S, self.registration.renew)
-        timers.subscribe('owners', OWNERSHIP_INTERVAL_S, self.take_orphans)
         timers.subscribe('cleaning', CLEANING_INTERVAL_S, self.clean)
 
-    def is_engine(self, service: str) -> bool:
-        """Tell whether the endpoints of a service are engines."""
-        if self.configuration is None:
-            return False
-        known = self.configuration.services.get(service)
-        return known is not None and known.is_engine
-
-    def config_is_current(self) -> bool:
-        """Tell whether the configuration was confirmed lately."""
-        return self.clock.now() - self.config_seen_s < CONFIG_TRUST_S
-
     def unready_reason(self) -> str:
         """Return why the balancer should send no caller here, or nothing."""
         if self.stopping.is_set():
             return 'stopping'
-        if self.configuration is None:
+        if self.configurations.configuration is None:
             return 'no configuration yet'
-        if not self.endpoints_seen:
+        if not self.endpoints.listed:
             return 'no endpoints yet'
         return ''
 
+    def serve_lines(self) -> None:
+        """Start waiting requests after a change of the endpoints."""
+        for line in self.dispatcher.lines.values():
+            line.serve(self.clock.now())
+
     def count_entries(self) -> int:
         """Return how many entries share the endpoints."""
         return max(1, len(self.jobs.members))
@@ -325,160 +304,29 @@
             if one.owner_id != self.member.owner_id
         }
 
-    def on_job(self, job_id: str) -> None:
-        """Stop what this entry must not run any more."""
-        runner = self.runner
-        if runner is None or job_id not in runner.jobs:
-            return
-        view = self.jobs.jobs.get(job_id)
-        if view is None or view.ended:
-            runner.deactivate(job_id, 'ended')
-        elif view.state and view.state.owner_id != self.member.owner_id:
-            runner.deactivate(job_id, 'owned_by_another')
-
     def run_accepted(self, job: NewJob) -> None:
         """Run a job that this entry has just accepted."""
-        view = self.jobs.jobs.get(job.record.job_id)
-        if view is not None and (view.ended or not self.owns(view.state)):
-            return
-        if self.runner is not None:
-            self.runner.activate(job.record, set(), {}, dict(job.bodies), [])
-
-    def owns(self, state: object) -> bool:
-        """Tell whether a state names this entry; one not seen yet does."""
-        owner_id = getattr(state, 'owner_id', self.member.owner_id)
-        return bool(owner_id == self.member.owner_id)
-
-    async def take_orphans(self) -> None:
-        """Take over jobs of lost entries, and run what this one owns."""
-        if self.runner is None or self.stopping.is_set():
-            return
-        for view in list(self.jobs.jobs.values()):
-            if view.open and view.record and self.owns(view.state):
-                await self.activate(view.record.job_id)
-        if not self.health.up:
-            return
-        orphans = self.ownership.orphans(
-            self.clock.now(),
-            self.health.well_since_s,
-            self.loads.peers,
-        )
-        for job_id in orphans:
-            taken = await self.job_store.take_over(job_id)
-            log_event(
-                'job_taken_over',
-                job=job_id,
-                outcome='taken'
-                if isinstance(taken, Ok)
-                else str(taken.err_value),
-            )
-            if isinstance(taken, Ok):
-                await self.activate(job_id)
-
-    async def activate(self, job_id: str) -> None:
-        """Run a job that this entry owns."""
-        view = self.jobs.jobs.get(job_id)
-        if view is None or view.record is None or view.state is None:
-            return
-        if self.runner is None or job_id in self.runner.jobs:
-            return
-        partials = await self.job_store.read_partials(job_id)
-        if not view.open or not self.owns(view.state):
-            return
-        listed = {one.item for one in view.state.listed}
-        self.runner.activate(
-            view.record,
-            listed,
-            view.state.failures,
-            {},
-            partials,
+        if self.owner is not None:
+            self.owner.run_accepted(job)
+
+    def run_batch(self, runner: BatchRunner) -> None:
+        """Run jobs from now on."""
+        self.runner = runner
+        self.owner = JobOwner(
+            runner,
+            self.jobs,
+            self.job_store,
+            Ownership.of(self.jobs, self.member),
+            self.health,
+            self.clock.now,
+            heard=lambda: self.loads.peers,
+            retention_s=self.installation.bounds.job_retention_s,
         )
-
-    def take_configuration(self, raw: bytes) -> None:
-        """Serve by a configuration unless a later one is in force."""
-        decoded = decode_configuration(raw)
-        if isinstance(decoded, Err):
-            log_event('config_unreadable', reason=decoded.err_value)
-            return
-        fresh = decoded.ok_value
-        if self.configuration and fresh.version <= self.configuration.version:
-            return
-        self.configuration = fresh
-        self.ingress.configure(fresh)
-        log_event(
-            'config_applied',
-            version=fresh.version,
-            routes=len(fresh.routes),
-        )
-
-    def on_operator_snapshot(self, snapshot: Snapshot) -> None:
-        """Take over the operator's keys."""
-        self.config_seen_s = self.clock.now()
-        for record in snapshot.records:
-            if record.key == names.CONFIG_KEY:
-                self.take_configuration(record.value)
-
-    def on_operator_changes(
-        self,
-        changes: list[WatchedChange],
-        revision: int,
-    ) -> None:
-        """Take over changes of the operator's keys."""
-        for change in changes:
-            if change.key == names.CONFIG_KEY and change.value is not None:
-                self.take_configuration(change.value)
-
-    def on_endpoint_snapshot(self, snapshot: Snapshot) -> None:
-        """Take over the list of endpoints."""
-        endpoints = []
-        for record in snapshot.records:
-            decoded = decode_endpoint(record.key, record.value)
-            if isinstance(decoded, Err):
-                log_event(
-                    'endpoint_unreadable',
-                    key=record.key,
-                    reason=decoded.err_value,
-                )
-                continue
-            endpoints.append(decoded.ok_value)
-        gone = self.book.replace_all(endpoints, self.clock.now())
-        self.endpoints_seen = True
-        log_event(
-            'endpoints_listed',
-            endpoints=len(endpoints),
-            gone=','.join(gone),
-            revision=snapshot.revision,
-        )
-
-    def on_endpoint_changes(
-        self,
-        changes: list[WatchedChange],
-        revision: int,
-    ) -> None:
-        """Take over changes of endpoints."""
-        for change in changes:
-            endpoint_id = change.key.removeprefix(names.ENDPOINT_PREFIX)
-            if change.value is None:
-                gone = self.book.remove(endpoint_id, self.clock.now())
-                state = 'gone' if gone else 'lapsed'
-            else:
-                state = self.put_endpoint(change.key, change.value)
-            log_event(
-                'endpoint_changed',
-                endpoint=endpoint_id,
-                state=state,
-                revision=change.revision,
-            )
-        for line in self.dispatcher.lines.values():
-            line.serve(self.clock.now())
-
-    def put_endpoint(self, key: str, raw: bytes) -> str:
-        """Take over one entry; return its state for the log."""
-        decoded = decode_endpoint(key, raw)
-        if isinstance(decoded, Err):
-            return f'unreadable {decoded.err_value}'
-        self.book.put(decoded.ok_value)
-        return decoded.ok_value.state
+        self.jobs.on_job = self.owner.on_job
+        timers = self.timers
+        timers.subscribe('batch', BATCH_INTERVAL_S, self.batch_tick)
+        timers.subscribe('owners', OWNERSHIP_INTERVAL_S, self.owner.check)
+        timers.subscribe('jobs', FORGET_INTERVAL_S, self.owner.forget_old)
 
     async def watch_exchanges(self) -> None:
         """End the exchanges whose peer has been silent for too long."""
@@ -530,156 +378,3 @@
 def on_timer_failure(name: str, exc: Exception) -> None:
     """Log a periodic job that failed; it runs again."""
     log_event('timer_failed', timer=name, fault=repr(exc))
-
-
-async def run_entry(installation: Installation, writer: LineWriter) -> None:
-    """Run an entry until its planned stop is complete."""
-    entry = Entry.from_installation(installation, writer)
-    log_event(
-        'entry_started',
-        instance=installation.instance,
-        owner=entry.member.owner_id,
-        callers=installation.callers_address,
-    )
-    async with AsyncExitStack() as stack:
-        stack.callback(entry.client.close)
-        group = await stack.enter_async_context(anyio.create_task_group())
-        start_runner(entry, group)
-        await group.start(
-            serve_tunnels,
-            installation.host,
-            installation.first_peer_port,
-            entry.store.path.store,
-        )
-        await start_gossip(entry, stack)
-        ended = anyio.Event()
-        follow_store(entry, group)
-        await group.start(
-            serve_http,
-            readiness_app(entry.unready_reason),
-            HttpOptions(installation.readiness_address, drain_s=1),
-            ended,
-        )
-        listener_ended = anyio.Event()
-        group.start_soon(entry.registration.renew)
-        group.start_soon(entry.timers.run)
-        group.start_soon(watch_signals, entry)
-        await group.start(
-            serve_http,
-            entry.ingress,
-            HttpOptions(
-                installation.callers_address,
-                drain_s=max(1, int(installation.bounds.grace_s)),
-            ),
-            listener_ended,
-        )
-        log_event('entry_listening')
-        await entry.stopping.wait()
-        await stop(entry, group, listener_ended)
-        group.cancel_scope.cancel()
-    log_event('entry_stopped')
-
-
-def start_runner(entry: Entry, group: TaskGroup) -> None:
-    """Let the entry run batch items."""
-
-    def find_route(name: str) -> object:
-        table = entry.ingress.table
-        return table.by_name.get(name) if table else None
-
-    entry.runner = BatchRunner(
-        entry.dispatcher,
-        entry.client,
-        entry.job_store,
-        entry.policy,
-        group,
-        lambda: NEWS_INTERVALS * entry.gossip.interval_s(),
-        find_route,  # type: ignore[arg-type]
-    )
-
-
-async def start_gossip(entry: Entry, stack: AsyncExitStack) -> None:
-    """Open the datagram socket."""
-    installation = entry.installation
-    await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: entry.gossip,
-        local_addr=(installation.host, installation.first_peer_port),
-    )
-    stack.callback(entry.gossip.close)
-
-
-def follow_store(entry: Entry, group: TaskGroup) -> None:
-    """Follow configuration, endpoints and jobs."""
-    followers = [
-        Follower(
-            entry.store,
-            names.OPERATOR_PREFIX,
-            entry.on_operator_snapshot,
-            entry.on_operator_changes,
-        ),
-        Follower(
-            entry.store,
-            names.ENDPOINT_PREFIX,
-            entry.on_endpoint_snapshot,
-            entry.on_endpoint_changes,
-        ),
-        Follower(
-            entry.store,
-            FLEET_PREFIX,
-            entry.jobs.take_snapshot,
-            entry.jobs.take_changes,
-            pause_s=entry.fleet_pause_s,
-        ),
-    ]
-
-    def note_config() -> None:
-        entry.config_seen_s = entry.clock.now()
-
-    followers[0].on_step = note_config
-    for follower in followers:
-        group.start_soon(follower.run)
-
-
-async def watch_signals(entry: Entry) -> None:
-    """Start the planned stop at SIGTERM; settings need no reload."""
-    with anyio.open_signal_receiver(
-        signal.SIGTERM,
-        signal.SIGINT,
-        signal.SIGHUP,
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                log_event('settings_changed', outcome='nothing to reload')
-                continue
-            log_event('stop_requested', signal=int(number))
-            entry.stopping.set()
-
-
-async def stop(
-    entry: Entry,
-    group: TaskGroup,
-    listener_ended: anyio.Event,
-) -> None:
-    """Leave the balancer, finish what runs, and hand the jobs over."""
-    ends_s = entry.clock.now() + entry.installation.bounds.grace_s
-    entry.ingress.closing = True
-    runner = entry.runner
-    assert runner is not None
-    group.start_soon(leave_fleet, entry, runner)
-    await anyio.sleep(LINGER_S)
-    listener_ended.set()
-    while entry.clock.now() < ends_s - STOP_RESERVE_S:
-        if not entry.ingress.open_requests:
-            break
-        await anyio.sleep(WATCHDOG_INTERVAL_S)
-
-
-async def leave_fleet(entry: Entry, runner: BatchRunner) -> None:
-    """Hand the jobs over and give the lease up."""
-    heirs = [
-        one
-        for one in entry.jobs.members.values()
-        if one.owner_id in entry.loads.peers
-    ]
-    await runner.hand_over_all(heirs)
-    await entry.registration.end()
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -62,9 +62,7 @@
     """Return the datagram of a message."""
     match message:
         case LoadReport(sender, counts, waiting, pending, store_up):
-            rows = [
-                [key, one.online, one.batch] for key, one in counts.items()
-            ]
+            rows = [[key, one.online, one.batch] for key, one in counts.items()]
             row = [rows, waiting, pending, store_up]
             return bytes(msgpack.packb(['load', sender, row]))
         case MakeRoom(sender, endpoint_id):
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -10,14 +10,19 @@
 
 import asyncio
 import time
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import Final, cast
 
 import httptools
 
+from quetzaldyke.gateway.exchange import (
+    Exchange,
+    ExchangeError,
+    Failure,
+    ResponseHead,
+)
+
 # An opening packet that is dropped is sent again only after a second.
 CONNECT_TIMEOUT_S: Final = 0.4
 # Used when the peer does not say for how long it keeps idle connections.
@@ -29,121 +34,6 @@
 MAX_UNREAD_BYTES: Final = 262_144
 
 
-class Failure(Enum):
-    """How an exchange failed."""
-
-    # No connection: the request was certainly not sent.
-    NOT_CONNECTED = 'not_connected'
-    # Reset or closed before the whole answer came.
-    BROKEN = 'broken'
-    # The bytes are no answer.
-    MALFORMED = 'malformed'
-    # Nothing came within the time allowed.
-    STALLED = 'stalled'
-    # Given up by this process.
-    CANCELLED = 'cancelled'
-
-
-class ExchangeError(Exception):
-    """An exchange ended without a whole answer."""
-
-    def __init__(self, failure: Failure, detail: str = '') -> None:
-        """Keep how it failed."""
-        super().__init__(f'{failure.value} {detail}'.strip())
-        self.failure = failure
-
-
-@dataclass(slots=True)
-class ResponseHead:
-    """Status and headers of an answer; names are in lower case."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-
-    def get(self, name: bytes) -> bytes | None:
-        """Return the first header of that name."""
-        for known, content in self.headers:
-            if known == name:
-                return content
-        return None
-
-
-@dataclass(slots=True, eq=False)
-class Exchange:
-    """One request and its answer as it arrives."""
-
-    # Header that the answer must repeat; other answers are skipped.
-    echo_header: bytes = b''
-    echo: bytes = b''
-    head: ResponseHead | None = None
-    chunks: deque[bytes] = field(default_factory=deque)
-    complete: bool = False
-    failure: Failure | None = None
-    detail: str = ''
-    waiter: asyncio.Future[None] | None = None
-    connection: Connection | None = None
-    sent_at_s: float = 0.0
-    unread_bytes: int = 0
-    # Monotonic time at which the watchdog ends the wait; 0 for never.
-    expires_at_s: float = 0.0
-
-    def wake(self) -> None:
-        """Let the reader look again."""
-        if self.waiter is not None and not self.waiter.done():
-            self.waiter.set_result(None)
-
-    def fail(self, failure: Failure, detail: str = '') -> None:
-        """End the exchange; what has arrived can still be read."""
-        if self.complete or self.failure is not None:
-            return
-        self.failure = failure
-        self.detail = detail
-        self.wake()
-
-    async def wait(self) -> None:
-        """Wait for the next arrival."""
-        self.waiter = asyncio.get_running_loop().create_future()
-        try:
-            await self.waiter
-        finally:
-            self.waiter = None
-
-    async def read_head(self) -> ResponseHead:
-        """Return the head of the answer."""
-        while self.head is None:
-            if self.failure is not None:
-                raise ExchangeError(self.failure, self.detail)
-            await self.wait()
-        return self.head
-
-    async def read_chunk(self) -> bytes:
-        """Return the next bytes of the body; none at its end."""
-        while not self.chunks:
-            if self.complete:
-                return b''
-            if self.failure is not None:
-                raise ExchangeError(self.failure, self.detail)
-            await self.wait()
-        chunk = self.chunks.popleft()
-        self.unread_bytes -= len(chunk)
-        if self.connection is not None and not self.unread_bytes:
-            self.connection.resume_reading()
-        return chunk
-
-    async def read_body(self) -> bytes:
-        """Return the whole body."""
-        body = bytearray()
-        while chunk := await self.read_chunk():
-            body += chunk
-        return bytes(body)
-
-    def cancel(self, failure: Failure = Failure.CANCELLED) -> None:
-        """Break the connection unless the answer is complete."""
-        if self.connection is not None and not self.complete:
-            self.connection.abort()
-        self.fail(failure)
-
-
 class Connection(asyncio.Protocol):
     """One connection; it carries one exchange at a time."""
 
@@ -221,7 +111,9 @@
         if exchange is None or self.answer_ended:
             return
         head = ResponseHead(status, self.headers)
-        self.skipping = status < FIRST_FINAL_STATUS or is_foreign(exchange, head)
+        self.skipping = status < FIRST_FINAL_STATUS or is_foreign(
+            exchange, head
+        )
         if self.skipping:
             return
         self.framed = (
@@ -330,7 +222,9 @@
         now_s = time.monotonic()
         while self.idle:
             connection = self.idle.pop()
-            limit_s = min(max_idle_s, connection.keep_alive_s * KEEP_ALIVE_SHARE)
+            limit_s = min(
+                max_idle_s, connection.keep_alive_s * KEEP_ALIVE_SHARE
+            )
             if connection.closed:
                 continue
             if now_s - connection.idle_since_s < limit_s:
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -10,21 +10,22 @@
 import anyio
 
 from quetzaldyke.connection.http_server import Receive, Scope, Send
+from quetzaldyke.gateway.broken_answer import BrokenAnswerError
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Route
-from quetzaldyke.gateway.relay import (
-    BrokenAnswerError,
+from quetzaldyke.gateway.online_request import (
     Headers,
     OnlineRequest,
     Outcome,
     Progress,
     RelayContext,
-    relay,
 )
+from quetzaldyke.gateway.relay import relay
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
 from quetzaldyke.platform import names
 from quetzaldyke.process.metrics import Metrics
 
 MS_IN_S: Final = 1000
+STATUS_OK: Final = 200
 STATUS_BAD_REQUEST: Final = 400
 STATUS_NOT_FOUND: Final = 404
 STATUS_TOO_LARGE: Final = 413
@@ -344,7 +345,7 @@
         await send(
             {
                 'type': 'http.response.start',
-                'status': STATUS_UNAVAILABLE if reason else 200,
+                'status': STATUS_UNAVAILABLE if reason else STATUS_OK,
                 'headers': [(b'content-length', b'%d' % len(reason))],
             },
         )
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -12,9 +12,10 @@
 
 from quetzaldyke.gateway.ingress import AsgiCaller, ReceivedRequest
 from quetzaldyke.gateway.job_book import JobView
-from quetzaldyke.gateway.job_store import JobStore, NewJob, make_job
+from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Route
+from quetzaldyke.gateway.new_job import NewJob, make_job
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.platform import names
 from quetzaldyke.platform.jobs import (
--- a/src/quetzaldyke/gateway/job_book.py
+++ b/src/quetzaldyke/gateway/job_book.py
@@ -7,12 +7,10 @@
 
 import anyio
 
+from quetzaldyke.gateway import job_records
 from quetzaldyke.gateway.job_records import (
-    END_PREFIX,
     JOB_PREFIX,
     MEMBER_PREFIX,
-    QUOTA_PREFIX,
-    STATE_PREFIX,
     JobRecord,
     JobState,
     Member,
@@ -110,17 +108,18 @@
 
     def apply_key(self, key: str, revision: int, value: bytes | None) -> None:
         """Take over one key by its kind."""
-        if key.startswith(MEMBER_PREFIX):
-            self.apply_member(key.removeprefix(MEMBER_PREFIX), value)
-        elif key.startswith(JOB_PREFIX):
-            self.apply_job(key.removeprefix(JOB_PREFIX), value)
-        elif key.startswith(STATE_PREFIX):
-            job_id = key.removeprefix(STATE_PREFIX)
-            self.apply_state(job_id, revision, value)
-        elif key.startswith(END_PREFIX) and value is not None:
-            self.apply_end(key.removeprefix(END_PREFIX))
-        elif key.startswith(QUOTA_PREFIX):
-            self.quota_revisions[key.removeprefix(QUOTA_PREFIX)] = revision
+        prefix, _, name = key.rpartition('/')
+        match f'{prefix}/':
+            case job_records.MEMBER_PREFIX:
+                self.apply_member(name, value)
+            case job_records.JOB_PREFIX:
+                self.apply_job(name, value)
+            case job_records.STATE_PREFIX:
+                self.apply_state(name, revision, value)
+            case job_records.END_PREFIX:
+                self.apply_end(name, value)
+            case job_records.QUOTA_PREFIX:
+                self.quota_revisions[name] = revision
 
     def view(self, job_id: str) -> JobView:
         """Return what is known of a job."""
@@ -174,8 +173,10 @@
         view.notify()
         self.on_job(job_id)
 
-    def apply_end(self, job_id: str) -> None:
+    def apply_end(self, job_id: str, value: bytes | None) -> None:
         """The caller ended a job."""
+        if value is None:
+            return
         view = self.view(job_id)
         if view.ended:
             return
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import time
-from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 from typing import Final, Literal
 
@@ -18,13 +16,11 @@
 from quetzaldyke.gateway.job_records import (
     END_PREFIX,
     JOB_PREFIX,
+    PARTIAL_PREFIX,
     QUOTA_PREFIX,
     STATE_PREFIX,
-    ItemRecord,
-    JobRecord,
     JobState,
     Member,
-    PARTIAL_PREFIX,
     PartialOutput,
     body_key,
     pack_outputs,
@@ -34,61 +30,28 @@
     unpack_partials,
 )
 from quetzaldyke.gateway.model import Route
-from quetzaldyke.parts.kv import ABSENT, KvError
+from quetzaldyke.gateway.new_job import NewJob, fitting
+from quetzaldyke.gateway.part_cache import PartCache
+from quetzaldyke.parts.kv import ABSENT, ErrorKind, KvError
 from quetzaldyke.parts.transactions import (
     Put,
     Transaction,
     TransactionalStore,
 )
-from quetzaldyke.platform.jobs import SubmittedItem
 
-MS_IN_S: Final = 1000
-# Bodies and results are split into parts below the store's value limit.
-MAX_PART_BYTES: Final = 500_000
 # Below this share of the limit, jobs that others accept at the same moment
 # can't exceed it, so acceptances need not follow one another.
 UNORDERED_QUOTA_SHARE: Final = 0.5
+# Keys in one transaction.
+MAX_DELETES: Final = 32
 ACCEPT_TRIES: Final = 6
+# Errors of a write that was certainly not applied.
+CERTAIN_ERRORS: Final = frozenset(('unavailable', 'conflict', 'too_large'))
 VIEW_WAIT_S: Final = 0.4
-RESULT_CACHE_BYTES: Final = 6_000_000
 
 AcceptFailure = Literal['over_quota', 'unavailable', 'unknown']
 
 
-@dataclass(slots=True)
-class PartCache:
-    """Parts that were read lately, bounded by their size."""
-
-    parts: OrderedDict[str, bytes] = field(default_factory=OrderedDict)
-    size: int = 0
-
-    def get(self, key: str) -> bytes | None:
-        """Return a part and mark it as used."""
-        known = self.parts.get(key)
-        if known is not None:
-            self.parts.move_to_end(key)
-        return known
-
-    def put(self, key: str, part: bytes) -> None:
-        """Keep a part and drop those that were not used for longest."""
-        if key in self.parts:
-            return
-        self.parts[key] = part
-        self.size += len(part)
-        while self.size > RESULT_CACHE_BYTES:
-            _, dropped = self.parts.popitem(last=False)
-            self.size -= len(dropped)
-
-
-@dataclass(frozen=True, slots=True)
-class NewJob:
-    """A job on its way into the store."""
-
-    record: JobRecord
-    bodies: dict[int, bytes]
-    tokens: int
-
-
 @dataclass(slots=True)
 class JobStore:
     """Jobs in the store, as one entry writes and reads them."""
@@ -105,10 +68,9 @@
         route: Route,
     ) -> Result[None, AcceptFailure]:
         """Accept a job once; `unknown` if it may have been accepted."""
-        job_id = job.record.job_id
         uncertain = False
         for _ in range(ACCEPT_TRIES):
-            if self.book.view_known(job_id):
+            if self.book.view_known(job.record.job_id):
                 return Ok(None)
             fits, condition = self.check_quota(job, route)
             if not fits and not uncertain:
@@ -119,18 +81,25 @@
             if isinstance(written, Ok):
                 return Ok(None)
             kind = written.err_value.kind
+            uncertain |= kind not in CERTAIN_ERRORS
             if kind == 'unavailable' and not uncertain:
                 return Err('unavailable')
-            if kind != 'conflict':
-                uncertain = True
-            settled = await self.find(job_id)
-            if isinstance(settled, Ok) and settled.ok_value:
+            if await self.was_accepted(job.record.job_id, kind):
                 return Ok(None)
-            if isinstance(settled, Err) or kind != 'conflict':
-                continue
-            await self.wait_for_news()
         return Err('unknown' if uncertain else 'unavailable')
 
+    async def was_accepted(self, job_id: str, kind: ErrorKind) -> bool:
+        """Tell whether a job is in the store after all."""
+        settled = await self.find(job_id)
+        if isinstance(settled, Err):
+            return False
+        if settled.ok_value is not None:
+            return True
+        if kind == 'conflict':
+            # Another job was accepted; its quota must be seen first.
+            await self.wait_for_news()
+        return False
+
     def check_quota(
         self,
         job: NewJob,
@@ -330,6 +299,26 @@
             return []
         return unpack_partials(answer.ok_value.value)
 
+    async def delete(self, job_id: str) -> None:
+        """Delete everything about a job; what remains is deleted later."""
+        view = self.book.view(job_id)
+        parts = view.state.parts if view.state else 0
+        bodies = 1
+        if view.record is not None and view.record.items:
+            bodies += view.record.items[-1].body_part
+        keys = [result_key(job_id, part) for part in range(parts)]
+        keys.extend(body_key(job_id, part) for part in range(bodies))
+        keys.append(f'{PARTIAL_PREFIX}{job_id}')
+        keys.append(f'{END_PREFIX}{job_id}')
+        keys.append(f'{STATE_PREFIX}{job_id}')
+        # The job's own key goes last: while it is there, all is tried again.
+        keys.append(f'{JOB_PREFIX}{job_id}')
+        for start in range(0, len(keys), MAX_DELETES):
+            batch = tuple(keys[start : start + MAX_DELETES])
+            deleted = await self.store.transact(Transaction(deletes=batch))
+            if isinstance(deleted, Err):
+                return
+
     async def read_part(self, key: str) -> Result[bytes, KvError]:
         """Return a value that never changes once it is written."""
         known = self.cache.get(key)
@@ -362,55 +351,3 @@
         if isinstance(answer, Err):
             return answer
         return Ok(unpack_outputs(answer.ok_value))
-
-
-def fitting(partials: list[PartialOutput]) -> list[PartialOutput]:
-    """Return the partial outputs that fit into one value, longest first."""
-    kept = []
-    size = 0
-    for one in sorted(partials, key=lambda row: -len(row.output)):
-        size += len(one.output)
-        if size > MAX_PART_BYTES:
-            break
-        kept.append(one)
-    return kept
-
-
-def make_job(
-    job_id: str,
-    route: Route,
-    submitted: list[SubmittedItem],
-) -> NewJob:
-    """Return the records of a submitted job."""
-    bodies: dict[int, bytearray] = {0: bytearray()}
-    items: list[ItemRecord] = []
-    for one in submitted:
-        part = len(bodies) - 1
-        if bodies[part] and len(bodies[part]) + len(one.body) > MAX_PART_BYTES:
-            part += 1
-            bodies[part] = bytearray()
-        start = len(bodies[part])
-        bodies[part] += one.body
-        items.append(
-            ItemRecord(
-                one.item_id,
-                one.path,
-                one.headers,
-                one.tokens,
-                part,
-                start,
-                len(one.body),
-            ),
-        )
-    record = JobRecord(
-        job_id,
-        route.name,
-        route.host,
-        int(time.time() * MS_IN_S),
-        tuple(items),
-    )
-    return NewJob(
-        record,
-        {part: bytes(body) for part, body in bodies.items()},
-        sum(one.tokens for one in submitted),
-    )
--- a/src/quetzaldyke/gateway/keeper.py
+++ b/src/quetzaldyke/gateway/keeper.py
@@ -12,8 +12,10 @@
 import anyio
 from result import Err
 
-from quetzaldyke.gateway.http_client import HttpClient
-from quetzaldyke.gateway.logs import LineWriter, log_event
+from quetzaldyke.gateway.http_client import (
+    HttpClient,
+)
+from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Installation
 from quetzaldyke.gateway.store_health import StoreHealth
 from quetzaldyke.gateway.watch import Follower
@@ -32,7 +34,7 @@
 RETRY_PAUSE_S: Final = 0.3
 
 
-async def run_keeper(installation: Installation, writer: LineWriter) -> None:
+async def run_keeper(installation: Installation) -> None:
     """Answer requests to empty this instance until the planned stop."""
     clock = Clock()
     health = StoreHealth()
--- a/src/quetzaldyke/gateway/loads.py
+++ b/src/quetzaldyke/gateway/loads.py
@@ -29,6 +29,10 @@
         return self.online + self.batch
 
 
+# Stands for endpoints without requests; never changed.
+IDLE: Final = Running()
+
+
 @dataclass(slots=True)
 class PeerReport:
     """The counts of one peer and when they came."""
@@ -58,15 +62,13 @@
 
     def online(self, endpoint_id: str) -> int:
         """Return the online requests of all entries."""
-        others = self.others.get(endpoint_id)
-        own = self.own.get(endpoint_id)
-        return (own.online if own else 0) + (others.online if others else 0)
+        own = self.own.get(endpoint_id, IDLE)
+        return own.online + self.others.get(endpoint_id, IDLE).online
 
     def total(self, endpoint_id: str) -> int:
         """Return all requests of all entries."""
-        others = self.others.get(endpoint_id)
-        own = self.own.get(endpoint_id)
-        return (own.total if own else 0) + (others.total if others else 0)
+        own = self.own.get(endpoint_id, IDLE)
+        return own.total + self.others.get(endpoint_id, IDLE).total
 
     def waiting_elsewhere(self, service: str) -> int:
         """Return the online requests that wait at the peers."""
@@ -83,8 +85,7 @@
         found = [
             (report.counts[endpoint_id].batch, peer)
             for peer, report in self.peers.items()
-            if endpoint_id in report.counts
-            and report.counts[endpoint_id].batch
+            if endpoint_id in report.counts and report.counts[endpoint_id].batch
         ]
         return sorted(found, reverse=True)
 
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import time
 from collections.abc import Callable, Mapping
@@ -16,6 +17,7 @@
 
 import eliot
 
+from quetzaldyke.gateway.broken_answer import BrokenAnswerError
 from quetzaldyke.process.logs import render_line
 
 LINES_PER_S: Final = 60.0
@@ -51,7 +53,8 @@
         grown = self.allowed + (now_s - self.updated_s) * LINES_PER_S
         self.allowed = min(BURST_LINES, grown)
         self.updated_s = now_s
-        if self.allowed < (RESERVED_LINES + 1 if routine else 1):
+        needed = RESERVED_LINES + 1 if routine else 1
+        if self.allowed < needed:
             return False
         self.allowed -= 1
         return True
@@ -104,9 +107,25 @@
         LineBudget(updated_s=time.monotonic()),
     )
     eliot.add_destinations(writer.write)
+    logging.basicConfig(level=logging.ERROR, handlers=[FaultHandler()])
     return writer
 
 
+class FaultHandler(logging.Handler):
+    """Turns error records of libraries into log lines of the process."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record, but for faults that end a channel on purpose."""
+        fault = record.exc_info[1] if record.exc_info else None
+        if not isinstance(fault, BrokenAnswerError):
+            log_event(
+                'library_fault',
+                logger=record.name,
+                message=record.getMessage().strip(),
+                fault=repr(fault),
+            )
+
+
 def log_event(name: str, **fields: object) -> None:
     """Write one structured line."""
     eliot.log_message(message_type=name, **fields)
--- a/src/quetzaldyke/gateway/membership.py
+++ b/src/quetzaldyke/gateway/membership.py
@@ -121,7 +121,9 @@
             if owner in members or owner not in owners:
                 del self.missing_since[owner]
         if now_s - store_well_since_s < OUTAGE_GRACE_S:
-            gone = {owner for owner in gone if self.is_predecessor(owners[owner])}
+            gone = {
+                owner for owner in gone if self.is_predecessor(owners[owner])
+            }
         return [
             job_id
             for job_id, view in self.book.jobs.items()
--- /dev/null
+++ b/src/quetzaldyke/gateway/metrics_app.py
@@ -0,0 +1,29 @@
+"""Serves the metrics of a process as text."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from quetzaldyke.connection.http_server import App, Receive, Scope, Send
+from quetzaldyke.process.metrics import Metrics
+
+TEXT_TYPE: Final = (b'content-type', b'text/plain; version=0.0.4')
+STATUS_OK: Final = 200
+
+
+def metrics_app(metrics: Metrics) -> App:
+    """Return an ASGI application that renders the metrics at any path."""
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        body = metrics.render().encode()
+        length = (b'content-length', b'%d' % len(body))
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': STATUS_OK,
+                'headers': [TEXT_TYPE, length],
+            },
+        )
+        await send({'type': 'http.response.body', 'body': body})
+
+    return app
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -83,6 +83,7 @@
     def distance(self, endpoint: Endpoint) -> float:
         """Return the handicap of an endpoint, with a random tie-break."""
         remote = endpoint.failure_domain != self.failure_domain
+        handicap = LOCAL_PREFERENCE if remote else 0
         blur = MIN_BLUR + BLUR_PER_PEER * len(self.loads.peers)
         tie_break = self.generator.random() * min(blur, MAX_BLUR)
-        return tie_break / endpoint.slots + (LOCAL_PREFERENCE if remote else 0.0)
+        return tie_break / endpoint.slots + handicap
--- a/src/quetzaldyke/gateway/store_tunnel.py
+++ b/src/quetzaldyke/gateway/store_tunnel.py
@@ -53,7 +53,9 @@
         await copy(stream, peer, group)
 
 
-async def copy(source: ByteStream, target: ByteStream, group: TaskGroup) -> None:
+async def copy(
+    source: ByteStream, target: ByteStream, group: TaskGroup
+) -> None:
     """Copy bytes one way; the end of one way ends both."""
     try:
         async for chunk in source:
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -36,7 +36,7 @@
     on_changes: OnChanges
     wait_s: float = WATCH_WAIT_S
     # Time to gather changes before the next call.
-    pause_s: Callable[[], float] = lambda: 0.0
+    pause_s: Callable[[], float] = float
     # Everything up to this revision was seen; None before the first list.
     revision: int | None = None
     failures: int = 0
--- a/src/quetzaldyke/platform/store.py
+++ b/src/quetzaldyke/platform/store.py
@@ -18,12 +18,14 @@
 import orjson
 from result import Err, Ok, Result
 
-from quetzaldyke.gateway.http_client import (
+from quetzaldyke.gateway.exchange import (
     Exchange,
     ExchangeError,
     Failure,
-    HttpClient,
     ResponseHead,
+)
+from quetzaldyke.gateway.http_client import (
+    HttpClient,
     encode_request,
 )
 from quetzaldyke.gateway.logs import log_event
@@ -48,6 +50,7 @@
 STATUS_GONE: Final = 410
 STATUS_CONDITION_FAILED: Final = 412
 STATUS_TOO_LARGE: Final = 413
+LOGGED_BODY_BYTES: Final = 200
 REFUSALS: Final = frozenset((429, 503))
 
 
@@ -308,7 +311,11 @@
         STATUS_CONDITION_FAILED,
     }
     if head.status not in expected:
-        return Err(KvError('unknown', f'status {head.status}: {raw[:200]!r}'))
+        return Err(
+            KvError(
+                'unknown', f'status {head.status}: {raw[:LOGGED_BODY_BYTES]!r}'
+            )
+        )
     try:
         body = orjson.loads(raw) if raw else None
     except ValueError as exc:
