--- a/src/quetzaldyke/commands/standin.py
+++ b/src/quetzaldyke/commands/standin.py
@@ -21,6 +21,14 @@
 from quetzaldyke.standins.engine_options import EngineOptions
 from quetzaldyke.standins.instances import InstancesOptions, run_instances
 from quetzaldyke.standins.kv import KvOptions, run_kv
+from quetzaldyke.standins.platform_endpoint import (
+    PlatformEndpointOptions,
+    run_platform_endpoint,
+)
+from quetzaldyke.standins.platform_store import (
+    PlatformStoreOptions,
+    run_platform_store,
+)
 from quetzaldyke.standins.service import ServiceOptions, run_service
 
 USAGE_STATUS: Final = 2
@@ -51,6 +59,8 @@
     'engine': Kind(EngineOptions, run_engine),
     'service': Kind(ServiceOptions, run_service),
     'instances': Kind(InstancesOptions, run_instances),
+    'platform-store': Kind(PlatformStoreOptions, run_platform_store),
+    'platform-endpoint': Kind(PlatformEndpointOptions, run_platform_endpoint),
 }
 
 
@@ -116,7 +126,7 @@
 
 
 def run_standin(kind: str, **flags: object) -> None:
-    """Run a stand-in: kv, engine, service or instances.
+    """Run a stand-in: kv, engine, service, instances or of the platform.
 
     Args:
         kind: which stand-in.
--- /dev/null
+++ b/src/quetzaldyke/standins/platform_endpoint.py
@@ -0,0 +1,315 @@
+"""Stand-in for an endpoint on the platform: a model engine or plain service.
+
+It registers itself in the store, runs requests on a few slots in order of
+arrival, and keeps a record of every run, so that a test can see what ran
+twice or where it should not have. The events of a stream depend only on the
+request, as those of a resumed run must.
+"""
+
+from __future__ import annotations
+
+import base64
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import anyio
+import httpcore
+import orjson
+from anyio.abc import TaskStatus
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from quetzaldyke.connection.http_server import HttpOptions, serve_http
+
+MS_IN_S: Final = 1000
+HEARTBEAT_S: Final = 0.5
+LEASE_S: Final = 2.0
+MAX_QUEUE: Final = 24
+METHODS: Final = ('GET', 'POST', 'PUT', 'DELETE')
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformEndpointOptions:
+    """Options of the stand-in."""
+
+    address: str = '127.0.0.1:0'
+    # Where it registers; nowhere when empty.
+    store_address: str = ''
+    endpoint_id: str = 'i-1'
+    service: str = 'lm'
+    failure_domain: str = 'a'
+    slots: int = 4
+    events: int = 10
+    event_ms: float = 5.0
+    # Answers with one body in place of a stream.
+    plain: bool = False
+
+
+@dataclass(slots=True)
+class EndpointFaults:
+    """Switches; all off at the start."""
+
+    # Breaks each stream off after this many events; 0 for never.
+    break_after: int = 0
+    # Answers 500 to every request.
+    fail: bool = False
+    # Answers nothing.
+    silent: bool = False
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RunRecord:
+    """One run of a request."""
+
+    request_id: str
+    path: str
+    first_event: int
+    started_s: float
+    body: str
+
+
+@dataclass(slots=True)
+class PlatformEndpointStandin:
+    """A running stand-in."""
+
+    options: PlatformEndpointOptions
+    faults: EndpointFaults = field(default_factory=EndpointFaults)
+    stopping: anyio.Event = field(default_factory=anyio.Event)
+    address: str = ''
+    runs: list[RunRecord] = field(default_factory=list)
+    running: int = 0
+    queued: int = 0
+    most_running: int = 0
+    born_ms: int = field(default_factory=lambda: int(time.time() * MS_IN_S))
+    free: anyio.Event = field(default_factory=anyio.Event)
+
+    def routes(self) -> list[Route]:
+        """Return the routes of tests and of callers."""
+        return [
+            Route('/faults', self.set_faults, methods=['POST']),
+            Route('/runs', self.show_runs),
+            Route('/{path:path}', self.serve, methods=list(METHODS)),
+        ]
+
+    async def set_faults(self, request: Request) -> Response:
+        """Switch faults on and off."""
+        for name, setting in orjson.loads(await request.body()).items():
+            setattr(self.faults, name, setting)
+        return Response()
+
+    async def show_runs(self, request: Request) -> Response:
+        """Show every run so far."""
+        rows = [
+            {
+                'id': one.request_id,
+                'path': one.path,
+                'first': one.first_event,
+                'at': one.started_s,
+                'body': one.body,
+            }
+            for one in self.runs
+        ]
+        return Response(
+            orjson.dumps({'runs': rows, 'most': self.most_running}),
+            media_type='application/json',
+        )
+
+    async def serve(self, request: Request) -> Response:
+        """Run a request, or say that it does not run."""
+        request_id = request.headers.get('attempt-id', '')
+        expected = request.headers.get('expect-instance')
+        if expected is not None and expected != self.options.endpoint_id:
+            return Response(
+                status_code=421,
+                headers={'Instance-Id': self.options.endpoint_id},
+            )
+        if self.faults.silent:
+            await anyio.sleep_forever()
+        if not request_id or self.queued >= MAX_QUEUE:
+            status = 503 if request_id else 400
+            return Response(status_code=status, headers={'Not-Executed': '1'})
+        body = await request.body()
+        await self.take_slot()
+        first = int(request.headers.get('last-event-id', '0')) + 1
+        self.runs.append(
+            RunRecord(
+                request_id,
+                request.url.path,
+                first,
+                time.time(),
+                body.decode('latin-1'),
+            ),
+        )
+        headers = {'Attempt-Id': request_id, 'Response-Signature': 'proof'}
+        if self.faults.fail:
+            self.give_slot()
+            return Response(status_code=500, headers=headers)
+        if self.options.plain:
+            return await self.plain_answer(request_id, headers)
+        return StreamingResponse(
+            self.stream(request_id, first),
+            headers=headers,
+            media_type='text/event-stream',
+        )
+
+    async def take_slot(self) -> None:
+        """Wait for a slot."""
+        self.queued += 1
+        try:
+            while self.running >= self.options.slots:
+                await self.free.wait()
+        finally:
+            self.queued -= 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+
+    def give_slot(self) -> None:
+        """Free a slot."""
+        self.running -= 1
+        self.free.set()
+        self.free = anyio.Event()
+
+    async def plain_answer(
+        self,
+        request_id: str,
+        headers: dict[str, str],
+    ) -> Response:
+        """Answer with one body."""
+        try:
+            await anyio.sleep(self.options.event_ms / MS_IN_S)
+            return Response(f'done {request_id}', headers=headers)
+        finally:
+            self.give_slot()
+
+    async def stream(
+        self,
+        request_id: str,
+        first: int,
+    ) -> AsyncIterator[bytes]:
+        """Yield the events of a run."""
+        try:
+            for number in range(first, self.options.events + 1):
+                await anyio.sleep(self.options.event_ms / MS_IN_S)
+                yield event_of(request_id, number)
+                broken = self.faults.break_after
+                if broken and number - first + 1 >= broken:
+                    raise ConnectionResetError('broken off on purpose')
+        finally:
+            self.give_slot()
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    r"""Return one event of a request.
+
+    >>> event_of('r', 2)
+    b'id: 2\ndata: r/2\n\n'
+    """
+    return f'id: {number}\ndata: {request_id}/{number}\n\n'.encode()
+
+
+def whole_output(request_id: str, events: int) -> str:
+    r"""Return the data of all events of a request.
+
+    >>> whole_output('r', 2)
+    'r/1\nr/2'
+    """
+    lines = (f'{request_id}/{number}' for number in range(1, events + 1))
+    return '\n'.join(lines)
+
+
+async def register(standin: PlatformEndpointStandin) -> None:
+    """Keep the entry of this endpoint in the store."""
+    lease = 0
+    async with httpcore.AsyncConnectionPool() as pool:
+        while True:
+            try:
+                lease = await beat(standin, pool, lease)
+            except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
+                lease = 0
+            await anyio.sleep(HEARTBEAT_S)
+
+
+async def beat(
+    standin: PlatformEndpointStandin,
+    pool: httpcore.AsyncConnectionPool,
+    lease: int,
+) -> int:
+    """Renew the lease or write the entry anew; return the lease."""
+    if lease and not standin.faults.draining:
+        kept = await call(standin, pool, f'kv-keep/{lease}', {})
+        if kept is not None:
+            return lease
+    granted = await call(standin, pool, 'kv-lease', {'ttl-ms': LEASE_S * 1000})
+    if granted is None:
+        return 0
+    lease = granted['lease']
+    put = {
+        'key': f'servers/{standin.options.endpoint_id}',
+        'value': base64.b64encode(entry_of(standin)).decode('ascii'),
+        'lease': lease,
+    }
+    written = await call(standin, pool, 'kv-txn', {'puts': [put]})
+    return lease if written is not None else 0
+
+
+def entry_of(standin: PlatformEndpointStandin) -> bytes:
+    """Return the entry of an endpoint."""
+    options = standin.options
+    return orjson.dumps(
+        {
+            'service': options.service,
+            'address': standin.address,
+            'zone': options.failure_domain,
+            'version': 'v1',
+            'slots': options.slots,
+            'state': 'draining' if standin.faults.draining else 'ready',
+            'cold-left-ms': 0,
+            'call-seq': 0,
+            'born': standin.born_ms,
+        },
+    )
+
+
+async def call(
+    standin: PlatformEndpointStandin,
+    pool: httpcore.AsyncConnectionPool,
+    path: str,
+    body: object,
+) -> Any:
+    """Call the store; None when it refuses."""
+    answer = await pool.request(
+        'POST',
+        f'http://{standin.options.store_address}/quetzaldyke/{path}',
+        content=orjson.dumps(body),
+    )
+    return orjson.loads(answer.content) if answer.status == 200 else None
+
+
+async def run_platform_endpoint(
+    options: PlatformEndpointOptions,
+    *,
+    task_status: TaskStatus[
+        PlatformEndpointStandin
+    ] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run the stand-in until `stopping` is set."""
+    standin = PlatformEndpointStandin(options)
+    app = Starlette(routes=standin.routes())
+    async with anyio.create_task_group() as group:
+        http = await group.start(
+            serve_http,
+            app,
+            HttpOptions(options.address, drain_s=1),
+            standin.stopping,
+        )
+        standin.address = http.address
+        if options.store_address:
+            group.start_soon(register, standin)
+        task_status.started(standin)
+        await standin.stopping.wait()
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/gateway_kit.py
@@ -0,0 +1,233 @@
+"""Builders and fakes that the gateway's tests share."""
+
+from __future__ import annotations
+
+import base64
+import random
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from quetzaldyke.gateway.dispatcher import Dispatcher
+from quetzaldyke.gateway.endpoints import EndpointBook
+from quetzaldyke.gateway.job_book import JobBook
+from quetzaldyke.gateway.job_records import FLEET_PREFIX
+from quetzaldyke.gateway.job_store import JobStore
+from quetzaldyke.gateway.loads import LoadTable, Running
+from quetzaldyke.gateway.model import (
+    BatchTerms,
+    Endpoint,
+    EndpointState,
+    Route,
+    RouteKind,
+    WeightedService,
+)
+from quetzaldyke.gateway.placement import PlacementPolicy
+from quetzaldyke.parts.kv import ErrorKind, KvError, Record
+from quetzaldyke.parts.timers import Clock
+from quetzaldyke.parts.transactions import (
+    Lease,
+    Snapshot,
+    Transaction,
+    WatchBatch,
+    WatchedChange,
+)
+from quetzaldyke.standins.platform_store import StoreState
+
+
+def make_endpoint(
+    endpoint_id: str,
+    *,
+    failure_domain: str = 'a',
+    slots: int = 4,
+    state: EndpointState = 'ready',
+    started_ms: int = 0,
+) -> Endpoint:
+    """Return an endpoint of the service `lm`."""
+    return Endpoint(
+        endpoint_id,
+        'lm',
+        '127.0.0.1',
+        1,
+        failure_domain,
+        slots,
+        state,
+        started_ms,
+    )
+
+
+def make_route(
+    kind: RouteKind = 'stream',
+    *,
+    resumable: bool = True,
+    max_attempts: int = 2,
+    cap: int = 0,
+) -> Route:
+    """Return a route to the service `lm`."""
+    return Route(
+        name='r',
+        host='h.example',
+        prefix='/p/',
+        kind=kind,
+        timeout_s=5.0,
+        target_s=0.3,
+        priority=0,
+        max_attempts=max_attempts,
+        resumable=resumable,
+        max_gap_s=0.25,
+        services=(WeightedService('lm', 1),),
+        batch=BatchTerms(18.0, 60.0, cap) if kind == 'batch' else None,
+    )
+
+
+@dataclass(slots=True)
+class FakeTime:
+    """A clock that tests set."""
+
+    now_s: float = 100.0
+
+    def read(self) -> float:
+        """Return the time in seconds."""
+        return self.now_s
+
+
+def make_dispatcher(time: FakeTime, *endpoints: Endpoint) -> Dispatcher:
+    """Return a dispatcher over the given endpoints."""
+    generator = random.Random(1)
+    loads = LoadTable()
+    book = EndpointBook()
+    book.replace_all(endpoints, time.now_s)
+    return Dispatcher(
+        book,
+        loads,
+        PlacementPolicy('a', generator, loads),
+        Clock(time.read),
+        generator,
+        is_engine=lambda service: True,
+    )
+
+
+def use(loads: LoadTable, endpoint_id: str, online: int, batch: int) -> None:
+    """Set this entry's counts of an endpoint."""
+    loads.own[endpoint_id] = Running(online, batch)
+
+
+@dataclass(slots=True)
+class FakeStore:
+    """A store in memory whose next writes can fail in chosen ways.
+
+    A fault of `unknown` loses the answer of a write that was applied,
+    `dropped` loses one that was not.
+    """
+
+    state: StoreState = field(default_factory=StoreState)
+    write_faults: list[str] = field(default_factory=list)
+    writes: int = 0
+
+    async def get(
+        self,
+        key: str,
+        *,
+        stale: bool = False,
+    ) -> Result[Record | None, KvError]:
+        """Read one key."""
+        item = self.state.items.get(key)
+        if item is None:
+            return Ok(None)
+        return Ok(Record(key, item.value, item.revision))
+
+    async def list_prefix(self, prefix: str) -> Result[Snapshot, KvError]:
+        """Read a prefix."""
+        records = [
+            Record(key, item.value, item.revision)
+            for key, item in self.state.items.items()
+            if key.startswith(prefix)
+        ]
+        return Ok(Snapshot(records, self.state.revision))
+
+    async def watch(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_s: float,
+    ) -> Result[WatchBatch, KvError]:
+        """Return what has changed by now."""
+        changes = [
+            WatchedChange(
+                event.key,
+                event.revision,
+                event.item.value if event.item else None,
+            )
+            for event in self.state.events_after(prefix, after_revision)
+        ]
+        return Ok(WatchBatch(changes, self.state.revision))
+
+    async def transact(self, transaction: Transaction) -> Result[int, KvError]:
+        """Apply a transaction unless a fault is due."""
+        self.writes += 1
+        fault = self.write_faults.pop(0) if self.write_faults else ''
+        if fault == 'dropped':
+            return Err(KvError('unknown'))
+        if fault == 'unavailable':
+            return Err(KvError('unavailable'))
+        status, answer = self.state.transact(encode(transaction))
+        if fault == 'unknown':
+            return Err(KvError('unknown'))
+        if status == 200:
+            return Ok(int(answer['revision']))
+        kind: ErrorKind = 'conflict' if status == 412 else 'no_lease'
+        return Err(KvError(kind))
+
+    async def grant_lease(self, ttl_s: float) -> Result[Lease, KvError]:
+        """Create a lease."""
+        return Ok(Lease(self.state.grant(ttl_s), ttl_s))
+
+    async def renew_lease(self, lease_id: int) -> Result[None, KvError]:
+        """Extend a lease."""
+        if lease_id in self.state.leases:
+            return Ok(None)
+        return Err(KvError('no_lease'))
+
+    async def end_lease(self, lease_id: int) -> Result[None, KvError]:
+        """End a lease."""
+        self.state.end_lease(lease_id)
+        return Ok(None)
+
+
+def encode(transaction: Transaction) -> dict[str, object]:
+    """Return a transaction in the stand-in's form."""
+    return {
+        'if-rev': [
+            {'key': key, 'revision': revision}
+            for key, revision in transaction.conditions.items()
+        ],
+        'puts': [
+            {
+                'key': put.key,
+                'value': base64.b64encode(put.value).decode(),
+                'lease': put.lease_id,
+            }
+            for put in transaction.puts
+        ],
+        'deletes': list(transaction.deletes),
+    }
+
+
+@dataclass(slots=True)
+class Node:
+    """The batch side of one entry over a shared store."""
+
+    store: JobStore
+    book: JobBook
+
+    @classmethod
+    def of(cls, store: FakeStore, owner_id: str) -> Node:
+        """Return a node that has seen nothing yet."""
+        book = JobBook()
+        return cls(JobStore(store, book, owner_id, f'i-{owner_id}'), book)
+
+    async def see(self) -> None:
+        """See every change so far."""
+        answer = await self.store.store.list_prefix(FLEET_PREFIX)
+        assert isinstance(answer, Ok)
+        self.book.take_snapshot(answer.ok_value)
--- /dev/null
+++ b/tests/test_gateway_routing.py
@@ -0,0 +1,241 @@
+"""Tests of routes, endpoints, loads and the choice of an endpoint."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gateway_kit import (
+    FakeTime,
+    make_dispatcher,
+    make_endpoint,
+    make_route,
+    use,
+)
+from quetzaldyke.gateway.endpoints import LAPSE_GRACE_S, EndpointBook
+from quetzaldyke.gateway.loads import LoadTable, Running
+from quetzaldyke.gateway.model import (
+    CallerLimits,
+    Configuration,
+    WeightedService,
+)
+from quetzaldyke.gateway.placement import PlacementPolicy
+from quetzaldyke.gateway.route_table import RouteTable, choose_service
+
+
+def table_of(*prefixes: str) -> RouteTable:
+    """Return a table of routes of one host."""
+    routes = tuple(
+        replace(make_route(), name=prefix, prefix=prefix) for prefix in prefixes
+    )
+    return RouteTable.from_configuration(
+        Configuration(1, routes, {}, CallerLimits()),
+    )
+
+
+@pytest.mark.parametrize(
+    ('path', 'expected'),
+    [
+        ('/a/b/c', '/a/b/'),
+        ('/a/x', '/a/'),
+        ('/a/b', '/a/'),
+        ('/b', None),
+        ('/a', None),
+    ],
+)
+def test_longest_prefix(path: str, expected: str | None) -> None:
+    """Guards against a request that goes to the route of a shorter prefix."""
+    found = table_of('/a/', '/a/b/').find('h.example', path)
+    assert (found.name if found else None) == expected
+
+
+def test_other_host_has_no_route() -> None:
+    """Guards against routes that leak to another host."""
+    assert table_of('/a/').find('other.example', '/a/x') is None
+
+
+def test_split_follows_weights() -> None:
+    """Guards against a share of 10 in 100 that gets half of the requests."""
+    route = replace(
+        make_route(),
+        services=(WeightedService('x', 90), WeightedService('y', 10)),
+    )
+    generator = random.Random(3)
+    drawn = Counter(choose_service(route, generator) for _ in range(2000))
+    assert 130 < drawn['y'] < 270
+
+
+def test_no_new_work_for_a_draining_endpoint() -> None:
+    """Guards against requests that reach an endpoint after it drains."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    book.put(make_endpoint('e1', state='draining'))
+    assert not book.usable('lm', 0.0)
+
+
+def test_entry_that_lapsed_in_an_outage_stays_usable() -> None:
+    """Guards against losing every endpoint when the list itself was away."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    book.outage_began()
+    assert not book.remove('e1', 1.0)
+    book.outage_ended(2.0)
+    assert not book.drop_lapsed(2.0 + LAPSE_GRACE_S / 2)
+    assert book.usable('lm', 2.0)
+
+
+def test_entry_that_stays_away_after_an_outage_is_gone() -> None:
+    """Guards against endpoints that died in an outage and get work for ever."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    book.outage_began()
+    book.remove('e1', 1.0)
+    book.outage_ended(2.0)
+    assert book.drop_lapsed(2.0 + LAPSE_GRACE_S) == ['e1']
+    assert not book.usable('lm', 5.0)
+
+
+def test_removal_in_calm_times_counts_at_once() -> None:
+    """Guards against work for an endpoint that left without draining."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    assert book.remove('e1', 50.0)
+
+
+def test_failed_endpoint_is_put_aside_for_longer_each_time() -> None:
+    """Guards against a dark endpoint that keeps getting its full share."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    book.put(make_endpoint('e2'))
+    pauses = [book.note_failure('e1', 10.0 * number) for number in range(3)]
+    assert pauses == sorted(pauses)
+    assert pauses[0] < pauses[2]
+    assert [one.endpoint_id for one in book.usable('lm', 20.1)] == ['e2']
+
+
+def test_all_put_aside_are_used_all_the_same() -> None:
+    """Guards against this entry's own cut stopping a whole service."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    book.note_failure('e1', 1.0)
+    assert book.usable('lm', 1.1)
+
+
+def test_request_that_runs_once_avoids_unproved_endpoints() -> None:
+    """Guards against unrepeatable requests that probe a dark endpoint."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    book.put(make_endpoint('e2'))
+    book.note_failure('e1', 1.0)
+    careful = book.usable('lm', 60.0, careful=True)
+    assert [one.endpoint_id for one in careful] == ['e2']
+    book.note_success('e1')
+    assert len(book.usable('lm', 60.0, careful=True)) == 2
+
+
+def test_endpoint_back_under_its_id_starts_anew() -> None:
+    """Guards against failures of an earlier life that stick to an id."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1', started_ms=1))
+    book.put(make_endpoint('e2'))
+    book.note_failure('e1', 1.0)
+    book.put(make_endpoint('e1', started_ms=2))
+    assert len(book.usable('lm', 1.1)) == 2
+
+
+def test_silent_peers_are_forgotten() -> None:
+    """Guards against slots that a dead entry seems to use for ever."""
+    loads = LoadTable()
+    loads.take_report('p', {'e1': Running(2, 1)}, {'lm': 3}, 4, now_s=1.0)
+    assert (loads.total('e1'), loads.online('e1')) == (3, 2)
+    assert (loads.waiting_elsewhere('lm'), loads.pending_elsewhere()) == (3, 4)
+    assert loads.forget_silent(2.5) == ['p']
+    assert loads.total('e1') == 0
+
+
+def policy_of(loads: LoadTable) -> PlacementPolicy:
+    """Return a policy of an entry in failure domain `a`."""
+    return PlacementPolicy('a', random.Random(2), loads)
+
+
+def test_free_slot_in_the_own_domain_first() -> None:
+    """Guards against bytes that cross failure domains without need."""
+    near = make_endpoint('near', failure_domain='a')
+    far = make_endpoint('far', failure_domain='b')
+    chosen = policy_of(LoadTable()).choose([far, near], 0)
+    assert chosen is not None
+    assert chosen.endpoint.endpoint_id == 'near'
+
+
+def test_free_slot_elsewhere_before_a_full_one_here() -> None:
+    """Guards against a line at home while another domain is idle."""
+    loads = LoadTable()
+    use(loads, 'near', online=4, batch=0)
+    near = make_endpoint('near', failure_domain='a')
+    far = make_endpoint('far', failure_domain='b')
+    chosen = policy_of(loads).choose([far, near], 2)
+    assert chosen is not None
+    assert chosen.endpoint.endpoint_id == 'far'
+
+
+def test_batch_yields_in_a_burst() -> None:
+    """Guards against online requests that wait behind batch runs."""
+    loads = LoadTable()
+    use(loads, 'e1', online=1, batch=3)
+    use(loads, 'e2', online=3, batch=1)
+    endpoints = [make_endpoint('e1'), make_endpoint('e2')]
+    chosen = policy_of(loads).choose(endpoints, 1)
+    assert chosen is not None
+    assert chosen.yield_batch
+    assert chosen.endpoint.endpoint_id == 'e1'
+
+
+def test_full_of_online_requests_means_waiting() -> None:
+    """Guards against unbounded queues in the engines."""
+    loads = LoadTable()
+    use(loads, 'e1', online=5, batch=0)
+    assert policy_of(loads).choose([make_endpoint('e1')], 1) is None
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 6), st.integers(0, 6)),
+        min_size=1,
+        max_size=6,
+    ),
+    st.integers(0, 2),
+)
+def test_choice_never_exceeds_what_is_allowed(
+    used: list[tuple[int, int]],
+    queue_allowed: int,
+) -> None:
+    """Guards against a choice that overfills while others are free."""
+    loads = LoadTable()
+    endpoints = []
+    for number, (online, batch) in enumerate(used):
+        use(loads, f'e{number}', online, batch)
+        endpoints.append(make_endpoint(f'e{number}'))
+    chosen = policy_of(loads).choose(endpoints, queue_allowed)
+    has_free = any(sum(row) < 4 for row in used)
+    if chosen is None:
+        assert not has_free
+        return
+    taken = loads.own_of(chosen.endpoint.endpoint_id)
+    assert taken.online < 4 + queue_allowed
+    assert has_free == (taken.total < 4)
+
+
+def test_release_counts_down_once() -> None:
+    """Guards against slots that are given back twice and lose count."""
+    time = FakeTime()
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    place = dispatcher.try_place('lm')
+    assert place is not None
+    dispatcher.release(place)
+    dispatcher.release(place)
+    assert dispatcher.loads.total('e1') == 0
--- /dev/null
+++ b/tests/test_gateway_waiting.py
@@ -0,0 +1,175 @@
+"""Tests of the waiting line: bursts, refusals and returning callers."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from gateway_kit import (
+    FakeTime,
+    make_dispatcher,
+    make_endpoint,
+    make_route,
+    use,
+)
+from quetzaldyke.gateway.waiting_line import Waiter, WaitingLine, may_wait
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on the backend that the processes use."""
+    return 'asyncio'
+
+
+def make_waiter(
+    started: list[str],
+    name: str,
+    *,
+    priority: int = 0,
+    on_time_until_s: float = 10.0,
+    give_up_s: float = 20.0,
+    room: int = 100,
+) -> Waiter:
+    """Return a waiter that notes its start while there is room."""
+
+    def try_start() -> bool:
+        if len(started) >= room:
+            return False
+        started.append(name)
+        return True
+
+    return Waiter(
+        priority,
+        on_time_until_s,
+        give_up_s,
+        try_start,
+        lambda: started.append(f'refused {name}'),
+    )
+
+
+def test_urgent_first_then_order_of_arrival() -> None:
+    """Guards against a less urgent request that is served first."""
+    started: list[str] = []
+    line = WaitingLine()
+    line.add(make_waiter(started, 'low', priority=2))
+    line.add(make_waiter(started, 'first'))
+    line.add(make_waiter(started, 'second'))
+    line.serve(1.0)
+    assert started == ['first', 'second', 'low']
+
+
+def test_those_that_can_be_on_time_go_first() -> None:
+    """Guards against a burst that makes every request late."""
+    started: list[str] = []
+    line = WaitingLine()
+    line.add(make_waiter(started, 'late', on_time_until_s=0.5))
+    line.add(make_waiter(started, 'timely', on_time_until_s=5.0))
+    line.serve(1.0)
+    assert started == ['timely', 'late']
+
+
+def test_line_keeps_those_without_room() -> None:
+    """Guards against requests that are dropped when slots run out."""
+    started: list[str] = []
+    line = WaitingLine()
+    for name in ('a', 'b', 'c'):
+        line.add(make_waiter(started, name, room=2))
+    line.serve(1.0)
+    assert (started, len(line)) == (['a', 'b'], 1)
+
+
+def test_late_requests_are_refused_not_forgotten() -> None:
+    """Guards against callers that never hear that they were given up."""
+    started: list[str] = []
+    line = WaitingLine()
+    line.add(make_waiter(started, 'a', give_up_s=2.0))
+    line.drop_late(2.0)
+    assert (started, len(line)) == (['refused a'], 0)
+
+
+@given(st.integers(1, 60))
+def test_refused_callers_return_one_after_the_other(refused: int) -> None:
+    """Guards against a stampede of callers told the same time."""
+    line = WaitingLine()
+    times = [line.next_return_s(0.0, own_slots=10.0) for _ in range(refused)]
+    pace_s = line.hold_s / 5.0
+    gaps = [
+        after - before for before, after in zip(times, times[1:], strict=False)
+    ]
+    assert all(gap == pytest.approx(pace_s) for gap in gaps)
+
+
+@given(
+    st.floats(0, 10),
+    st.floats(0.05, 1),
+    st.floats(0.1, 5),
+)
+def test_longer_waits_are_never_preferred(
+    expected_s: float,
+    target_s: float,
+    left_s: float,
+) -> None:
+    """Guards against a rule that accepts a long wait and refuses a short."""
+    if may_wait(expected_s, target_s, left_s, 5.0):
+        assert may_wait(expected_s / 2, target_s, left_s, 5.0)
+
+
+async def test_new_caller_is_refused_at_once_when_the_line_is_long() -> None:
+    """Guards against callers held until their objective is lost."""
+    time = FakeTime()
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    use(dispatcher.loads, 'e1', online=9, batch=0)
+    dispatcher.loads.take_report('p', {}, {'lm': 50}, 0, time.now_s)
+    placed = await dispatcher.place('lm', make_route(), time.now_s + 5, ())
+    assert isinstance(placed, Err)
+    assert placed.err_value.reason == 'no_slot_in_time'
+    assert placed.err_value.retry_after_s > 0
+
+
+async def test_returning_caller_waits_for_a_slot() -> None:
+    """Guards against callers that are sent away a second time."""
+    time = FakeTime()
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    holders = [dispatcher.try_place('lm') for _ in range(5)]
+    dispatcher.loads.take_report('p', {}, {'lm': 4}, 0, time.now_s)
+    placed = []
+
+    async def ask() -> None:
+        placed.append(
+            await dispatcher.place('lm', make_route(), time.now_s + 3.0, ()),
+        )
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(ask)
+        await anyio.wait_all_tasks_blocked()
+        assert not placed
+        assert holders[0] is not None
+        dispatcher.release(holders[0])
+    assert isinstance(placed[0], Ok)
+
+
+async def test_cancelled_waiter_gives_its_place_back() -> None:
+    """Guards against slots that leak when a caller leaves the line."""
+    time = FakeTime()
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    holders = [dispatcher.try_place('lm') for _ in range(5)]
+    with anyio.move_on_after(0):
+        await dispatcher.place('lm', make_route(), time.now_s + 3.0, ())
+    for holder in holders:
+        assert holder is not None
+        dispatcher.release(holder)
+    assert dispatcher.loads.total('e1') == 0
+
+
+async def test_service_without_endpoints_is_refused_at_once() -> None:
+    """Guards against requests that wait for endpoints that are not there."""
+    time = FakeTime()
+    dispatcher = make_dispatcher(time)
+    placed = await dispatcher.place('lm', make_route(), time.now_s + 5, ())
+    assert isinstance(placed, Err)
+    assert placed.err_value.reason == 'no_endpoint'
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,197 @@
+"""Tests of the HTTP client against endpoints that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
+from quetzaldyke.gateway.http_client import HttpClient, encode_request
+
+pytestmark = pytest.mark.anyio
+WHOLE = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok'
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on the backend that the processes use."""
+    return 'asyncio'
+
+
+@asynccontextmanager
+async def endpoint(
+    *answers: bytes,
+    close: bool = True,
+) -> AsyncIterator[int]:
+    """Serve each request with the next of the given bytes."""
+    left = list(answers)
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while left:
+            try:
+                await reader.readuntil(b'\r\n\r\n')
+            except asyncio.IncompleteReadError:
+                return
+            writer.write(left.pop(0))
+            await writer.drain()
+        if close:
+            writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with server:
+        yield server.sockets[0].getsockname()[1]
+
+
+async def ask(
+    client: HttpClient,
+    port: int,
+    request_id: bytes = b'r1',
+) -> tuple[int, bytes]:
+    """Send a request and return status and body."""
+    exchange = Exchange(b'x-id', request_id)
+    request = encode_request(b'GET', b'/', [(b'host', b'h')], b'')
+    await client.start('127.0.0.1', port, request, exchange)
+    try:
+        async with asyncio.timeout(2):
+            head = await exchange.read_head()
+            return head.status, await exchange.read_body()
+    finally:
+        exchange.cancel()
+
+
+async def test_connection_is_reused() -> None:
+    """Guards against a new connection for every request."""
+    client = HttpClient()
+    async with endpoint(WHOLE, WHOLE, close=False) as port:
+        assert await ask(client, port) == (200, b'ok')
+        await asyncio.sleep(0)
+        assert await ask(client, port) == (200, b'ok')
+    assert client.opened == 1
+
+
+@pytest.mark.parametrize(
+    ('answer', 'failure'),
+    [
+        (b'', Failure.BROKEN),
+        (WHOLE[:-1], Failure.BROKEN),
+        (b'HTTP/1.1 200 OK\r\nConte', Failure.BROKEN),
+        (b'what is this\r\n\r\n', Failure.MALFORMED),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+            Failure.BROKEN,
+        ),
+    ],
+)
+async def test_cut_answer_is_not_complete(
+    answer: bytes,
+    failure: Failure,
+) -> None:
+    """Guards against a truncated answer that looks complete."""
+    async with endpoint(answer) as port:
+        with pytest.raises(ExchangeError) as caught:
+            await ask(HttpClient(), port)
+    assert caught.value.failure is failure
+
+
+async def test_answer_without_a_length_ends_with_a_clean_close() -> None:
+    """Guards against unframed answers taken for broken ones."""
+    async with endpoint(
+        b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nall of it'
+    ) as port:
+        assert await ask(HttpClient(), port) == (200, b'all of it')
+
+
+async def test_answer_to_another_request_is_skipped() -> None:
+    """Guards against callers that get the late answer of another."""
+    late = WHOLE.replace(b'r1', b'r0').replace(b'ok', b'no')
+    async with endpoint(late + WHOLE) as port:
+        assert await ask(HttpClient(), port) == (200, b'ok')
+
+
+async def test_extra_answer_ends_the_reuse() -> None:
+    """Guards against an extra answer that meets the next request."""
+    client = HttpClient()
+    async with endpoint(WHOLE + WHOLE, WHOLE, close=False) as port:
+        assert await ask(client, port) == (200, b'ok')
+        await asyncio.sleep(0)
+        assert not client.pool('127.0.0.1', port).idle
+
+
+async def test_late_extra_answer_breaks_the_idle_connection() -> None:
+    """Guards against bytes that wait on an idle connection."""
+    client = HttpClient()
+    sent = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(WHOLE)
+        await asyncio.sleep(0.02)
+        writer.write(WHOLE)
+        await writer.drain()
+        sent.set()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        assert await ask(client, port) == (200, b'ok')
+        await sent.wait()
+        await asyncio.sleep(0.02)
+        assert client.pool('127.0.0.1', port).take(9.0) is None
+
+
+async def test_close_is_honoured() -> None:
+    """Guards against reuse of a connection that the endpoint closes."""
+    client = HttpClient()
+    closing = WHOLE.replace(b'X-Id', b'Connection: close\r\nX-Id')
+    async with endpoint(closing, close=False) as port:
+        assert await ask(client, port) == (200, b'ok')
+        await asyncio.sleep(0)
+        assert not client.pool('127.0.0.1', port).idle
+
+
+async def test_refused_connection_was_not_sent() -> None:
+    """Guards against a request called run though nobody got it."""
+    async with endpoint() as port:
+        free_port = port
+    with pytest.raises(ExchangeError) as caught:
+        await ask(HttpClient(), free_port)
+    assert caught.value.failure is Failure.NOT_CONNECTED
+
+
+async def test_cancel_breaks_the_connection() -> None:
+    """Guards against endpoints that work on after the caller has left."""
+    gone: list[Callable[[], None]] = []
+    left = asyncio.Event()
+
+    async def serve(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        try:
+            await reader.read()
+        except ConnectionError:
+            gone.append(writer.close)
+        left.set()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        exchange = Exchange()
+        request = encode_request(b'GET', b'/', [(b'host', b'h')], b'')
+        await HttpClient().start('127.0.0.1', port, request, exchange)
+        await asyncio.sleep(0.01)
+        exchange.cancel()
+        async with asyncio.timeout(2):
+            await left.wait()
+    with pytest.raises(ExchangeError):
+        await exchange.read_head()
