--- /dev/null
+++ b/tests/gateway_fleet.py
@@ -0,0 +1,343 @@
+"""Starts whole gateway fleets as processes on loopback."""
+
+from __future__ import annotations
+
+import base64
+import itertools
+import os
+import signal
+import socket
+import sys
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from subprocess import DEVNULL
+from typing import IO, Final
+
+import anyio
+import orjson
+from anyio.abc import Process
+
+import quetzaldyke
+from quetzaldyke.gateway.exchange import Exchange, ExchangeError
+from quetzaldyke.gateway.http_client import HttpClient, encode_request
+from soak_proxy import Proxy
+
+HOST: Final = '127.0.0.1'
+SOURCE: Final = str(Path(quetzaldyke.__file__).parents[1])
+START_LIMIT_S: Final = 20.0
+POLL_S: Final = 0.05
+GRACE_S: Final = 5.0
+STREAM_HOST: Final = 'stream.example'
+
+# Each process of tests has a block of ports of its own, as several may run at
+# the same time. The blocks are below the ports of outgoing connections.
+FIRST_PORT: Final = 10_000
+BLOCKS: Final = 200
+BLOCK_PORTS: Final = 100
+BLOCK_START: Final = FIRST_PORT + os.getpid() % BLOCKS * BLOCK_PORTS
+PORTS: Final = itertools.cycle(
+    range(BLOCK_START, BLOCK_START + BLOCK_PORTS),
+)
+
+SETTINGS: Final = """node = "{name}"
+role = "entry"
+ip = "127.0.0.1"
+zone = "{zone}"
+port-range = [{peer}, {peer}]
+heartbeat-ms = 500
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+drain-ms = 2000
+grace-s = {grace}
+[provider]
+address = "127.0.0.1:{store}"
+"""
+
+
+def free_port() -> int:
+    """Return a port of the own block that nothing listens on."""
+    for port in itertools.islice(PORTS, BLOCK_PORTS):
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
+    raise RuntimeError('no free port is left')
+
+
+@dataclass(slots=True)
+class Program:
+    """One process that this fleet has started."""
+
+    name: str
+    command: list[str]
+    environ: dict[str, str]
+    log: IO[bytes]
+    process: Process | None = None
+    # Set while it is meant to be stopped or paused.
+    faulted: bool = False
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.process = await anyio.open_process(
+            self.command,
+            stdin=DEVNULL,
+            stdout=self.log,
+            stderr=self.log,
+            env={**os.environ, 'PYTHONPATH': SOURCE, **self.environ},
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process and to no other."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+
+@dataclass(slots=True)
+class EntryPorts:
+    """Where one entry listens."""
+
+    front: int
+    ready: int
+    peer: int
+    metrics: int
+
+
+@dataclass(slots=True)
+class GatewayFleet:
+    """A store, endpoints and entries, each a process of its own."""
+
+    folder: Path
+    stack: AsyncExitStack
+    client: HttpClient = field(default_factory=HttpClient)
+    programs: dict[str, Program] = field(default_factory=dict)
+    ports: dict[str, EntryPorts] = field(default_factory=dict)
+    endpoints: dict[str, int] = field(default_factory=dict)
+    links: dict[str, Proxy] = field(default_factory=dict)
+    store_port: int = 0
+    version: int = 0
+
+    async def start(
+        self,
+        entries: int,
+        engines: int,
+        services: int,
+        events: int = 30,
+    ) -> None:
+        """Start everything and wait until the entries are ready."""
+        self.store_port = free_port()
+        await self.start_standin(
+            'store',
+            'platform-store',
+            f'--address={HOST}:{self.store_port}',
+        )
+        await self.wait_until_up(self.store_port, '/quetzaldyke/kv-key?key=x')
+        await self.write_configuration(timeout_ms=4000)
+        for number in range(engines):
+            await self.start_endpoint(f'i-lm{number}', 'lm', events)
+        for number in range(services):
+            await self.start_endpoint(f'i-app{number}', 'app', 1)
+        for number in range(entries):
+            await self.start_entry(f'entry-{number}', 'ab'[number % 2])
+        for ports in self.ports.values():
+            await self.wait_until_up(ports.ready, '/', wanted=200)
+
+    async def start_standin(self, name: str, kind: str, *flags: str) -> None:
+        """Start a stand-in."""
+        command = [sys.executable, '-m', 'quetzaldyke', 'standin', kind]
+        await self.start_program(name, [*command, *flags], {})
+
+    async def start_endpoint(
+        self, name: str, service: str, events: int
+    ) -> None:
+        """Start an endpoint that registers itself."""
+        port = free_port()
+        self.endpoints[name] = port
+        plain = ['--plain'] if service == 'app' else []
+        await self.start_standin(
+            name,
+            'platform-endpoint',
+            f'--address={HOST}:{port}',
+            f'--store_address={HOST}:{self.store_port}',
+            f'--endpoint_id={name}',
+            f'--service={service}',
+            f'--events={events}',
+            '--event_ms=10.0',
+            '--slots=6',
+            *plain,
+        )
+
+    async def start_entry(self, name: str, zone: str) -> None:
+        """Start an entry behind a link to the store of its own."""
+        ports = EntryPorts(*(free_port() for _ in range(4)))
+        self.ports[name] = ports
+        link = await Proxy.listen(free_port(), self.store_port)
+        self.stack.callback(link.close)
+        self.links[name] = link
+        path = self.folder / f'{name}.toml'
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                zone=zone,
+                peer=ports.peer,
+                front=ports.front,
+                ready=ports.ready,
+                store=link.port,
+                grace=int(GRACE_S),
+            ),
+        )
+        await self.start_program(
+            name,
+            [
+                sys.executable,
+                '-m',
+                'quetzaldyke.gateway',
+                'entry',
+                str(ports.metrics),
+            ],
+            {'QUETZALDYKE_CONFIG': str(path)},
+        )
+
+    async def start_program(
+        self,
+        name: str,
+        command: list[str],
+        environ: dict[str, str],
+    ) -> None:
+        """Start a process that ends with the fleet."""
+        log = (self.folder / f'{name}.log').open('ab')
+        self.stack.callback(log.close)
+        program = Program(name, command, environ, log)
+        self.programs[name] = program
+        await program.start()
+        self.stack.push_async_callback(program.kill)
+
+    async def wait_until_up(
+        self, port: int, path: str, wanted: int = 0
+    ) -> None:
+        """Wait until a process answers."""
+        with anyio.fail_after(START_LIMIT_S):
+            while True:
+                status, _ = await self.call(port, 'GET', path)
+                if status and wanted in {0, status}:
+                    return
+                await anyio.sleep(POLL_S)
+
+    async def call(
+        self,
+        port: int,
+        method: str,
+        path: str,
+        body: object = None,
+        headers: dict[str, str] | None = None,
+        limit_s: float = 3.0,
+    ) -> tuple[int, bytes]:
+        """Call a process; status 0 when no whole answer came."""
+        exchange = Exchange()
+        lines = [(b'host', STREAM_HOST.encode())]
+        for name, text in (headers or {}).items():
+            lines = [row for row in lines if row[0] != name.lower().encode()]
+            lines.append((name.lower().encode(), text.encode()))
+        content = b'' if body is None else orjson.dumps(body)
+        request = encode_request(method.encode(), path.encode(), lines, content)
+        try:
+            with anyio.fail_after(limit_s):
+                await self.client.start(HOST, port, request, exchange)
+                head = await exchange.read_head()
+                return head.status, await exchange.read_body()
+        except (ExchangeError, TimeoutError):
+            return 0, b''
+        finally:
+            exchange.cancel()
+
+    async def set_faults(self, port: int, **faults: object) -> None:
+        """Switch faults of a stand-in."""
+        await self.call(port, 'POST', '/faults', faults)
+
+    async def write_configuration(self, timeout_ms: int) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        await self.put('op/config', configuration(self.version, timeout_ms))
+
+    async def put(self, key: str, document: object) -> None:
+        """Write a key as the operator does."""
+        value = base64.b64encode(orjson.dumps(document)).decode()
+        await self.call(
+            self.store_port,
+            'POST',
+            '/quetzaldyke/kv-txn',
+            {'puts': [{'key': key, 'value': value}]},
+        )
+
+
+def configuration(version: int, timeout_ms: int) -> dict[str, object]:
+    """Return a configuration with one route of each kind."""
+    common = {'timeout-ms': timeout_ms, 'goal-ms': 300, 'priority': 0}
+    return {
+        'version': version,
+        'routes': [
+            {
+                **common,
+                'name': 'resumable',
+                'host': STREAM_HOST,
+                'prefix': '/again/',
+                'kind': 'stream',
+                'service': 'lm',
+                'max-attempts': 3,
+                'resumable': True,
+                'gap-target-ms': 250,
+            },
+            {
+                **common,
+                'name': 'once',
+                'host': STREAM_HOST,
+                'prefix': '/once/',
+                'kind': 'stream',
+                'service': 'lm',
+                'max-attempts': 1,
+                'gap-target-ms': 250,
+            },
+            {
+                **common,
+                'name': 'book',
+                'host': STREAM_HOST,
+                'prefix': '/book/',
+                'kind': 'non_idempotent',
+                'service': 'app',
+                'max-attempts': 2,
+            },
+            {
+                **common,
+                'name': 'look',
+                'host': STREAM_HOST,
+                'prefix': '/look/',
+                'kind': 'idempotent',
+                'service': 'app',
+                'max-attempts': 3,
+            },
+            {
+                **common,
+                'name': 'jobs',
+                'host': STREAM_HOST,
+                'prefix': '/jobs/',
+                'kind': 'batch',
+                'service': 'lm',
+                'max-attempts': 3,
+                'completion-target-ms': 18_000,
+                'max-wait-s': 60,
+                'cap': 1_000_000,
+            },
+        ],
+        'services': [{'name': 'lm', 'engine': {}}, {'name': 'app'}],
+    }
