--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -23,8 +23,13 @@
     Progress,
     RelayContext,
 )
-from quetzaldyke.gateway.retries import may_not_retry
-from quetzaldyke.gateway.stalls import first_event_s, first_head_s, next_event_s
+from quetzaldyke.gateway.retries import STATUS_TIMEOUT, may_not_retry
+from quetzaldyke.gateway.stalls import (
+    extended_s,
+    first_event_s,
+    first_head_s,
+    next_event_s,
+)
 from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
@@ -110,8 +115,18 @@
             self.progress.attempts,
             self.context.now(),
         )
+        if self.request.route.kind == 'stream':
+            self.exchange.extend = self.extend_first_event
         return await self.exchange.read_head()
 
+    def extend_first_event(self, now_s: float) -> float:
+        """Return until when the first event may take, 0 for no longer."""
+        if self.progress.run_events or now_s >= self.request.deadline_s:
+            return 0.0
+        silence_s = first_event_s(self.request.route, self.place)
+        book = self.context.dispatcher.book
+        return extended_s(book, self.place, silence_s, now_s)
+
     def encode(self) -> bytes:
         """Return the request as the endpoint gets it."""
         request = self.request
@@ -153,7 +168,15 @@
                 self.endpoint_id,
                 self.context.now(),
             )
-        self.log('attempt_failed', str(exc), self.put_aside())
+        self.log('attempt_failed', str(exc), self.aside_after(exc))
+
+    def aside_after(self, exc: ExchangeError) -> float:
+        """Give the endpoint a pause unless it served others meanwhile."""
+        book = self.context.dispatcher.book
+        silent = exc.failure is Failure.STALLED
+        if silent and book.is_heard(self.endpoint_id, self.place.taken_s):
+            return 0.0
+        return self.put_aside()
 
     def put_aside(self) -> float:
         """Give the endpoint a pause; return for how long."""
@@ -204,9 +227,10 @@
         progress.tried.add(self.endpoint_id)
         progress.last_failure = f'endpoint_status_{head.status}'
         if head.status >= FIRST_FAULT_STATUS:
-            self.log(
-                'attempt_failed', f'status {head.status}', self.put_aside()
-            )
+            # A request that ran out of time says nothing of the endpoint.
+            late = head.status == STATUS_TIMEOUT
+            aside_s = 0.0 if late else self.put_aside()
+            self.log('attempt_failed', f'status {head.status}', aside_s)
             retry = may_not_retry(self.context, self.request, progress) is None
             if retry:
                 return None
@@ -262,8 +286,10 @@
             events = self.progress.splitter.feed(chunk)
         except StreamOrderError as exc:
             raise ExchangeError(Failure.MALFORMED, str(exc)) from exc
+        now_s = self.context.now()
+        self.context.dispatcher.book.note_heard(self.endpoint_id, now_s)
         if events:
-            self.progress.note_events(self.context.now())
+            self.progress.note_events(now_s)
             await self.caller.send(events)
         return True
 
--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -40,6 +40,8 @@
     ejected_until_s: float = 0.0
     failures_in_row: int = 0
     failure_share: float = 0.0
+    # When bytes of any request came from it.
+    heard_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -152,6 +154,17 @@
             sound = proved or sound
         return [one.endpoint for one in sound or listed]
 
+    def note_heard(self, endpoint_id: str, now_s: float) -> None:
+        """Bytes came from an endpoint."""
+        known = self.beliefs.get(endpoint_id)
+        if known is not None:
+            known.heard_s = now_s
+
+    def is_heard(self, endpoint_id: str, since_s: float) -> bool:
+        """Tell whether an endpoint has sent something since a time."""
+        known = self.beliefs.get(endpoint_id)
+        return known is not None and known.heard_s >= since_s
+
     def note_success(self, endpoint_id: str) -> None:
         """An endpoint answered."""
         known = self.beliefs.get(endpoint_id)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -16,7 +16,6 @@
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointBook
-from quetzaldyke.gateway.exchange import Failure
 from quetzaldyke.gateway.gossip import (
     Gossip,
     GossipMessage,
@@ -334,8 +333,7 @@
         for exchange in list(self.client.active):
             if exchange.complete or exchange.failure is not None:
                 self.client.active.discard(exchange)
-            elif exchange.expires_at_s and now_s > exchange.expires_at_s:
-                exchange.cancel(Failure.STALLED)
+            elif exchange.check_time(now_s):
                 self.client.active.discard(exchange)
 
     async def batch_tick(self) -> None:
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -76,6 +77,8 @@
     unread_bytes: int = 0
     # Monotonic time at which the watchdog ends the wait; 0 for never.
     expires_at_s: float = 0.0
+    # Asked at that time for a later one; 0 ends the wait.
+    extend: Callable[[float], float] | None = None
 
     def wake(self) -> None:
         """Let the reader look again."""
@@ -127,6 +130,17 @@
             body += chunk
         return bytes(body)
 
+    def check_time(self, now_s: float) -> bool:
+        """End the wait if its time is over; tell whether it was ended."""
+        if not self.expires_at_s or now_s <= self.expires_at_s:
+            return False
+        later_s = self.extend(now_s) if self.extend is not None else 0.0
+        if later_s > now_s:
+            self.expires_at_s = later_s
+            return False
+        self.cancel(Failure.STALLED)
+        return True
+
     def cancel(self, failure: Failure = Failure.CANCELLED) -> None:
         """Break the connection unless the answer is complete."""
         if self.connection is not None and not self.complete:
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -163,7 +163,10 @@
     async def read_chunk(self) -> bytes:
         """Return the next bytes, none at the end of the run."""
         self.allow_silence()
-        return await self.exchange.read_chunk()
+        chunk = await self.exchange.read_chunk()
+        dispatcher = self.context.dispatcher
+        dispatcher.book.note_heard(self.endpoint_id, dispatcher.clock.now())
+        return chunk
 
     def note_error(self, head: ResponseHead, answer: bytes) -> None:
         """Count a failed run, or wait after the endpoint turned it away."""
--- a/src/quetzaldyke/gateway/stalls.py
+++ b/src/quetzaldyke/gateway/stalls.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from quetzaldyke.gateway.dispatcher import Place
+from quetzaldyke.gateway.endpoints import EndpointBook
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.gateway.online_request import OnlineRequest
 
@@ -23,6 +24,21 @@
 FIRST_TRY_SHARE: Final = 0.45
 
 
+def extended_s(
+    book: EndpointBook,
+    place: Place,
+    silence_s: float,
+    now_s: float,
+) -> float:
+    """Return until when a silent request may wait on, 0 for no longer.
+
+    An endpoint that serves others meanwhile is not dark but busy.
+    """
+    if book.is_heard(place.endpoint.endpoint_id, now_s - silence_s):
+        return place.taken_s + QUEUED_SILENCE_S
+    return 0.0
+
+
 def first_event_s(route: Route, place: Place) -> float:
     """Return how long the first event of a run may take."""
     if place.queued:
