--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -114,10 +114,7 @@
         store = PlatformStore.from_address(
             installation.store_address,
             client,
-            lambda answered, detail: health.note(
-                answered=answered,
-                now_s=clock.now(),
-            ),
+            lambda call, answered: entry.note_call(call, answered=answered),
         )
         book = EndpointBook()
         loads = LoadTable()
@@ -210,6 +207,12 @@
         timers.subscribe('lease', RENEWAL_INTERVAL_S, self.registration.renew)
         timers.subscribe('cleaning', CLEANING_INTERVAL_S, self.clean)
 
+    def note_call(self, call: str, *, answered: bool) -> None:
+        """Count a call to the store and what it says of the store."""
+        outcome = 'answered' if answered else 'failed'
+        self.metrics.count('store_calls_total', call=call, outcome=outcome)
+        self.health.note(answered=answered, now_s=self.clock.now())
+
     def unready_reason(self) -> str:
         """Return why the balancer should send no caller here, or nothing."""
         if self.stopping.is_set():
--- a/src/quetzaldyke/gateway/keeper.py
+++ b/src/quetzaldyke/gateway/keeper.py
@@ -43,7 +43,7 @@
     store = PlatformStore.from_address(
         installation.store_address,
         HttpClient(),
-        lambda answered, detail: health.note(
+        lambda call, answered: health.note(
             answered=answered,
             now_s=clock.now(),
         ),
--- a/src/quetzaldyke/platform/store.py
+++ b/src/quetzaldyke/platform/store.py
@@ -69,8 +69,8 @@
     client: HttpClient
     # The way that calls take.
     path: StorePath
-    # Told after each call whether the store answered it.
-    on_result: Callable[[bool, str], None]
+    # Told after each call its name and whether the store answered it.
+    on_result: Callable[[str, bool], None]
     # Exchanges that wait on each way.
     waiting: dict[Address, set[Exchange]] = field(default_factory=dict)
 
@@ -79,7 +79,7 @@
         cls,
         address: str,
         client: HttpClient,
-        on_result: Callable[[bool, str], None],
+        on_result: Callable[[str, bool], None],
     ) -> PlatformStore:
         """Return a client whose calls start on the direct way."""
         host, _, port = address.rpartition(':')
@@ -235,9 +235,9 @@
         address = self.path.choose(time.monotonic())
         outcome = await self.exchange(request, timeout_s, address)
         if isinstance(outcome, Err):
-            self.on_result(False, outcome.err_value.detail)
+            self.on_result(call_name(path), False)
             return outcome
-        self.on_result(True, '')
+        self.on_result(call_name(path), True)
         head, raw = outcome.ok_value
         return decode_answer(head, raw)
 
@@ -300,6 +300,15 @@
         return Ok((head, raw))
 
 
+def call_name(path: str) -> str:
+    """Return the name of a call without its arguments.
+
+    >>> call_name('kv-keep/7'), call_name('kv-watch?prefix=a/')
+    ('kv-keep', 'kv-watch')
+    """
+    return path.partition('?')[0].partition('/')[0]
+
+
 def decode_answer(head: ResponseHead, raw: bytes) -> Result[Answer, KvError]:
     """Decode the body of an answer."""
     if head.status == STATUS_TOO_LARGE:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -191,7 +191,7 @@
         store = PlatformStore.from_address(
             standin.address,
             client,
-            lambda answered, detail: None,
+            lambda call, answered: None,
         )
         yield standin, store
         client.close()
