Log what decided a refusal and how far a broken request got

Refusals name the expected wait, the requests in line here and elsewhere and the slots; requests that end broken or without their caller keep their endpoint, sends and last event.

--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -39,6 +39,12 @@
 
     reason: str
     retry_after_s: float
+    # What decided it: the wait for a slot, the requests that wait here and
+    # at the other entries, and the slots of the service.
+    expected_wait_s: float = 0.0
+    waiting: int = 0
+    waiting_elsewhere: int = 0
+    slots: int = 0
 
 
 @dataclass(slots=True)
@@ -160,9 +166,17 @@
         """Return a refusal with the time to come back."""
         now_s = self.clock.now()
         usable = self.book.usable(service, now_s)
-        slots = sum(one.slots for one in usable) / self.count_entries()
-        return_s = self.line(service).next_return_s(now_s, slots)
-        return Refusal(reason, retry_after_s(return_s, now_s, left_s))
+        slots = sum(one.slots for one in usable)
+        line = self.line(service)
+        return_s = line.next_return_s(now_s, slots / self.count_entries())
+        return Refusal(
+            reason,
+            retry_after_s(return_s, now_s, left_s),
+            self.expected_wait_s(service),
+            len(line),
+            self.loads.waiting_elsewhere(service),
+            slots,
+        )
 
     def expected_wait_s(self, service: str) -> float:
         """Return how long one more online request would wait."""
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -11,11 +11,11 @@
 
 from quetzaldyke.connection.http_server import Receive, Scope, Send
 from quetzaldyke.gateway.broken_answer import BrokenAnswerError
+from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Route
 from quetzaldyke.gateway.online_request import (
     Headers,
     OnlineRequest,
-    Outcome,
     Progress,
     RelayContext,
 )
@@ -218,15 +218,17 @@
         """Relay a request and record how it ended."""
         kind = online.route.kind
         cancelled = anyio.get_cancelled_exc_class()
+        progress = Progress(EventSplitter(online.last_event))
         try:
-            outcome = await relay(self.context, online, caller)
+            outcome = await relay(self.context, online, caller, progress)
         except BrokenAnswerError as exc:
-            self.record(online, kind, 'broken', str(exc), None)
+            self.record(online, kind, 'broken', str(exc), progress)
             raise
         except cancelled:
-            self.record(online, kind, 'caller_left', '', None)
+            self.record(online, kind, 'caller_left', '', progress)
             raise
-        self.record(online, kind, str(outcome.status), outcome.reason, outcome)
+        status = str(outcome.status)
+        self.record(online, kind, status, outcome.reason, progress)
 
     def record(
         self,
@@ -234,14 +236,13 @@
         kind: str,
         status: str,
         reason: str,
-        outcome: Outcome | None,
+        progress: Progress,
     ) -> None:
         """Log and count the end of a request."""
         now_s = self.context.now()
         elapsed_ms = (now_s - online.arrived_s) * MS_IN_S
         self.metrics.count('requests_total', kind=kind, status=status)
         self.metrics.observe_ms('request_ms', elapsed_ms, kind=kind)
-        progress = outcome.progress if outcome else Progress()
         self.context.log_event(
             'request_served' if reason == 'served' else 'request_failed',
             request=online.request_id.decode('latin-1'),
@@ -257,6 +258,7 @@
             running=progress.running,
             sends=progress.sends,
             attempts=progress.attempts,
+            last_event=progress.splitter.last_id,
             config=self.table.version if self.table else 0,
         )
 
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -14,7 +14,6 @@
 from quetzaldyke.gateway.attempt import Attempt
 from quetzaldyke.gateway.broken_answer import BrokenAnswerError
 from quetzaldyke.gateway.dispatcher import Refusal
-from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.exchange import Exchange
 from quetzaldyke.gateway.online_request import (
     Caller,
@@ -31,6 +30,7 @@
 )
 from quetzaldyke.platform import names
 
+MS_IN_S: Final = 1000
 # Told to a caller whose request crashes endpoints; the fault stays.
 CRASHING_RETRY_S: Final = 60.0
 # Told to a caller whose request several endpoints turned away.
@@ -41,9 +41,9 @@
     context: RelayContext,
     request: OnlineRequest,
     caller: Caller,
+    progress: Progress,
 ) -> Outcome:
     """Serve one request; raises `BrokenAnswerError` to end its channel."""
-    progress = Progress(EventSplitter(request.last_event))
     fingerprint = request.fingerprint()
     if context.crashes.is_suspect(fingerprint, context.now()):
         return await refuse(
@@ -59,6 +59,7 @@
             progress.tried,
         )
         if isinstance(placed, Err):
+            log_refusal(context, request, placed.err_value)
             return await refuse(caller, progress, placed.err_value)
         place = placed.ok_value
         exchange = Exchange(names.ATTEMPT_ID, request.request_id)
@@ -76,6 +77,25 @@
             return await give_up(caller, progress, *final)
 
 
+def log_refusal(
+    context: RelayContext,
+    request: OnlineRequest,
+    refusal: Refusal,
+) -> None:
+    """Log why a request got no place, with what decided it."""
+    context.log_event(
+        'request_not_placed',
+        request=request.request_id.decode('latin-1'),
+        service=request.service,
+        reason=refusal.reason,
+        retry_after_s=round(refusal.retry_after_s, 2),
+        expected_wait_ms=int(refusal.expected_wait_s * MS_IN_S),
+        waiting=refusal.waiting,
+        waiting_elsewhere=refusal.waiting_elsewhere,
+        slots=refusal.slots,
+    )
+
+
 async def refuse(
     caller: Caller,
     progress: Progress,
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -200,7 +200,7 @@
     for endpoint_id in ('a', 'b', 'c'):
         context.crashes.note(request.fingerprint(), endpoint_id, bed.time.now_s)
     caller = FakeCaller()
-    outcome = await relay(context, request, caller)
+    outcome = await relay(context, request, caller, Progress())
     assert (caller.status, outcome.reason) == (503, 'crashes_endpoints')
 
 
@@ -214,6 +214,11 @@
     bed.dispatcher.release(bed.attempt.place)
     caller = FakeCaller()
     with anyio.fail_after(2):
-        outcome = await relay(bed.attempt.context, request, caller)
+        outcome = await relay(
+            bed.attempt.context,
+            request,
+            caller,
+            Progress(),
+        )
     assert caller.finished
     assert outcome.status == 504
