--- a/src/quetzaldyke/gateway/__main__.py
+++ b/src/quetzaldyke/gateway/__main__.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
 from functools import partial
 from typing import Final
@@ -17,8 +18,6 @@
 import anyio
 from result import Err
 
-from quetzaldyke.gateway.entry_process import run_entry
-from quetzaldyke.gateway.keeper import run_keeper
 from quetzaldyke.gateway.logs import start_logs
 from quetzaldyke.gateway.model import Installation
 from quetzaldyke.platform.settings import load_installation, settings_path
@@ -50,12 +49,19 @@
 
 
 def run(program: str, metrics_port: int) -> None:
-    """Run one process until its planned stop."""
+    """Run one process until its planned stop.
+
+    Each program imports only its own modules: memory and the time to start
+    count for both.
+    """
     installation = read_installation()
     writer = start_logs(installation.instance)
-    body = partial(run_keeper, installation)
     if program == 'entry':
-        body = partial(run_entry, installation, writer, metrics_port)
+        module = importlib.import_module('quetzaldyke.gateway.entry_process')
+        body = partial(module.run_entry, installation, writer, metrics_port)
+    else:
+        module = importlib.import_module('quetzaldyke.gateway.keeper')
+        body = partial(module.run_keeper, installation)
     anyio.run(body, backend_options={'use_uvloop': True})
 
 
--- a/src/quetzaldyke/standins/platform_store.py
+++ b/src/quetzaldyke/standins/platform_store.py
@@ -249,6 +249,9 @@
             if self.faults.delay_s:
                 await anyio.sleep(self.faults.delay_s)
             response: Response = await handler(request)
+            if self.faults.refuse:
+                # A watch that waited when the outage began hears nothing.
+                return answer({'error': 'refused'}, 503)
             if self.faults.lose_answers and request.method == 'POST':
                 self.faults.lose_answers -= 1
                 raise ConnectionResetError('the answer is lost on purpose')
--- /dev/null
+++ b/tests/test_gateway_process_parts.py
@@ -0,0 +1,271 @@
+"""Tests of logs, datagrams, watches, feeds and the keeper."""
+
+from __future__ import annotations
+
+import os
+import time
+from dataclasses import dataclass, field
+
+import anyio
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok, Result
+
+from gateway_fleet import configuration
+from gateway_kit import FakeStore
+from quetzaldyke.gateway.configuration_feed import (
+    CONFIG_TRUST_S,
+    ConfigurationFeed,
+)
+from quetzaldyke.gateway.endpoint_feed import EndpointFeed
+from quetzaldyke.gateway.endpoints import EndpointBook
+from quetzaldyke.gateway.gossip import (
+    GossipMessage,
+    JobEnded,
+    LoadReport,
+    MakeRoom,
+    decode,
+    encode,
+)
+from quetzaldyke.gateway.keeper import run_keeper
+from quetzaldyke.gateway.loads import Running
+from quetzaldyke.gateway.logs import LineBudget, LineWriter
+from quetzaldyke.gateway.model import Bounds, Configuration, Installation
+from quetzaldyke.gateway.watch import Follower
+from quetzaldyke.parts.kv import KvError, Record
+from quetzaldyke.parts.transactions import Snapshot, WatchBatch, WatchedChange
+from quetzaldyke.standins.platform_store import (
+    PlatformStoreOptions,
+    run_platform_store,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on the backend that the processes use."""
+    return 'asyncio'
+
+
+def test_reader_that_does_not_read_stalls_nobody() -> None:
+    """Guards against a full pipe that blocks requests."""
+    reader, writer_end = os.pipe()
+    os.set_blocking(writer_end, False)
+    writer = LineWriter(
+        writer_end,
+        'p',
+        LineBudget(allowed=1e9, updated_s=time.monotonic()),
+    )
+    # More than a pipe holds, whatever its size.
+    for number in range(2000):
+        writer.budget.allowed = 1000.0
+        writer.write(
+            {'message_type': 'event', 'filler': 'x' * 900, 'n': number}
+        )
+    assert writer.dropped
+    os.close(reader)
+    os.close(writer_end)
+
+
+def test_lines_stay_whole_after_a_partial_write() -> None:
+    """Guards against two lines that run into each other."""
+    reader, writer_end = os.pipe()
+    os.set_blocking(writer_end, False)
+    os.set_blocking(reader, False)
+    writer = LineWriter(writer_end, 'p')
+    seen = b''
+    for number in range(300):
+        writer.budget.allowed = 1000.0
+        writer.write(
+            {'message_type': 'event', 'filler': 'y' * 997, 'n': number}
+        )
+        if number % 90 == 89:
+            seen += os.read(reader, 1_000_000)
+    seen += os.read(reader, 1_000_000)
+    lines = seen.split(b'\n')[:-1]
+    assert all(line.startswith(b't=') for line in lines)
+    assert all(b' n=' in line for line in lines)
+    os.close(reader)
+    os.close(writer_end)
+
+
+@given(st.integers(1, 5000))
+def test_lines_a_second_are_bounded(events: int) -> None:
+    """Guards against logs that grow with the load."""
+    budget = LineBudget()
+    written = sum(
+        budget.take(routine=number % 3 > 0, now_s=number / events)
+        for number in range(events)
+    )
+    assert written <= 300
+
+
+def test_failures_are_logged_when_routine_lines_are_dropped() -> None:
+    """Guards against failures lost among lines of served requests."""
+    budget = LineBudget()
+    while budget.take(routine=True, now_s=0.0):
+        """Use up what routine lines may use."""
+    assert budget.take(routine=False, now_s=0.0)
+
+
+COUNTS = st.dictionaries(
+    st.text(max_size=5),
+    st.builds(Running, st.integers(0, 99), st.integers(0, 99)),
+    max_size=4,
+)
+MESSAGES: st.SearchStrategy[GossipMessage] = st.one_of(
+    st.builds(
+        LoadReport,
+        st.text(max_size=5),
+        COUNTS,
+        st.dictionaries(st.text(max_size=5), st.integers(0, 99), max_size=3),
+        st.integers(0, 99),
+        st.booleans(),
+    ),
+    st.builds(MakeRoom, st.text(max_size=5), st.text(max_size=5)),
+    st.builds(JobEnded, st.text(max_size=5), st.text(max_size=5)),
+)
+
+
+@given(MESSAGES)
+def test_datagrams_keep_their_meaning(message: GossipMessage) -> None:
+    """Guards against fields that change places between entries."""
+    assert decode(encode(message)) == message
+
+
+@given(st.binary(max_size=40))
+def test_garbage_ends_nothing(datagram: bytes) -> None:
+    """Guards against a stray datagram that ends an entry."""
+    message = decode(datagram)
+    assert message is None or message.sender is not None
+
+
+@dataclass(slots=True)
+class ScriptedStore(FakeStore):
+    """A store whose watches answer by a script."""
+
+    watches: list[Result[WatchBatch, KvError]] = field(default_factory=list)
+    asked: list[int] = field(default_factory=list)
+
+    async def watch(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_s: float,
+    ) -> Result[WatchBatch, KvError]:
+        """Return the next answer of the script."""
+        self.asked.append(after_revision)
+        return self.watches.pop(0)
+
+
+async def test_lost_history_means_a_new_list() -> None:
+    """Guards against changes missed when the store forgets its history."""
+    lists: list[Snapshot] = []
+    store = ScriptedStore(watches=[Err(KvError('compacted'))])
+    store.state.put('p/a', b'1', 0)
+    follower = Follower(store, 'p/', lists.append, lambda *_: None)
+    await follower.step()
+    store.state.put('p/b', b'2', 0)
+    await follower.step()
+    await follower.step()
+    assert [len(one.records) for one in lists] == [1, 2]
+
+
+async def test_failed_watch_goes_on_from_its_revision() -> None:
+    """Guards against changes missed over a broken watch."""
+    seen: list[int] = []
+    change = WatchedChange('p/a', 7, b'1')
+    store = ScriptedStore(
+        watches=[
+            Err(KvError('unknown')),
+            Ok(WatchBatch([change], 7)),
+            Ok(WatchBatch([], 6)),
+            Ok(WatchBatch([], 9)),
+        ],
+    )
+    follower = Follower(
+        store,
+        'p/',
+        lambda _: None,
+        lambda changes, revision: seen.append(revision),
+        revision=3,
+    )
+    for _ in range(4):
+        await follower.step()
+    # A stale answer does not move the revision back.
+    assert (store.asked, seen, follower.revision) == ([3, 3, 7, 7], [7], 9)
+
+
+def record_of(version: int) -> Record:
+    """Return the operator's record of a version."""
+    return Record('op/config', orjson.dumps(configuration(version, 1000)), 1)
+
+
+def test_configuration_never_goes_back() -> None:
+    """Guards against an older version that comes late."""
+    taken: list[Configuration] = []
+    now = [0.0]
+    feed = ConfigurationFeed(lambda: now[0], taken.append)
+    feed.on_snapshot(Snapshot([record_of(5)], 1))
+    feed.on_snapshot(Snapshot([record_of(4)], 2))
+    feed.on_changes([WatchedChange('op/config', 3, b'{broken')], 3)
+    feed.on_changes([WatchedChange('op/config', 4, record_of(6).value)], 4)
+    assert [one.version for one in taken] == [5, 6]
+    assert feed.is_engine('lm')
+    assert not feed.is_engine('app')
+    feed.confirm()
+    now[0] = CONFIG_TRUST_S
+    assert not feed.is_current()
+
+
+def test_unreadable_entry_hides_no_other() -> None:
+    """Guards against one broken record that empties the list."""
+    book = EndpointBook()
+    feed = EndpointFeed(book, lambda: 0.0, lambda: None)
+    good = orjson.dumps(
+        {
+            'service': 'lm',
+            'address': '127.0.0.1:1',
+            'zone': 'a',
+            'slots': 2,
+            'state': 'ready',
+        },
+    )
+    records = [
+        Record('servers/bad', b'\x00', 1),
+        Record('servers/good', good, 2),
+    ]
+    feed.on_snapshot(Snapshot(records, 2))
+    assert [one.endpoint_id for one in book.usable('lm', 0.0)] == ['good']
+    feed.on_changes([WatchedChange('servers/good', 3, None)], 3)
+    assert not book.usable('lm', 0.0)
+
+
+async def test_keeper_answers_that_its_instance_is_empty() -> None:
+    """Guards against an instance that can never be taken away."""
+    async with anyio.create_task_group() as group:
+        standin = await group.start(run_platform_store, PlatformStoreOptions())
+        installation = Installation(
+            instance='store-1',
+            role='keeper',
+            host='127.0.0.1',
+            failure_domain='a',
+            first_peer_port=1,
+            last_peer_port=1,
+            store_address=standin.address,
+            heartbeat_s=1.0,
+            bounds=Bounds(2.0, 8.0, 3.0, 120.0),
+        )
+        group.start_soon(run_keeper, installation)
+        await anyio.sleep(0.1)
+        standin.state.put('op/retire/other', b'{}', 0)
+        await anyio.sleep(0.1)
+        assert 'status/retire/other' not in standin.state.items
+        standin.state.put('op/retire/store-1', b'{"within-s":10}', 0)
+        with anyio.fail_after(5):
+            while 'status/retire/store-1' not in standin.state.items:
+                await anyio.sleep(0.02)
+        group.cancel_scope.cancel()
