--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -152,6 +152,7 @@
             await self.start_entry(f'entry-{number}', 'ab'[number % 2])
         for ports in self.ports.values():
             await self.wait_until_up(ports.ready, '/', wanted=200)
+        await self.wait_for_endpoints()
 
     async def start_standin(self, name: str, kind: str, *flags: str) -> None:
         """Start a stand-in."""
@@ -234,6 +235,18 @@
                     return
                 await anyio.sleep(POLL_S)
 
+    async def wait_for_endpoints(self) -> None:
+        """Wait until every endpoint is in the store's list."""
+        path = '/quetzaldyke/kv-range?prefix=servers/'
+        with anyio.fail_after(START_LIMIT_S):
+            while True:
+                _, body = await self.call(self.store_port, 'GET', path)
+                if body and len(orjson.loads(body)['items']) >= len(
+                    self.endpoints,
+                ):
+                    return
+                await anyio.sleep(POLL_S)
+
     async def call(
         self,
         port: int,
