Survive a pause between planning a wake-up and sleeping

A test with a clock that jumps failed before.

Also chooses only among endpoints that have room: the blurred order could name a full one and send the request into the line while others had places; and serves the line as soon as a peer frees a slot. Both have tests that failed before.

--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from quetzaldyke.gateway.endpoints import EndpointBook
-from quetzaldyke.gateway.loads import LoadTable
+from quetzaldyke.gateway.loads import LoadTable, Running
 from quetzaldyke.gateway.model import Endpoint, Route
 from quetzaldyke.gateway.placement import (
     QUEUED_PER_ENGINE,
@@ -245,9 +245,27 @@
         left_s = deadline_s - self.clock.now()
         return Err(self.refusal('waited_too_long', service, left_s))
 
+    def take_report(
+        self,
+        peer: str,
+        counts: dict[str, Running],
+        waiting: dict[str, int],
+        pending: int,
+    ) -> None:
+        """Take over what a peer runs, and serve those that wait."""
+        now_s = self.clock.now()
+        self.loads.take_report(peer, counts, waiting, pending, now_s)
+        self.serve_lines()
+
+    def serve_lines(self) -> None:
+        """Start waiting requests where there is room."""
+        now_s = self.clock.now()
+        for line in self.lines.values():
+            line.serve(now_s)
+
     async def tick(self) -> None:
         """Serve and refuse waiting requests as time passes."""
         now_s = self.clock.now()
+        self.serve_lines()
         for line in self.lines.values():
-            line.serve(now_s)
             line.drop_late(now_s)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -184,7 +184,7 @@
             endpoints=EndpointFeed(
                 book,
                 clock.now,
-                lambda: entry.serve_lines(),
+                dispatcher.serve_lines,
             ),
             started_s=clock.now(),
         )
@@ -223,11 +223,6 @@
             return 'no endpoints yet'
         return ''
 
-    def serve_lines(self) -> None:
-        """Start waiting requests after a change of the endpoints."""
-        for line in self.dispatcher.lines.values():
-            line.serve(self.clock.now())
-
     def count_entries(self) -> int:
         """Return how many entries share the endpoints."""
         return max(1, len(self.jobs.members))
@@ -263,13 +258,7 @@
         match message:
             case LoadReport(sender, counts, waiting, pending, store_up):
                 now_s = self.clock.now()
-                self.loads.take_report(
-                    sender,
-                    counts,
-                    waiting,
-                    pending,
-                    now_s,
-                )
+                self.dispatcher.take_report(sender, counts, waiting, pending)
                 address = self.gossip.peers.get(sender)
                 if address is not None:
                     self.store.path.hear(
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -62,12 +62,15 @@
         ]
         if free:
             return Placement(min(free, key=self.fullness), yield_batch=False)
-        best = min(candidates, key=self.online_fullness)
-        online = self.loads.online(best.endpoint_id)
-        if online < best.slots:
-            return Placement(best, yield_batch=True)
-        if online < best.slots + queue_allowed:
-            return Placement(best, yield_batch=False)
+        for allowed, yields in ((0, True), (queue_allowed, False)):
+            fitting = [
+                one
+                for one in candidates
+                if self.loads.online(one.endpoint_id) < one.slots + allowed
+            ]
+            if fitting:
+                best = min(fitting, key=self.online_fullness)
+                return Placement(best, yields)
         return None
 
     def fullness(self, endpoint: Endpoint) -> float:
--- a/src/quetzaldyke/parts/timers.py
+++ b/src/quetzaldyke/parts/timers.py
@@ -121,7 +121,8 @@
         async with anyio.create_task_group() as group:
             while True:
                 self.planned_s = self.next_wakeup_s()
-                await anyio.sleep(self.planned_s - self.clock.now())
+                # Negative when the process was paused just now.
+                await anyio.sleep(max(0.0, self.planned_s - self.clock.now()))
                 self.notice_delay()
                 for subscription in self.due():
                     subscription.running = True
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -26,6 +26,7 @@
 )
 from quetzaldyke.gateway.placement import PlacementPolicy
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
+from quetzaldyke.gateway.waiting_line import Waiter
 
 
 def table_of(*prefixes: str) -> RouteTable:
@@ -223,6 +224,8 @@
     chosen = policy_of(loads).choose(endpoints, queue_allowed)
     has_free = any(sum(row) < 4 for row in used)
     if chosen is None:
+        # Nothing may be left that could have taken it.
+        assert all(row[0] >= 4 + queue_allowed for row in used)
         assert not has_free
         return
     taken = loads.own_of(chosen.endpoint.endpoint_id)
@@ -230,6 +233,25 @@
     assert has_free == (taken.total < 4)
 
 
+def test_line_is_served_when_a_peer_frees_a_slot() -> None:
+    """Guards against requests that wait for a timer while slots are free."""
+    time = FakeTime()
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    dispatcher.loads.take_report('p', {'e1': Running(9, 0)}, {}, 0, time.now_s)
+    started: list[str] = []
+
+    def try_start() -> bool:
+        if dispatcher.try_place('lm') is None:
+            return False
+        started.append('r')
+        return True
+
+    waiter = Waiter(0, time.now_s + 1, time.now_s + 1, try_start, lambda: None)
+    dispatcher.line('lm').add(waiter)
+    dispatcher.take_report('p', {'e1': Running(1, 0)}, {}, 0)
+    assert started == ['r']
+
+
 def test_release_counts_down_once() -> None:
     """Guards against slots that are given back twice and lose count."""
     time = FakeTime()
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -92,3 +92,28 @@
     service.notice_delay()
     service.notice_delay()
     assert delays == [10.0, 0.0]
+
+
+def test_pause_between_planning_and_sleeping_ends_nothing() -> None:
+    """Guards against a process that ends when it was paused at that moment."""
+    readings = iter([100.0, 100.0, 105.0, 105.0])
+    last = 105.0
+
+    def read() -> float:
+        nonlocal last
+        last = next(readings, last + 0.01)
+        return last
+
+    service = TimerService(Clock(read))
+    runs: list[str] = []
+
+    async def job() -> None:
+        runs.append('job')
+
+    async def run() -> None:
+        service.subscribe('job', 0.5, job)
+        with anyio.move_on_after(0.3):
+            await service.run()
+
+    anyio.run(run)
+    assert runs
