Count the engines' queues in the expected wait

Cause: in bursts of the larger site all 161 slots and one queue place on each engine were taken (243 streams/s against about 217/s that the slots carry at 33 ms an event), but the expected wait only counted requests in line, so new callers were kept that could not be on time. A test failed before.

--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -179,11 +179,18 @@
         )
 
     def expected_wait_s(self, service: str) -> float:
-        """Return how long one more online request would wait."""
+        """Return how long one more online request would wait.
+
+        Those that wait in the engines' own queues are ahead of it too.
+        """
         usable = self.book.usable(service, self.clock.now())
+        queued = sum(
+            max(0, self.loads.online(one.endpoint_id) - one.slots)
+            for one in usable
+        )
         return self.line(service).expected_wait_s(
             sum(one.slots for one in usable),
-            self.loads.waiting_elsewhere(service),
+            queued + self.loads.waiting_elsewhere(service),
         )
 
     def waiting(self) -> dict[str, int]:
--- a/tests/test_gateway_waiting.py
+++ b/tests/test_gateway_waiting.py
@@ -131,6 +131,16 @@
     assert placed.err_value.retry_after_s > 0
 
 
+def test_queues_of_engines_count_as_a_wait() -> None:
+    """Guards against callers kept for a slot that comes too late."""
+    time = FakeTime()
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    use(dispatcher.loads, 'e1', online=4, batch=3)
+    without = dispatcher.expected_wait_s('lm')
+    use(dispatcher.loads, 'e1', online=6, batch=0)
+    assert dispatcher.expected_wait_s('lm') == pytest.approx(3 * without)
+
+
 async def test_returning_caller_waits_for_a_slot() -> None:
     """Guards against callers that are sent away a second time."""
     time = FakeTime()
