--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -153,10 +153,10 @@
         self.progress.attempts -= 1
         self.progress.tried.add(self.endpoint_id)
         self.progress.last_failure = f'endpoint_refused_{head.status}'
-        aside_s = 0.0
+        ejected_s = 0.0
         if head.status == STATUS_MISDIRECTED:
-            aside_s = self.put_aside()
-        self.log('attempt_not_run', f'status {head.status}', aside_s)
+            ejected_s = self.eject()
+        self.log('attempt_not_run', f'status {head.status}', ejected_s)
 
     def note_failure(self, exc: ExchangeError) -> None:
         """Remember a failed exchange and what it says of the endpoint."""
@@ -168,24 +168,24 @@
                 self.endpoint_id,
                 self.context.now(),
             )
-        self.log('attempt_failed', str(exc), self.aside_after(exc))
+        self.log('attempt_failed', str(exc), self.eject_after(exc))
 
-    def aside_after(self, exc: ExchangeError) -> float:
+    def eject_after(self, exc: ExchangeError) -> float:
         """Give the endpoint a pause unless it served others meanwhile."""
         book = self.context.dispatcher.book
         silent = exc.failure is Failure.STALLED
-        if silent and book.is_heard(self.endpoint_id, self.place.taken_s):
+        if silent and book.sent_since(self.endpoint_id, self.place.taken_s):
             return 0.0
-        return self.put_aside()
+        return self.eject()
 
-    def put_aside(self) -> float:
+    def eject(self) -> float:
         """Give the endpoint a pause; return for how long."""
         return self.context.dispatcher.book.note_failure(
             self.endpoint_id,
             self.context.now(),
         )
 
-    def log(self, event: str, failure: str, aside_s: float) -> None:
+    def log(self, event: str, failure: str, ejected_s: float) -> None:
         """Log what became of this attempt."""
         self.context.log_event(
             event,
@@ -198,7 +198,7 @@
                 (self.context.now() - self.place.taken_s) * MS_IN_S,
             ),
             running=self.progress.running,
-            aside_s=aside_s,
+            ejected_s=ejected_s,
         )
 
     async def take_answer(self, head: ResponseHead) -> Outcome | None:
@@ -229,8 +229,8 @@
         if head.status >= FIRST_FAULT_STATUS:
             # A request that ran out of time says nothing of the endpoint.
             late = head.status == STATUS_TIMEOUT
-            aside_s = 0.0 if late else self.put_aside()
-            self.log('attempt_failed', f'status {head.status}', aside_s)
+            ejected_s = 0.0 if late else self.eject()
+            self.log('attempt_failed', f'status {head.status}', ejected_s)
             retry = may_not_retry(self.context, self.request, progress) is None
             if retry:
                 return None
@@ -287,7 +287,7 @@
         except StreamOrderError as exc:
             raise ExchangeError(Failure.MALFORMED, str(exc)) from exc
         now_s = self.context.now()
-        self.context.dispatcher.book.note_heard(self.endpoint_id, now_s)
+        self.context.dispatcher.book.note_bytes(self.endpoint_id, now_s)
         if events:
             self.progress.note_events(now_s)
             await self.caller.send(events)
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -130,11 +130,11 @@
             self.handle = loop.call_later(SCHEDULE_DELAY_S, self.schedule)
 
     def schedule(self) -> None:
-        """Make room where needed, then start items on free slots."""
+        """Preempt where needed, then start items on free slots."""
         if self.handle is not None:
             self.handle.cancel()
         self.handle = None
-        self.make_all_room()
+        self.preempt_surplus()
         if self.stopping or not self.joined or not self.jobs:
             return
         now_s = self.dispatcher.clock.now()
@@ -172,7 +172,7 @@
             place = self.dispatcher.take(endpoint, online=False)
             self.group.start_soon(self.run_item, job, progress, place)
 
-    def make_all_room(self) -> None:
+    def preempt_surplus(self) -> None:
         """Stop own runs on endpoints that hold too many requests."""
         for endpoint_id, running in list(self.dispatcher.loads.own.items()):
             if not running.batch:
@@ -312,13 +312,15 @@
                 reason=str(saved.err_value),
             )
 
-    async def hand_over_all(self, heirs: Sequence[Member]) -> None:
+    async def hand_over_all(self, successors: Sequence[Member]) -> None:
         """Stop all runs and give the jobs to other entries."""
         self.stopping = True
         for job_id in list(self.jobs):
-            await self.hand_over(job_id, heirs)
+            await self.hand_over(job_id, successors)
 
-    async def hand_over(self, job_id: str, heirs: Sequence[Member]) -> None:
+    async def hand_over(
+        self, job_id: str, successors: Sequence[Member]
+    ) -> None:
         """Give a job with its results and partial outputs to another."""
         job = self.jobs.get(job_id)
         if job is None:
@@ -331,15 +333,15 @@
         if job.finished:
             job.listing = True
             await self.list_results(job)
-        if not job.items or not heirs:
+        if not job.items or not successors:
             return
-        chosen = first_for([one.owner_id for one in heirs], job_id)
-        heir = next(one for one in heirs if one.owner_id == chosen)
-        handed = await self.store.hand_over(job_id, heir, job.partials())
+        chosen = first_for([one.owner_id for one in successors], job_id)
+        successor = next(one for one in successors if one.owner_id == chosen)
+        handed = await self.store.hand_over(job_id, successor, job.partials())
         log_event(
             'job_handed_over',
             job=job_id,
-            heir=heir.instance,
+            successor=successor.instance,
             items=len(job.items),
             outcome='ok' if isinstance(handed, Ok) else str(handed.err_value),
         )
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -1,10 +1,9 @@
-"""When batch items start, and which of them make room for online requests.
+"""When batch items start, and which of them yield to online requests.
 
 Load pattern: batch items run for seconds on engines whose slots online
 bursts need within milliseconds, and several entries fill the same slots.
 
-Items start on slots that stay free beyond a reserve, the job that is due
-first before the others. When there is too much work, items whose job can't
+Items start on every free slot, the job that is due first before the others. When there is too much work, items whose job can't
 be on time any more go behind those whose job can. All entries see the same free slots at the same
 moment, so each takes only its share of them until the next news. When an
 engine holds more requests than slots, the entry with most batch runs there
@@ -21,8 +20,6 @@
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint
 
-# Slots of each engine that stay free for the next online request.
-RESERVED_SLOTS: Final = 0
 # Assumed until the first runs have ended.
 DEFAULT_EVENTS: Final = 100.0
 DEFAULT_EVENT_S: Final = 0.02
@@ -153,7 +150,7 @@
     def room(self, endpoint: Endpoint) -> int:
         """Return the slots of an endpoint that batch items may take."""
         used = self.loads.total(endpoint.endpoint_id)
-        return max(0, endpoint.slots - RESERVED_SLOTS - used)
+        return max(0, endpoint.slots - used)
 
     def share_of(self, room: int, demand: Demand) -> int:
         """Return this entry's share of free slots, rounded by lot."""
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -73,7 +73,7 @@
     # Entries that share the endpoints.
     count_entries: Callable[[], int] = lambda: 1
     # Asks for batch work to leave an endpoint.
-    make_room: Callable[[Endpoint], None] = lambda endpoint: None
+    preempt_batch: Callable[[Endpoint], None] = lambda endpoint: None
     # Told when the own counts of an endpoint changed.
     on_change: Callable[[str], None] = lambda endpoint_id: None
     lines: dict[str, WaitingLine] = field(default_factory=dict)
@@ -107,7 +107,7 @@
             return None
         place = self.take(choice.endpoint, online=True)
         if choice.yield_batch:
-            self.make_room(choice.endpoint)
+            self.preempt_batch(choice.endpoint)
         return place
 
     def take(self, endpoint: Endpoint, *, online: bool) -> Place:
--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -6,8 +6,8 @@
 Three kinds of evidence are kept apart. The platform's list says who exists
 and who leaves. An outage of the list itself makes entries lapse although
 their endpoints live, so a removal during an outage or shortly after it only
-counts when the entry stays away. Failures that this entry met itself put an
-endpoint aside for a short time, which grows while it keeps failing.
+counts when the entry stays away. Failures that this entry met itself eject
+an endpoint for a short time, which grows while it keeps failing.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 EJECTION_FACTOR: Final = 2.0
 # Weight of the latest answer in an endpoint's share of failures.
 FAILURE_WEIGHT: Final = 0.15
-# An endpoint that fails this share of its requests is put aside although
+# An endpoint that fails this share of its requests is ejected although
 # every other request succeeds.
 MAX_FAILURE_SHARE: Final = 0.3
 
@@ -41,7 +41,7 @@
     failures_in_row: int = 0
     failure_share: float = 0.0
     # When bytes of any request came from it.
-    heard_s: float = 0.0
+    last_bytes_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -133,7 +133,7 @@
     ) -> list[Endpoint]:
         """Return the endpoints that may get a new request.
 
-        Those put aside are used only when no other is left, so that a
+        Ejected ones are used only when no other is left, so that a
         fault of this entry's own cannot stop a whole service. A careful
         choice, for a request that can't be repeated, also leaves out those
         that have not answered since they last failed. The excluded ones are
@@ -154,16 +154,16 @@
             sound = proved or sound
         return [one.endpoint for one in sound or listed]
 
-    def note_heard(self, endpoint_id: str, now_s: float) -> None:
+    def note_bytes(self, endpoint_id: str, now_s: float) -> None:
         """Bytes came from an endpoint."""
         known = self.beliefs.get(endpoint_id)
         if known is not None:
-            known.heard_s = now_s
+            known.last_bytes_s = now_s
 
-    def is_heard(self, endpoint_id: str, since_s: float) -> bool:
+    def sent_since(self, endpoint_id: str, since_s: float) -> bool:
         """Tell whether an endpoint has sent something since a time."""
         known = self.beliefs.get(endpoint_id)
-        return known is not None and known.heard_s >= since_s
+        return known is not None and known.last_bytes_s >= since_s
 
     def note_success(self, endpoint_id: str) -> None:
         """An endpoint answered."""
@@ -173,17 +173,17 @@
             known.failure_share *= 1 - FAILURE_WEIGHT
 
     def note_failure(self, endpoint_id: str, now_s: float) -> float:
-        """An endpoint failed; return for how long it is put aside."""
+        """An endpoint failed; return for how long it is ejected."""
         known = self.beliefs.get(endpoint_id)
         if known is None:
             return 0.0
         known.failures_in_row += 1
         known.failure_share += FAILURE_WEIGHT * (1 - known.failure_share)
         doublings = min(known.failures_in_row - 1, 8)
-        aside_s = min(
+        ejected_s = min(
             MAX_EJECTION_S, FIRST_EJECTION_S * EJECTION_FACTOR**doublings
         )
         if known.failure_share > MAX_FAILURE_SHARE:
-            aside_s = MAX_EJECTION_S
-        known.ejected_until_s = now_s + aside_s
-        return aside_s
+            ejected_s = MAX_EJECTION_S
+        known.ejected_until_s = now_s + ejected_s
+        return ejected_s
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -21,7 +21,7 @@
     GossipMessage,
     JobEnded,
     LoadReport,
-    MakeRoom,
+    PreemptBatch,
 )
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.ingress import Ingress
@@ -59,7 +59,7 @@
 # Time for which changes of jobs and members are gathered, for each entry.
 FLEET_PAUSE_S: Final = 0.03
 MAX_FLEET_PAUSE_S: Final = 0.65
-# Reports that may pass until an entry has heard of all others' choices.
+# Reports that may pass until an entry knows of all others' choices.
 NEWS_INTERVALS: Final = 1.6
 
 
@@ -194,7 +194,7 @@
     def connect(self) -> None:
         """Let the parts tell each other of changes."""
         self.dispatcher.on_change = self.on_load_change
-        self.dispatcher.make_room = self.make_room
+        self.dispatcher.preempt_batch = self.preempt_batch
         self.dispatcher.count_entries = self.count_entries
         self.health.on_lost.append(self.on_store_lost)
         self.health.on_regained.append(self.on_store_regained)
@@ -241,7 +241,7 @@
         if self.runner is not None:
             self.runner.schedule_soon()
 
-    def make_room(self, endpoint: Endpoint) -> None:
+    def preempt_batch(self, endpoint: Endpoint) -> None:
         """Have one batch run leave an endpoint for an online request."""
         endpoint_id = endpoint.endpoint_id
         if self.runner is not None and self.runner.stop_one(endpoint_id):
@@ -250,7 +250,7 @@
         if peers:
             self.gossip.tell(
                 peers[0][1],
-                MakeRoom(self.member.owner_id, endpoint_id),
+                PreemptBatch(self.member.owner_id, endpoint_id),
             )
 
     def on_gossip(self, message: GossipMessage) -> None:
@@ -261,7 +261,7 @@
                 self.dispatcher.take_report(sender, counts, waiting, pending)
                 address = self.gossip.peers.get(sender)
                 if address is not None:
-                    self.store.path.hear(
+                    self.store.path.note_peer(
                         sender,
                         address,
                         store_up=store_up,
@@ -269,7 +269,7 @@
                     )
                 if self.runner is not None:
                     self.runner.schedule_soon()
-            case MakeRoom(_, endpoint_id):
+            case PreemptBatch(_, endpoint_id):
                 if self.runner is not None:
                     self.runner.stop_one(endpoint_id)
             case JobEnded(_, job_id):
@@ -310,7 +310,7 @@
             Ownership.of(self.jobs, self.member),
             self.health,
             self.clock.now,
-            heard=lambda: self.loads.peers,
+            alive=lambda: self.loads.peers,
             retention_s=self.installation.bounds.job_retention_s,
         )
         self.jobs.on_job = self.owner.on_job
@@ -335,7 +335,7 @@
             await self.runner.tick()
 
     def knows_peers(self) -> bool:
-        """Tell whether every other member was heard from since the start.
+        """Tell whether every other member has reported since the start.
 
         Until then the slots that others use are not known.
         """
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -185,10 +185,10 @@
     """Hand the jobs over and give the lease up."""
     if entry.owner is not None:
         entry.owner.stopping = True
-    heirs = [
+    successors = [
         one
         for one in entry.jobs.members.values()
         if one.owner_id in entry.loads.peers
     ]
-    await runner.hand_over_all(heirs)
+    await runner.hand_over_all(successors)
     await entry.registration.end()
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""Datagrams between entries: what runs where, and requests to make room.
+"""Datagrams between entries: what runs where, and requests to preempt.
 
 Load pattern: slots change hands many times a second, far faster than the
 store could tell. Reports hold the whole state of their sender, so a lost
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MakeRoom:
+class PreemptBatch:
     """Asks the receiver to stop one batch run on an endpoint."""
 
     sender: str
@@ -55,7 +55,7 @@
     job_id: str
 
 
-GossipMessage = LoadReport | MakeRoom | JobEnded
+GossipMessage = LoadReport | PreemptBatch | JobEnded
 
 
 def encode(message: GossipMessage) -> bytes:
@@ -65,7 +65,7 @@
             rows = [[key, one.online, one.batch] for key, one in counts.items()]
             row = [rows, waiting, pending, store_up]
             return bytes(msgpack.packb(['load', sender, row]))
-        case MakeRoom(sender, endpoint_id):
+        case PreemptBatch(sender, endpoint_id):
             return bytes(msgpack.packb(['room', sender, endpoint_id]))
         case JobEnded(sender, job_id):
             return bytes(msgpack.packb(['ended', sender, job_id]))
@@ -74,8 +74,8 @@
 def decode(datagram: bytes) -> GossipMessage | None:
     """Return the message of a datagram, or None if it is not readable.
 
-    >>> decode(encode(MakeRoom('a', 'e1')))
-    MakeRoom(sender='a', endpoint_id='e1')
+    >>> decode(encode(PreemptBatch('a', 'e1')))
+    PreemptBatch(sender='a', endpoint_id='e1')
     >>> decode(b'?')
     """
     try:
@@ -83,7 +83,7 @@
     except (ValueError, TypeError, msgpack.UnpackException):
         return None
     if kind == 'room':
-        return MakeRoom(sender, content)
+        return PreemptBatch(sender, content)
     if kind == 'ended':
         return JobEnded(sender, content)
     if kind == 'load':
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -165,7 +165,7 @@
         self.allow_silence()
         chunk = await self.exchange.read_chunk()
         dispatcher = self.context.dispatcher
-        dispatcher.book.note_heard(self.endpoint_id, dispatcher.clock.now())
+        dispatcher.book.note_bytes(self.endpoint_id, dispatcher.clock.now())
         return chunk
 
     def note_error(self, head: ResponseHead, answer: bytes) -> None:
@@ -194,7 +194,7 @@
         if exc.failure is Failure.CANCELLED:
             return
         now_s = self.wait_before_retry()
-        aside_s = self.context.dispatcher.book.note_failure(
+        ejected_s = self.context.dispatcher.book.note_failure(
             self.endpoint_id,
             now_s,
         )
@@ -205,7 +205,7 @@
             endpoint=self.endpoint_id,
             failure=str(exc),
             events=self.progress.events_done,
-            aside_s=aside_s,
+            ejected_s=ejected_s,
         )
 
     def wait_before_retry(self) -> float:
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -50,8 +50,6 @@
     tell_ended: Callable[[str], None]
     # Whether the store answered lately.
     store_up: Callable[[], bool]
-    # Set at a planned stop.
-    stopping: bool = False
 
     async def handle(
         self,
--- a/src/quetzaldyke/gateway/job_owner.py
+++ b/src/quetzaldyke/gateway/job_owner.py
@@ -34,8 +34,8 @@
     ownership: Ownership
     health: StoreHealth
     now: Callable[[], float]
-    # Entries that were heard from lately.
-    heard: Callable[[], Collection[str]]
+    # Entries whose reports arrive.
+    alive: Callable[[], Collection[str]]
     # How long a job can be read after its acceptance.
     retention_s: float
     # Set at a planned stop.
@@ -79,7 +79,7 @@
         orphans = self.ownership.orphans(
             self.now(),
             self.health.well_since_s,
-            self.heard(),
+            self.alive(),
         )
         for job_id in orphans:
             await self.take_over(job_id)
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -229,14 +229,14 @@
     async def hand_over(
         self,
         job_id: str,
-        heir: Member,
+        successor: Member,
         partials: list[PartialOutput],
     ) -> Result[None, KvError]:
         """Make another entry the owner, with what the runs produced."""
         return await self.set_owner(
             job_id,
-            heir.owner_id,
-            heir.instance,
+            successor.owner_id,
+            successor.instance,
             fitting(partials),
         )
 
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -11,7 +11,7 @@
 import logging
 import os
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -29,8 +29,6 @@
     ('request_served', 'item_done', 'item_preempted', 'results_listed'),
 )
 
-LogEvent = Callable[..., None]
-
 
 @dataclass(slots=True)
 class LineBudget:
--- a/src/quetzaldyke/gateway/membership.py
+++ b/src/quetzaldyke/gateway/membership.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Final
 
@@ -100,11 +100,11 @@
         self,
         now_s: float,
         store_well_since_s: float,
-        heard: Collection[str],
+        alive: Collection[str],
     ) -> list[str]:
         """Return the jobs that this entry should take over now.
 
-        `heard` are the entries that were heard from directly.
+        `alive` are the entries whose reports arrive.
         """
         members = self.book.members
         owners = {
@@ -115,7 +115,7 @@
         gone = {
             owner
             for owner, instance in owners.items()
-            if self.is_gone(owner, instance, now_s, heard)
+            if self.is_gone(owner, instance, now_s, alive)
         }
         for owner in list(self.missing_since):
             if owner in members or owner not in owners:
@@ -135,14 +135,14 @@
         owner_id: str,
         instance: str,
         now_s: float,
-        heard: Collection[str],
+        alive: Collection[str],
     ) -> bool:
         """Tell whether an owner runs no more."""
         if owner_id == self.member.owner_id:
             return False
         if self.is_predecessor(instance):
             return True
-        if owner_id in self.book.members or owner_id in heard:
+        if owner_id in self.book.members or owner_id in alive:
             self.missing_since.pop(owner_id, None)
             return False
         since_s = self.missing_since.setdefault(owner_id, now_s)
@@ -166,6 +166,3 @@
             return True
         candidates = {*self.book.members, self.member.owner_id}
         return first_for(candidates, job_id) == self.member.owner_id
-
-
-OnOwned = Callable[[str], None]
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Literal
 
 RouteKind = Literal['idempotent', 'non_idempotent', 'stream', 'batch']
@@ -142,4 +142,3 @@
     bounds: Bounds
     callers_address: str = ''
     readiness_address: str = ''
-    extra: dict[str, str] = field(default_factory=dict)
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The chosen endpoint, and whether batch work must make room."""
+    """The chosen endpoint, and whether batch work must yield."""
 
     endpoint: Endpoint
     yield_batch: bool
--- a/src/quetzaldyke/gateway/stalls.py
+++ b/src/quetzaldyke/gateway/stalls.py
@@ -34,7 +34,7 @@
 
     An endpoint that serves others meanwhile is not dark but busy.
     """
-    if book.is_heard(place.endpoint.endpoint_id, now_s - silence_s):
+    if book.sent_since(place.endpoint.endpoint_id, now_s - silence_s):
         return place.taken_s + QUEUED_SILENCE_S
     return 0.0
 
--- a/src/quetzaldyke/gateway/store_path.py
+++ b/src/quetzaldyke/gateway/store_path.py
@@ -14,7 +14,7 @@
 
 from quetzaldyke.gateway.store_health import StoreHealth
 
-# A peer that was not heard from for this long carries no calls.
+# A peer whose last report is older carries no calls.
 PEER_LIFE_S: Final = 1.0
 # A peer through which a call failed is not used again for this long.
 PEER_PAUSE_S: Final = 2.0
@@ -28,7 +28,7 @@
 
     address: Address
     store_up: bool
-    heard_s: float
+    last_bytes_s: float
     paused_until_s: float = 0.0
 
 
@@ -37,7 +37,7 @@
     """The ways to the store and the one in use.
 
     >>> path = StorePath(('10.0.0.1', 80))
-    >>> path.hear('p', ('10.0.0.2', 70), store_up=True, now_s=1.0)
+    >>> path.note_peer('p', ('10.0.0.2', 70), store_up=True, now_s=1.0)
     >>> path.choose(1.0)
     ('10.0.0.1', 80)
     >>> for _ in range(2):
@@ -56,7 +56,7 @@
     on_change: Callable[[Address], None] = lambda address: None
     in_use: Address | None = None
 
-    def hear(
+    def note_peer(
         self,
         peer: str,
         address: Address,
@@ -71,7 +71,7 @@
             return
         known.address = address
         known.store_up = store_up
-        known.heard_s = now_s
+        known.last_bytes_s = now_s
 
     def choose(self, now_s: float) -> Address:
         """Return the address that the next call goes to."""
@@ -86,7 +86,7 @@
         if self.direct.up:
             return self.store
         for way in self.peers.values():
-            fresh = now_s - way.heard_s <= PEER_LIFE_S
+            fresh = now_s - way.last_bytes_s <= PEER_LIFE_S
             if way.store_up and fresh and way.paused_until_s <= now_s:
                 return way.address
         return self.store
--- a/src/quetzaldyke/platform/names.py
+++ b/src/quetzaldyke/platform/names.py
@@ -22,7 +22,6 @@
 WAIT: Final = b'wait-ms'
 RETRY_AFTER: Final = b'retry-after'
 
-READINESS_PATH: Final = '/quetzaldyke/readiness'
 JOB_PATH: Final = '/quetzaldyke/lots/'
 ITEM_PATH: Final = '/quetzaldyke/items/'
 
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -93,8 +93,8 @@
         )
         return cls(time, dispatcher, attempt)
 
-    def aside(self) -> bool:
-        """Tell whether the endpoint was put aside."""
+    def ejected(self) -> bool:
+        """Tell whether the endpoint was ejected."""
         belief = self.dispatcher.book.beliefs['e1']
         return belief.ejected_until_s > self.time.now_s
 
@@ -116,11 +116,11 @@
 
 
 async def test_time_out_of_a_request_does_not_blame_the_endpoint() -> None:
-    """Guards against endpoints put aside by requests with little time."""
+    """Guards against endpoints ejected by requests with little time."""
     bed = Bed.of(make_route('idempotent'))
     bed.attempt.progress.attempts = 2
     await bed.attempt.take_error(ResponseHead(504, []), b'')
-    assert not bed.aside()
+    assert not bed.ejected()
 
 
 async def test_fault_blames_the_endpoint() -> None:
@@ -128,25 +128,25 @@
     bed = Bed.of(make_route('idempotent'))
     bed.attempt.progress.attempts = 2
     await bed.attempt.take_error(ResponseHead(500, []), b'')
-    assert bed.aside()
+    assert bed.ejected()
 
 
-def test_busy_endpoint_is_not_put_aside() -> None:
-    """Guards against a burst that puts every full engine aside."""
+def test_busy_endpoint_is_not_eject() -> None:
+    """Guards against a burst that ejects every full engine."""
     bed = Bed.of(make_route())
     bed.time.now_s += 0.2
-    bed.dispatcher.book.note_heard('e1', bed.time.now_s - 0.05)
+    bed.dispatcher.book.note_bytes('e1', bed.time.now_s - 0.05)
     bed.attempt.note_failure(ExchangeError(Failure.STALLED))
-    assert not bed.aside()
+    assert not bed.ejected()
 
 
-def test_dark_endpoint_is_put_aside() -> None:
+def test_dark_endpoint_is_eject() -> None:
     """Guards against a dark engine that keeps getting streams."""
     bed = Bed.of(make_route())
-    bed.dispatcher.book.note_heard('e1', bed.time.now_s - 1.0)
+    bed.dispatcher.book.note_bytes('e1', bed.time.now_s - 1.0)
     bed.time.now_s += 0.2
     bed.attempt.note_failure(ExchangeError(Failure.STALLED))
-    assert bed.aside()
+    assert bed.ejected()
 
 
 def test_wait_at_a_busy_endpoint_is_extended_once() -> None:
@@ -156,7 +156,7 @@
     now_s = bed.time.now_s + 0.2
     book = bed.dispatcher.book
     assert extended_s(book, place, 0.15, now_s) == 0.0
-    book.note_heard('e1', now_s - 0.1)
+    book.note_bytes('e1', now_s - 0.1)
     until_s = extended_s(book, place, 0.15, now_s)
     assert until_s == place.taken_s + QUEUED_SILENCE_S
     exchange = Exchange(expires_at_s=now_s, extend=lambda now: until_s)
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -129,7 +129,7 @@
     assert ownership.orphans(10.1 + OWNER_GRACE_S, 0.0, ()) == ['j']
 
 
-def test_job_of_an_entry_that_is_heard_stays() -> None:
+def test_job_of_an_entry_that_sent_since_stays() -> None:
     """Guards against takeovers when only a lease was lost."""
     ownership = Ownership.of(book_with(OTHER, OWN), OWN)
     ownership.orphans(10.0, 0.0, {'you'})
@@ -155,7 +155,7 @@
 
 def test_one_heir_only() -> None:
     """Guards against two entries that take over the same job."""
-    heirs = [
+    successors = [
         member
         for member in (OWN, OTHER)
         if Ownership.of(
@@ -163,7 +163,7 @@
             member,
         ).is_mine('j', book_with(Member('x', 'i-x', '', 0)).view('j'), {'x'})
     ]
-    assert len(heirs) == 1
+    assert len(successors) == 1
 
 
 @pytest.mark.parametrize('ended', [True, False])
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -168,12 +168,12 @@
     """Guards against a paused owner that wakes up and still writes."""
     store = FakeStore()
     old = await accepted_node(store)
-    heir = Node.of(store, 'b')
-    await heir.see()
-    assert await heir.store.take_over('j') == Ok(None)
+    successor = Node.of(store, 'b')
+    await successor.see()
+    assert await successor.store.take_over('j') == Ok(None)
     answer = await old.store.list_results('j', [(0, True, b'x')], {})
     assert isinstance(answer, Err)
-    state = heir.book.view('j').state
+    state = successor.book.view('j').state
     assert state is not None
     assert not state.listed
 
@@ -182,9 +182,9 @@
     """Guards against work that is done again after a planned stop."""
     store = FakeStore()
     node = await accepted_node(store)
-    heir = Member('b', 'i-b', '127.0.0.1', 1)
+    successor = Member('b', 'i-b', '127.0.0.1', 1)
     partials = [PartialOutput(1, 7, b'so far')]
-    assert await node.store.hand_over('j', heir, partials) == Ok(None)
+    assert await node.store.hand_over('j', successor, partials) == Ok(None)
     other = Node.of(store, 'b')
     await other.see()
     state = other.book.view('j').state
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -25,7 +25,7 @@
     GossipMessage,
     JobEnded,
     LoadReport,
-    MakeRoom,
+    PreemptBatch,
     decode,
     encode,
 )
@@ -125,7 +125,7 @@
         st.integers(0, 99),
         st.booleans(),
     ),
-    st.builds(MakeRoom, st.text(max_size=5), st.text(max_size=5)),
+    st.builds(PreemptBatch, st.text(max_size=5), st.text(max_size=5)),
     st.builds(JobEnded, st.text(max_size=5), st.text(max_size=5)),
 )
 
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -108,7 +108,7 @@
     assert book.remove('e1', 50.0)
 
 
-def test_failed_endpoint_is_put_aside_for_longer_each_time() -> None:
+def test_failed_endpoint_is_eject_for_longer_each_time() -> None:
     """Guards against a dark endpoint that keeps getting its full share."""
     book = EndpointBook()
     book.put(make_endpoint('e1'))
@@ -119,7 +119,7 @@
     assert [one.endpoint_id for one in book.usable('lm', 20.1)] == ['e2']
 
 
-def test_all_put_aside_are_used_all_the_same() -> None:
+def test_all_eject_are_used_all_the_same() -> None:
     """Guards against this entry's own cut stopping a whole service."""
     book = EndpointBook()
     book.put(make_endpoint('e1'))
--- a/tests/test_gateway_waiting.py
+++ b/tests/test_gateway_waiting.py
@@ -84,7 +84,7 @@
 
 
 def test_late_requests_are_refused_not_forgotten() -> None:
-    """Guards against callers that never hear that they were given up."""
+    """Guards against callers that are never told that they were given up."""
     started: list[str] = []
     line = WaitingLine()
     line.add(make_waiter(started, 'a', give_up_s=2.0))
