Keep serving endpoints in use after a lost answer; let sent requests wait

Change: a request that was sent before waits like a returning caller; a broken answer of an endpoint that sent something in the last 0.2 s only counts towards its share of failures. Tests failed before.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -37,6 +37,9 @@
 # may run once goes on one only if it was used this recently.
 ONCE_MAX_IDLE_S: Final = 0.5
 REPEATABLE_MAX_IDLE_S: Final = 4.0
+# An endpoint that sent something this lately serves; a crash is noticed by
+# the next connection.
+SERVING_S: Final = 0.2
 STATUS_OK: Final = 200
 FIRST_ERROR_STATUS: Final = 400
 FIRST_FAULT_STATUS: Final = 500
@@ -171,11 +174,17 @@
         self.log('attempt_failed', str(exc), self.eject_after(exc))
 
     def eject_after(self, exc: ExchangeError) -> float:
-        """Give the endpoint a pause unless it served others meanwhile."""
+        """Eject the endpoint unless it has just served others."""
         book = self.context.dispatcher.book
-        silent = exc.failure is Failure.STALLED
-        if silent and book.sent_since(self.endpoint_id, self.place.taken_s):
-            return 0.0
+        now_s = self.context.now()
+        if exc.failure is Failure.STALLED:
+            since_s = self.place.taken_s
+        elif exc.failure is Failure.BROKEN:
+            since_s = now_s - SERVING_S
+        else:
+            return self.eject()
+        if book.sent_since(self.endpoint_id, since_s):
+            return book.note_lost_answer(self.endpoint_id, now_s)
         return self.eject()
 
     def eject(self) -> float:
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
@@ -143,8 +144,14 @@
         route: Route,
         deadline_s: float,
         excluded: Collection[str],
+        *,
+        sent_before: bool = False,
     ) -> Result[Place, Refusal]:
-        """Take a place, wait for one, or refuse."""
+        """Take a place, wait for one, or refuse.
+
+        A request that an endpoint had before waits like a caller that has
+        come back: it may have run, so it could not be refused truly.
+        """
         now_s = self.clock.now()
         if not self.book.usable(service, now_s):
             return Err(Refusal('no_endpoint', NO_ENDPOINT_RETRY_S))
@@ -158,7 +165,8 @@
                 return Ok(place)
         left_s = deadline_s - now_s
         expected_s = self.expected_wait_s(service)
-        if not may_wait(expected_s, route.target_s, left_s, route.timeout_s):
+        full_s = math.inf if sent_before else route.timeout_s
+        if not may_wait(expected_s, route.target_s, left_s, full_s):
             return Err(self.refusal('no_slot_in_time', service, left_s))
         return await self.wait_in_line(service, route, deadline_s, excluded)
 
--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -172,6 +172,20 @@
             known.failures_in_row = 0
             known.failure_share *= 1 - FAILURE_WEIGHT
 
+    def note_lost_answer(self, endpoint_id: str, now_s: float) -> float:
+        """An endpoint that serves others lost one answer.
+
+        It is ejected only when it loses a large share of them.
+        """
+        known = self.beliefs.get(endpoint_id)
+        if known is None:
+            return 0.0
+        known.failure_share += FAILURE_WEIGHT * (1 - known.failure_share)
+        if known.failure_share <= MAX_FAILURE_SHARE:
+            return 0.0
+        known.ejected_until_s = now_s + MAX_EJECTION_S
+        return MAX_EJECTION_S
+
     def note_failure(self, endpoint_id: str, now_s: float) -> float:
         """An endpoint failed; return for how long it is ejected."""
         known = self.beliefs.get(endpoint_id)
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -140,6 +140,23 @@
     assert not bed.ejected()
 
 
+def test_one_lost_answer_does_not_eject_a_serving_endpoint() -> None:
+    """Guards against single resets that take whole engines out of use."""
+    bed = Bed.of(make_route())
+    bed.dispatcher.book.note_bytes('e1', bed.time.now_s - 0.05)
+    bed.attempt.note_failure(ExchangeError(Failure.BROKEN))
+    assert not bed.ejected()
+
+
+def test_many_lost_answers_eject_a_serving_endpoint() -> None:
+    """Guards against endpoints that fail a large share of their requests."""
+    bed = Bed.of(make_route())
+    for _ in range(5):
+        bed.dispatcher.book.note_bytes('e1', bed.time.now_s)
+        bed.attempt.note_failure(ExchangeError(Failure.BROKEN))
+    assert bed.ejected()
+
+
 def test_dark_endpoint_is_eject() -> None:
     """Guards against a dark engine that keeps getting streams."""
     bed = Bed.of(make_route())
--- a/tests/test_gateway_waiting.py
+++ b/tests/test_gateway_waiting.py
@@ -163,6 +163,35 @@
     assert isinstance(placed[0], Ok)
 
 
+async def test_request_that_was_sent_before_waits_for_a_slot() -> None:
+    """Guards against a request lost because its retry found no slot."""
+    time = FakeTime()
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    holders = [dispatcher.try_place('lm') for _ in range(5)]
+    dispatcher.loads.take_report('p', {}, {'lm': 4}, 0, time.now_s)
+    placed = []
+
+    async def ask() -> None:
+        deadline_s = time.now_s + 5.0
+        placed.append(
+            await dispatcher.place(
+                'lm',
+                make_route(),
+                deadline_s,
+                (),
+                sent_before=True,
+            ),
+        )
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(ask)
+        await anyio.wait_all_tasks_blocked()
+        assert not placed
+        assert holders[0] is not None
+        dispatcher.release(holders[0])
+    assert isinstance(placed[0], Ok)
+
+
 async def test_cancelled_waiter_gives_its_place_back() -> None:
     """Guards against slots that leak when a caller leaves the line."""
     time = FakeTime()
