Tell a local loss of the store from an outage

Ruled out: a late watch (the removal was seen 3 ms after its acknowledgement). Change: entries report for how long they have reached the store; when a peer did all the time, nothing has lapsed. A lapsed entry is not used past its time, whenever the clean-up runs.

--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -112,11 +112,20 @@
         self.outage = False
         self.lapse_ends_s = now_s + LAPSE_GRACE_S
 
+    def outage_was_local(self) -> None:
+        """Only this entry lost the list, so no entry has lapsed in it."""
+        self.outage = False
+
+    def is_gone(self, belief: EndpointBelief, now_s: float) -> bool:
+        """Tell whether a lapsed entry has stayed away for too long."""
+        over = not self.outage and now_s >= self.lapse_ends_s
+        return belief.lapsed and over
+
     def drop_lapsed(self, now_s: float) -> list[str]:
         """Remove entries that did not come back after an outage."""
-        if self.outage or now_s < self.lapse_ends_s:
-            return []
-        gone = [key for key, one in self.beliefs.items() if one.lapsed]
+        gone = [
+            key for key, one in self.beliefs.items() if self.is_gone(one, now_s)
+        ]
         for endpoint_id in gone:
             del self.beliefs[endpoint_id]
         if gone:
@@ -142,7 +151,7 @@
         listed = [
             one
             for one in self.by_service.get(service, ())
-            if one.endpoint.state == 'ready'
+            if one.endpoint.state == 'ready' and not self.is_gone(one, now_s)
         ]
         fresh = [
             one for one in listed if one.endpoint.endpoint_id not in excluded
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -172,7 +172,7 @@
                     loads.report(),
                     dispatcher.waiting(),
                     entry.runner.pending() if entry.runner else 0,
-                    store.path.direct.up,
+                    store.path.direct.well_s(clock.now()),
                 ),
                 lambda message: entry.on_gossip(message),
             ),
@@ -256,7 +256,7 @@
     def on_gossip(self, message: GossipMessage) -> None:
         """Take over what a peer says."""
         match message:
-            case LoadReport(sender, counts, waiting, pending, store_up):
+            case LoadReport(sender, counts, waiting, pending, store_well_s):
                 now_s = self.clock.now()
                 self.dispatcher.take_report(sender, counts, waiting, pending)
                 address = self.gossip.peers.get(sender)
@@ -264,7 +264,7 @@
                     self.store.path.note_peer(
                         sender,
                         address,
-                        store_up=store_up,
+                        store_well_s=store_well_s,
                         now_s=now_s,
                     )
                 if self.runner is not None:
@@ -282,8 +282,13 @@
 
     def on_store_regained(self) -> None:
         """The store answers again."""
-        self.book.outage_ended(self.clock.now())
-        log_event('dependency_regained', dependency='store')
+        now_s = self.clock.now()
+        local = self.store.path.peer_was_well_since(self.health.lost_s, now_s)
+        if local:
+            self.book.outage_was_local()
+        else:
+            self.book.outage_ended(now_s)
+        log_event('dependency_regained', dependency='store', local=local)
 
     def on_members(self) -> None:
         """Gossip with the members of the moment."""
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -35,8 +35,9 @@
     waiting: dict[str, int]
     # Batch items that could start at the sender, were there room.
     pending: int
-    # Whether the sender itself reaches the platform's store.
-    store_up: bool
+    # For how long the sender itself has reached the platform's store; 0 when
+    # it does not.
+    store_well_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,9 +62,9 @@
 def encode(message: GossipMessage) -> bytes:
     """Return the datagram of a message."""
     match message:
-        case LoadReport(sender, counts, waiting, pending, store_up):
+        case LoadReport(sender, counts, waiting, pending, store_well_s):
             rows = [[key, one.online, one.batch] for key, one in counts.items()]
-            row = [rows, waiting, pending, store_up]
+            row = [rows, waiting, pending, store_well_s]
             return bytes(msgpack.packb(['load', sender, row]))
         case PreemptBatch(sender, endpoint_id):
             return bytes(msgpack.packb(['room', sender, endpoint_id]))
@@ -87,9 +88,9 @@
     if kind == 'ended':
         return JobEnded(sender, content)
     if kind == 'load':
-        rows, waiting, pending, store_up = content
+        rows, waiting, pending, store_well_s = content
         counts = {key: Running(online, batch) for key, online, batch in rows}
-        return LoadReport(sender, counts, waiting, pending, store_up)
+        return LoadReport(sender, counts, waiting, pending, store_well_s)
     return None
 
 
--- a/src/quetzaldyke/gateway/store_health.py
+++ b/src/quetzaldyke/gateway/store_health.py
@@ -31,6 +31,8 @@
     last_answer_s: float = 0.0
     # Since when every call was answered.
     well_since_s: float = 0.0
+    # When the store was last found to be lost.
+    lost_s: float = 0.0
     on_lost: list[Callable[[], None]] = field(default_factory=list)
     on_regained: list[Callable[[], None]] = field(default_factory=list)
 
@@ -43,12 +45,19 @@
         self.well_since_s = now_s
         if self.up and self.failures >= DOWN_AFTER_FAILURES:
             self.up = False
+            self.lost_s = now_s
             for handler in self.on_lost:
                 handler()
 
+    def well_s(self, now_s: float) -> float:
+        """Return for how long calls were answered, 0 while they are not."""
+        return now_s - self.well_since_s if self.up else 0.0
+
     def note_answer(self, now_s: float) -> None:
         """The store answered a call."""
         self.failures = 0
+        if not self.last_answer_s:
+            self.well_since_s = now_s
         self.last_answer_s = now_s
         if self.up:
             return
--- a/src/quetzaldyke/gateway/store_path.py
+++ b/src/quetzaldyke/gateway/store_path.py
@@ -27,8 +27,9 @@
     """A peer's report about its own way to the store."""
 
     address: Address
-    store_up: bool
-    last_bytes_s: float
+    # For how long it has reached the store; 0 when it does not.
+    store_well_s: float
+    reported_s: float
     paused_until_s: float = 0.0
 
 
@@ -37,7 +38,7 @@
     """The ways to the store and the one in use.
 
     >>> path = StorePath(('10.0.0.1', 80))
-    >>> path.note_peer('p', ('10.0.0.2', 70), store_up=True, now_s=1.0)
+    >>> path.note_peer('p', ('10.0.0.2', 70), store_well_s=9.0, now_s=1.0)
     >>> path.choose(1.0)
     ('10.0.0.1', 80)
     >>> for _ in range(2):
@@ -61,17 +62,17 @@
         peer: str,
         address: Address,
         *,
-        store_up: bool,
+        store_well_s: float,
         now_s: float,
     ) -> None:
         """Take over a peer's report."""
         known = self.peers.get(peer)
         if known is None:
-            self.peers[peer] = PeerWay(address, store_up, now_s)
+            self.peers[peer] = PeerWay(address, store_well_s, now_s)
             return
         known.address = address
-        known.store_up = store_up
-        known.last_bytes_s = now_s
+        known.store_well_s = store_well_s
+        known.reported_s = now_s
 
     def choose(self, now_s: float) -> Address:
         """Return the address that the next call goes to."""
@@ -86,11 +87,23 @@
         if self.direct.up:
             return self.store
         for way in self.peers.values():
-            fresh = now_s - way.last_bytes_s <= PEER_LIFE_S
-            if way.store_up and fresh and way.paused_until_s <= now_s:
+            fresh = now_s - way.reported_s <= PEER_LIFE_S
+            if way.store_well_s and fresh and way.paused_until_s <= now_s:
                 return way.address
         return self.store
 
+    def peer_was_well_since(self, since_s: float, now_s: float) -> bool:
+        """Tell whether a peer has reached the store all the time since then.
+
+        If so, the store itself was not away.
+        """
+        return any(
+            now_s - way.reported_s <= PEER_LIFE_S
+            and way.reported_s - way.store_well_s <= since_s
+            for way in self.peers.values()
+            if way.store_well_s
+        )
+
     def note(self, address: Address, *, answered: bool, now_s: float) -> None:
         """Take over the outcome of a call on one way."""
         if address == self.store:
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -123,7 +123,7 @@
         COUNTS,
         st.dictionaries(st.text(max_size=5), st.integers(0, 99), max_size=3),
         st.integers(0, 99),
-        st.booleans(),
+        st.floats(0, 99),
     ),
     st.builds(PreemptBatch, st.text(max_size=5), st.text(max_size=5)),
     st.builds(JobEnded, st.text(max_size=5), st.text(max_size=5)),
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -26,6 +26,7 @@
 )
 from quetzaldyke.gateway.placement import PlacementPolicy
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
+from quetzaldyke.gateway.store_path import StorePath
 from quetzaldyke.gateway.waiting_line import Waiter
 
 
@@ -101,6 +102,42 @@
     assert not book.usable('lm', 5.0)
 
 
+def test_lapsed_entry_is_not_used_past_its_time() -> None:
+    """Guards against work for a gone endpoint until the next clean-up."""
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    book.outage_began()
+    book.remove('e1', 1.0)
+    book.outage_ended(2.0)
+    assert book.usable('lm', 2.0 + LAPSE_GRACE_S - 0.01)
+    assert not book.usable('lm', 2.0 + LAPSE_GRACE_S)
+
+
+def test_removal_counts_when_only_this_entry_lost_the_store() -> None:
+    """Guards against a paused entry that takes a removal for a lapse.
+
+    Found by a hunted day: an entry that was frozen for a second saw its
+    calls time out, and kept sending to an endpoint that had left.
+    """
+    path = StorePath(('s', 1))
+    path.note_peer('p', ('p', 2), store_well_s=60.0, now_s=9.9)
+    assert path.peer_was_well_since(since_s=9.0, now_s=10.0)
+    book = EndpointBook()
+    book.put(make_endpoint('e1'))
+    book.outage_began()
+    book.outage_was_local()
+    assert book.remove('e1', 10.1)
+
+
+def test_outage_of_all_entries_is_one_of_the_store() -> None:
+    """Guards against losing all endpoints in a real outage."""
+    path = StorePath(('s', 1))
+    path.note_peer('p', ('p', 2), store_well_s=0.3, now_s=9.9)
+    assert not path.peer_was_well_since(since_s=9.0, now_s=10.0)
+    path.note_peer('p', ('p', 2), store_well_s=60.0, now_s=5.0)
+    assert not path.peer_was_well_since(since_s=9.0, now_s=10.0)
+
+
 def test_removal_in_calm_times_counts_at_once() -> None:
     """Guards against work for an endpoint that left without draining."""
     book = EndpointBook()
