Compute a request's fingerprint once and share the runs' context

Found at the last reading: each failure hashed the whole body again, each run of an item built the same context, a loop had a comment for its body, and two tests of the waiting line differed in two values.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -270,8 +270,9 @@
             self.request.route.resumable
             and self.progress.attempts < self.request.route.max_attempts
         )
-        while await self.pass_events(may_move=may_move):
-            """Each turn passes the events of one chunk."""
+        passing = True
+        while passing:
+            passing = await self.pass_events(may_move=may_move)
         if self.progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
         self.context.dispatcher.book.note_success(self.endpoint_id)
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -65,6 +65,17 @@
     joined: bool = False
     handle: asyncio.TimerHandle | None = None
     times: RunTimes = field(default_factory=RunTimes)
+    run_context: RunContext = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Share what all runs need."""
+        self.run_context = RunContext(
+            self.dispatcher,
+            self.client,
+            self.store,
+            self.times,
+            self.finish,
+        )
 
     def pending(self) -> int:
         """Return how many items could start, were there room."""
@@ -219,14 +230,7 @@
         exchange = Exchange(names.ATTEMPT_ID, progress.record.item_id.encode())
         progress.endpoint_id = place.endpoint.endpoint_id
         progress.exchange = exchange
-        context = RunContext(
-            self.dispatcher,
-            self.client,
-            self.store,
-            self.times,
-            self.finish,
-        )
-        run = ItemRun(context, job, progress, place, exchange)
+        run = ItemRun(self.run_context, job, progress, place, exchange)
         try:
             await run.run()
         except Exception as exc:
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -43,12 +43,17 @@
     arrived_s: float
     deadline_s: float
     last_event: int | None
+    # Kept, as the whole body goes into it and every failure asks for it.
+    known_fingerprint: str = ''
 
     def fingerprint(self) -> str:
         """Return what a repeated request has in common with this one."""
+        if self.known_fingerprint:
+            return self.known_fingerprint
         digest = hashlib.blake2b(self.body, digest_size=8)
         digest.update(self.method + self.target)
-        return digest.hexdigest()
+        self.known_fingerprint = digest.hexdigest()
+        return self.known_fingerprint
 
 
 @dataclass(slots=True)
--- a/tests/test_gateway_waiting.py
+++ b/tests/test_gateway_waiting.py
@@ -141,8 +141,8 @@
     assert dispatcher.expected_wait_s('lm') == pytest.approx(3 * without)
 
 
-async def test_returning_caller_waits_for_a_slot() -> None:
-    """Guards against callers that are sent away a second time."""
+async def check_wait_for_release(left_s: float, *, sent_before: bool) -> None:
+    """Check that a request waits at a full endpoint until a slot is freed."""
     time = FakeTime()
     dispatcher = make_dispatcher(time, make_endpoint('e1'))
     holders = [dispatcher.try_place('lm') for _ in range(5)]
@@ -150,36 +150,13 @@
     placed = []
 
     async def ask() -> None:
-        placed.append(
-            await dispatcher.place('lm', make_route(), time.now_s + 3.0, ()),
-        )
-
-    async with anyio.create_task_group() as group:
-        group.start_soon(ask)
-        await anyio.wait_all_tasks_blocked()
-        assert not placed
-        assert holders[0] is not None
-        dispatcher.release(holders[0])
-    assert isinstance(placed[0], Ok)
-
-
-async def test_request_that_was_sent_before_waits_for_a_slot() -> None:
-    """Guards against a request lost because its retry found no slot."""
-    time = FakeTime()
-    dispatcher = make_dispatcher(time, make_endpoint('e1'))
-    holders = [dispatcher.try_place('lm') for _ in range(5)]
-    dispatcher.loads.take_report('p', {}, {'lm': 4}, 0, time.now_s)
-    placed = []
-
-    async def ask() -> None:
-        deadline_s = time.now_s + 5.0
         placed.append(
             await dispatcher.place(
                 'lm',
                 make_route(),
-                deadline_s,
+                time.now_s + left_s,
                 (),
-                sent_before=True,
+                sent_before=sent_before,
             ),
         )
 
@@ -192,6 +169,16 @@
     assert isinstance(placed[0], Ok)
 
 
+async def test_returning_caller_waits_for_a_slot() -> None:
+    """Guards against callers that are sent away a second time."""
+    await check_wait_for_release(3.0, sent_before=False)
+
+
+async def test_request_that_was_sent_before_waits_for_a_slot() -> None:
+    """Guards against a request lost because its retry found no slot."""
+    await check_wait_for_release(5.0, sent_before=True)
+
+
 async def test_cancelled_waiter_gives_its_place_back() -> None:
     """Guards against slots that leak when a caller leaves the line."""
     time = FakeTime()
