Listen before the modules are imported

Change: the callers' address is an argument; the port is bound before anything large is imported, and connections are accepted once the first news of the store is there (0.1 s at most). Ruled out: refusing while the modules load; a caller of a single killed entry may wait a fraction of a second instead of being turned away, few requests against all of them after a common end.

--- a/src/quetzaldyke/connection/http_server.py
+++ b/src/quetzaldyke/connection/http_server.py
@@ -24,6 +24,8 @@
 import uvicorn
 from anyio.abc import TaskStatus
 
+from quetzaldyke.connection.listener import BACKLOG, bind
+
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Scope]]
 Send = Callable[[Scope], Awaitable[None]]
@@ -32,7 +34,6 @@
 # Longer than the idle time of usual clients, so that a request rarely meets
 # a connection that the server is just closing.
 KEEP_ALIVE_S: Final = 75
-BACKLOG: Final = 1024
 # An accepted connection gets its transport and protocol within these.
 ACCEPT_TURNS: Final = 4
 
@@ -130,24 +131,6 @@
         connection.transport.abort()
 
 
-def bind(address: str) -> socket.socket:
-    """Return a bound socket; port 0 takes any free port."""
-    host, _, port = address.rpartition(':')
-    bare = host.strip('[]')
-    family = socket.AF_INET6 if ':' in bare else socket.AF_INET
-    # asyncio turns Nagle's algorithm off only on sockets with this protocol
-    # number; without it each answer took 40 ms.
-    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        bound.bind((bare, int(port)))
-    except OSError:
-        bound.close()
-        raise
-    bound.setblocking(False)
-    return bound
-
-
 def start_server(
     app: App,
     options: HttpOptions,
@@ -194,14 +177,16 @@
     app: App,
     options: HttpOptions,
     stopping: anyio.Event,
+    bound: socket.socket | None = None,
     *,
     task_status: TaskStatus[HttpServer] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until `stopping` is set, then finish running requests.
 
-    Reports the server once it accepts connections.
+    Reports the server once it accepts connections. A socket that is given
+    is used in place of a new one at the address.
     """
-    bound = bind(options.address)
+    bound = bind(options.address) if bound is None else bound
     http = start_server(app, options, bound)
     try:
         async with anyio.create_task_group() as group:
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -37,7 +37,7 @@
     Ownership,
     Registration,
 )
-from quetzaldyke.gateway.model import Endpoint, Installation
+from quetzaldyke.gateway.model import Configuration, Endpoint, Installation
 from quetzaldyke.gateway.new_job import NewJob
 from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.placement import PlacementPolicy
@@ -91,6 +91,8 @@
     runner: BatchRunner | None = None
     owner: JobOwner | None = None
     started_s: float = 0.0
+    # Set once the configuration and the endpoints are known.
+    informed: anyio.Event = field(default_factory=anyio.Event)
     stopping: anyio.Event = field(default_factory=anyio.Event)
 
     @classmethod
@@ -180,11 +182,14 @@
             ingress=ingress,
             api=api,
             policy=BatchPolicy(owner_id, loads, generator),
-            configurations=ConfigurationFeed(clock.now, ingress.configure),
+            configurations=ConfigurationFeed(
+                clock.now,
+                lambda configuration: entry.on_configuration(configuration),
+            ),
             endpoints=EndpointFeed(
                 book,
                 clock.now,
-                dispatcher.serve_lines,
+                lambda: entry.on_endpoints(),
             ),
             started_s=clock.now(),
         )
@@ -223,6 +228,21 @@
             return 'no endpoints yet'
         return ''
 
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Serve by a configuration from now on."""
+        self.ingress.configure(configuration)
+        self.note_news()
+
+    def on_endpoints(self) -> None:
+        """The list of endpoints changed."""
+        self.dispatcher.serve_lines()
+        self.note_news()
+
+    def note_news(self) -> None:
+        """Tell whoever waits for the first news of the store."""
+        if not self.unready_reason():
+            self.informed.set()
+
     def count_entries(self) -> int:
         """Return how many entries share the endpoints."""
         return max(1, len(self.jobs.members))
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from contextlib import AsyncExitStack
 from typing import Final
 
@@ -28,6 +29,8 @@
 
 # The balancer takes an unready entry out after two misses.
 LINGER_S: Final = 2.6
+# Wait for the first news of the store before callers are accepted.
+FIRST_NEWS_LIMIT_S: Final = 0.1
 # Kept free before the kill at the end of the grace time.
 STOP_RESERVE_S: Final = 0.7
 
@@ -35,9 +38,14 @@
 async def run_entry(
     installation: Installation,
     writer: LineWriter,
+    callers: socket.socket,
     metrics_port: int,
 ) -> None:
-    """Run an entry until its planned stop is complete."""
+    """Run an entry until its planned stop is complete.
+
+    `callers` already listens; connections are accepted when the entry knows
+    what to do with them.
+    """
     entry = Entry.from_installation(installation, writer)
     log_event(
         'entry_started',
@@ -74,6 +82,7 @@
         group.start_soon(entry.registration.renew)
         group.start_soon(entry.timers.run)
         group.start_soon(watch_signals, entry)
+        await wait_until_informed(entry)
         await group.start(
             serve_http,
             entry.ingress,
@@ -82,14 +91,25 @@
                 drain_s=max(1, int(installation.bounds.grace_s)),
             ),
             listener_ended,
+            callers,
         )
-        log_event('entry_listening')
+        log_event('entry_accepting', lacks=entry.unready_reason())
         await entry.stopping.wait()
         await stop(entry, group, listener_ended)
         group.cancel_scope.cancel()
     log_event('entry_stopped')
 
 
+async def wait_until_informed(entry: Entry) -> None:
+    """Return once the configuration and the endpoints are known.
+
+    The store answers within milliseconds. When it does not, callers are told
+    so instead of being left waiting.
+    """
+    with anyio.move_on_after(FIRST_NEWS_LIMIT_S):
+        await entry.informed.wait()
+
+
 def start_runner(entry: Entry, group: TaskGroup) -> None:
     """Let the entry run batch items."""
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -205,6 +205,7 @@
                 '-m',
                 'quetzaldyke.gateway',
                 'entry',
+                f'{HOST}:{ports.front}',
                 str(ports.metrics),
             ],
             {'QUETZALDYKE_CONFIG': str(path)},
