Tell the history of a request from the platform's log lines

Cause: quetzaldyke explain and timeline read only lines with a hybrid stamp, so the logs of entries on the platform gave nothing, and an operator had to read the lines one by one. Change: a line with a Unix time gets a stamp of its millisecond and number; sentences for the events of requests, items and jobs (gateway/history.py).

--- a/src/quetzaldyke/commands/timeline.py
+++ b/src/quetzaldyke/commands/timeline.py
@@ -12,10 +12,13 @@
 from quetzaldyke.parts.hlc import Stamp
 from quetzaldyke.parts.timeline import Event, merge
 from quetzaldyke.process.event_query import event_from_row, matches
+from quetzaldyke.process.explain import TIME_FIELD
 from quetzaldyke.process.logs import render_value
 
 MAX_EVENTS: Final = 2000
 ESCAPES: Final = {'n': '\n', 'r': '\r'}
+MS_IN_S: Final = 1000
+ROUNDING: Final = 0.5
 NOT_FIELDS: Final = frozenset(('event', 'stamp', 'process'))
 
 
@@ -66,10 +69,26 @@
     return Stamp(int(wall_ms), int(counter), process)
 
 
-def parse_line(line: str) -> Event | None:
+def parse_time(fields: dict[str, str], number: int) -> Stamp | None:
+    """Return the stamp of a line that has only a Unix time.
+
+    The line's number keeps lines of one millisecond apart and in order.
+
+    >>> parse_time({'t': '0.005', 'process': 'e1'}, 2)
+    Stamp(wall_ms=5, counter=2, process='e1')
+    """
+    seconds, _, fraction = fields.get(TIME_FIELD, '').partition('.')
+    process = fields.get('process', '')
+    if not (seconds.isdecimal() and fraction.isdecimal() and process):
+        return None
+    wall_ms = int(float(f'{seconds}.{fraction}') * MS_IN_S + ROUNDING)
+    return Stamp(wall_ms, number, process)
+
+
+def parse_line(line: str, number: int = 0) -> Event | None:
     """Return the event of a log line; None for lines of other programs."""
     fields = dict(split_pairs(line.rstrip('\n')))
-    stamp = parse_stamp(fields.get('stamp', ''))
+    stamp = parse_stamp(fields.get('stamp', '')) or parse_time(fields, number)
     if stamp is None or 'event' not in fields:
         return None
     kept = {key: text for key, text in fields.items() if key not in NOT_FIELDS}
@@ -79,7 +98,11 @@
 def read_log(path: str) -> list[Event]:
     """Return the events of a log file in stamp order."""
     with Path(path).open(errors='replace') as lines:
-        events = [event for line in lines if (event := parse_line(line))]
+        events = [
+            event
+            for number, line in enumerate(lines)
+            if (event := parse_line(line, number))
+        ]
     return sorted(events, key=lambda event: event.stamp)
 
 
--- a/src/quetzaldyke/process/explain.py
+++ b/src/quetzaldyke/process/explain.py
@@ -6,13 +6,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from datetime import datetime, timezone
 from typing import Final
 
+from quetzaldyke.gateway import history
 from quetzaldyke.parts.timeline import Event
 
 MS_IN_S: Final = 1000
+# Lines of a platform installation have a Unix time in place of a stamp.
+TIME_FIELD: Final = 't'
 
 Fields = dict[str, str]
 Sentence = Callable[[Fields, str], str]
@@ -170,7 +173,11 @@
 
 def other(event: Event) -> str:
     """Tell of an event that has no sentence of its own."""
-    pairs = ', '.join(f'{key} {text}' for key, text in event.fields.items())
+    pairs = ', '.join(
+        f'{key} {text}'
+        for key, text in event.fields.items()
+        if key != TIME_FIELD
+    )
     name = event.name.replace('_', ' ')
     suffix = f' ({pairs})' if pairs else ''
     return f'{event.stamp.process} noted: {name}{suffix}'
@@ -182,9 +189,15 @@
     return at.strftime('%H:%M:%S')
 
 
+def is_of_gateway(event: Event) -> bool:
+    """Tell whether a process of a platform installation logged an event."""
+    return TIME_FIELD in event.fields
+
+
 def sentence_of(event: Event) -> str:
     """Return the sentence of one event."""
-    tell = SENTENCES.get(event.name)
+    known = history.SENTENCES if is_of_gateway(event) else SENTENCES
+    tell = known.get(event.name)
     if tell is None:
         return other(event)
     return tell(event.fields, event.stamp.process)
@@ -213,8 +226,13 @@
     return ''.join(f'{line}\n' for line in lines)
 
 
-def outcome_of(events: Iterable[Event]) -> str:
+def outcome_of(events: Sequence[Event]) -> str:
     """Return the sentence that sums up how it stands."""
+    of_gateway = history.outcome_of(
+        [one for one in events if is_of_gateway(one)]
+    )
+    if of_gateway:
+        return of_gateway
     names = [event.name for event in events]
     if 'request_ended' in names:
         return 'The caller has the whole answer.'
