--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -28,6 +28,8 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     outputs: list[bytes] = field(default_factory=list)
     failures: int = 0
+    # Endpoints at which this entry saw it fail.
+    failed_at: frozenset[str] = frozenset()
     not_before_s: float = 0.0
     exchange: Exchange | None = None
     endpoint_id: str = ''
@@ -88,6 +90,7 @@
                 self.due_ms,
                 one.events_done,
                 left_s < times.left_s(one.events_done),
+                one.failed_at,
             )
             for one in self.items.values()
             if not one.running
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -22,6 +22,7 @@
     Candidate,
     Demand,
     RunTimes,
+    pair,
     start_order,
 )
 from quetzaldyke.gateway.dispatcher import Dispatcher, Place
@@ -175,8 +176,12 @@
             self.news_age_s(),
         )
         rooms = self.policy.rooms(usable, demand, now_s)
-        ordered = start_order(candidates)
-        for candidate, endpoint in zip(ordered, rooms, strict=False):
+        pairs = pair(
+            start_order(candidates),
+            rooms,
+            [one.endpoint_id for one in usable],
+        )
+        for candidate, endpoint in pairs:
             job = self.jobs[candidate.job_id]
             progress = job.items[candidate.item]
             progress.running = True
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -3,17 +3,22 @@
 Load pattern: batch items run for seconds on engines whose slots online
 bursts need within milliseconds, and several entries fill the same slots.
 
-Items start on every free slot, the job that is due first before the others. When there is too much work, items whose job can't
-be on time any more go behind those whose job can. All entries see the same free slots at the same
+Items start on every free slot, the job that is due first before the others.
+When there is too much work, items whose job can't be on time any more go
+behind those whose job can. All entries see the same free slots at the same
 moment, so each takes only its share of them until the next news. When an
 engine holds more requests than slots, the entry with most batch runs there
 stops some; a stopped item goes on later after its last event.
+
+An endpoint may fail part of its requests while it seems healthy. An item
+that failed there runs at others, so that its few attempts don't all go to
+the same fault.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -40,6 +45,8 @@
     events_done: int
     # Whether it can't be done any more when its job is due.
     late: bool
+    # Endpoints at which it has failed.
+    failed_at: frozenset[str] = frozenset()
 
 
 def start_order(candidates: Iterable[Candidate]) -> list[Candidate]:
@@ -65,6 +72,34 @@
     )
 
 
+def pair(
+    candidates: Iterable[Candidate],
+    rooms: Sequence[Endpoint],
+    usable: Collection[str],
+) -> list[tuple[Candidate, Endpoint]]:
+    """Give the free slots to the items, in order.
+
+    An item stays away from endpoints at which it has failed while there is
+    a usable one at which it has not.
+    """
+    left = list(rooms)
+    pairs: list[tuple[Candidate, Endpoint]] = []
+    for candidate in candidates:
+        if not left:
+            break
+        avoided = candidate.failed_at
+        if avoided.issuperset(usable):
+            avoided = frozenset()
+        found = next(
+            (one for one in left if one.endpoint_id not in avoided),
+            None,
+        )
+        if found is not None:
+            left.remove(found)
+            pairs.append((candidate, found))
+    return pairs
+
+
 @dataclass(slots=True)
 class RunTimes:
     """How long whole runs take, learned from those that ended.
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -175,6 +175,7 @@
         refused = refused or head.status == STATUS_MISDIRECTED
         if not refused:
             progress.failures += 1
+            progress.failed_at |= {self.endpoint_id}
         self.wait_before_retry()
         log_event(
             'item_failed',
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -13,6 +13,7 @@
     BatchPolicy,
     Candidate,
     Demand,
+    pair,
     start_order,
 )
 from quetzaldyke.gateway.job_book import JobBook
@@ -100,6 +101,37 @@
     assert surplus == min(batch, max(0, online + batch - slots))
 
 
+def failed(item: int, *endpoint_ids: str) -> Candidate:
+    """Return an item that has failed at some endpoints."""
+    return Candidate('a', item, 1.0, 0, False, frozenset(endpoint_ids))
+
+
+@pytest.mark.parametrize(
+    ('candidates', 'rooms', 'usable', 'expected'),
+    [
+        # The item takes the slot of an endpoint that has not failed it.
+        ([failed(0, 'e1')], ['e1', 'e2'], ['e1', 'e2'], [(0, 'e2')]),
+        # It waits for one rather than using up its attempts at the fault.
+        ([failed(0, 'e1'), failed(1)], ['e1'], ['e1', 'e2'], [(1, 'e1')]),
+        # With no other endpoint at all it tries again.
+        ([failed(0, 'e1')], ['e1'], ['e1'], [(0, 'e1')]),
+        ([failed(0, 'e1', 'e2')], ['e2'], ['e1', 'e2'], [(0, 'e2')]),
+        ([failed(0), failed(1)], ['e1'], ['e1'], [(0, 'e1')]),
+    ],
+)
+def test_failed_item_goes_to_another_endpoint(
+    candidates: list[Candidate],
+    rooms: list[str],
+    usable: list[str],
+    expected: list[tuple[int, str]],
+) -> None:
+    """Guards against items given up over one endpoint that fails them."""
+    pairs = pair(candidates, [make_endpoint(one) for one in rooms], usable)
+    assert [
+        (candidate.item, one.endpoint_id) for candidate, one in pairs
+    ] == expected
+
+
 def test_items_that_are_late_anyway_go_last() -> None:
     """Guards against overload that makes every job late by a little."""
     late = Candidate('a', 0, due_ms=1.0, events_done=90, late=True)
