Keep the operator's time limits for callers

Cause: only the sizes of the operator's limits were enforced. A caller that sent a head or body slowly, or stayed idle, held its connection, and idle ones were closed after 75 s whatever the limit said. Change: each connection notes when a head began and when it was last active; once a second the entry ends those over a limit, with 408 (never run) where a request was begun. A request that is whole is never ended here.

--- a/src/quetzaldyke/connection/http_server.py
+++ b/src/quetzaldyke/connection/http_server.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import socket
+from collections import Counter
 from collections.abc import (
     Awaitable,
     Callable,
@@ -18,12 +19,13 @@
     MutableMapping,
 )
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, Literal
 
 import anyio
 import uvicorn
 from anyio.abc import TaskStatus
 
+from quetzaldyke.connection.caller_channel import CallerChannel
 from quetzaldyke.connection.listener import BACKLOG, bind
 
 Scope = MutableMapping[str, Any]
@@ -45,6 +47,10 @@
     address: str
     # Longest wait for running requests at a graceful stop.
     drain_s: int = 60
+    # Idle time after which a connection is closed.
+    keep_alive_s: int = KEEP_ALIVE_S
+    # Class of the connections, or the name that uvicorn knows it by.
+    protocol: type[asyncio.Protocol] | Literal['httptools'] = 'httptools'
 
 
 class QuietServer(uvicorn.Server):
@@ -94,6 +100,23 @@
             listener.close()
         self.break_all()
 
+    def time_out_callers(
+        self,
+        header_timeout_s: float,
+        idle_timeout_s: float,
+    ) -> Counter[str]:
+        """End the connections that are overdue; return how many, by limit."""
+        now_s = asyncio.get_running_loop().time()
+        ended: Counter[str] = Counter()
+        for connection in list(self.server.server_state.connections):
+            if not isinstance(connection, CallerChannel):
+                continue
+            reason = connection.overdue(header_timeout_s, idle_timeout_s, now_s)
+            if reason is not None:
+                connection.time_out(reason)
+                ended[reason] += 1
+        return ended
+
     def break_all(self) -> None:
         """Break all connections and end their requests."""
         self.aborted = True
@@ -156,7 +179,7 @@
         uvicorn.Config(
             guarded,
             loop='none',
-            http='httptools',
+            http=options.protocol,
             ws='none',
             lifespan='off',
             log_config=None,
@@ -164,7 +187,7 @@
             access_log=False,
             server_header=False,
             backlog=BACKLOG,
-            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_keep_alive=options.keep_alive_s,
             timeout_graceful_shutdown=options.drain_s,
         ),
     )
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from quetzaldyke.connection.http_server import HttpServer
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
@@ -88,6 +89,8 @@
     policy: BatchPolicy
     configurations: ConfigurationFeed
     endpoints: EndpointFeed
+    # Listener of the callers, once it accepts them.
+    callers: HttpServer | None = None
     runner: BatchRunner | None = None
     owner: JobOwner | None = None
     started_s: float = 0.0
@@ -387,8 +390,22 @@
         gone = self.book.drop_lapsed(self.clock.now())
         if gone:
             log_event('endpoints_gone', endpoints=','.join(gone))
+        self.time_out_callers()
         await self.writer.report_dropped()
 
+    def time_out_callers(self) -> None:
+        """End the connections that exceed the operator's time limits."""
+        if self.callers is None:
+            return
+        limits = self.ingress.limits
+        ended = self.callers.time_out_callers(
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+        for reason, count in ended.items():
+            self.metrics.count('callers_timed_out_total', count, limit=reason)
+            log_event('callers_timed_out', limit=reason, connections=count)
+
 
 def on_timer_failure(name: str, exc: Exception) -> None:
     """Log a periodic job that failed; it runs again."""
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -11,6 +11,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from quetzaldyke.connection.caller_channel import CallerChannel
 from quetzaldyke.connection.http_server import HttpOptions, serve_http
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.entry import (
@@ -29,6 +30,8 @@
 
 # The balancer takes an unready entry out after two misses.
 LINGER_S: Final = 2.6
+# The operator's limit on idle connections is kept by the entry itself.
+UNLIMITED_S: Final = 86_400
 # Wait for the first news of the store before callers are accepted.
 FIRST_NEWS_LIMIT_S: Final = 0.1
 # Kept free before the kill at the end of the grace time.
@@ -83,12 +86,14 @@
         group.start_soon(entry.timers.run)
         group.start_soon(watch_signals, entry)
         await wait_until_informed(entry)
-        await group.start(
+        entry.callers = await group.start(
             serve_http,
             entry.ingress,
             HttpOptions(
                 installation.callers_address,
                 drain_s=max(1, int(installation.bounds.grace_s)),
+                keep_alive_s=UNLIMITED_S,
+                protocol=CallerChannel,
             ),
             listener_ended,
             callers,
--- /dev/null
+++ b/tests/test_caller_channel.py
@@ -0,0 +1,167 @@
+"""Callers that are too slow or stay idle are ended within the limits."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from quetzaldyke.connection.caller_channel import CallerChannel
+from quetzaldyke.connection.http_server import (
+    HttpOptions,
+    HttpServer,
+    Receive,
+    Scope,
+    Send,
+    serve_http,
+)
+
+HEADER_TIMEOUT_S: Final = 3.0
+IDLE_TIMEOUT_S: Final = 15.0
+pytestmark = pytest.mark.anyio
+OPTIONS: Final = HttpOptions(
+    '127.0.0.1:0',
+    drain_s=1,
+    keep_alive_s=3600,
+    protocol=CallerChannel,
+)
+HEAD: Final = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n'
+
+
+class SlowApp:
+    """Reads a whole request, then answers when it is told to."""
+
+    def __init__(self) -> None:
+        """Create an app that answers at once."""
+        self.may_answer = anyio.Event()
+        self.may_answer.set()
+        self.entered = anyio.Event()
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one request."""
+        self.entered.set()
+        while True:
+            message = await receive()
+            if message['type'] == 'http.disconnect':
+                return
+            if not message['more_body']:
+                break
+        await self.may_answer.wait()
+        start = {
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': [(b'content-length', b'0')],
+        }
+        await send(start)
+        await send({'type': 'http.response.body', 'body': b''})
+
+
+async def exchange(
+    sent: bytes,
+    after_s: float,
+    app: SlowApp,
+) -> tuple[dict[str, int], bytes]:
+    """Send bytes, pass a time, and return what was ended and answered."""
+    stopping = anyio.Event()
+    async with anyio.create_task_group() as group:
+        http: HttpServer = await group.start(
+            serve_http,
+            app,
+            OPTIONS,
+            stopping,
+        )
+        host, port = http.address.split(':')
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            if sent:
+                await stream.send(sent)
+            await until_received(http, sent)
+            for channel in http.server.server_state.connections:
+                assert isinstance(channel, CallerChannel)
+                channel.active_s -= after_s
+                if channel.head_since_s is not None:
+                    channel.head_since_s -= after_s
+            ended = http.time_out_callers(HEADER_TIMEOUT_S, IDLE_TIMEOUT_S)
+            answer = await read_all(stream) if ended else b''
+            app.may_answer.set()
+        stopping.set()
+        group.cancel_scope.cancel()
+    return dict(ended), answer
+
+
+async def until_received(http: HttpServer, sent: bytes) -> None:
+    """Wait until the server has read what was sent."""
+    with anyio.fail_after(5):
+        while not http.server.server_state.connections:
+            await anyio.sleep(0.01)
+    # What was sent over loopback is read within a few turns of the loop.
+    await anyio.sleep(0.05 if sent else 0)
+
+
+async def read_all(stream: SocketStream) -> bytes:
+    """Return everything until the server closes."""
+    received = b''
+    with anyio.fail_after(5):
+        while True:
+            try:
+                received += await stream.receive()
+            except anyio.EndOfStream:
+                return received
+
+
+@pytest.mark.parametrize(
+    ('sent', 'after_s', 'reason', 'answered'),
+    [
+        (b'POST / HTTP/1.1\r\nhost:', HEADER_TIMEOUT_S + 1, 'head', True),
+        (b'POST / HTTP/1.1\r\nhost:', HEADER_TIMEOUT_S - 1, '', False),
+        (HEAD + b'ab', IDLE_TIMEOUT_S + 1, 'body', True),
+        (HEAD + b'ab', IDLE_TIMEOUT_S - 1, '', False),
+        (b'', IDLE_TIMEOUT_S + 1, 'idle', False),
+        (b'', IDLE_TIMEOUT_S - 1, '', False),
+    ],
+)
+async def test_slow_caller_is_ended_at_its_limit(
+    sent: bytes,
+    after_s: float,
+    reason: str,
+    answered: bool,
+) -> None:
+    """Guards against connections that hold memory for ever."""
+    ended, answer = await exchange(sent, after_s, SlowApp())
+    assert ended == ({reason: 1} if reason else {})
+    assert answer.startswith(b'HTTP/1.1 408 ') == answered
+
+
+async def test_request_that_is_whole_is_never_timed_out() -> None:
+    """Guards against a long answer that is cut as an idle connection."""
+    app = SlowApp()
+    app.may_answer = anyio.Event()
+    ended, _ = await exchange(HEAD + b'abcd', IDLE_TIMEOUT_S * 10, app)
+    assert app.entered.is_set()
+    assert ended == {}
+
+
+async def test_idle_time_counts_from_the_end_of_an_answer() -> None:
+    """Guards against a close right after a long answer."""
+    app = SlowApp()
+    app.may_answer = anyio.Event()
+    stopping = anyio.Event()
+    async with anyio.create_task_group() as group:
+        http = await group.start(serve_http, app, OPTIONS, stopping)
+        host, port = http.address.split(':')
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(HEAD + b'abcd')
+            await app.entered.wait()
+            for channel in http.server.server_state.connections:
+                channel.active_s -= IDLE_TIMEOUT_S + 1
+            app.may_answer.set()
+            with anyio.fail_after(5):
+                assert (await stream.receive()).startswith(b'HTTP/1.1 200 ')
+            assert not http.time_out_callers(HEADER_TIMEOUT_S, IDLE_TIMEOUT_S)
+        group.cancel_scope.cancel()
