Keep one book of crashes, and tell all entries

Cause: the gateway's own book of requests that break endpoints stood beside parts/suspects.py, was known to one entry only (each entry could lose three endpoints to the same request), and refused a common request for five minutes that had only run beside a crashing one. Change: gateway/crashes.py keeps its rule (three endpoints, five minutes) over the shared SuspectBook; entries tell each other in datagrams; a request that is served is cleared. StorePath forgets peers that left after 30 s.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -169,10 +169,14 @@
             self.context.crashes.note(
                 self.request.fingerprint(),
                 self.endpoint_id,
-                self.context.now(),
             )
         self.log('attempt_failed', str(exc), self.eject_after(exc))
 
+    def note_served(self) -> None:
+        """Remember that the endpoint ran the request to its end."""
+        self.context.dispatcher.book.note_success(self.endpoint_id)
+        self.context.crashes.note_served(self.request.fingerprint())
+
     def eject_after(self, exc: ExchangeError) -> float:
         """Eject the endpoint unless it has just served others."""
         book = self.context.dispatcher.book
@@ -223,7 +227,7 @@
             return await self.take_error(head, body)
         if self.progress.started:
             raise ExchangeError(Failure.MALFORMED, f'status {head.status}')
-        self.context.dispatcher.book.note_success(self.endpoint_id)
+        self.note_served()
         return await self.pass_body(head, body, 'served')
 
     async def take_error(
@@ -275,7 +279,7 @@
             passing = await self.pass_events(may_move=may_move)
         if self.progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
-        self.context.dispatcher.book.note_success(self.endpoint_id)
+        self.note_served()
         await self.caller.finish()
         return Outcome(head.status, 'served', self.progress)
 
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -176,12 +176,9 @@
             self.news_age_s(),
         )
         rooms = self.policy.rooms(usable, demand, now_s)
-        pairs = pair(
-            start_order(candidates),
-            rooms,
-            [one.endpoint_id for one in usable],
-        )
-        for candidate, endpoint in pairs:
+        usable_ids = {one.endpoint_id for one in usable}
+        ordered = start_order(candidates)
+        for candidate, endpoint in pair(ordered, rooms, usable_ids):
             job = self.jobs[candidate.job_id]
             progress = job.items[candidate.item]
             progress.running = True
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -18,6 +18,7 @@
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointBook
 from quetzaldyke.gateway.gossip import (
+    CrashNews,
     Gossip,
     GossipMessage,
     JobEnded,
@@ -39,7 +40,6 @@
     Registration,
 )
 from quetzaldyke.gateway.model import Configuration, Endpoint, Installation
-from quetzaldyke.gateway.new_job import NewJob
 from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.placement import PlacementPolicy
 from quetzaldyke.gateway.store_health import StoreHealth
@@ -136,7 +136,9 @@
         metrics = Metrics()
         api = JobApi(
             job_store,
-            run_accepted=lambda job: entry.run_accepted(job),
+            run_accepted=lambda job: (
+                entry.owner.run_accepted(job) if entry.owner else None
+            ),
             tell_ended=lambda job_id: entry.gossip.broadcast(
                 JobEnded(owner_id, job_id),
             ),
@@ -146,7 +148,11 @@
             RelayContext(
                 dispatcher,
                 client,
-                CrashBook(),
+                CrashBook(
+                    tell=lambda crashes, cleared: entry.gossip.broadcast(
+                        CrashNews(owner_id, crashes, cleared),
+                    ),
+                ),
                 clock.now,
                 log_event,
             ),
@@ -297,6 +303,8 @@
                     self.runner.stop_one(endpoint_id)
             case JobEnded(_, job_id):
                 self.jobs.apply(f'{END_PREFIX}{job_id}', 0, b'1')
+            case CrashNews(_, crashes, cleared):
+                self.ingress.context.crashes.merge(crashes, cleared)
 
     def on_store_lost(self) -> None:
         """The store stopped answering."""
@@ -323,11 +331,6 @@
             if one.owner_id != self.member.owner_id
         }
 
-    def run_accepted(self, job: NewJob) -> None:
-        """Run a job that this entry has just accepted."""
-        if self.owner is not None:
-            self.owner.run_accepted(job)
-
     def run_batch(self, runner: BatchRunner) -> None:
         """Run jobs from now on."""
         self.runner = runner
@@ -349,12 +352,7 @@
 
     async def watch_exchanges(self) -> None:
         """End the exchanges whose peer has been silent for too long."""
-        now_s = self.clock.now()
-        for exchange in list(self.client.active):
-            if exchange.complete or exchange.failure is not None:
-                self.client.active.discard(exchange)
-            elif exchange.check_time(now_s):
-                self.client.active.discard(exchange)
+        self.client.end_overdue(self.clock.now())
 
     async def batch_tick(self) -> None:
         """Start items and list results."""
@@ -386,26 +384,16 @@
     async def clean(self) -> None:
         """Forget what is over."""
         self.client.drop_expired()
+        self.ingress.context.crashes.forget_old()
+        self.store.path.forget_silent(self.clock.now())
         await self.store.probe_direct()
         gone = self.book.drop_lapsed(self.clock.now())
         if gone:
             log_event('endpoints_gone', endpoints=','.join(gone))
-        self.time_out_callers()
+        if self.callers is not None:
+            self.ingress.time_out_callers(self.callers)
         await self.writer.report_dropped()
 
-    def time_out_callers(self) -> None:
-        """End the connections that exceed the operator's time limits."""
-        if self.callers is None:
-            return
-        limits = self.ingress.limits
-        ended = self.callers.time_out_callers(
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
-        for reason, count in ended.items():
-            self.metrics.count('callers_timed_out_total', count, limit=reason)
-            log_event('callers_timed_out', limit=reason, connections=count)
-
 
 def on_timer_failure(name: str, exc: Exception) -> None:
     """Log a periodic job that failed; it runs again."""
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""Datagrams between entries: what runs where, and requests to preempt.
+"""Datagrams between entries: what runs where, what broke, what to preempt.
 
 Load pattern: slots change hands many times a second, far faster than the
 store could tell. Reports hold the whole state of their sender, so a lost
@@ -16,6 +16,7 @@
 import msgpack
 
 from quetzaldyke.gateway.loads import Running
+from quetzaldyke.parts.suspects import CrashTable
 
 MIN_INTERVAL_S: Final = 0.005
 INTERVAL_PER_PEER_S: Final = 0.0005
@@ -56,7 +57,20 @@
     job_id: str
 
 
-GossipMessage = LoadReport | PreemptBatch | JobEnded
+@dataclass(frozen=True, slots=True)
+class CrashNews:
+    """Tells of endpoints that broke while they ran requests.
+
+    Both tables hold crash ids by fingerprint, as `parts/suspects.py` has
+    them.
+    """
+
+    sender: str
+    crashes: CrashTable
+    cleared: CrashTable
+
+
+GossipMessage = LoadReport | PreemptBatch | JobEnded | CrashNews
 
 
 def encode(message: GossipMessage) -> bytes:
@@ -70,6 +84,8 @@
             return bytes(msgpack.packb(['room', sender, endpoint_id]))
         case JobEnded(sender, job_id):
             return bytes(msgpack.packb(['ended', sender, job_id]))
+        case CrashNews(sender, crashes, cleared):
+            return bytes(msgpack.packb(['crash', sender, [crashes, cleared]]))
 
 
 def decode(datagram: bytes) -> GossipMessage | None:
@@ -87,6 +103,8 @@
         return PreemptBatch(sender, content)
     if kind == 'ended':
         return JobEnded(sender, content)
+    if kind == 'crash':
+        return CrashNews(sender, *content)
     if kind == 'load':
         rows, waiting, pending, store_well_s = content
         counts = {key: Running(online, batch) for key, online, batch in rows}
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -297,6 +297,14 @@
         connection = pool.take(max_idle_s) or await self.connect(pool)
         connection.send(exchange, request)
 
+    def end_overdue(self, now_s: float) -> None:
+        """End the exchanges whose peer has been silent for too long."""
+        for exchange in list(self.active):
+            if exchange.complete or exchange.failure is not None:
+                self.active.discard(exchange)
+            elif exchange.check_time(now_s):
+                self.active.discard(exchange)
+
     def drop_expired(self) -> None:
         """Close idle connections whose time is over."""
         now_s = time.monotonic()
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -9,7 +9,12 @@
 
 import anyio
 
-from quetzaldyke.connection.http_server import Receive, Scope, Send
+from quetzaldyke.connection.http_server import (
+    HttpServer,
+    Receive,
+    Scope,
+    Send,
+)
 from quetzaldyke.gateway.broken_answer import BrokenAnswerError
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Route
@@ -126,6 +131,20 @@
         self.table = RouteTable.from_configuration(configuration)
         self.limits = configuration.limits
 
+    def time_out_callers(self, server: HttpServer) -> None:
+        """End the connections that exceed the operator's time limits."""
+        ended = server.time_out_callers(
+            self.limits.header_timeout_s,
+            self.limits.idle_timeout_s,
+        )
+        for reason, count in ended.items():
+            self.metrics.count('callers_timed_out_total', count, limit=reason)
+            self.context.log_event(
+                'callers_timed_out',
+                limit=reason,
+                connections=count,
+            )
+
     async def __call__(
         self,
         scope: Scope,
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -44,8 +44,7 @@
     progress: Progress,
 ) -> Outcome:
     """Serve one request; raises `BrokenAnswerError` to end its channel."""
-    fingerprint = request.fingerprint()
-    if context.crashes.is_suspect(fingerprint, context.now()):
+    if context.crashes.is_suspect(request.fingerprint()):
         return await refuse(
             caller,
             progress,
--- a/src/quetzaldyke/gateway/retries.py
+++ b/src/quetzaldyke/gateway/retries.py
@@ -40,6 +40,6 @@
     if progress.sends >= MAX_SENDS:
         status = STATUS_BAD_GATEWAY if progress.attempts else STATUS_UNAVAILABLE
         return status, progress.last_failure
-    if context.crashes.is_suspect(request.fingerprint(), context.now()):
+    if context.crashes.is_suspect(request.fingerprint()):
         return STATUS_BAD_GATEWAY, 'crashes_endpoints'
     return None
--- a/src/quetzaldyke/gateway/store_path.py
+++ b/src/quetzaldyke/gateway/store_path.py
@@ -16,6 +16,8 @@
 
 # A peer whose last report is older carries no calls.
 PEER_LIFE_S: Final = 1.0
+# A peer that has been silent for this long has left.
+PEER_KEPT_S: Final = 30.0
 # A peer through which a call failed is not used again for this long.
 PEER_PAUSE_S: Final = 2.0
 
@@ -74,6 +76,12 @@
         known.store_well_s = store_well_s
         known.reported_s = now_s
 
+    def forget_silent(self, now_s: float) -> None:
+        """Drop the peers that have left."""
+        for peer, way in list(self.peers.items()):
+            if now_s - way.reported_s > PEER_KEPT_S:
+                del self.peers[peer]
+
     def choose(self, now_s: float) -> Address:
         """Return the address that the next call goes to."""
         address = self.best(now_s)
--- a/src/quetzaldyke/parts/suspects.py
+++ b/src/quetzaldyke/parts/suspects.py
@@ -42,6 +42,16 @@
     return int(head) if head.isdecimal() else None
 
 
+def crash_origin(crash_id: str) -> str:
+    """Return what crashed.
+
+    >>> crash_origin('17/sidecar-1/3'), crash_origin('17/a/b/3/alone')
+    ('sidecar-1', 'a/b')
+    """
+    rest = crash_id.removesuffix(f'/{ALONE_MARK}').partition('/')[2]
+    return rest.rpartition('/')[0]
+
+
 @dataclass(slots=True)
 class SuspectBook:
     """Crashes by fingerprint, and those that were cleared.
@@ -57,6 +67,8 @@
 
     crashes: dict[str, set[str]] = field(default_factory=dict)
     cleared: dict[str, set[str]] = field(default_factory=dict)
+    # For how long crashes count.
+    kept_ms: int = KEPT_MS
 
     def record(
         self,
@@ -84,8 +96,8 @@
     ) -> tuple[CrashTable, CrashTable]:
         """Add another process's records and return those that were new."""
         return (
-            add_new(self.crashes, crashes, now_ms),
-            add_new(self.cleared, cleared, now_ms),
+            add_new(self.crashes, crashes, now_ms, self.kept_ms),
+            add_new(self.cleared, cleared, now_ms, self.kept_ms),
         )
 
     def open_crashes(self, fingerprint: str) -> set[str]:
@@ -109,7 +121,11 @@
         for table in (self.crashes, self.cleared):
             for fingerprint, ids in list(table.items()):
                 ids.difference_update(
-                    [one for one in ids if not recent(one, now_ms)],
+                    [
+                        one
+                        for one in ids
+                        if not recent(one, now_ms, self.kept_ms)
+                    ],
                 )
                 if not ids:
                     table.pop(fingerprint)
@@ -132,22 +148,23 @@
     return any(one.endswith(f'/{ALONE_MARK}') for one in ordered[1:])
 
 
-def recent(crash_id: str, now_ms: int) -> bool:
+def recent(crash_id: str, now_ms: int, kept_ms: int) -> bool:
     """Tell whether a crash is within the time that records are kept."""
     time_ms = crash_time_ms(crash_id)
-    return time_ms is not None and abs(now_ms - time_ms) < KEPT_MS
+    return time_ms is not None and abs(now_ms - time_ms) < kept_ms
 
 
 def add_new(
     table: dict[str, set[str]],
     added: Mapping[str, Iterable[str]],
     now_ms: int,
+    kept_ms: int,
 ) -> CrashTable:
     """Add ids to a table and return those that it did not have."""
     news: CrashTable = {}
     for fingerprint, ids in added.items():
         known = table.get(fingerprint, set())
-        fresh = {one for one in ids if recent(one, now_ms)} - known
+        fresh = {one for one in ids if recent(one, now_ms, kept_ms)} - known
         if fresh:
             table.setdefault(fingerprint, set()).update(fresh)
             news[fingerprint] = sorted(fresh)
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -215,12 +215,24 @@
     context = bed.attempt.context
     request = bed.attempt.request
     for endpoint_id in ('a', 'b', 'c'):
-        context.crashes.note(request.fingerprint(), endpoint_id, bed.time.now_s)
+        context.crashes.note(request.fingerprint(), endpoint_id)
     caller = FakeCaller()
     outcome = await relay(context, request, caller, Progress())
     assert (caller.status, outcome.reason) == (503, 'crashes_endpoints')
 
 
+async def test_request_that_was_served_is_no_suspect() -> None:
+    """Guards against refusing what only ran beside a crashing request."""
+    bed = Bed.of(make_route())
+    crashes = bed.attempt.context.crashes
+    fingerprint = bed.attempt.request.fingerprint()
+    for endpoint_id in ('a', 'b'):
+        crashes.note(fingerprint, endpoint_id)
+    bed.attempt.note_served()
+    crashes.note(fingerprint, 'c')
+    assert not crashes.is_suspect(fingerprint)
+
+
 async def test_expired_request_gets_its_final_answer() -> None:
     """Guards against callers that are held after their time is over."""
     bed = Bed.of(make_route('idempotent'))
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -23,6 +23,7 @@
 from quetzaldyke.gateway.endpoints import EndpointBook
 from quetzaldyke.gateway.gossip import (
     GossipMessage,
+    CrashNews,
     JobEnded,
     LoadReport,
     PreemptBatch,
@@ -116,6 +117,11 @@
     st.builds(Running, st.integers(0, 99), st.integers(0, 99)),
     max_size=4,
 )
+CRASHES = st.dictionaries(
+    st.text(max_size=5),
+    st.lists(st.text(max_size=5), max_size=3),
+    max_size=3,
+)
 MESSAGES: st.SearchStrategy[GossipMessage] = st.one_of(
     st.builds(
         LoadReport,
@@ -127,6 +133,7 @@
     ),
     st.builds(PreemptBatch, st.text(max_size=5), st.text(max_size=5)),
     st.builds(JobEnded, st.text(max_size=5), st.text(max_size=5)),
+    st.builds(CrashNews, st.text(max_size=5), CRASHES, CRASHES),
 )
 
 
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -26,7 +26,7 @@
 )
 from quetzaldyke.gateway.placement import PlacementPolicy
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
-from quetzaldyke.gateway.store_path import StorePath
+from quetzaldyke.gateway.store_path import PEER_KEPT_S, StorePath
 from quetzaldyke.gateway.waiting_line import Waiter
 
 
@@ -113,6 +113,15 @@
     assert not book.usable('lm', 2.0 + LAPSE_GRACE_S)
 
 
+def test_peers_that_left_are_forgotten() -> None:
+    """Guards against a table that grows with every restart of an entry."""
+    path = StorePath(('s', 1))
+    path.note_peer('old', ('p', 1), store_well_s=1.0, now_s=0.0)
+    path.note_peer('new', ('p', 2), store_well_s=1.0, now_s=PEER_KEPT_S)
+    path.forget_silent(PEER_KEPT_S + 1.0)
+    assert list(path.peers) == ['new']
+
+
 def test_removal_counts_when_only_this_entry_lost_the_store() -> None:
     """Guards against a paused entry that takes a removal for a lapse.
 
