Start the bench from the one-file executable; leave out what it can't tell

Change: children get our path; when the fleet does not come up, the errors of the processes that ended are shown; rates of batch need a window of 10 s.

--- a/src/quetzaldyke/commands/bench.py
+++ b/src/quetzaldyke/commands/bench.py
@@ -49,6 +49,9 @@
 OK_STATUS: Final = 200
 QUICK_WINDOW_S: Final = 3.0
 FULL_WINDOW_S: Final = 40.0
+# Several times as long as one item runs; a shorter window ends before the
+# first items do and says nothing about the use of idle slots.
+BATCH_WINDOW_S: Final = 10.0
 WARM_UP_S: Final = 0.5
 # Online load as a share of what the endpoints can answer.
 BASE_LOAD: Final = 0.5
@@ -289,15 +292,22 @@
     return used | {'driver': time.process_time()}
 
 
-def compare(found: dict[str, Figures]) -> dict[str, float]:
-    """Return the figures that compare modes."""
+def compare(
+    found: dict[str, Figures],
+    window_s: float,
+) -> dict[str, float]:
+    """Return the figures that compare modes, as far as the window tells."""
     alone = found['no_batch']
     ours = found['lending']
     flooded = found['no_priority']
-    return {
+    online = {
         'harm_ratio': ratio(p99(ours.ttft), p99(alone.ttft)),
         'harm_ratio_burst': ratio(p99(ours.burst_ttft), p99(alone.burst_ttft)),
         'harm_ratio_no_priority': ratio(p99(flooded.ttft), p99(alone.ttft)),
+    }
+    if window_s < BATCH_WINDOW_S:
+        return online
+    return online | {
         'idle_use': ratio(ours.batch_slots, ours.idle_slots),
         'throughput_ratio': ratio(
             ours.items_in_window,
@@ -317,7 +327,8 @@
     for mode in MODES:
         figures = await run_mode(mode, plan, FAULTS[fault])
         found[mode.name] = figures
-        print('\n'.join(figures.lines()), flush=True)
+        lines = figures.lines(batch=window_s >= BATCH_WINDOW_S)
+        print('\n'.join(lines), flush=True)
         for note, count in Counter(figures.notes).most_common(3):
             print(f'mode={mode.name} note={note!r} count={count}')
     return found
@@ -340,7 +351,9 @@
         fault,
         backend_options={'use_uvloop': True},
     )
-    compared = compare(found)
+    compared = compare(found, window_s)
+    if window_s < BATCH_WINDOW_S:
+        print(f'note: batch rates need a window of {BATCH_WINDOW_S:g} s')
     for name, figure in compared.items():
         print(f'figure={name} value={figure:.4g} seed={seed} fault={fault}')
     if json_file:
--- a/src/quetzaldyke/commands/bench_figures.py
+++ b/src/quetzaldyke/commands/bench_figures.py
@@ -11,6 +11,10 @@
 HIGHEST_US: Final = 120_000_000
 DIGITS: Final = 3
 QUANTILES: Final = (50.0, 95.0, 99.0, 99.9)
+# Figures that mean nothing in a window shorter than a few items.
+BATCH_RATES: Final = frozenset(
+    ('items_per_s', 'idle_use', 'kv_writes_per_item'),
+)
 
 
 def new_histogram() -> HdrHistogram:
@@ -87,11 +91,15 @@
             found[f'kv_{kind}'] = count
         return found
 
-    def lines(self) -> list[str]:
-        """Return one key=value line for each figure."""
+    def lines(self, *, batch: bool = True) -> list[str]:
+        """Return one key=value line for each figure.
+
+        Without `batch` those are left out that need a long window.
+        """
         return [
             f'mode={self.mode} {name}={figure:.4g}'
             for name, figure in self.rows().items()
+            if batch or name not in BATCH_RATES
         ]
 
 
--- a/src/quetzaldyke/commands/process_fleet.py
+++ b/src/quetzaldyke/commands/process_fleet.py
@@ -9,12 +9,13 @@
 import os
 import socket
 import sys
+import tempfile
 from collections.abc import Mapping
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 from subprocess import DEVNULL
-from typing import Any, Final
+from typing import IO, Any, Final
 
 import anyio
 import httpcore
@@ -34,6 +35,8 @@
 STOP_LIMIT_S: Final = 8.0
 POLL_S: Final = 0.05
 OK_STATUS: Final = 200
+# The last characters of a child's standard error that a report shows.
+ERROR_CHARS: Final = 2_000
 # Each process starts at another place, so that two runs seldom meet.
 PORTS: Final = iter(range(10_000 + os.getpid() * 37 % 15_000, 32_000))
 CLOCK_TICKS: Final = os.sysconf('SC_CLK_TCK')
@@ -49,6 +52,8 @@
     role: str
     address: str
     process: Process
+    # What it writes to standard error.
+    errors: IO[bytes]
     pool: str = ''
     failure_domain: str = ''
 
@@ -122,6 +127,43 @@
     return f'{HOST}:{free_port()}'
 
 
+def child_environment() -> dict[str, str]:
+    """Return the environment of a child of this process.
+
+    Its path is ours: the interpreter of a one-file executable finds the
+    packages only because the executable has put them on the path.
+    """
+    return {
+        'QUETZALDYKE_FLEET_SECRET': FLEET_SECRET,
+        'QUETZALDYKE_OPERATOR_KEY': OPERATOR_KEY,
+        **os.environ,
+        'PYTHONPATH': os.pathsep.join(entry for entry in sys.path if entry),
+    }
+
+
+def exit_report(member: Member) -> str:
+    """Return how a process ended, with the end of what it wrote."""
+    member.errors.seek(0)
+    text = member.errors.read().decode(errors='replace').strip()
+    status = member.process.returncode
+    return f'{member.name} ended with status {status}: {text[-ERROR_CHARS:]}'
+
+
+def raise_for_exits(fleet: ProcessFleet) -> None:
+    """Raise with the errors of the processes that have ended."""
+    ended = [
+        exit_report(member)
+        for member in fleet.members.values()
+        if member.process.returncode is not None
+    ]
+    if ended:
+        raise FleetStartError('\n'.join(ended))
+
+
+class FleetStartError(Exception):
+    """A process of the fleet has ended before the fleet was up."""
+
+
 async def start_process(
     fleet: ProcessFleet,
     name: str,
@@ -135,19 +177,15 @@
         f'--{flag.replace("_", "-")}={setting}'
         for flag, setting in flags.items()
     ]
-    environment = {
-        'QUETZALDYKE_FLEET_SECRET': FLEET_SECRET,
-        'QUETZALDYKE_OPERATOR_KEY': OPERATOR_KEY,
-        **os.environ,
-    }
+    errors = tempfile.TemporaryFile()
     process = await anyio.open_process(
         [sys.executable, '-m', 'quetzaldyke', *arguments, *given],
         stdin=DEVNULL,
         stdout=DEVNULL,
-        stderr=DEVNULL,
-        env=environment,
+        stderr=errors,
+        env=child_environment(),
     )
-    member = Member(name, role, address, process)
+    member = Member(name, role, address, process, errors)
     fleet.members[name] = member
     return member
 
@@ -278,6 +316,16 @@
             await start_endpoint(fleet, pool, number)
     for number in range(plan.entries):
         await start_entry(fleet, number)
+    try:
+        await set_up(fleet, plan)
+    except TimeoutError:
+        raise_for_exits(fleet)
+        raise
+    return fleet
+
+
+async def set_up(fleet: ProcessFleet, plan: FleetPlan) -> None:
+    """Register the instances and wait until the entries are ready."""
     with anyio.fail_after(START_LIMIT_S):
         for name, row in fleet.rows.items():
             path = f'/instances/{name}'
@@ -290,7 +338,6 @@
         await until_ok(fleet.operator(), 'POST', '/config/patches', patch)
         for number in range(plan.entries):
             await until_ready(fleet, number)
-    return fleet
 
 
 async def until_ok(
@@ -339,3 +386,4 @@
             if member.process.returncode is None:
                 member.process.kill()
             await member.process.aclose()
+            member.errors.close()
--- /dev/null
+++ b/tests/test_process_fleet.py
@@ -0,0 +1,77 @@
+"""What the bench tells of its processes and of short windows."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+from typing import Final
+
+import anyio
+import pytest
+
+from quetzaldyke.commands.bench import BATCH_WINDOW_S, compare
+from quetzaldyke.commands.bench_figures import Figures
+from quetzaldyke.commands.process_fleet import (
+    FleetStartError,
+    Member,
+    ProcessFleet,
+    child_environment,
+    raise_for_exits,
+)
+from quetzaldyke.commands.rig import FleetPlan
+
+pytestmark = pytest.mark.anyio
+MODES: Final = ('no_batch', 'no_priority', 'lending')
+FAILING: Final = 'import sys; sys.exit("no such setting")'
+
+
+def test_children_find_the_package_without_our_working_folder() -> None:
+    """Guards against a one-file executable whose children don't start."""
+    found = subprocess.run(
+        [sys.executable, '-c', 'import quetzaldyke, shiv_marker'],
+        env=child_environment(),
+        cwd='/',
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    # Only the module that does not exist is missing.
+    assert "No module named 'shiv_marker'" in found.stderr
+
+
+async def test_child_that_ends_is_reported_with_its_errors() -> None:
+    """Guards against a bare timeout that hides why a process ended."""
+    with tempfile.TemporaryFile() as errors:
+        process = await anyio.open_process(
+            [sys.executable, '-c', FAILING],
+            stderr=errors,
+        )
+        await process.wait()
+        member = Member('entry-0', 'entry', '', process, errors)
+        fleet = ProcessFleet(FleetPlan('x', (), 0, (), {}), {'entry-0': member})
+        with pytest.raises(FleetStartError, match='no such setting'):
+            raise_for_exits(fleet)
+
+
+async def test_running_children_are_not_reported() -> None:
+    """Guards against a timeout that blames processes that run."""
+    raise_for_exits(ProcessFleet(FleetPlan('x', (), 0, (), {})))
+
+
+@pytest.mark.parametrize(
+    ('window_s', 'whole'),
+    [(BATCH_WINDOW_S, True), (BATCH_WINDOW_S / 2, False)],
+)
+def test_short_window_tells_nothing_of_batch(
+    window_s: float,
+    whole: bool,
+) -> None:
+    """Guards against figures of batch from a window without whole items."""
+    found = {mode: Figures(mode) for mode in MODES}
+    names = compare(found, window_s)
+    assert ('idle_use' in names) is whole
+    assert ('throughput_ratio' in names) is whole
+    assert 'harm_ratio' in names
+    lines = found['lending'].lines(batch=whole)
+    assert any('idle_use' in line for line in lines) is whole
