--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -26,7 +26,13 @@
 RESERVED_LINES: Final = 80.0
 # Events of the normal course, which are dropped first.
 ROUTINE_EVENTS: Final = frozenset(
-    ('request_served', 'item_done', 'item_preempted', 'results_listed'),
+    (
+        'request_served',
+        'item_done',
+        'item_preempted',
+        'results_listed',
+        'callers_timed_out',
+    ),
 )
 
 
