Time heads from their first byte; name a wrong callers' address

Cause, found at reading: the rest of a body after an early rejection counted as the head of a request, and a slow second request on a connection could have cut the stream before it. A wrong address argument ended in a trace. Change: the head's time starts where the parser sees a message begin, and nothing is timed out while an answer is on its way; exit status 2 with the argument's name. Tests for both.

--- a/src/quetzaldyke/connection/caller_channel.py
+++ b/src/quetzaldyke/connection/caller_channel.py
@@ -34,12 +34,15 @@
         self.active_s = self.loop.time()
 
     def data_received(self, data: bytes) -> None:
-        """Note when a request begins."""
+        """Note that the caller is there."""
         self.active_s = self.loop.time()
-        if self.head_since_s is None and not self.is_serving():
-            self.head_since_s = self.active_s
         super().data_received(data)
 
+    def on_message_begin(self) -> None:
+        """The head of a request is on its way."""
+        self.head_since_s = self.loop.time()
+        super().on_message_begin()
+
     def on_headers_complete(self) -> None:
         """The head has come in time."""
         self.head_since_s = None
@@ -61,11 +64,11 @@
         now_s: float,
     ) -> Overdue | None:
         """Return which limit has passed, if any."""
+        if self.is_serving() and not self.cycle.more_body:
+            return None
         if self.head_since_s is not None:
             late = now_s - self.head_since_s > header_timeout_s
             return 'head' if late else None
-        if self.is_serving() and not self.cycle.more_body:
-            return None
         if now_s - self.active_s <= idle_timeout_s:
             return None
         return 'body' if self.is_serving() else 'idle'
--- a/src/quetzaldyke/gateway/__main__.py
+++ b/src/quetzaldyke/gateway/__main__.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import importlib
+import socket
 import sys
 from typing import Final
 
@@ -28,7 +29,7 @@
     """
     match sys.argv[1:]:
         case ['entry', address, port] if port.isdecimal():
-            callers = listen(address)
+            callers = listen_or_exit(address)
             programs = importlib.import_module('quetzaldyke.gateway.programs')
             programs.run_entry_program(callers, int(port))
         case ['keeper']:
@@ -42,5 +43,14 @@
             sys.exit(USAGE_STATUS)
 
 
+def listen_or_exit(address: str) -> socket.socket:
+    """Return the callers' listener, or end with what is wrong."""
+    try:
+        return listen(address)
+    except (OSError, ValueError, OverflowError) as exc:
+        sys.stderr.write(f'CALLERS_ADDRESS {address}: {exc}\n')
+        sys.exit(USAGE_STATUS)
+
+
 if __name__ == '__main__':
     main()
--- a/src/quetzaldyke/gateway/history.py
+++ b/src/quetzaldyke/gateway/history.py
@@ -18,17 +18,18 @@
     'no_slot_in_time': 'its objective would have passed before a slot is free',
     'waited_too_long': 'no slot became free while it waited',
     'no_endpoint': 'no endpoint of its service is known',
+    'crashes_endpoints': 'it broke three endpoints lately',
     'no_configuration': 'the entry had no configuration yet',
     'configuration_too_old': 'the configuration may be an old one',
 }
-ANSWERED: Final = 'served'
 
 
 def served(fields: Fields, process: str) -> str:
     """Tell that the caller has the whole answer."""
     return (
-        f'{process} passed the whole answer of endpoint {fields["endpoint"]} '
-        f'on, {fields["elapsed_ms"]} ms after the request came'
+        f'{process} passed the whole answer of endpoint '
+        f'{fields.get("endpoint")} on, {fields.get("elapsed_ms")} ms after '
+        'the request came'
     )
 
 
--- a/tests/test_caller_channel.py
+++ b/tests/test_caller_channel.py
@@ -147,6 +147,15 @@
     assert ended == {}
 
 
+async def test_answer_is_not_cut_for_a_slow_second_request() -> None:
+    """Guards against a cut stream whose caller has begun another request."""
+    app = SlowApp()
+    app.may_answer = anyio.Event()
+    sent = HEAD + b'abcd' + b'POST / HTTP/1.1\r\nho'
+    ended, _ = await exchange(sent, HEADER_TIMEOUT_S + 1, app)
+    assert ended == {}
+
+
 async def test_idle_time_counts_from_the_end_of_an_answer() -> None:
     """Guards against a close right after a long answer."""
     app = SlowApp()
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -7,6 +7,8 @@
 import sys
 from typing import Final
 
+import pytest
+
 from gateway_fleet import HOST, SOURCE, free_port
 from quetzaldyke.connection.listener import listen
 
@@ -50,6 +52,22 @@
             check=False,
         )
     assert 'Address already in use' in refused.stderr
+    assert refused.returncode == 2
+
+
+@pytest.mark.parametrize('address', ['nowhere', '127.0.0.1:port', ':70000'])
+def test_wrong_address_is_told_without_a_trace(address: str) -> None:
+    """Guards against a stack trace in place of the argument's name."""
+    refused = subprocess.run(
+        [sys.executable, '-m', 'quetzaldyke.gateway', 'entry', address, '1'],
+        env={'PYTHONPATH': SOURCE},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert refused.returncode == 2
+    assert refused.stderr.startswith(f'CALLERS_ADDRESS {address}: ')
+    assert 'Traceback' not in refused.stderr
 
 
 def test_connections_wait_in_the_queue_until_they_are_accepted() -> None:
