Serve both platform stand-ins by one function

Cause, found at reading: run_platform_store and run_platform_endpoint wrote the same frame (serve, report, work, wait for the stop). Change: standins/serving.py; each names its routes and its work beside them. Conclusion: behaviour is unchanged.

--- a/src/quetzaldyke/standins/platform_endpoint.py
+++ b/src/quetzaldyke/standins/platform_endpoint.py
@@ -18,12 +18,11 @@
 import httpcore
 import orjson
 from anyio.abc import TaskStatus
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
-from quetzaldyke.connection.http_server import HttpOptions, serve_http
+from quetzaldyke.standins.serving import serve_standin
 
 MS_IN_S: Final = 1000
 HEARTBEAT_S: Final = 0.5
@@ -298,18 +297,9 @@
     ] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run the stand-in until `stopping` is set."""
-    standin = PlatformEndpointStandin(options)
-    app = Starlette(routes=standin.routes())
-    async with anyio.create_task_group() as group:
-        http = await group.start(
-            serve_http,
-            app,
-            HttpOptions(options.address, drain_s=1),
-            standin.stopping,
-        )
-        standin.address = http.address
-        if options.store_address:
-            group.start_soon(register, standin)
-        task_status.started(standin)
-        await standin.stopping.wait()
-        group.cancel_scope.cancel()
+    await serve_standin(
+        PlatformEndpointStandin(options),
+        options.address,
+        register if options.store_address else None,
+        task_status,
+    )
--- a/src/quetzaldyke/standins/platform_store.py
+++ b/src/quetzaldyke/standins/platform_store.py
@@ -16,12 +16,11 @@
 import anyio
 import orjson
 from anyio.abc import TaskStatus
-from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
-from quetzaldyke.connection.http_server import HttpOptions, serve_http
+from quetzaldyke.standins.serving import serve_standin
 
 MS_IN_S: Final = 1000
 HISTORY_EVENTS: Final = 5_000
@@ -361,17 +360,9 @@
     task_status: TaskStatus[PlatformStoreStandin] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run the stand-in until `stopping` is set."""
-    standin = PlatformStoreStandin(options)
-    app = Starlette(routes=standin.routes())
-    async with anyio.create_task_group() as group:
-        http = await group.start(
-            serve_http,
-            app,
-            HttpOptions(options.address, drain_s=1),
-            standin.stopping,
-        )
-        standin.address = http.address
-        group.start_soon(lapse_leases, standin)
-        task_status.started(standin)
-        await standin.stopping.wait()
-        group.cancel_scope.cancel()
+    await serve_standin(
+        PlatformStoreStandin(options),
+        options.address,
+        lapse_leases,
+        task_status,
+    )
--- /dev/null
+++ b/src/quetzaldyke/standins/serving.py
@@ -0,0 +1,49 @@
+"""Serves a stand-in until it is told to stop."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol, TypeVar
+
+import anyio
+from anyio.abc import TaskStatus
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from quetzaldyke.connection.http_server import HttpOptions, serve_http
+
+
+class Standin(Protocol):
+    """What serving needs of a stand-in."""
+
+    stopping: anyio.Event
+    # Set once it accepts connections.
+    address: str
+
+    def routes(self) -> list[Route]:
+        """Return the routes that it serves."""
+
+
+StandinT = TypeVar('StandinT', bound=Standin)
+
+
+async def serve_standin(
+    standin: StandinT,
+    address: str,
+    work: Callable[[StandinT], Coroutine[Any, Any, None]] | None,
+    task_status: TaskStatus[StandinT],
+) -> None:
+    """Serve and work beside it until `stopping` is set."""
+    async with anyio.create_task_group() as group:
+        http = await group.start(
+            serve_http,
+            Starlette(routes=standin.routes()),
+            HttpOptions(address, drain_s=1),
+            standin.stopping,
+        )
+        standin.address = http.address
+        if work is not None:
+            group.start_soon(work, standin)
+        task_status.started(standin)
+        await standin.stopping.wait()
+        group.cancel_scope.cancel()
