Give an entry's own answers and 'not run' by one function each

Change: gateway/answers.py (answer, refuse) and retries.is_not_run serve all; the unread fields are gone. Length now always stands last among the headers of such an answer; nothing else on the wire differs. Left: the lists of hop headers in the product's own path differ from the gateway's on purpose (they also drop date, server or the proxy's headers); settings that are checked but not yet read stay checked.

--- a/src/quetzaldyke/commands/timeline.py
+++ b/src/quetzaldyke/commands/timeline.py
@@ -18,7 +18,6 @@
 MAX_EVENTS: Final = 2000
 ESCAPES: Final = {'n': '\n', 'r': '\r'}
 MS_IN_S: Final = 1000
-ROUNDING: Final = 0.5
 NOT_FIELDS: Final = frozenset(('event', 'stamp', 'process'))
 
 
@@ -77,12 +76,12 @@
     >>> parse_time({'t': '0.005', 'process': 'e1'}, 2)
     Stamp(wall_ms=5, counter=2, process='e1')
     """
-    seconds, _, fraction = fields.get(TIME_FIELD, '').partition('.')
+    text = fields.get(TIME_FIELD, '')
+    seconds, _, fraction = text.partition('.')
     process = fields.get('process', '')
     if not (seconds.isdecimal() and fraction.isdecimal() and process):
         return None
-    wall_ms = int(float(f'{seconds}.{fraction}') * MS_IN_S + ROUNDING)
-    return Stamp(wall_ms, number, process)
+    return Stamp(round(float(text) * MS_IN_S), number, process)
 
 
 def parse_line(line: str, number: int = 0) -> Event | None:
--- a/src/quetzaldyke/gateway/__main__.py
+++ b/src/quetzaldyke/gateway/__main__.py
@@ -14,6 +14,7 @@
 import importlib
 import socket
 import sys
+from types import ModuleType
 from typing import Final
 
 from quetzaldyke.connection.listener import listen
@@ -30,19 +31,21 @@
     match sys.argv[1:]:
         case ['entry', address, port] if port.isdecimal():
             callers = listen_or_exit(address)
-            programs = importlib.import_module('quetzaldyke.gateway.programs')
-            programs.run_entry_program(callers, int(port))
+            load_programs().run_entry_program(callers, int(port))
         case ['keeper']:
-            programs = importlib.import_module('quetzaldyke.gateway.programs')
-            programs.run_keeper_program()
+            load_programs().run_keeper_program()
         case ['check-settings']:
-            programs = importlib.import_module('quetzaldyke.gateway.programs')
-            sys.stdout.write(f'{programs.read_installation()}\n')
+            sys.stdout.write(f'{load_programs().read_installation()}\n')
         case _:
             sys.stderr.write(f'{__doc__}\n')
             sys.exit(USAGE_STATUS)
 
 
+def load_programs() -> ModuleType:
+    """Import everything that is large."""
+    return importlib.import_module('quetzaldyke.gateway.programs')
+
+
 def listen_or_exit(address: str) -> socket.socket:
     """Return the callers' listener, or end with what is wrong."""
     try:
--- /dev/null
+++ b/src/quetzaldyke/gateway/answers.py
@@ -0,0 +1,25 @@
+"""Whole answers that an entry gives by itself."""
+
+from __future__ import annotations
+
+from quetzaldyke.gateway.online_request import Caller, Headers
+from quetzaldyke.platform import names
+
+
+async def answer(
+    caller: Caller,
+    status: int,
+    body: bytes = b'',
+    headers: Headers | None = None,
+) -> None:
+    """Send a whole answer."""
+    length = (b'content-length', b'%d' % len(body))
+    await caller.start(status, [*(headers or []), length])
+    if body:
+        await caller.send(body)
+    await caller.finish()
+
+
+async def refuse(caller: Caller, status: int, retry_after: bytes) -> None:
+    """Refuse a request and say when to come back."""
+    await answer(caller, status, b'', [(names.RETRY_AFTER, retry_after)])
--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from quetzaldyke.gateway.answers import answer
 from quetzaldyke.gateway.broken_answer import BrokenAnswerError
 from quetzaldyke.gateway.dispatcher import Place
 from quetzaldyke.gateway.event_stream import StreamOrderError
@@ -23,7 +24,12 @@
     Progress,
     RelayContext,
 )
-from quetzaldyke.gateway.retries import STATUS_TIMEOUT, may_not_retry
+from quetzaldyke.gateway.retries import (
+    STATUS_MISDIRECTED,
+    STATUS_TIMEOUT,
+    is_not_run,
+    may_not_retry,
+)
 from quetzaldyke.gateway.stalls import (
     extended_s,
     first_event_s,
@@ -43,7 +49,6 @@
 STATUS_OK: Final = 200
 FIRST_ERROR_STATUS: Final = 400
 FIRST_FAULT_STATUS: Final = 500
-STATUS_MISDIRECTED: Final = 421
 HOP_HEADERS: Final = frozenset(
     (
         b'connection',
@@ -258,11 +263,8 @@
         reason: str,
     ) -> Outcome:
         """Send a whole answer."""
-        length = (b'content-length', b'%d' % len(body))
-        await self.caller.start(head.status, [*answer_headers(head), length])
-        await self.caller.send(body)
-        await self.caller.finish()
-        return Outcome(head.status, reason, self.progress)
+        await answer(self.caller, head.status, body, answer_headers(head))
+        return Outcome(head.status, reason)
 
     async def pass_stream(self, head: ResponseHead) -> Outcome:
         """Pass a stream on, event by event."""
@@ -281,7 +283,7 @@
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
         self.note_served()
         await self.caller.finish()
-        return Outcome(head.status, 'served', self.progress)
+        return Outcome(head.status, 'served')
 
     async def pass_events(self, *, may_move: bool) -> bool:
         """Pass the next events on; False at the end of the stream."""
@@ -308,12 +310,6 @@
         return True
 
 
-def is_not_run(head: ResponseHead) -> bool:
-    """Tell whether an answer says that the endpoint did not run it."""
-    refused = head.get(names.NOT_RUN) is not None
-    return refused or head.status == STATUS_MISDIRECTED
-
-
 def answer_headers(head: ResponseHead) -> Headers:
     """Return the headers that concern the caller."""
     return [
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -73,7 +73,6 @@
     detail: str = ''
     waiter: asyncio.Future[None] | None = None
     connection: Carrier | None = None
-    sent_at_s: float = 0.0
     unread_bytes: int = 0
     # Monotonic time at which the watchdog ends the wait; 0 for never.
     expires_at_s: float = 0.0
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -63,7 +63,6 @@
         self.exchange = exchange
         self.answer_ended = False
         exchange.connection = self
-        exchange.sent_at_s = time.monotonic()
         self.transport.write(request)
 
     def data_received(self, data: bytes) -> None:
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -5,16 +5,18 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Final
 
 import anyio
 
 from quetzaldyke.connection.http_server import (
+    App,
     HttpServer,
     Receive,
     Scope,
     Send,
 )
+from quetzaldyke.gateway.answers import answer, refuse
 from quetzaldyke.gateway.broken_answer import BrokenAnswerError
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Route
@@ -312,8 +314,7 @@
         """Reject a request that is wrong in itself."""
         self.metrics.count('requests_rejected_total', status=str(status))
         self.context.log_event('request_rejected', status=status)
-        await caller.start(status, [(b'content-length', b'0')])
-        await caller.finish()
+        await answer(caller, status)
 
     async def refuse(
         self,
@@ -330,11 +331,7 @@
             reason=reason,
         )
         pause = b'%.2f' % NO_CONFIGURATION_RETRY_S
-        await caller.start(
-            STATUS_UNAVAILABLE,
-            [(names.RETRY_AFTER, pause), (b'content-length', b'0')],
-        )
-        await caller.finish()
+        await refuse(caller, STATUS_UNAVAILABLE, pause)
 
 
 def ms_since(start_s: float, end_s: float) -> int | str:
@@ -358,18 +355,12 @@
     )
 
 
-def readiness_app(unready_reason: Callable[[], str]) -> Any:
+def readiness_app(unready_reason: Callable[[], str]) -> App:
     """Return the ASGI application of the readiness listener."""
 
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         reason = unready_reason().encode()
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': STATUS_UNAVAILABLE if reason else STATUS_OK,
-                'headers': [(b'content-length', b'%d' % len(reason))],
-            },
-        )
-        await send({'type': 'http.response.body', 'body': reason})
+        status = STATUS_UNAVAILABLE if reason else STATUS_OK
+        await answer(AsgiCaller(send, closing=False), status, reason)
 
     return app
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -22,10 +22,10 @@
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.retries import is_not_run
 from quetzaldyke.platform import names
 
 STATUS_OK: Final = 200
-STATUS_MISDIRECTED: Final = 421
 # The item can never be done.
 STATUS_NEVER: Final = 422
 # Events of a run come within milliseconds; this long a silence means that
@@ -171,8 +171,7 @@
     def note_error(self, head: ResponseHead, answer: bytes) -> None:
         """Count a failed run, or wait after the endpoint turned it away."""
         progress = self.progress
-        refused = head.get(names.NOT_RUN) is not None
-        refused = refused or head.status == STATUS_MISDIRECTED
+        refused = is_not_run(head)
         if not refused:
             progress.failures += 1
             progress.failed_at |= {self.endpoint_id}
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -10,6 +10,7 @@
 import anyio
 from result import Err, Ok, Result
 
+from quetzaldyke.gateway.answers import answer, refuse
 from quetzaldyke.gateway.ingress import AsgiCaller, ReceivedRequest
 from quetzaldyke.gateway.job_book import JobView
 from quetzaldyke.gateway.job_store import JobStore
@@ -231,25 +232,6 @@
             await view.changed.wait()
 
 
-async def answer(
-    caller: AsgiCaller,
-    status: int,
-    body: bytes = b'',
-    headers: list[tuple[bytes, bytes]] | None = None,
-) -> None:
-    """Send a whole answer."""
-    length = (b'content-length', b'%d' % len(body))
-    await caller.start(status, [*(headers or []), length])
-    if body:
-        await caller.send(body)
-    await caller.finish()
-
-
-async def refuse(caller: AsgiCaller, status: int, retry_after: bytes) -> None:
-    """Refuse a call and say when to come back."""
-    await answer(caller, status, b'', [(names.RETRY_AFTER, retry_after)])
-
-
 def read_text(query: bytes, name: str) -> str:
     """Return a parameter of a query string.
 
--- a/src/quetzaldyke/gateway/metrics_app.py
+++ b/src/quetzaldyke/gateway/metrics_app.py
@@ -5,6 +5,8 @@
 from typing import Final
 
 from quetzaldyke.connection.http_server import App, Receive, Scope, Send
+from quetzaldyke.gateway.answers import answer
+from quetzaldyke.gateway.ingress import AsgiCaller
 from quetzaldyke.process.metrics import Metrics
 
 TEXT_TYPE: Final = (b'content-type', b'text/plain; version=0.0.4')
@@ -16,14 +18,7 @@
 
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         body = metrics.render().encode()
-        length = (b'content-length', b'%d' % len(body))
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': STATUS_OK,
-                'headers': [TEXT_TYPE, length],
-            },
-        )
-        await send({'type': 'http.response.body', 'body': body})
+        caller = AsgiCaller(send, closing=False)
+        await answer(caller, STATUS_OK, body, [TEXT_TYPE])
 
     return app
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -107,11 +107,6 @@
     # Unix time of its start; 0 when it does not say.
     started_ms: int = 0
 
-    @property
-    def address(self) -> str:
-        """Return `IP:PORT`."""
-        return f'{self.host}:{self.port}'
-
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -106,4 +106,3 @@
 
     status: int
     reason: str
-    progress: Progress
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -11,13 +11,13 @@
 
 from result import Err
 
+from quetzaldyke.gateway import answers
 from quetzaldyke.gateway.attempt import Attempt
 from quetzaldyke.gateway.broken_answer import BrokenAnswerError
 from quetzaldyke.gateway.dispatcher import Refusal
 from quetzaldyke.gateway.exchange import Exchange
 from quetzaldyke.gateway.online_request import (
     Caller,
-    Headers,
     OnlineRequest,
     Outcome,
     Progress,
@@ -109,15 +109,9 @@
             STATUS_BAD_GATEWAY,
             refusal.reason,
         )
-    await caller.start(
-        STATUS_UNAVAILABLE,
-        [
-            (names.RETRY_AFTER, b'%.2f' % refusal.retry_after_s),
-            (b'content-length', b'0'),
-        ],
-    )
-    await caller.finish()
-    return Outcome(STATUS_UNAVAILABLE, refusal.reason, progress)
+    pause = b'%.2f' % refusal.retry_after_s
+    await answers.refuse(caller, STATUS_UNAVAILABLE, pause)
+    return Outcome(STATUS_UNAVAILABLE, refusal.reason)
 
 
 async def give_up(
@@ -129,9 +123,8 @@
     """Give the final answer to a request that can't be served."""
     if progress.started:
         raise BrokenAnswerError(reason)
-    headers: Headers = [(b'content-length', b'0')]
     if status == STATUS_UNAVAILABLE:
-        headers.append((names.RETRY_AFTER, TURNED_AWAY_RETRY))
-    await caller.start(status, headers)
-    await caller.finish()
-    return Outcome(status, reason, progress)
+        await answers.refuse(caller, status, TURNED_AWAY_RETRY)
+    else:
+        await answers.answer(caller, status)
+    return Outcome(status, reason)
--- a/src/quetzaldyke/gateway/retries.py
+++ b/src/quetzaldyke/gateway/retries.py
@@ -10,20 +10,30 @@
 
 from typing import Final
 
+from quetzaldyke.gateway.exchange import ResponseHead
 from quetzaldyke.gateway.online_request import (
     OnlineRequest,
     Progress,
     RelayContext,
 )
+from quetzaldyke.platform import names
 
 # Sends that were certainly not run are not counted as attempts; this bounds
 # them, because each costs the caller time.
 MAX_SENDS: Final = 5
+# Another endpoint than the one named in the request.
+STATUS_MISDIRECTED: Final = 421
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
 STATUS_TIMEOUT: Final = 504
 
 
+def is_not_run(head: ResponseHead) -> bool:
+    """Tell whether an answer says that the endpoint did not run a request."""
+    refused = head.get(names.NOT_RUN) is not None
+    return refused or head.status == STATUS_MISDIRECTED
+
+
 def may_not_retry(
     context: RelayContext,
     request: OnlineRequest,
--- a/src/quetzaldyke/platform/store.py
+++ b/src/quetzaldyke/platform/store.py
@@ -38,6 +38,7 @@
     WatchBatch,
     WatchedChange,
 )
+from quetzaldyke.platform.names import CONFIG_KEY
 
 MS_IN_S: Final = 1000
 # The store answers in milliseconds; this bears answers sixty times as slow.
@@ -99,7 +100,7 @@
         """Try the direct way while it counts as broken."""
         if self.path.direct.up:
             return
-        query = urlencode({'key': 'op/config', 'serializable': 1})
+        query = urlencode({'key': CONFIG_KEY, 'serializable': 1})
         request = self.encode('GET', f'kv-key?{query}', None)
         await self.exchange(request, CALL_TIMEOUT_S, self.path.store)
         self.path.choose(time.monotonic())
--- a/src/quetzaldyke/process/explain.py
+++ b/src/quetzaldyke/process/explain.py
@@ -6,20 +6,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from datetime import datetime, timezone
 from typing import Final
 
 from quetzaldyke.gateway import history
+from quetzaldyke.gateway.history import Fields, Sentence
 from quetzaldyke.parts.timeline import Event
 
 MS_IN_S: Final = 1000
 # Lines of a platform installation have a Unix time in place of a stamp.
 TIME_FIELD: Final = 't'
 
-Fields = dict[str, str]
-Sentence = Callable[[Fields, str], str]
-
 RAN: Final = {
     'not_run': 'it was certainly not run',
     'ran': 'it had run',
