Order the events in two tests that depended on timing

test_no_place_in_line_is_unavailable: the second call had to start within half a second of the first, or it got the first one's connection and was truly sent. The first call now holds the only connection until the second has failed, and is broken after that.

test_polls_without_a_change_do_not_read_the_document: the node reads the configuration at its start and by its timer. Under load such a read fell among the five polls. The test now waits for the first and stops the timer; the count of five is as before.

--- a/tests/test_kv_http.py
+++ b/tests/test_kv_http.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
+from unittest import mock
 
 import anyio
 import pytest
@@ -85,25 +86,36 @@
 def test_no_place_in_line_is_unavailable() -> None:
     """Guards against `unknown` for calls that only waited to be sent.
 
-    With one connection, the first call times out after it was sent and the
-    second one while it waits for the connection.
+    The first call holds the only connection until the second one, which
+    waits for it, has failed.
     """
 
-    async def steps(kv: KvStandin, store: HttpKeyValueStore) -> list[str]:
+    async def steps(kv: KvStandin, store: HttpKeyValueStore) -> None:
         store.calls.max_connections = 1
         kv.faults.delay_s = 30
-        kinds: list[str] = []
-
-        async def write(key: str) -> None:
-            kinds.append(kind_of(await store.put_if(key, b'', 0)))
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(write, 'first')
-            await anyio.wait_all_tasks_blocked()
-            group.start_soon(write, 'second')
-        return sorted(kinds)
-
-    assert run(steps, timeout_s=1) == ['unavailable', 'unknown']
+        patient = HttpKeyValueStore(
+            store.address, store.calls, store.watches, timeout_s=60
+        )
+        kinds: dict[str, str] = {}
+        received = anyio.Event()
+
+        def delay_call(_rng: object, ratio: float) -> bool:
+            received.set()
+            return ratio == kv.faults.delay_ratio
+
+        async def write(key: str, client: HttpKeyValueStore) -> None:
+            kinds[key] = kind_of(await client.put_if(key, b'', 0))
+
+        with mock.patch.object(type(kv.rng), 'draw', delay_call):
+            async with anyio.create_task_group() as group:
+                group.start_soon(write, 'first', patient)
+                await received.wait()
+                await write('second', store)
+                assert kinds == {'second': 'unavailable'}
+                kv.faults.down = True
+        assert kinds['first'] == 'unknown'
+
+    run(steps, timeout_s=1)
 
 
 def test_timeout_is_unknown() -> None:
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -290,10 +290,16 @@
 
 
 def test_polls_without_a_change_do_not_read_the_document() -> None:
-    """Guards against reading 255 KB every 4 s in every entry."""
+    """Guards against reading 255 KB every 4 s in every entry.
+
+    The node's own reads, at its start and by its timer, must not be counted.
+    """
 
     async def scenario(standin: KvStandin, start: Any) -> None:
         node = await start('e1')
+        stop_polling(node)
+        while not node.sync.synced:
+            await anyio.sleep(0.01)
         await node.submit(11)
         await node.sync.refresh()
         before = standin.counts.calls['range']
