Keep the load sums of the peers by difference

Cause: each load report made the receiver add up the counts of all peers again, so the work of a fleet grew with the square of its size times the report rate.

Ruled out: the senders' encoding and the number of datagrams (9 us to encode, 11 us to decode a report of eight rows, measured alone).

Change: the sums are kept by difference, and a report costs as much as it has changed rows. A scheduling pass and the wait queues only follow a report in which slots came free; a pass still runs each 0.1 s.

--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -287,15 +287,18 @@
         counts: dict[str, RequestCounts],
         waiting: dict[str, int],
         pending: int,
-    ) -> None:
-        """Store the load report of a peer and start queued requests.
+    ) -> bool:
+        """Store the load report of a peer; return whether slots came free.
 
-        `waiting` are the peer's queued online requests by service,
-        `pending` its batch items that could start.
+        If so, queued requests are started. `waiting` are the peer's queued
+        online requests by service, `pending` its batch items that could
+        start.
         """
         now_s = self.clock.now()
-        self.loads.apply_report(peer, counts, waiting, pending, now_s)
-        self.serve_queues()
+        freed = self.loads.apply_report(peer, counts, waiting, pending, now_s)
+        if freed:
+            self.serve_queues()
+        return freed
 
     def serve_queues(self) -> None:
         """Start the queued requests of all services that have capacity."""
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -287,13 +287,15 @@
         match message:
             case LoadReport(sender, counts, waiting, pending, store_up_s):
                 now_s = self.clock.now()
-                self.dispatcher.apply_report(sender, counts, waiting, pending)
+                freed = self.dispatcher.apply_report(
+                    sender, counts, waiting, pending
+                )
                 address = self.gossip.peers.get(sender)
                 if address is not None:
                     self.store.path.note_peer(
                         sender, address, store_up_s=store_up_s, now_s=now_s
                     )
-                if self.runner is not None:
+                if freed and self.runner is not None:
                     self.runner.schedule_soon()
             case PreemptBatch(_, endpoint_id):
                 if self.runner is not None:
--- a/src/quetzaldyke/gateway/loads.py
+++ b/src/quetzaldyke/gateway/loads.py
@@ -6,6 +6,10 @@
 
 Each entry counts its own requests exactly and sends the counts to its peers.
 The report of a silent peer expires after one second.
+
+Load pattern: in a fleet of n entries, n reports arrive for each report sent.
+The sums over the peers are therefore kept by difference: a report costs as
+much as it has rows, however many peers there are.
 """
 
 from __future__ import annotations
@@ -45,13 +49,36 @@
     received_s: float
 
 
+@dataclass(slots=True)
+class EndpointSum:
+    """Requests of all peers on one endpoint."""
+
+    online: int = 0
+    batch: int = 0
+    # Batch items by peer, for the peers that run any.
+    batch_by_peer: dict[str, int] = field(default_factory=dict)
+
+    def replace(self, peer: str, old: RequestCounts, new: RequestCounts) -> int:
+        """Replace a peer's counts; return the change of the total."""
+        self.online += new.online - old.online
+        self.batch += new.batch - old.batch
+        if new.batch:
+            self.batch_by_peer[peer] = new.batch
+        else:
+            self.batch_by_peer.pop(peer, None)
+        return new.total - old.total
+
+
 @dataclass(slots=True)
 class LoadTable:
     """Request counts of this entry and of its peers, by endpoint id."""
 
     own: dict[str, RequestCounts] = field(default_factory=dict)
     peers: dict[str, PeerReport] = field(default_factory=dict)
-    peer_totals: dict[str, RequestCounts] = field(default_factory=dict)
+    # Sums over `peers`; endpoints and services without requests are left out.
+    peer_sums: dict[str, EndpointSum] = field(default_factory=dict)
+    peer_waiting: dict[str, int] = field(default_factory=dict)
+    peer_pending: int = 0
 
     def own_counts(self, endpoint_id: str) -> RequestCounts:
         """Return this entry's mutable counts; create them on first use."""
@@ -63,36 +90,35 @@
     def online(self, endpoint_id: str) -> int:
         """Return the number of online requests on an endpoint, all entries."""
         own = self.own.get(endpoint_id, NO_REQUESTS)
-        return (
-            own.online + self.peer_totals.get(endpoint_id, NO_REQUESTS).online
-        )
+        peers = self.peer_sums.get(endpoint_id)
+        return own.online + peers.online if peers else own.online
 
     def total(self, endpoint_id: str) -> int:
         """Return the number of all requests on an endpoint, all entries."""
         own = self.own.get(endpoint_id, NO_REQUESTS)
-        return own.total + self.peer_totals.get(endpoint_id, NO_REQUESTS).total
+        peers = self.peer_sums.get(endpoint_id)
+        if peers is None:
+            return own.total
+        return own.total + peers.online + peers.batch
 
     def waiting_elsewhere(self, service: str) -> int:
         """Return the number of online requests that are queued at the peers."""
-        return sum(
-            report.waiting.get(service, 0) for report in self.peers.values()
-        )
+        return self.peer_waiting.get(service, 0)
 
     def pending_elsewhere(self) -> int:
         """Return the number of batch items that the peers could start."""
-        return sum(report.pending for report in self.peers.values())
+        return self.peer_pending
 
     def batch_peers(self, endpoint_id: str) -> list[tuple[int, str]]:
         """Return the peers that run batch items on an endpoint.
 
         Each row holds the number of items and the peer, most items first.
         """
-        found = [
-            (report.counts[endpoint_id].batch, peer)
-            for peer, report in self.peers.items()
-            if endpoint_id in report.counts and report.counts[endpoint_id].batch
-        ]
-        return sorted(found, reverse=True)
+        peers = self.peer_sums.get(endpoint_id)
+        if peers is None:
+            return []
+        rows = [(items, peer) for peer, items in peers.batch_by_peer.items()]
+        return sorted(rows, reverse=True)
 
     def apply_report(
         self,
@@ -101,10 +127,15 @@
         waiting: dict[str, int],
         pending: int,
         now_s: float,
-    ) -> None:
-        """Replace the load report of a peer."""
-        self.peers[peer] = PeerReport(counts, waiting, pending, now_s)
-        self.sum_peers()
+    ) -> bool:
+        """Replace the load report of a peer; return whether slots came free.
+
+        That is so if the peer has fewer requests on some endpoint than its
+        last report said.
+        """
+        old = self.peers.get(peer, NO_REPORT)
+        new = self.peers[peer] = PeerReport(counts, waiting, pending, now_s)
+        return self.replace_in_sums(peer, old, new)
 
     def remove_silent_peers(self, now_s: float) -> list[str]:
         """Remove expired peer reports; return the ids of their peers."""
@@ -114,20 +145,31 @@
             if now_s - report.received_s > PEER_REPORT_TTL_S
         ]
         for peer in silent:
-            del self.peers[peer]
-        if silent:
-            self.sum_peers()
+            self.replace_in_sums(peer, self.peers.pop(peer), NO_REPORT)
         return silent
 
-    def sum_peers(self) -> None:
-        """Recompute the sums of the peers' counts by endpoint."""
-        sums: dict[str, RequestCounts] = {}
-        for report in self.peers.values():
-            for endpoint_id, running in report.counts.items():
-                counts = sums.setdefault(endpoint_id, RequestCounts())
-                counts.online += running.online
-                counts.batch += running.batch
-        self.peer_totals = sums
+    def replace_in_sums(
+        self,
+        peer: str,
+        old: PeerReport,
+        new: PeerReport,
+    ) -> bool:
+        """Replace one report in the sums; return whether slots came free."""
+        freed = False
+        for endpoint_id in old.counts.keys() | new.counts.keys():
+            peers = self.peer_sums.setdefault(endpoint_id, EndpointSum())
+            before = old.counts.get(endpoint_id, NO_REQUESTS)
+            after = new.counts.get(endpoint_id, NO_REQUESTS)
+            freed |= peers.replace(peer, before, after) < 0
+            if not peers.online and not peers.batch:
+                del self.peer_sums[endpoint_id]
+        for service in old.waiting.keys() | new.waiting.keys():
+            change = new.waiting.get(service, 0) - old.waiting.get(service, 0)
+            waiting = self.peer_waiting.pop(service, 0) + change
+            if waiting:
+                self.peer_waiting[service] = waiting
+        self.peer_pending += new.pending - old.pending
+        return freed
 
     def report(self) -> dict[str, RequestCounts]:
         """Return this entry's counts for the peers, without idle endpoints.
@@ -136,3 +178,7 @@
         """
         self.own = {key: one for key, one in self.own.items() if one.total}
         return self.own
+
+
+# The report of a peer that has not sent one; must not be modified.
+NO_REPORT: Final = PeerReport({}, {}, 0, 0.0)
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -208,6 +208,84 @@
     assert loads.total('e1') == 0
 
 
+PeerLoads = dict[str, tuple[dict[str, RequestCounts], int]]
+counts_by_endpoint = st.dictionaries(
+    st.sampled_from(['e1', 'e2', 'e3']),
+    st.builds(RequestCounts, st.integers(0, 3), st.integers(0, 3)),
+)
+
+
+def assert_sums(loads: LoadTable, reports: PeerLoads) -> None:
+    """Compare the sums of a table with sums computed from all reports."""
+    for endpoint in ('e1', 'e2', 'e3'):
+        rows = {
+            peer: counts[endpoint]
+            for peer, (counts, _) in reports.items()
+            if endpoint in counts
+        }
+        online = sum(row.online for row in rows.values())
+        assert loads.online(endpoint) == online
+        assert loads.total(endpoint) == sum(row.total for row in rows.values())
+        batch = [(row.batch, peer) for peer, row in rows.items() if row.batch]
+        assert loads.batch_peers(endpoint) == sorted(batch, reverse=True)
+    waiting = sum(queued for _, queued in reports.values())
+    assert loads.waiting_elsewhere('lm') == waiting
+    assert loads.pending_elsewhere() == 2 * waiting
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['p', 'q', 'r']),
+            counts_by_endpoint,
+            st.integers(0, 4),
+            st.sampled_from([0.0, 0.1, 0.6, 1.5]),
+        ),
+        max_size=12,
+    ),
+)
+def test_sums_kept_by_difference_are_those_of_all_reports(
+    steps: list[tuple[str, dict[str, RequestCounts], int, float]],
+) -> None:
+    """Guards against counts that drift when reports replace or expire."""
+    loads = LoadTable()
+    reports: PeerLoads = {}
+    now_s = 1.0
+    for peer, counts, queued, pause_s in steps:
+        now_s += pause_s
+        for silent in loads.remove_silent_peers(now_s):
+            del reports[silent]
+        waiting = {'lm': queued} if queued else {}
+        loads.apply_report(peer, counts, waiting, 2 * queued, now_s)
+        reports[peer] = (counts, queued)
+        assert_sums(loads, reports)
+    loads.remove_silent_peers(now_s + 2.0)
+    assert_sums(loads, {})
+    assert not loads.peer_sums
+
+
+def test_report_touches_only_the_endpoints_it_changes() -> None:
+    """Guards against work for each report that grows with the peers."""
+    loads = LoadTable()
+    for number in range(600):
+        row = {f'e{number % 30}': RequestCounts(1, 1)}
+        loads.apply_report(f'p{number}', row, {}, 0, now_s=1.0)
+    # Recomputed sums would contain the other endpoints again.
+    loads.peer_sums = {key: loads.peer_sums[key] for key in ('e0', 'e5')}
+    loads.apply_report('p0', {'e5': RequestCounts(2, 0)}, {}, 0, now_s=1.1)
+    assert (loads.online('e0'), loads.online('e5')) == (19, 22)
+    assert loads.peer_sums.keys() == {'e0', 'e5'}
+
+
+def test_report_tells_whether_slots_came_free() -> None:
+    """Guards against a scheduling pass for every report of a large fleet."""
+    loads = LoadTable()
+    assert not loads.apply_report('p', {'e1': RequestCounts(1, 1)}, {}, 0, 1.0)
+    assert not loads.apply_report('p', {'e1': RequestCounts(2, 1)}, {}, 0, 1.1)
+    assert loads.apply_report('p', {'e1': RequestCounts(2, 0)}, {}, 0, 1.2)
+    assert not loads.apply_report('p', {'e1': RequestCounts(2, 0)}, {}, 0, 1.3)
+
+
 def policy_of(loads: LoadTable) -> PlacementPolicy:
     """Return a policy of an entry in failure domain `a`."""
     return PlacementPolicy('a', random.Random(2), loads)
