--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -128,6 +128,22 @@
         """
         self.outage = False
 
+    def lapse_grace_s(self, now_s: float) -> float:
+        """Return for how much longer missing registrations may come back."""
+        if self.outage:
+            return LAPSE_GRACE_S
+        return max(0.0, self.lapse_ends_s - now_s)
+
+    def allow_lapses(self, grace_s: float, now_s: float) -> None:
+        """Extend the grace period if a peer still waits for registrations.
+
+        The peer saw an outage that was too short for this entry's own calls
+        to notice.
+        """
+        if grace_s > 0:
+            ends_s = now_s + min(grace_s, LAPSE_GRACE_S)
+            self.lapse_ends_s = max(self.lapse_ends_s, ends_s)
+
     def is_gone(self, tracked: TrackedEndpoint, now_s: float) -> bool:
         """Return whether a registration is lapsed past the grace period."""
         over = not self.outage and now_s >= self.lapse_ends_s
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -17,9 +17,9 @@
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
-from quetzaldyke.gateway.gossip import (
+from quetzaldyke.gateway.gossip import Gossip
+from quetzaldyke.gateway.gossip_messages import (
     CrashReport,
-    Gossip,
     GossipMessage,
     JobEnded,
     LoadReport,
@@ -42,6 +42,7 @@
 from quetzaldyke.gateway.model import Configuration, Endpoint, Installation
 from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.placement import PlacementPolicy
+from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
 from quetzaldyke.gateway.store_health import StoreHealth
 from quetzaldyke.parts.timers import Clock, TimerService
 from quetzaldyke.platform.store import PlatformStore
@@ -57,10 +58,6 @@
 GOSSIP_INTERVAL_S: Final = 0.1
 # Members that have not reported this long after the start are not waited for.
 JOIN_WAIT_S: Final = 2.0
-# Delay between two polls of jobs and members, in which changes accumulate, for
-# each entry of the fleet.
-ENTRY_POLL_DELAY_S: Final = 0.03
-MAX_POLL_DELAY_S: Final = 0.65
 # Report intervals until the allocations of all peers are known here.
 REPORT_AGE_INTERVALS: Final = 1.6
 
@@ -90,6 +87,7 @@
     policy: BatchPolicy
     configurations: ConfigurationFeed
     endpoints: EndpointFeed
+    sharing: WatchSharing
     # None until callers are accepted.
     caller_server: HttpServer | None = None
     runner: BatchRunner | None = None
@@ -201,6 +199,13 @@
                 clock.now,
                 lambda: entry.on_endpoints(),
             ),
+            sharing=WatchSharing(
+                owner_id,
+                clock.now,
+                loads.last_report_s,
+                lambda peers, update: entry.gossip.send(peers, update),
+                endpoint_table,
+            ),
             started_s=clock.now(),
         )
         entry.register_callbacks()
@@ -257,14 +262,6 @@
         """Return how many entries share the endpoints, at least 1."""
         return max(1, len(self.jobs.members))
 
-    def poll_delay_s(self) -> float:
-        """Return the delay between two polls of jobs and members.
-
-        Every entry watches the changes of all entries, so without it the
-        number of calls would grow with the square of the fleet size.
-        """
-        return min(MAX_POLL_DELAY_S, ENTRY_POLL_DELAY_S * self.count_entries())
-
     def on_load_change(self, endpoint_id: str) -> None:
         """Schedule a report to peers and a scheduling pass."""
         self.gossip.note_change()
@@ -279,7 +276,7 @@
         peers = self.loads.batch_peers(endpoint_id)
         if peers:
             self.gossip.send(
-                peers[0][1], PreemptBatch(self.member.owner_id, endpoint_id)
+                [peers[0][1]], PreemptBatch(self.member.owner_id, endpoint_id)
             )
 
     def on_gossip(self, message: GossipMessage) -> None:
@@ -304,6 +301,8 @@
                 self.jobs.apply(f'{END_PREFIX}{job_id}', 0, b'1')
             case CrashReport(_, crashes, cleared):
                 self.ingress.context.crashes.merge(crashes, cleared)
+            case WatchUpdate():
+                self.sharing.on_update(message)
 
     def on_store_lost(self) -> None:
         """Start an outage: the store no longer answers."""
@@ -324,6 +323,7 @@
         """Use the current members as gossip peers unless the store is down."""
         if not self.health.up:
             return
+        self.sharing.set_members(self.jobs.members)
         self.gossip.peers = {
             member.owner_id: (member.host, member.port)
             for member in self.jobs.members.values()
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -168,11 +168,12 @@
             FLEET_PREFIX,
             entry.jobs.apply_snapshot,
             entry.jobs.apply_changes,
-            poll_delay_s=entry.poll_delay_s,
+            poll_delay_s=entry.sharing.poll_delay_s,
         ),
     ]
     watchers[0].on_success = entry.configurations.confirm
     for watcher in watchers:
+        entry.sharing.add(watcher)
         group.start_soon(watcher.run)
 
 
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""Datagrams between entries: load reports, crashes and preemption requests.
+"""Exchanges datagrams between entries, and sends load reports.
 
 Slots are taken and released many times a second, far faster than the store
 could propagate. A report holds the complete load of its sender, so the next
@@ -9,14 +9,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Final, cast
 
-import msgpack
-
-from quetzaldyke.gateway.loads import RequestCounts
-from quetzaldyke.parts.suspects import CrashTable
+from quetzaldyke.gateway.gossip_messages import (
+    GossipMessage,
+    LoadReport,
+    decode,
+    encode,
+)
 
 MIN_INTERVAL_S: Final = 0.005
 INTERVAL_PER_PEER_S: Final = 0.0005
@@ -27,94 +29,6 @@
 Address = tuple[str, int]
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """The sender's load by endpoint id, and its connection to the store."""
-
-    sender: str
-    counts: dict[str, RequestCounts]
-    # Online requests that are queued at the sender, by service.
-    waiting: dict[str, int]
-    # Batch items that the sender could start if there was capacity.
-    pending: int
-    # For how long the sender has reached the platform's store directly; 0 if
-    # it currently does not.
-    store_up_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class PreemptBatch:
-    """Asks the receiver to preempt one of its batch runs on an endpoint."""
-
-    sender: str
-    endpoint_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class JobEnded:
-    """Announces that a caller has ended a job."""
-
-    sender: str
-    job_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """Announces endpoint crashes that happened while requests ran.
-
-    Both tables map request fingerprints to crash ids, as defined in
-    `parts/suspects.py`.
-    """
-
-    sender: str
-    crashes: CrashTable
-    cleared: CrashTable
-
-
-GossipMessage = LoadReport | PreemptBatch | JobEnded | CrashReport
-
-
-def encode(message: GossipMessage) -> bytes:
-    """Encode a message as a datagram."""
-    match message:
-        case LoadReport(sender, counts, waiting, pending, store_up_s):
-            rows = [[key, one.online, one.batch] for key, one in counts.items()]
-            row = [rows, waiting, pending, store_up_s]
-            return bytes(msgpack.packb(['load', sender, row]))
-        case PreemptBatch(sender, endpoint_id):
-            return bytes(msgpack.packb(['room', sender, endpoint_id]))
-        case JobEnded(sender, job_id):
-            return bytes(msgpack.packb(['ended', sender, job_id]))
-        case CrashReport(sender, crashes, cleared):
-            return bytes(msgpack.packb(['crash', sender, [crashes, cleared]]))
-
-
-def decode(datagram: bytes) -> GossipMessage | None:
-    """Decode a datagram; return None if it is malformed or of unknown type.
-
-    >>> decode(encode(PreemptBatch('a', 'e1')))
-    PreemptBatch(sender='a', endpoint_id='e1')
-    >>> decode(b'?')
-    """
-    try:
-        kind, sender, content = msgpack.unpackb(datagram)
-    except (ValueError, TypeError, msgpack.UnpackException):
-        return None
-    if kind == 'room':
-        return PreemptBatch(sender, content)
-    if kind == 'ended':
-        return JobEnded(sender, content)
-    if kind == 'crash':
-        return CrashReport(sender, *content)
-    if kind == 'load':
-        rows, waiting, pending, store_up_s = content
-        counts = {
-            key: RequestCounts(online, batch) for key, online, batch in rows
-        }
-        return LoadReport(sender, counts, waiting, pending, store_up_s)
-    return None
-
-
 @dataclass(slots=True)
 class Gossip(asyncio.DatagramProtocol):
     """Datagram endpoint that exchanges messages with the peers of an entry."""
@@ -166,15 +80,15 @@
 
     def broadcast(self, message: GossipMessage) -> None:
         """Send a message to all peers."""
+        self.send(self.peers, message)
+
+    def send(self, peers: Iterable[str], message: GossipMessage) -> None:
+        """Send a message to some peers; ignore unknown ones."""
         datagram = encode(message)
-        for address in self.peers.values():
-            self.send_to(address, datagram)
-
-    def send(self, peer: str, message: GossipMessage) -> None:
-        """Send a message to one peer; ignore unknown peers."""
-        address = self.peers.get(peer)
-        if address is not None:
-            self.send_to(address, encode(message))
+        for peer in peers:
+            address = self.peers.get(peer)
+            if address is not None:
+                self.send_to(address, datagram)
 
     def send_to(self, address: Address, datagram: bytes) -> None:
         """Send a datagram; drop it if the socket is not open yet."""
--- /dev/null
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -0,0 +1,183 @@
+"""Messages between entries, and their encoding as datagrams.
+
+A datagram comes from a peer of any build, or from elsewhere: one that can't
+be decoded completely is dropped as a whole.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from quetzaldyke.gateway.loads import RequestCounts
+from quetzaldyke.gateway.shared_watch import WatchUpdate
+from quetzaldyke.parts.suspects import CrashTable
+from quetzaldyke.parts.transactions import WatchedChange
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The sender's load by endpoint id, and its connection to the store."""
+
+    sender: str
+    counts: dict[str, RequestCounts]
+    # Online requests that are queued at the sender, by service.
+    waiting: dict[str, int]
+    # Batch items that the sender could start if there was capacity.
+    pending: int
+    # For how long the sender has reached the platform's store directly; 0 if
+    # it currently does not.
+    store_up_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PreemptBatch:
+    """Asks the receiver to preempt one of its batch runs on an endpoint."""
+
+    sender: str
+    endpoint_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobEnded:
+    """Announces that a caller has ended a job."""
+
+    sender: str
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Announces endpoint crashes that happened while requests ran.
+
+    Both tables map request fingerprints to crash ids, as defined in
+    `parts/suspects.py`.
+    """
+
+    sender: str
+    crashes: CrashTable
+    cleared: CrashTable
+
+
+GossipMessage = LoadReport | PreemptBatch | JobEnded | CrashReport | WatchUpdate
+
+
+def encode(message: GossipMessage) -> bytes:
+    """Encode a message as a datagram."""
+    match message:
+        case LoadReport(sender, counts, waiting, pending, store_up_s):
+            rows = [[key, one.online, one.batch] for key, one in counts.items()]
+            row = [rows, waiting, pending, store_up_s]
+            return bytes(msgpack.packb(['load', sender, row]))
+        case PreemptBatch(sender, endpoint_id):
+            return bytes(msgpack.packb(['room', sender, endpoint_id]))
+        case JobEnded(sender, job_id):
+            return bytes(msgpack.packb(['ended', sender, job_id]))
+        case CrashReport(sender, crashes, cleared):
+            return bytes(msgpack.packb(['crash', sender, [crashes, cleared]]))
+        case WatchUpdate():
+            return encode_watch_update(message)
+
+
+def encode_watch_update(update: WatchUpdate) -> bytes:
+    """Encode what a watcher has read."""
+    changes = None
+    if update.changes is not None:
+        changes = [
+            [change.key, change.revision, change.value]
+            for change in update.changes
+        ]
+    row = [
+        update.prefix,
+        update.after_revision,
+        update.revision,
+        changes,
+        update.lapse_grace_s,
+    ]
+    return bytes(msgpack.packb(['watch', update.sender, row]))
+
+
+def decode(datagram: bytes) -> GossipMessage | None:
+    """Decode a datagram; return None if it is malformed or of unknown type.
+
+    >>> decode(encode(PreemptBatch('a', 'e1')))
+    PreemptBatch(sender='a', endpoint_id='e1')
+    >>> decode(b'?')
+    """
+    try:
+        kind, sender, content = msgpack.unpackb(datagram)
+        return decode_content(kind, str(sender), content)
+    except (ValueError, TypeError, AttributeError, msgpack.UnpackException):
+        return None
+
+
+def decode_content(
+    kind: str, sender: str, content: Any
+) -> GossipMessage | None:
+    """Decode the content of a message; None if its kind is unknown.
+
+    Raises `ValueError`, `TypeError` or `AttributeError` on malformed content.
+    """
+    match kind:
+        case 'room':
+            return PreemptBatch(sender, str(content))
+        case 'ended':
+            return JobEnded(sender, str(content))
+        case 'crash':
+            crashes, cleared = content
+            return CrashReport(
+                sender, decode_crashes(crashes), decode_crashes(cleared)
+            )
+        case 'watch':
+            return decode_watch_update(sender, content)
+        case 'load':
+            return decode_load_report(sender, content)
+    return None
+
+
+def decode_crashes(table: Any) -> CrashTable:
+    """Decode crash ids by request fingerprint."""
+    return {
+        str(fingerprint): [str(crash) for crash in crashes]
+        for fingerprint, crashes in table.items()
+    }
+
+
+def decode_load_report(sender: str, content: Any) -> LoadReport:
+    """Decode a load report."""
+    rows, waiting, pending, store_up_s = content
+    return LoadReport(
+        sender,
+        {
+            str(key): RequestCounts(int(online), int(batch))
+            for key, online, batch in rows
+        },
+        {str(service): int(queued) for service, queued in waiting.items()},
+        int(pending),
+        float(store_up_s),
+    )
+
+
+def decode_watch_update(sender: str, content: Any) -> WatchUpdate:
+    """Decode what a watcher has read."""
+    prefix, after, revision, rows, lapse_grace_s = content
+    changes = None
+    if rows is not None:
+        changes = tuple(
+            WatchedChange(
+                str(key),
+                int(changed),
+                None if value is None else bytes(value),
+            )
+            for key, changed, value in rows
+        )
+    return WatchUpdate(
+        sender,
+        str(prefix),
+        int(after),
+        int(revision),
+        changes,
+        float(lapse_grace_s),
+    )
--- a/src/quetzaldyke/gateway/loads.py
+++ b/src/quetzaldyke/gateway/loads.py
@@ -137,6 +137,11 @@
         new = self.peers[peer] = PeerReport(counts, waiting, pending, now_s)
         return self.replace_in_sums(peer, old, new)
 
+    def last_report_s(self, peer: str) -> float | None:
+        """Return when the last report of a peer arrived; None if it expired."""
+        report = self.peers.get(peer)
+        return None if report is None else report.received_s
+
     def remove_silent_peers(self, now_s: float) -> list[str]:
         """Remove expired peer reports; return the ids of their peers."""
         silent = [
@@ -157,12 +162,11 @@
         """Replace one report in the sums; return whether slots came free."""
         freed = False
         for endpoint_id in old.counts.keys() | new.counts.keys():
-            peers = self.peer_sums.setdefault(endpoint_id, EndpointSum())
             before = old.counts.get(endpoint_id, NO_REQUESTS)
             after = new.counts.get(endpoint_id, NO_REQUESTS)
-            freed |= peers.replace(peer, before, after) < 0
-            if not peers.online and not peers.batch:
-                del self.peer_sums[endpoint_id]
+            if before != after:
+                change = self.replace_counts(peer, endpoint_id, before, after)
+                freed |= change < 0
         for service in old.waiting.keys() | new.waiting.keys():
             change = new.waiting.get(service, 0) - old.waiting.get(service, 0)
             waiting = self.peer_waiting.pop(service, 0) + change
@@ -171,6 +175,22 @@
         self.peer_pending += new.pending - old.pending
         return freed
 
+    def replace_counts(
+        self,
+        peer: str,
+        endpoint_id: str,
+        before: RequestCounts,
+        after: RequestCounts,
+    ) -> int:
+        """Replace a peer's counts of one endpoint; return the change."""
+        peers = self.peer_sums.get(endpoint_id)
+        if peers is None:
+            peers = self.peer_sums[endpoint_id] = EndpointSum()
+        change = peers.replace(peer, before, after)
+        if not peers.online and not peers.batch:
+            del self.peer_sums[endpoint_id]
+        return change
+
     def report(self) -> dict[str, RequestCounts]:
         """Return this entry's counts for the peers, without idle endpoints.
 
--- /dev/null
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -0,0 +1,182 @@
+"""Shares the watches on the store's keys among the entries of a fleet.
+
+Load pattern: all entries need the same changes. If each watched the store
+itself, its calls would grow with the fleet, and each change would wake all
+entries to call at once.
+
+A few entries, the watchers, watch the store directly. Each sends what it has
+read to the entries that follow it. An entry follows two watchers, so that the
+loss of one delays nothing. It watches the store itself as soon as neither
+sends load reports nor confirms that it is up to date, and makes one call when
+an update shows that it missed an earlier one. All entries choose the same
+watchers from the member list by rendezvous hashing, without communication.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.parts.rendezvous import ranking
+from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
+
+MIN_WATCHERS: Final = 2
+ENTRIES_PER_WATCHER: Final = 16
+SOURCES_PER_FOLLOWER: Final = 2
+WATCHER_KEY: Final = 'store-watch'
+# A watcher that has been silent for longer is not relied on: it misses two
+# of its periodic load reports.
+MAX_SILENCE_S: Final = 0.65
+# Longest age of a watcher's last confirmation: the wait of one watch call and
+# the slack of its timeout, plus the delay between two calls.
+MAX_CONFIRMATION_AGE_S: Final = 3.3
+# An update that is larger is sent without its changes, so that followers read
+# them from the store; datagrams are limited to 64 KB.
+MAX_CHANGES_BYTES: Final = 32_768
+POLL_DELAY_PER_WATCHER_S: Final = 0.06
+MAX_POLL_DELAY_S: Final = 0.65
+
+
+@dataclass(frozen=True, slots=True)
+class WatchUpdate:
+    """What a watcher has read: all changes between two revisions."""
+
+    sender: str
+    prefix: str
+    # All changes after this revision, up to `revision`, are included.
+    after_revision: int
+    revision: int
+    # None if they are too large to be sent.
+    changes: tuple[WatchedChange, ...] | None
+    # For how much longer missing registrations may come back after an outage
+    # of the store.
+    lapse_grace_s: float
+
+
+def watchers_of(members: Collection[str]) -> list[str]:
+    """Return the entries that watch the store for all.
+
+    >>> len(watchers_of(['a'])), len(watchers_of(['a', 'b', 'c']))
+    (1, 2)
+    """
+    count = max(MIN_WATCHERS, len(members) // ENTRIES_PER_WATCHER + 1)
+    return ranking(members, WATCHER_KEY)[:count]
+
+
+def sources_of(own_id: str, watchers: Collection[str]) -> list[str]:
+    """Return the watchers that an entry follows; none if it is one itself."""
+    if own_id in watchers:
+        return []
+    return ranking(watchers, own_id)[:SOURCES_PER_FOLLOWER]
+
+
+def limit_changes(
+    changes: Collection[WatchedChange],
+) -> tuple[WatchedChange, ...] | None:
+    """Return the changes, or None if they are too large for a datagram."""
+    size = sum(len(change.key) + len(change.value or b'') for change in changes)
+    return tuple(changes) if size <= MAX_CHANGES_BYTES else None
+
+
+@dataclass(slots=True)
+class WatchSharing:
+    """Decides whether this entry watches the store, and for whom."""
+
+    own_id: str
+    now: Callable[[], float]
+    # Returns when the last load report of an entry arrived; None if none did.
+    last_report_s: Callable[[str], float | None]
+    # Sends an update to the given entries.
+    send: Callable[[Collection[str], WatchUpdate], None]
+    endpoints: EndpointTable
+    watched: dict[str, PrefixWatcher] = field(default_factory=dict)
+    watchers: list[str] = field(default_factory=list)
+    sources: list[str] = field(default_factory=list)
+    # Entries to which this entry sends its updates.
+    followers: list[str] = field(default_factory=list)
+    # When each source last confirmed a prefix.
+    confirmed_s: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def set_members(self, members: Collection[str]) -> None:
+        """Choose watchers, sources and followers from the member list."""
+        self.watchers = watchers_of(members)
+        self.sources = []
+        self.followers = []
+        if self.own_id not in members:
+            return
+        self.sources = sources_of(self.own_id, self.watchers)
+        if self.own_id in self.watchers:
+            self.followers = [
+                member
+                for member in members
+                if self.own_id in sources_of(member, self.watchers)
+            ]
+
+    def add(self, watcher: PrefixWatcher) -> None:
+        """Share the watch on one prefix."""
+        prefix = watcher.prefix
+        self.watched[prefix] = watcher
+        watcher.follow_s = lambda: self.follow_s(prefix)
+        watcher.on_batch = lambda after, batch: self.publish(
+            prefix, after, batch
+        )
+
+    def poll_delay_s(self) -> float:
+        """Return the delay between two calls for jobs and members.
+
+        Each watcher reads the changes of all entries. The more watchers there
+        are, the longer changes accumulate, so that the calls of all of them
+        stay bounded.
+        """
+        delay_s = POLL_DELAY_PER_WATCHER_S * len(self.watchers)
+        return min(MAX_POLL_DELAY_S, delay_s)
+
+    def publish(self, prefix: str, after: int, batch: WatchBatch) -> None:
+        """Send what this entry has read to its followers."""
+        if not self.followers:
+            return
+        update = WatchUpdate(
+            self.own_id,
+            prefix,
+            after,
+            batch.revision,
+            limit_changes(batch.changes),
+            self.endpoints.lapse_grace_s(self.now()),
+        )
+        self.send(self.followers, update)
+
+    def on_update(self, update: WatchUpdate) -> None:
+        """Apply what a watcher has read, unless earlier changes are missing."""
+        watcher = self.watched.get(update.prefix)
+        if watcher is None:
+            return
+        self.endpoints.allow_lapses(update.lapse_grace_s, self.now())
+        if watcher.apply_update(
+            update.after_revision, update.changes, update.revision
+        ):
+            self.confirmed_s[update.sender, update.prefix] = self.now()
+
+    def follow_s(self, prefix: str) -> float:
+        """Return how long this entry may rely on others before it calls.
+
+        0 if it has to watch the store itself.
+        """
+        return max(
+            (self.reliable_s(source, prefix) for source in self.sources),
+            default=0.0,
+        )
+
+    def reliable_s(self, source: str, prefix: str) -> float:
+        """Return for how much longer a source can be relied on."""
+        confirmed_s = self.confirmed_s.get((source, prefix))
+        reported_s = self.last_report_s(source)
+        if confirmed_s is None or reported_s is None:
+            return 0.0
+        until_s = min(
+            confirmed_s + MAX_CONFIRMATION_AGE_S,
+            reported_s + MAX_SILENCE_S,
+        )
+        return max(0.0, until_s - self.now())
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
@@ -15,6 +15,7 @@
 from quetzaldyke.parts.transactions import (
     Snapshot,
     TransactionalStore,
+    WatchBatch,
     WatchedChange,
 )
 
@@ -29,7 +30,10 @@
 
 @dataclass(slots=True)
 class PrefixWatcher:
-    """Watches one key prefix and passes its changes to callbacks."""
+    """Watches one key prefix and passes its changes to callbacks.
+
+    Another entry may watch in its place, see `gateway/shared_watch.py`.
+    """
 
     store: TransactionalStore
     prefix: str
@@ -38,15 +42,22 @@
     wait_s: float = WATCH_WAIT_S
     # Returns the delay before the next call, in which changes accumulate.
     poll_delay_s: Callable[[], float] = float
+    # Returns for how long the updates of other entries replace calls.
+    follow_s: Callable[[], float] = float
     # All changes up to this revision were seen; None before the first snapshot.
     revision: int | None = None
     failures: int = 0
-    # Called after each successful call.
+    # Called when all changes up to now were seen.
     on_success: Callable[[], None] = lambda: None
+    # Called after each watch call, with the revision after which it read.
+    on_batch: Callable[[int, WatchBatch], None] = lambda after, batch: None
+    # Set when an update of another entry shows that changes were missed.
+    behind: anyio.Event = field(default_factory=anyio.Event)
 
     async def run(self) -> None:
         """Watch until cancelled, with a backoff after failed calls."""
         while True:
+            await self.follow()
             if await self.poll():
                 self.failures = 0
                 self.on_success()
@@ -55,6 +66,17 @@
             self.failures += 1
             await anyio.sleep(backoff_s(RETRY, self.failures, random.uniform))
 
+    async def follow(self) -> None:
+        """Wait while other entries watch; not before the first snapshot."""
+        if self.revision is None:
+            return
+        rest_s = self.follow_s()
+        while rest_s > 0 and not self.behind.is_set():
+            with anyio.move_on_after(rest_s):
+                await self.behind.wait()
+            rest_s = self.follow_s()
+        self.behind = anyio.Event()
+
     async def poll(self) -> bool:
         """Make one call to the store; return whether it succeeded.
 
@@ -63,11 +85,8 @@
         """
         if self.revision is None:
             return await self.load_snapshot()
-        answer = await self.store.watch(
-            self.prefix,
-            self.revision,
-            self.wait_s,
-        )
+        after = self.revision
+        answer = await self.store.watch(self.prefix, after, self.wait_s)
         if isinstance(answer, Err):
             if answer.err_value.kind == 'compacted':
                 log_event('history_lost', prefix=self.prefix)
@@ -75,11 +94,39 @@
                 return True
             return False
         batch = answer.ok_value
-        self.revision = max(self.revision, batch.revision)
-        if batch.changes:
-            self.on_changes(batch.changes, self.revision)
+        self.on_batch(after, batch)
+        self.advance(batch.changes, batch.revision)
+        return True
+
+    def apply_update(
+        self,
+        after: int,
+        changes: Sequence[WatchedChange] | None,
+        revision: int,
+    ) -> bool:
+        """Apply what another entry has read; return whether it was applied.
+
+        If changes are missing, the next step is a call to the store.
+        """
+        if self.revision is None:
+            return False
+        if changes is None or after > self.revision:
+            if revision > self.revision:
+                self.behind.set()
+                return False
+            changes = ()
+        self.advance(changes, revision)
+        self.on_success()
         return True
 
+    def advance(self, changes: Sequence[WatchedChange], revision: int) -> None:
+        """Pass on the changes that were not seen yet, up to a revision."""
+        seen = self.revision or 0
+        new = [change for change in changes if change.revision > seen]
+        self.revision = max(seen, revision)
+        if new:
+            self.on_changes(new, self.revision)
+
     async def load_snapshot(self) -> bool:
         """Read all keys; return whether it succeeded.
 
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import msgpack
 import orjson
 import pytest
 from hypothesis import given
@@ -21,9 +22,9 @@
 )
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
-from quetzaldyke.gateway.gossip import (
-    GossipMessage,
+from quetzaldyke.gateway.gossip_messages import (
     CrashReport,
+    GossipMessage,
     JobEnded,
     LoadReport,
     PreemptBatch,
@@ -34,6 +35,7 @@
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.logs import LineRateLimiter, LineWriter
 from quetzaldyke.gateway.model import Bounds, Configuration, Installation
+from quetzaldyke.gateway.shared_watch import WatchUpdate
 from quetzaldyke.gateway.watch import PrefixWatcher
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Snapshot, WatchBatch, WatchedChange
@@ -122,6 +124,12 @@
     st.lists(st.text(max_size=5), max_size=3),
     max_size=3,
 )
+CHANGES = st.builds(
+    WatchedChange,
+    st.text(max_size=5),
+    st.integers(0, 2**40),
+    st.none() | st.binary(max_size=5),
+)
 MESSAGES: st.SearchStrategy[GossipMessage] = st.one_of(
     st.builds(
         LoadReport,
@@ -134,6 +142,26 @@
     st.builds(PreemptBatch, st.text(max_size=5), st.text(max_size=5)),
     st.builds(JobEnded, st.text(max_size=5), st.text(max_size=5)),
     st.builds(CrashReport, st.text(max_size=5), CRASHES, CRASHES),
+    st.builds(
+        WatchUpdate,
+        st.text(max_size=5),
+        st.text(max_size=5),
+        st.integers(0, 2**40),
+        st.integers(0, 2**40),
+        st.none() | st.lists(CHANGES, max_size=3).map(tuple),
+        st.floats(0, 9),
+    ),
+)
+PLAIN_VALUES = st.recursive(
+    st.none()
+    | st.integers(-9, 9)
+    | st.text(max_size=3)
+    | st.binary(max_size=3),
+    lambda inner: (
+        st.lists(inner, max_size=5)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=2)
+    ),
+    max_leaves=8,
 )
 
 
@@ -150,6 +178,19 @@
     assert message is None or message.sender is not None
 
 
+@given(
+    st.sampled_from(['room', 'ended', 'crash', 'watch', 'load', 'other']),
+    PLAIN_VALUES,
+)
+def test_message_with_wrong_content_raises_no_error(
+    kind: str,
+    content: object,
+) -> None:
+    """Guards against a peer of another build that crashes an entry."""
+    message = decode(msgpack.packb([kind, 'p', content]))
+    assert message is None or decode(encode(message)) == message
+
+
 @dataclass(slots=True)
 class ScriptedStore(FakeStore):
     """A store whose watch calls return predefined results."""
--- /dev/null
+++ b/tests/test_gateway_sharing.py
@@ -0,0 +1,303 @@
+"""Tests of the watches that a few entries make for the whole fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gateway_kit import FakeStore, FakeTime
+from quetzaldyke.gateway.endpoints import LAPSE_GRACE_S, EndpointTable
+from quetzaldyke.gateway.shared_watch import (
+    MAX_CHANGES_BYTES,
+    MAX_CONFIRMATION_AGE_S,
+    MAX_SILENCE_S,
+    SOURCES_PER_FOLLOWER,
+    WatchSharing,
+    WatchUpdate,
+    limit_changes,
+    sources_of,
+    watchers_of,
+)
+from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.parts.transactions import (
+    Put,
+    Transaction,
+    WatchBatch,
+    WatchedChange,
+)
+
+pytestmark = pytest.mark.anyio
+PREFIX = 'p/'
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on asyncio only."""
+    return 'asyncio'
+
+
+@dataclass(slots=True)
+class SimulatedEntry:
+    """An entry that follows one prefix, and the revisions it has applied."""
+
+    sharing: WatchSharing
+    watcher: PrefixWatcher
+    reports: dict[str, float] = field(default_factory=dict)
+    applied: list[int] = field(default_factory=list)
+
+    def must_call(self) -> bool:
+        """Return whether the entry calls the store next."""
+        return not self.sharing.follow_s(PREFIX) or self.watcher.behind.is_set()
+
+
+@dataclass(slots=True)
+class SimulatedFleet:
+    """Entries that share a store, with the updates that are on their way."""
+
+    entries: dict[str, SimulatedEntry] = field(default_factory=dict)
+    updates: list[tuple[str, WatchUpdate]] = field(default_factory=list)
+    time: FakeTime = field(default_factory=FakeTime)
+    store: FakeStore = field(default_factory=FakeStore)
+    silent: set[str] = field(default_factory=set)
+    calls: int = 0
+
+    @classmethod
+    def of_size(cls, size: int) -> SimulatedFleet:
+        """Return a fleet whose members all know each other."""
+        fleet = cls()
+        names = [f'e{number}' for number in range(size)]
+        for name in names:
+            fleet.entries[name] = fleet.make_entry(name)
+            fleet.entries[name].sharing.set_members(names)
+        return fleet
+
+    def make_entry(self, name: str) -> SimulatedEntry:
+        """Return an entry that does not know the members yet."""
+        reports: dict[str, float] = {}
+        applied: list[int] = []
+        sharing = WatchSharing(
+            name, self.time.read, reports.get, self.send, EndpointTable()
+        )
+        watcher = PrefixWatcher(
+            self.store,
+            PREFIX,
+            lambda snapshot: None,
+            lambda changes, _: applied.extend(one.revision for one in changes),
+        )
+        sharing.add(watcher)
+        return SimulatedEntry(sharing, watcher, reports, applied)
+
+    def send(self, peers: Collection[str], update: WatchUpdate) -> None:
+        """Put an update on its way, unless the sender is silent."""
+        if update.sender not in self.silent:
+            self.updates.extend((peer, update) for peer in peers)
+
+    async def write(self) -> None:
+        """Write one key of the prefix."""
+        await self.store.transact(Transaction({}, (Put(f'{PREFIX}k', b'x'),)))
+
+    async def step(self) -> None:
+        """Deliver reports; entries that can't follow others call the store."""
+        for name, entry in self.entries.items():
+            for other in self.entries.values():
+                if name not in self.silent:
+                    other.reports[name] = self.time.now_s
+            if entry.must_call():
+                entry.watcher.behind = anyio.Event()
+                self.calls += 1
+                await entry.watcher.poll()
+
+    def deliver(self, position: int) -> None:
+        """Deliver one of the updates that are on their way."""
+        peer, update = self.updates.pop(position % len(self.updates))
+        self.entries[peer].sharing.on_update(update)
+
+    def deliver_all(self) -> None:
+        """Deliver all updates in order."""
+        while self.updates:
+            self.deliver(0)
+
+
+async def test_calls_do_not_grow_with_the_entries() -> None:
+    """Guards against a store whose load is that of every entry's watch."""
+    fleet = SimulatedFleet.of_size(60)
+    for _ in range(3):
+        await fleet.step()
+        fleet.deliver_all()
+    fleet.calls = 0
+    for _ in range(10):
+        fleet.time.now_s += 0.3
+        await fleet.write()
+        await fleet.step()
+        fleet.deliver_all()
+    watchers = len(watchers_of(fleet.entries))
+    assert fleet.calls == 10 * watchers
+    assert watchers == 4
+    written = [revision for revision in range(1, 11)]
+    assert all(one.applied == written for one in fleet.entries.values())
+
+
+async def test_loss_of_one_watcher_delays_nothing() -> None:
+    """Guards against followers that wait for a dead watcher."""
+    fleet = SimulatedFleet.of_size(20)
+    for _ in range(3):
+        await fleet.step()
+        fleet.deliver_all()
+    fleet.silent = {watchers_of(fleet.entries)[0]}
+    await fleet.write()
+    await fleet.step()
+    fleet.deliver_all()
+    assert all(one.applied == [1] for one in fleet.entries.values())
+
+
+async def test_entries_watch_themselves_without_watchers() -> None:
+    """Guards against a fleet that misses changes when its watchers die."""
+    fleet = SimulatedFleet.of_size(20)
+    for _ in range(3):
+        await fleet.step()
+        fleet.deliver_all()
+    watchers = watchers_of(fleet.entries)
+    fleet.silent = set(watchers)
+    fleet.time.now_s += MAX_SILENCE_S + 0.01
+    await fleet.write()
+    await fleet.step()
+    assert all(
+        one.applied == [1]
+        for name, one in fleet.entries.items()
+        if name not in watchers
+    )
+
+
+async def test_watcher_that_confirms_nothing_is_not_relied_on() -> None:
+    """Guards against an entry that trusts a watcher cut off from the store."""
+    fleet = SimulatedFleet.of_size(4)
+    for _ in range(3):
+        await fleet.step()
+        fleet.deliver_all()
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    assert not follower.must_call()
+    fleet.time.now_s += MAX_CONFIRMATION_AGE_S
+    for name in fleet.entries:
+        follower.reports[name] = fleet.time.now_s
+    assert follower.must_call()
+
+
+@given(st.data())
+async def test_changes_are_applied_once_and_in_order(
+    data: st.DataObject,
+) -> None:
+    """Guards against missed, doubled or reverted changes.
+
+    Updates are lost, delayed, repeated and overtaken, and watchers fall
+    silent.
+    """
+    fleet = SimulatedFleet.of_size(6)
+    actions = st.sampled_from(
+        ['write', 'step', 'deliver', 'lose', 'repeat', 'pause', 'silence']
+    )
+    for action in data.draw(st.lists(actions, max_size=40)):
+        number = data.draw(st.integers(0, 9))
+        await perform(fleet, action, number)
+        for entry in fleet.entries.values():
+            last = entry.applied[-1] if entry.applied else 0
+            first = entry.applied[0] if entry.applied else 1
+            assert entry.applied == list(range(first, last + 1))
+    fleet.silent = set()
+    fleet.updates = []
+    fleet.time.now_s += MAX_CONFIRMATION_AGE_S
+    await fleet.step()
+    revisions = {one.watcher.revision for one in fleet.entries.values()}
+    assert revisions == {fleet.store.state.revision}
+
+
+async def perform(fleet: SimulatedFleet, action: str, number: int) -> None:
+    """Perform one action of the random scenario."""
+    match action:
+        case 'write':
+            await fleet.write()
+        case 'step':
+            await fleet.step()
+        case 'deliver' if fleet.updates:
+            fleet.deliver(number)
+        case 'lose' if fleet.updates:
+            fleet.updates.pop(number % len(fleet.updates))
+        case 'repeat' if fleet.updates:
+            fleet.updates.append(fleet.updates[number % len(fleet.updates)])
+        case 'pause':
+            fleet.time.now_s += number / 5
+        case 'silence':
+            fleet.silent ^= {f'e{number % 6}'}
+
+
+@given(st.integers(1, 700))
+def test_followers_have_two_sources_and_even_shares(size: int) -> None:
+    """Guards against a watcher that feeds most of the fleet."""
+    members = [f'm{number}' for number in range(size)]
+    watchers = watchers_of(members)
+    shares = dict.fromkeys(watchers, 0)
+    for member in members:
+        sources = sources_of(member, watchers)
+        followed = min(SOURCES_PER_FOLLOWER, len(watchers))
+        assert len(sources) == (0 if member in watchers else followed)
+        for source in sources:
+            shares[source] += 1
+    followers = size - len(watchers)
+    even = SOURCES_PER_FOLLOWER * followers / max(1, len(watchers))
+    assert max(shares.values()) <= 2 * even + 8
+
+
+def test_large_changes_are_left_to_the_store() -> None:
+    """Guards against datagrams that the network can't carry."""
+    small = WatchedChange('k', 1, b'x')
+    large = WatchedChange('k', 1, bytes(MAX_CHANGES_BYTES))
+    assert limit_changes([small]) == (small,)
+    assert limit_changes([small, large]) is None
+
+
+def test_changes_that_were_not_sent_are_read_from_the_store() -> None:
+    """Guards against confirming an update whose changes are missing."""
+    fleet = SimulatedFleet.of_size(3)
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    follower.watcher.revision = 4
+    source = follower.sharing.sources[0]
+    follower.sharing.on_update(WatchUpdate(source, PREFIX, 4, 6, None, 0.0))
+    assert follower.watcher.behind.is_set()
+    assert not follower.sharing.confirmed_s
+    assert follower.watcher.revision == 4
+
+
+def test_update_after_an_outage_keeps_lapsed_registrations() -> None:
+    """Guards against endpoints removed in an outage that others saw."""
+    fleet = SimulatedFleet.of_size(3)
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    source = follower.sharing.sources[0]
+    update = WatchUpdate(source, PREFIX, 0, 0, (), LAPSE_GRACE_S)
+    follower.sharing.on_update(update)
+    endpoints = follower.sharing.endpoints
+    assert endpoints.lapse_grace_s(fleet.time.now_s) == pytest.approx(
+        LAPSE_GRACE_S
+    )
+    assert not endpoints.lapse_grace_s(fleet.time.now_s + LAPSE_GRACE_S)
+
+
+async def test_batch_during_updates_is_not_applied_twice() -> None:
+    """Guards against a watch call that returns what an update brought."""
+    fleet = SimulatedFleet.of_size(1)
+    entry = fleet.entries['e0']
+    entry.watcher.revision = 0
+    change = WatchedChange(f'{PREFIX}k', 1, b'x')
+    assert entry.watcher.apply_update(0, (change,), 1)
+    batch = WatchBatch([change, WatchedChange(f'{PREFIX}k', 2, b'y')], 2)
+    entry.watcher.advance(batch.changes, batch.revision)
+    assert entry.applied == [1, 2]
