Bound what a faulty endpoint can send, and end stalled streams

Cause: the client kept all header, trailer and interim bytes of a response and a whole body of any size, and the event splitter an event of any size. A sender on loopback made it hold hundreds of megabytes in two seconds, on instances with 128 MB. A stream or batch run stayed open as long as any byte arrived, so one byte now and then kept it for ever; and a caller that read slowly used up the pause allowed to the endpoint.

Change: limits on the bytes of a head, of an event and of a body read as a whole; beyond them the response is malformed and the connection is closed, so that the request is retried or answered as after any fault. Only whole events extend the wait for the next one, and the time in which a chunk is sent to the caller is not counted. An item_preempted line gives the reason and the load behind it.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from quetzaldyke.gateway.dispatcher import Reservation
-from quetzaldyke.gateway.event_stream import StreamOrderError
+from quetzaldyke.gateway.event_stream import StreamError
 from quetzaldyke.gateway.exchange import (
     Exchange,
     ExchangeError,
@@ -321,6 +321,7 @@
             self.request.route.resumable
             and self.progress.attempts < self.request.route.max_attempts
         )
+        self.exchange.expires_at_s = self.next_event_deadline_s(may_resume)
         more_events = True
         while more_events:
             more_events = await self.forward_events(may_resume=may_resume)
@@ -330,35 +331,40 @@
         await self.caller.finish()
         return Outcome(head.status, 'served')
 
+    def next_event_deadline_s(self, may_resume: bool) -> float:
+        """Return the time by which the next whole event must arrive."""
+        deadline_s = self.request.deadline_s
+        if not may_resume:
+            return deadline_s
+        route = self.request.route
+        if self.progress.event_chunks:
+            timeout_s = next_event_timeout_s(route)
+        else:
+            timeout_s = first_event_timeout_s(route, self.reservation)
+        return min(deadline_s, self.context.now() + timeout_s)
+
     async def forward_events(self, *, may_resume: bool) -> bool:
         """Forward the next whole events; return False at the stream's end.
 
         Pauses have a timeout only if the stream may still be resumed at
-        another endpoint; otherwise only the deadline ends the wait.
+        another endpoint; otherwise only the deadline ends the wait. Bytes
+        that complete no event do not extend it.
         """
-        now_s = self.context.now()
-        route = self.request.route
-        deadline_s = self.request.deadline_s
-        if may_resume and self.progress.event_chunks:
-            deadline_s = min(deadline_s, now_s + next_event_timeout_s(route))
-        elif may_resume:
-            deadline_s = min(
-                deadline_s,
-                now_s + first_event_timeout_s(route, self.reservation),
-            )
-        self.exchange.expires_at_s = deadline_s
         chunk = await self.exchange.read_chunk()
         if not chunk:
             return False
         try:
             events = self.progress.splitter.feed(chunk)
-        except StreamOrderError as exc:
+        except StreamError as exc:
             raise ExchangeError(Failure.MALFORMED, str(exc)) from exc
         now_s = self.context.now()
         self.context.dispatcher.endpoints.note_bytes(self.endpoint_id, now_s)
         if events:
             self.progress.note_events(now_s)
+            # A caller that reads slowly is no pause of the endpoint.
+            self.exchange.expires_at_s = self.request.deadline_s
             await self.caller.send(events)
+            self.exchange.expires_at_s = self.next_event_deadline_s(may_resume)
         return True
 
 
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -195,10 +195,13 @@
                 continue
             slots = tracked.endpoint.slots
             for _ in range(self.policy.runs_to_preempt(endpoint_id, slots)):
-                self.preempt_run(endpoint_id)
+                self.preempt_run(endpoint_id, 'endpoint_overfull')
 
-    def preempt_run(self, endpoint_id: str) -> bool:
-        """Cancel the run due last, with the fewest events; False if none."""
+    def preempt_run(self, endpoint_id: str, reason: str) -> bool:
+        """Cancel the run due last, with the fewest events; False if none.
+
+        `reason` is logged with the load that this entry knows of.
+        """
         runs = [
             (-job.due_ms, progress.events_done, index, progress)
             for job in self.jobs.values()
@@ -214,11 +217,16 @@
         chosen = min(runs, key=lambda run: run[:3])[3]
         assert chosen.exchange is not None
         chosen.exchange.cancel()
+        loads = self.dispatcher.loads
         log_event(
             'item_preempted',
             item=chosen.record.item_id,
             endpoint=endpoint_id,
             events=chosen.events_done,
+            reason=reason,
+            own_batch=loads.own_counts(endpoint_id).batch,
+            online=loads.online(endpoint_id),
+            total=loads.total(endpoint_id),
         )
         return True
 
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -271,7 +271,8 @@
     def preempt_batch(self, endpoint: Endpoint) -> None:
         """Preempt an own batch run on an endpoint, or ask a peer to do so."""
         endpoint_id = endpoint.endpoint_id
-        if self.runner is not None and self.runner.preempt_run(endpoint_id):
+        runner = self.runner
+        if runner and runner.preempt_run(endpoint_id, 'own_request'):
             return
         peers = self.loads.batch_peers(endpoint_id)
         if peers:
@@ -296,7 +297,7 @@
                     self.runner.schedule_soon()
             case PreemptBatch(_, endpoint_id):
                 if self.runner is not None:
-                    self.runner.preempt_run(endpoint_id)
+                    self.runner.preempt_run(endpoint_id, 'peer_request')
             case JobEnded(_, job_id):
                 self.jobs.apply(f'{END_PREFIX}{job_id}', 0, b'1')
             case CrashReport(_, crashes, cleared):
--- a/src/quetzaldyke/gateway/event_stream.py
+++ b/src/quetzaldyke/gateway/event_stream.py
@@ -15,8 +15,12 @@
 DATA_LINE: Final = re.compile(rb'^data:[ ]?(.*)$', re.MULTILINE)
 
 
-class StreamOrderError(Exception):
-    """The id of an event does not follow that of the previous event."""
+# Limit on one event; an endpoint may send a line without end.
+MAX_EVENT_BYTES: Final = 262_144
+
+
+class StreamError(Exception):
+    """The stream is not a sequence of events with consecutive ids."""
 
 
 @dataclass(slots=True)
@@ -44,26 +48,34 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return all events that are now whole.
 
-        Raises `StreamOrderError` if the event ids are not consecutive.
+        Raises `StreamError` if the event ids are not consecutive or an event
+        is too large.
         """
         buffered = self.partial + chunk if self.partial else chunk
         end = buffered.rfind(EVENT_END)
         if end < 0:
-            self.partial = buffered
+            self.hold(buffered)
             return b''
         end += len(EVENT_END)
-        whole, self.partial = buffered[:end], buffered[end:]
+        whole = buffered[:end]
+        self.hold(buffered[end:])
         for match in EVENT_ID.finditer(whole):
             self.accept_event_id(int(match.group(1)))
         return whole
 
+    def hold(self, partial: bytes) -> None:
+        """Store the start of an event; raises `StreamError` if too large."""
+        if len(partial) > MAX_EVENT_BYTES:
+            raise StreamError(f'event exceeds {MAX_EVENT_BYTES} bytes')
+        self.partial = partial
+
     def accept_event_id(self, event_id: int) -> None:
         """Store the id of an event.
 
-        Raises `StreamOrderError` unless it follows the previous id.
+        Raises `StreamError` unless it follows the previous id.
         """
         if self.last_id is not None and event_id != self.last_id + 1:
-            raise StreamOrderError(
+            raise StreamError(
                 f'{event_id} is not the event id after {self.last_id}'
             )
         self.last_id = event_id
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -7,7 +7,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Protocol
+from typing import Final, Protocol
+
+# Limit on a body that is read as a whole, which keeps a peer that sends
+# without end from using up the memory of an instance.
+MAX_BODY_BYTES: Final = 8_388_608
 
 
 class ConnectionControl(Protocol):
@@ -132,11 +136,18 @@
             self.connection.resume_reading()
         return chunk
 
-    async def read_body(self) -> bytes:
-        """Return the whole body; raises `ExchangeError` if it breaks off."""
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the whole body.
+
+        Raises `ExchangeError` if it breaks off or exceeds the limit.
+        """
         body = bytearray()
         while chunk := await self.read_chunk():
             body += chunk
+            if len(body) > max_bytes:
+                raise ExchangeError(
+                    Failure.MALFORMED, f'body exceeds {max_bytes} bytes'
+                )
         return bytes(body)
 
     def check_timeout(self, now_s: float) -> bool:
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -34,6 +34,13 @@
 FIRST_FINAL_STATUS: Final = 200
 # Reading is paused while more body bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 262_144
+# Limit on all headers and trailers that a peer sends for one request,
+# interim and skipped responses included, and on any other bytes that are no
+# part of a body: a faulty peer may send them without end.
+MAX_HEAD_BYTES: Final = 65_536
+# Added for each header and each status line, which consist of more than the
+# text that the parser reports.
+LINE_OVERHEAD_BYTES: Final = 16
 
 
 class Connection(asyncio.Protocol):
@@ -52,6 +59,10 @@
         self.framed = False
         self.response_complete = False
         self.headers: list[tuple[bytes, bytes]] = []
+        # Bytes received for the current request that are no part of its body.
+        self.head_bytes = 0
+        # Bytes received since the parser last reported anything.
+        self.unparsed_bytes = 0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since_s = 0.0
 
@@ -64,6 +75,8 @@
         assert self.transport is not None
         self.exchange = exchange
         self.response_complete = False
+        self.head_bytes = 0
+        self.unparsed_bytes = 0
         exchange.connection = self
         self.transport.write(request)
 
@@ -74,10 +87,14 @@
             # could mistake it for its own.
             self.abort()
             return
+        self.unparsed_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self.fail(Failure.MALFORMED, repr(exc))
+            return
+        if max(self.head_bytes, self.unparsed_bytes) > MAX_HEAD_BYTES:
+            self.fail(Failure.MALFORMED, 'endless head')
 
     def eof_received(self) -> bool:
         """Let the transport close when the peer closes."""
@@ -102,12 +119,20 @@
     def on_message_begin(self) -> None:
         """Start a response; an extra one ends the connection's reuse."""
         self.headers = []
+        self.head_bytes += LINE_OVERHEAD_BYTES
         if self.response_complete:
             self.reusable = False
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Store a header of the current response."""
-        self.headers.append((name.lower(), content))
+        """Store a header or trailer of the current response."""
+        self.unparsed_bytes = 0
+        self.head_bytes += len(name) + len(content) + LINE_OVERHEAD_BYTES
+        if self.head_bytes <= MAX_HEAD_BYTES:
+            self.headers.append((name.lower(), content))
+
+    def on_chunk_header(self) -> None:
+        """Record that a chunk's size line is complete."""
+        self.unparsed_bytes = 0
 
     def on_headers_complete(self) -> None:
         """Pass the head to the exchange if it belongs to its request.
@@ -149,8 +174,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a body chunk to the exchange; pause reading if it lags."""
+        self.unparsed_bytes = 0
         exchange = self.exchange
-        if exchange is None or self.skipping_response or self.response_complete:
+        if exchange is None or self.response_complete:
+            return
+        if self.skipping_response:
+            self.head_bytes += len(body)
             return
         exchange.chunks.append(body)
         exchange.unread_bytes += len(body)
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -12,7 +12,7 @@
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
 from quetzaldyke.gateway.dispatcher import Dispatcher, Reservation
-from quetzaldyke.gateway.event_stream import StreamOrderError, event_data
+from quetzaldyke.gateway.event_stream import StreamError, event_data
 from quetzaldyke.gateway.exchange import (
     Exchange,
     ExchangeError,
@@ -74,7 +74,7 @@
             await self.send_item(body)
         except ExchangeError as exc:
             self.handle_interruption(exc)
-        except StreamOrderError as exc:
+        except StreamError as exc:
             self.handle_interruption(ExchangeError(Failure.MALFORMED, str(exc)))
         finally:
             self.exchange.cancel()
@@ -117,7 +117,7 @@
         self.handle_error_response(head, answer)
 
     def extend_stall_deadline(self) -> None:
-        """Give the endpoint another stall timeout for its next bytes."""
+        """Give the endpoint another stall timeout for its next event."""
         now_s = self.context.dispatcher.clock.now()
         self.exchange.expires_at_s = now_s + STALL_TIMEOUT_S
 
@@ -152,9 +152,11 @@
         clock = self.context.dispatcher.clock
         started_s = clock.now()
         events_before = progress.events_done
+        self.extend_stall_deadline()
         while chunk := await self.read_chunk():
             events = progress.splitter.feed(chunk)
             if events:
+                self.extend_stall_deadline()
                 progress.outputs.extend(event_data(events))
         if progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
@@ -167,7 +169,6 @@
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes, which are empty at the end of the response."""
-        self.extend_stall_deadline()
         chunk = await self.exchange.read_chunk()
         dispatcher = self.context.dispatcher
         dispatcher.endpoints.note_bytes(
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 
 from quetzaldyke.gateway.event_stream import (
+    MAX_EVENT_BYTES,
     EventSplitter,
-    StreamOrderError,
+    StreamError,
     event_data,
 )
 from quetzaldyke.standins.platform_endpoint import event_of
@@ -44,10 +45,21 @@
     """Guards against joining two streams whose events aren't consecutive."""
     splitter = EventSplitter()
     splitter.feed(event_of('r', 1) + event_of('r', 2))
-    with pytest.raises(StreamOrderError):
+    with pytest.raises(StreamError):
         splitter.feed(event_of('r', event_id))
 
 
 def test_data_of_several_events() -> None:
     """Guards against outputs whose events are lost or joined."""
     assert event_data(STREAM)[:2] == [b'r/1', b'r/2']
+
+
+@pytest.mark.parametrize('whole', [b'', event_of('r', 1)])
+def test_event_without_end_is_rejected(whole: bytes) -> None:
+    """Guards against an endpoint whose event uses up the memory."""
+    splitter = EventSplitter()
+    with pytest.raises(StreamError):
+        for _ in range(100):
+            splitter.feed(whole + b'data: ' + bytes(MAX_EVENT_BYTES // 8))
+            whole = b''
+    assert len(splitter.partial) <= MAX_EVENT_BYTES
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from unittest import mock
 
 import anyio
 import pytest
@@ -256,3 +257,46 @@
         )
     assert caller.finished
     assert outcome.status == 504
+
+
+async def start_stream(harness: AttemptHarness, events: bytes) -> None:
+    """Let the endpoint answer with a stream that begins with some events."""
+    exchange = harness.attempt.exchange
+    exchange.head = ResponseHead(200, [])
+    harness.attempt.progress.response_started = True
+    harness.attempt.progress.splitter.restart()
+    exchange.chunks.append(events)
+    assert await harness.attempt.forward_events(may_resume=True)
+
+
+async def test_bytes_without_an_event_do_not_extend_a_pause() -> None:
+    """Guards against a stalled stream that a byte now and then keeps open."""
+    harness = AttemptHarness.of(make_route('stream'))
+    exchange = harness.attempt.exchange
+    await start_stream(harness, b'id: 1\ndata: a\n\n')
+    deadline_s = exchange.expires_at_s
+    assert deadline_s > harness.time.now_s
+    for _ in range(4):
+        harness.time.now_s += 0.1
+        exchange.chunks.append(b':')
+        assert await harness.attempt.forward_events(may_resume=True)
+        assert exchange.expires_at_s == deadline_s
+    exchange.chunks.append(b'\n\nid: 2\ndata: b\n\n')
+    assert await harness.attempt.forward_events(may_resume=True)
+    assert exchange.expires_at_s > deadline_s
+
+
+async def test_slow_caller_is_no_pause_of_the_endpoint() -> None:
+    """Guards against cutting a sound stream whose caller reads slowly."""
+    harness = AttemptHarness.of(make_route('stream'))
+    exchange = harness.attempt.exchange
+    seen: list[float] = []
+
+    async def send_slowly(_chunk: bytes) -> None:
+        seen.append(exchange.expires_at_s)
+        harness.time.now_s += 2.0
+
+    with mock.patch.object(FakeCaller, 'send', lambda _, raw: send_slowly(raw)):
+        await start_stream(harness, b'id: 1\ndata: a\n\n')
+    assert seen == [harness.attempt.request.deadline_s]
+    assert exchange.expires_at_s > harness.time.now_s
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -4,12 +4,19 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from unittest import mock
 
 import pytest
 
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
-from quetzaldyke.gateway.http_client import HttpClient, encode_request
+from quetzaldyke.gateway.http_client import (
+    MAX_HEAD_BYTES,
+    MAX_UNREAD_BYTES,
+    Connection,
+    HttpClient,
+    encode_request,
+)
 
 pytestmark = pytest.mark.anyio
 RESPONSE = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok'
@@ -39,7 +46,8 @@
             except asyncio.IncompleteReadError:
                 return
             writer.write(remaining.pop(0))
-            await writer.drain()
+            with suppress(ConnectionError):
+                await writer.drain()
         if close:
             writer.close()
 
@@ -195,3 +203,76 @@
             await connection_closed.wait()
     with pytest.raises(ExchangeError):
         await exchange.read_head()
+
+
+ENDLESS_BYTES = 8_000_000
+CHUNKED = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+def repeat(piece: bytes) -> bytes:
+    """Return a piece repeated up to `ENDLESS_BYTES`."""
+    return piece * (ENDLESS_BYTES // len(piece))
+
+
+@pytest.mark.parametrize(
+    'response',
+    [
+        b'HTTP/1.1 200 OK\r\nX-Long: ' + repeat(b'x'),
+        b'HTTP/1.1 200 OK\r\n' + repeat(b'X-More: 1\r\n'),
+        b'HTTP/1.1 200 ' + repeat(b'O'),
+        repeat(b'HTTP/1.1 100 Continue\r\nX-More: 1\r\n\r\n'),
+        CHUNKED + b'0\r\n' + repeat(b'X-Trailer: 1\r\n'),
+        CHUNKED + b'2;' + repeat(b'x'),
+        CHUNKED.replace(b'r1', b'r0') + repeat(b'1000\r\n%b\r\n' % bytes(4096)),
+    ],
+    ids=[
+        'header',
+        'headers',
+        'status',
+        'interim',
+        'trailers',
+        'chunk',
+        'other',
+    ],
+)
+async def test_endless_head_is_cut_off_with_bounded_memory(
+    response: bytes,
+) -> None:
+    """Guards against a faulty peer whose head never ends."""
+    received = mock.Mock(side_effect=Connection.data_received, autospec=True)
+    async with endpoint(response, close=False) as port:
+        client = HttpClient()
+        with mock.patch.object(
+            Connection, 'data_received', lambda *args: received(*args)
+        ):
+            with pytest.raises(ExchangeError) as caught:
+                await fetch(client, port)
+    assert caught.value.failure is Failure.MALFORMED
+    sizes = [len(call.args[1]) for call in received.call_args_list]
+    # Segments are checked as a whole, and a response may begin in one.
+    assert sum(sizes) <= MAX_HEAD_BYTES + 2 * max(sizes)
+    kept = received.call_args.args[0].headers
+    assert sum(len(name) + len(text) for name, text in kept) <= MAX_HEAD_BYTES
+
+
+async def test_endless_body_is_cut_off_with_bounded_memory() -> None:
+    """Guards against a whole body that uses up the memory."""
+    exchange = Exchange(b'x-id', b'r1')
+    request = encode_request(b'GET', b'/', [(b'host', b'h')], b'')
+    body = repeat(b'1000\r\n%b\r\n' % bytes(4096))
+    async with endpoint(CHUNKED + body, close=False) as port:
+        await HttpClient().start('127.0.0.1', port, request, exchange)
+        await exchange.read_head()
+        with pytest.raises(ExchangeError) as caught:
+            await exchange.read_body(max_bytes=100_000)
+        assert exchange.unread_bytes <= 2 * MAX_UNREAD_BYTES
+        exchange.cancel()
+    assert caught.value.failure is Failure.MALFORMED
+
+
+async def test_small_chunks_are_no_endless_head() -> None:
+    """Guards against cutting off a sound response with much framing."""
+    body = repeat(b'1;note=%b\r\nx\r\n' % bytes(100).replace(b'\0', b'y'))
+    async with endpoint(CHUNKED + body + b'0\r\n\r\n') as port:
+        status, received = await fetch(HttpClient(), port)
+    assert (status, len(received)) == (200, body.count(b'\r\nx\r\n'))
--- /dev/null
+++ b/tests/test_item_stalls.py
@@ -0,0 +1,76 @@
+"""Tests of batch runs whose endpoint stalls."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import anyio
+import pytest
+
+from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_route
+from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
+from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
+from quetzaldyke.gateway.exchange import Exchange
+from quetzaldyke.gateway.http_client import HttpClient
+from quetzaldyke.gateway.item_run import (
+    STALL_TIMEOUT_S,
+    ItemRun,
+    RunContext,
+)
+from quetzaldyke.gateway.job_records import ItemRecord, JobRecord
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on the backend that the processes use."""
+    return 'asyncio'
+
+
+def make_run(time: FakeTime) -> ItemRun:
+    """Return a run of one item at endpoint `e1`."""
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    endpoint = dispatcher.endpoints.usable('lm', time.now_s)[0]
+    record = ItemRecord('i1', '/p/x', (), 10, 0, 0, 0)
+    job = JobRecord('j1', 'r', 'h.example', 0, (record,))
+    progress = ItemProgress(0, record)
+    return ItemRun(
+        RunContext(
+            dispatcher,
+            HttpClient(),
+            mock.Mock(),
+            RunTimeEstimator(),
+            lambda job, progress, completed: None,
+        ),
+        ActiveJob(job, make_route('batch'), {0: progress}, {}),
+        progress,
+        dispatcher.acquire_on(endpoint, online=False),
+        Exchange(),
+    )
+
+
+async def test_bytes_without_an_event_do_not_extend_a_run() -> None:
+    """Guards against a stalled run that a byte now and then keeps for ever."""
+    time = FakeTime()
+    run = make_run(time)
+    exchange = run.exchange
+    expiries: list[float] = []
+
+    async def feed() -> None:
+        for chunk in (b'id: 1\n', b'data: a\n\n', b':', b':', b':'):
+            time.now_s += 1.0
+            exchange.chunks.append(chunk)
+            exchange.wake()
+            await anyio.sleep(0.001)
+            expiries.append(exchange.expires_at_s)
+        exchange.chunks.append(b'\n\n')
+        exchange.complete = True
+        exchange.wake()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(feed)
+        await run.read_events()
+    started_s = 100.0
+    assert expiries[0] == started_s + STALL_TIMEOUT_S
+    assert expiries[1:] == [started_s + 2.0 + STALL_TIMEOUT_S] * 4
