Fail store calls with malformed responses in place of raising

Cause: a response of the store with another shape raised in the caller. In a background task (a watch, a write of results, the hand-over) the exception ended the task group and with it the process.

Change: responses are decoded in platform/store_responses.py, and one that is malformed or has an unexpected status fails its call as unknown. Background steps run guarded: an unexpected error is logged as step_failed.

Result: the new tests raised before (KeyError, TypeError) and pass now.

--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -27,6 +27,7 @@
 )
 from quetzaldyke.gateway.dispatcher import Dispatcher, Reservation
 from quetzaldyke.gateway.exchange import Exchange
+from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.item_run import ItemRun, RunContext
 from quetzaldyke.gateway.job_records import JobRecord, Member, PartialOutput
@@ -294,7 +295,7 @@
             all_finished = all(item.finished for item in job.items.values())
             if all_finished or waited_s >= RESULT_DELAY_S:
                 job.appending = True
-                self.group.start_soon(self.append_results, job)
+                self.group.start_soon(run_guarded, self.append_results, job)
 
     def save_partials_if_due(self, job: ActiveJob, now_s: float) -> None:
         """Save partial outputs if the interval and enough events passed."""
@@ -307,7 +308,7 @@
         job.saving = True
         job.saved_s = now_s
         job.saved_events = events
-        self.group.start_soon(self.save_partials, job, partials)
+        self.group.start_soon(run_guarded, self.save_partials, job, partials)
 
     async def save_partials(
         self,
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -28,8 +28,8 @@
     MAX_WAIT_SHARE,
     QueuedRequest,
     WaitQueue,
-    may_wait,
     max_queue_time_s,
+    may_wait,
     retry_after_s,
 )
 from quetzaldyke.parts.timers import Clock
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -19,6 +19,7 @@
     WATCHDOG_INTERVAL_S,
     Entry,
 )
+from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.ingress import readiness_app
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.logs import LineWriter, log_event
@@ -85,7 +86,7 @@
             stop_http,
         )
         stop_listener = anyio.Event()
-        group.start_soon(entry.registration.renew)
+        group.start_soon(run_guarded, entry.registration.renew)
         group.start_soon(entry.timers.run)
         group.start_soon(watch_signals, entry)
         await wait_until_synced(entry)
@@ -209,7 +210,7 @@
     entry.ingress.closing = True
     runner = entry.runner
     assert runner is not None
-    group.start_soon(hand_over_and_deregister, entry, runner)
+    group.start_soon(run_guarded, hand_over_and_deregister, entry, runner)
     await anyio.sleep(DEREGISTRATION_DELAY_S)
     stop_listener.set()
     while entry.clock.now() < deadline_s - KILL_MARGIN_S:
--- /dev/null
+++ b/src/quetzaldyke/gateway/guarded.py
@@ -0,0 +1,44 @@
+"""Runs background steps whose unexpected errors must not end the process.
+
+An exception in a task ends the whole task group, and with it the process and
+all its requests. The step that failed is logged and left to its next turn.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import ParamSpec
+
+from quetzaldyke.gateway.logs import log_event
+
+P = ParamSpec('P')
+
+
+async def run_guarded(
+    step: Callable[P, Awaitable[None]],
+    *args: P.args,
+    **kwargs: P.kwargs,
+) -> None:
+    """Run a step; log an exception in place of raising it."""
+    try:
+        await step(*args, **kwargs)
+    except Exception as exc:
+        log_step_failure(step, exc)
+
+
+def call_guarded(
+    step: Callable[P, None],
+    *args: P.args,
+    **kwargs: P.kwargs,
+) -> None:
+    """Call a function; log an exception in place of raising it."""
+    try:
+        step(*args, **kwargs)
+    except Exception as exc:
+        log_step_failure(step, exc)
+
+
+def log_step_failure(step: Callable[..., object], exc: Exception) -> None:
+    """Log which step failed, and how."""
+    name = getattr(step, '__qualname__', repr(step))
+    log_event('step_failed', step=name, fault=repr(exc))
--- a/src/quetzaldyke/gateway/membership.py
+++ b/src/quetzaldyke/gateway/membership.py
@@ -16,8 +16,8 @@
 
 from result import Err
 
-from quetzaldyke.gateway.job_table import JobTable, JobView
 from quetzaldyke.gateway.job_records import MEMBER_PREFIX, Member
+from quetzaldyke.gateway.job_table import JobTable, JobView
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.parts.transactions import (
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -10,6 +10,7 @@
 import anyio
 from result import Err
 
+from quetzaldyke.gateway.guarded import call_guarded
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.backoff import BackoffOptions, backoff_s
 from quetzaldyke.parts.transactions import (
@@ -125,7 +126,7 @@
         new = [change for change in changes if change.revision > seen]
         self.revision = max(seen, revision)
         if new:
-            self.on_changes(new, self.revision)
+            call_guarded(self.on_changes, new, self.revision)
 
     async def load_snapshot(self) -> bool:
         """Read all keys; return whether it succeeded.
@@ -136,5 +137,5 @@
         if isinstance(answer, Err):
             return False
         self.revision = answer.ok_value.revision
-        self.on_snapshot(answer.ok_value)
+        call_guarded(self.on_snapshot, answer.ok_value)
         return True
--- a/src/quetzaldyke/platform/store.py
+++ b/src/quetzaldyke/platform/store.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Final
 from urllib.parse import urlencode
 
 import orjson
@@ -36,34 +36,32 @@
     Snapshot,
     Transaction,
     WatchBatch,
-    WatchedChange,
 )
 from quetzaldyke.platform.names import CONFIG_KEY
+from quetzaldyke.platform.store_responses import (
+    MS_IN_S,
+    STATUS_CONDITION_FAILED,
+    STATUS_GONE,
+    STATUS_NOT_FOUND,
+    StoreResponse,
+    decode_batch,
+    decode_body,
+    decode_lease,
+    decode_page,
+    decode_record,
+    decode_response,
+    decode_revision,
+)
 
-MS_IN_S: Final = 1000
 # The store answers in milliseconds; answers sixty times as slow still arrive
 # in time.
 CALL_TIMEOUT_S: Final = 0.9
 # Time that a watch may take beyond the wait that it asked for.
 WATCH_SLACK_S: Final = 0.6
 BASE_PATH: Final = '/quetzaldyke/'
-STATUS_OK: Final = 200
-STATUS_NOT_FOUND: Final = 404
-STATUS_GONE: Final = 410
-STATUS_CONDITION_FAILED: Final = 412
-STATUS_TOO_LARGE: Final = 413
-LOGGED_BODY_BYTES: Final = 200
 REJECTED_STATUSES: Final = frozenset((429, 503))
 
 
-@dataclass(frozen=True, slots=True)
-class StoreResponse:
-    """Status and decoded JSON body of a response."""
-
-    status: int
-    body: Any
-
-
 @dataclass(slots=True)
 class PlatformStore:
     """Client of one store, which is reached directly or through a peer."""
@@ -127,7 +125,7 @@
             return response
         if response.ok_value.status == STATUS_NOT_FOUND:
             return Ok(None)
-        return Ok(decode_record(response.ok_value.body))
+        return decode_body(response.ok_value, decode_record)
 
     async def list_prefix(self, prefix: str) -> Result[Snapshot, KvError]:
         """Read all keys that start with a prefix, page by page.
@@ -145,12 +143,15 @@
             response = await self.call('GET', f'kv-range?{urlencode(query)}')
             if isinstance(response, Err):
                 return response
-            body = response.ok_value.body
-            records.extend(decode_record(row) for row in body['items'])
-            revision = revision or body['store-revision']
-            if not body['has-more'] or not body['items']:
+            decoded = decode_body(response.ok_value, decode_page)
+            if isinstance(decoded, Err):
+                return decoded
+            page, has_more = decoded.ok_value
+            records.extend(page.records)
+            revision = revision or page.revision
+            if not has_more or not page.records:
                 return Ok(Snapshot(records, revision))
-            after = body['items'][-1]['key']
+            after = page.records[-1].key
 
     async def watch(
         self,
@@ -179,9 +180,7 @@
             return response
         if response.ok_value.status == STATUS_GONE:
             return Err(KvError('compacted', prefix))
-        body = response.ok_value.body
-        changes = [decode_change(row) for row in body['events']]
-        return Ok(WatchBatch(changes, body['store-revision']))
+        return decode_body(response.ok_value, decode_batch)
 
     async def transact(
         self,
@@ -215,7 +214,7 @@
             return Err(KvError('conflict'))
         if status == STATUS_NOT_FOUND:
             return Err(KvError('no_lease'))
-        return Ok(int(response.ok_value.body['revision']))
+        return decode_body(response.ok_value, decode_revision)
 
     async def grant_lease(self, ttl_s: float) -> Result[Lease, KvError]:
         """Create a lease; the store chooses its id and final TTL."""
@@ -223,8 +222,7 @@
         response = await self.call('POST', 'kv-lease', body)
         if isinstance(response, Err):
             return response
-        granted = response.ok_value.body
-        return Ok(Lease(granted['lease'], granted['ttl-ms'] / MS_IN_S))
+        return decode_body(response.ok_value, decode_lease)
 
     async def renew_lease(self, lease_id: int) -> Result[None, KvError]:
         """Extend a lease; fails with `no_lease` if it has lapsed."""
@@ -334,44 +332,3 @@
     ('kv-keep', 'kv-watch')
     """
     return path.partition('?')[0].partition('/')[0]
-
-
-def decode_response(
-    head: ResponseHead, raw: bytes
-) -> Result[StoreResponse, KvError]:
-    """Decode the body of a response; fail on an unexpected status."""
-    if head.status == STATUS_TOO_LARGE:
-        return Err(KvError('too_large', raw.decode('utf-8', 'replace')))
-    expected = {
-        STATUS_OK,
-        STATUS_NOT_FOUND,
-        STATUS_GONE,
-        STATUS_CONDITION_FAILED,
-    }
-    if head.status not in expected:
-        return Err(
-            KvError(
-                'unknown', f'status {head.status}: {raw[:LOGGED_BODY_BYTES]!r}'
-            )
-        )
-    try:
-        body = orjson.loads(raw) if raw else None
-    except ValueError as exc:
-        return Err(KvError('unknown', f'response is not valid JSON: {exc}'))
-    return Ok(StoreResponse(head.status, body))
-
-
-def decode_record(row: Any) -> Record:
-    """Decode one stored item."""
-    return Record(row['key'], base64.b64decode(row['value']), row['revision'])
-
-
-def decode_change(row: Any) -> WatchedChange:
-    """Decode one event of a watch; a tombstone has the value None."""
-    if row.get('tombstone'):
-        return WatchedChange(row['key'], row['revision'], None)
-    return WatchedChange(
-        row['key'],
-        row['revision'],
-        base64.b64decode(row['value']),
-    )
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -301,3 +301,22 @@
     batch = WatchBatch([change, WatchedChange(f'{PREFIX}k', 2, b'y')], 2)
     entry.watcher.advance(batch.changes, batch.revision)
     assert entry.applied == [1, 2]
+
+
+async def test_failing_callback_does_not_end_the_watch() -> None:
+    """Guards against an unexpected error that ends the process."""
+    seen: list[int] = []
+
+    def fail_once(changes: list[WatchedChange], revision: int) -> None:
+        seen.append(revision)
+        if len(seen) == 1:
+            raise KeyError('unexpected')
+
+    fleet = SimulatedFleet.of_size(1)
+    watcher = PrefixWatcher(
+        fleet.store, PREFIX, lambda snapshot: None, fail_once, revision=0
+    )
+    for _ in range(2):
+        await fleet.write()
+        assert await watcher.poll()
+    assert seen == [1, 2]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,12 +6,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from unittest import mock
 
 import anyio
 import orjson
 import pytest
 from result import Err, Ok
 
+from quetzaldyke.gateway.exchange import ResponseHead
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.store_path import StorePath
 from quetzaldyke.parts.transactions import Put, Transaction
@@ -300,3 +302,37 @@
     first = path.choose(1.0)
     path.note(first, answered=False, now_s=1.0)
     assert path.choose(1.0) not in {first, ('s', 1)}
+
+
+MALFORMED_BODIES = (
+    b'',
+    b'null',
+    b'[]',
+    b'7',
+    b'{"items": [{}], "events": [[]], "revision": "x", "lease": null}',
+    b'{"items": 1, "has-more": 0, "store-revision": 1, "events": [{"key": 1}]}',
+    b'{"key": "k", "value": "no base64!", "revision": {}}',
+)
+
+
+@pytest.mark.parametrize('body', MALFORMED_BODIES)
+@pytest.mark.parametrize('status', [200, 204, 410, 412])
+async def test_malformed_store_response_is_an_error(
+    body: bytes,
+    status: int,
+) -> None:
+    """Guards against a response of the store that ends the process."""
+    head = ResponseHead(status, [])
+    answer = mock.AsyncMock(return_value=Ok((head, body)))
+    store = PlatformStore.from_address(
+        '127.0.0.1:1', HttpClient(), lambda call, answered: None
+    )
+    with mock.patch.object(PlatformStore, 'send', answer):
+        results = [
+            await store.get('k'),
+            await store.list_prefix('p/'),
+            await store.watch('p/', 1, 0.1),
+            await store.transact(Transaction({}, (Put('k', b'1'),))),
+            await store.grant_lease(3.0),
+        ]
+    assert all(isinstance(one, Err) for one in results)
