--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -36,6 +36,17 @@
     running: bool = False
     finished: bool = False
 
+    @property
+    def interruptible(self) -> bool:
+        """Return whether a run is under way that has not ended yet."""
+        exchange = self.exchange
+        return (
+            self.running
+            and exchange is not None
+            and exchange.failure is None
+            and not exchange.complete
+        )
+
     @property
     def events_done(self) -> int:
         """Return the number of the last event, 0 before the first."""
@@ -103,10 +114,6 @@
             and progress.not_before_s <= now_s
         ]
 
-    def running(self) -> int:
-        """Return how many items are running."""
-        return sum(progress.running for progress in self.items.values())
-
     def partials(self) -> list[PartialOutput]:
         """Return the partial outputs of the unfinished items."""
         return [
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -20,7 +20,6 @@
 from quetzaldyke.gateway.batch_schedule import (
     BatchPolicy,
     Candidate,
-    Demand,
     RunTimeEstimator,
     assign_endpoints,
     start_order,
@@ -34,6 +33,7 @@
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Route
+from quetzaldyke.gateway.preemption import Preemption
 from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.platform import names
 
@@ -57,8 +57,8 @@
     store: JobStore
     policy: BatchPolicy
     group: TaskGroup
-    # How old the load reports of other entries may be.
-    report_age_s: Callable[[], float]
+    # Called when there are new items to start.
+    on_pending: Callable[[], None]
     find_route: Callable[[str], Route | None]
     jobs: dict[str, ActiveJob] = field(default_factory=dict)
     # Set during a graceful shutdown: no more items start.
@@ -67,10 +67,17 @@
     peers_known: bool = False
     timer: asyncio.TimerHandle | None = None
     estimator: RunTimeEstimator = field(default_factory=RunTimeEstimator)
+    preemption: Preemption = field(init=False)
     run_context: RunContext = field(init=False)
 
     def __post_init__(self) -> None:
-        """Build the context that all runs share."""
+        """Build what all runs share."""
+        self.preemption = Preemption(
+            self.policy.grants.own_id,
+            self.jobs,
+            self.dispatcher.loads,
+            self.dispatcher.endpoints,
+        )
         self.run_context = RunContext(
             self.dispatcher,
             self.client,
@@ -118,6 +125,7 @@
             listed=len(done),
             begun=len(partials),
         )
+        self.on_pending()
         self.schedule_soon()
 
     def deactivate(self, job_id: str, reason: str) -> None:
@@ -147,10 +155,10 @@
         if self.timer is not None:
             self.timer.cancel()
         self.timer = None
-        self.preempt_excess_runs()
+        now_s = self.dispatcher.clock.now()
+        self.preemption.preempt_overfull(now_s)
         if self.stopping or not self.peers_known or not self.jobs:
             return
-        now_s = self.dispatcher.clock.now()
         by_service: dict[str, list[Candidate]] = {}
         for job in self.jobs.values():
             service = job.route.services[0].service
@@ -171,12 +179,7 @@
         if len(self.dispatcher.queue(service)):
             return
         usable = self.dispatcher.endpoints.usable(service, now_s)
-        demand = Demand(
-            len(candidates),
-            self.dispatcher.loads.pending_elsewhere(),
-            self.report_age_s(),
-        )
-        slots = self.policy.allocate_slots(usable, demand, now_s)
+        slots = self.policy.allocate_slots(usable, len(candidates), now_s)
         usable_ids = {endpoint.endpoint_id for endpoint in usable}
         ordered = start_order(candidates)
         for candidate, endpoint in assign_endpoints(ordered, slots, usable_ids):
@@ -186,51 +189,6 @@
             reservation = self.dispatcher.acquire_on(endpoint, online=False)
             self.group.start_soon(self.run_item, job, progress, reservation)
 
-    def preempt_excess_runs(self) -> None:
-        """Cancel own runs on endpoints with more requests than slots."""
-        for endpoint_id, running in list(self.dispatcher.loads.own.items()):
-            if not running.batch:
-                continue
-            tracked = self.dispatcher.endpoints.by_id.get(endpoint_id)
-            if tracked is None:
-                continue
-            slots = tracked.endpoint.slots
-            for _ in range(self.policy.runs_to_preempt(endpoint_id, slots)):
-                self.preempt_run(endpoint_id, 'endpoint_overfull')
-
-    def preempt_run(self, endpoint_id: str, reason: str) -> bool:
-        """Cancel the run due last, with the fewest events; False if none.
-
-        `reason` is logged with the load that this entry knows of.
-        """
-        runs = [
-            (-job.due_ms, progress.events_done, index, progress)
-            for job in self.jobs.values()
-            for index, progress in job.items.items()
-            if progress.running
-            and progress.endpoint_id == endpoint_id
-            and progress.exchange is not None
-            and progress.exchange.failure is None
-            and not progress.exchange.complete
-        ]
-        if not runs:
-            return False
-        chosen = min(runs, key=lambda run: run[:3])[3]
-        assert chosen.exchange is not None
-        chosen.exchange.cancel()
-        loads = self.dispatcher.loads
-        log_event(
-            'item_preempted',
-            item=chosen.record.item_id,
-            endpoint=endpoint_id,
-            events=chosen.events_done,
-            reason=reason,
-            own_batch=loads.own_counts(endpoint_id).batch,
-            online=loads.online(endpoint_id),
-            total=loads.total(endpoint_id),
-        )
-        return True
-
     async def run_item(
         self,
         job: ActiveJob,
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -4,12 +4,11 @@
 online requests needs within milliseconds, and several entries fill the same
 slots.
 
-Items start on every free slot, the job that is due first before the others.
-Under overload, items whose job can no longer be done in time go behind those
-whose job can. All entries see the same free slots at the same moment, so each
-takes only its share of them until the next load reports arrive. When an
-engine holds more requests than slots, the entry with the most batch runs
-there preempts some; a preempted item resumes later after its last event.
+Items start on every free slot that `slot_grants.py` grants to this entry, the
+job that is due first before the others. Under overload, items whose job can no
+longer be done in time go behind those whose job can. `preemption.py` decides
+which runs leave an engine that holds more requests than slots; a preempted
+item resumes later after its last event.
 
 An endpoint may fail some of its requests while it seems healthy. An item that
 failed there is retried on other endpoints, so that its few attempts are not
@@ -20,11 +19,12 @@
 
 import random
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint
+from quetzaldyke.gateway.slot_grants import SlotGrants
 
 # Initial averages, used until the first runs have ended.
 DEFAULT_EVENTS: Final = 100.0
@@ -135,91 +135,34 @@
         return remaining * self.event_s
 
 
-@dataclass(frozen=True, slots=True)
-class Demand:
-    """Batch items ready to start, at this entry and at all others."""
-
-    own: int
-    elsewhere: int
-    # How old the load reports of other entries may be.
-    report_age_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class BatchPolicy:
-    """Decides how many batch items one entry runs on each endpoint."""
+    """Decides how many batch items one entry starts on each endpoint."""
 
-    own_id: str
     loads: LoadTable
+    grants: SlotGrants
     generator: random.Random
-    # When this entry last took free slots of an endpoint.
-    allocated_s: dict[str, float] = field(default_factory=dict)
 
     def allocate_slots(
         self,
         endpoints: Sequence[Endpoint],
-        demand: Demand,
+        own_pending: int,
         now_s: float,
     ) -> list[Endpoint]:
         """Return one endpoint for each item that may start now.
 
         The endpoints with the most free slots come first, ties in random
-        order. While other entries also have items to start, this entry takes
-        slots of an endpoint only once per round of load reports.
+        order.
         """
         allocated: list[tuple[int, float, Endpoint]] = []
         for endpoint in endpoints:
-            free = self.free_slots(endpoint)
-            if not free or self.is_recently_allocated(endpoint, demand, now_s):
+            free = endpoint.slots - self.loads.total(endpoint.endpoint_id)
+            if free <= 0 or not self.grants.may_fill(
+                endpoint.endpoint_id, own_pending, now_s
+            ):
                 continue
-            self.allocated_s[endpoint.endpoint_id] = now_s
-            for number in range(self.own_share(free, demand)):
+            for number in range(free):
                 tie_break = self.generator.random()
                 allocated.append((number - free, tie_break, endpoint))
         allocated.sort(key=lambda row: row[:2])
         return [row[2] for row in allocated]
-
-    def is_recently_allocated(
-        self,
-        endpoint: Endpoint,
-        demand: Demand,
-        now_s: float,
-    ) -> bool:
-        """Return whether other entries may have taken the free slots.
-
-        Until the next round of load reports, slots that other entries have
-        just taken still look free.
-        """
-        if not demand.elsewhere:
-            return False
-        allocated_s = self.allocated_s.get(endpoint.endpoint_id, 0.0)
-        return now_s - allocated_s < demand.report_age_s
-
-    def free_slots(self, endpoint: Endpoint) -> int:
-        """Return how many slots of an endpoint batch items may take."""
-        used = self.loads.total(endpoint.endpoint_id)
-        return max(0, endpoint.slots - used)
-
-    def own_share(self, free: int, demand: Demand) -> int:
-        """Return this entry's share of free slots.
-
-        It is rounded up or down at random, so that the shares of all entries
-        add up to the free slots on average.
-        """
-        exact = free * demand.own / max(1, demand.own + demand.elsewhere)
-        whole = int(exact)
-        return whole + (self.generator.random() < exact - whole)
-
-    def runs_to_preempt(self, endpoint_id: str, slots: int) -> int:
-        """Return how many own batch runs must leave an endpoint.
-
-        Only the entry with the most batch runs there preempts any.
-        """
-        own = self.loads.own_counts(endpoint_id).batch
-        excess = self.loads.total(endpoint_id) - slots
-        if excess <= 0 or not own:
-            return 0
-        peers = self.loads.batch_peers(endpoint_id)
-        if peers and peers[0] > (own, self.own_id):
-            return 0
-        return min(own, excess)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -43,6 +43,7 @@
 from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.placement import PlacementPolicy
 from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
+from quetzaldyke.gateway.slot_grants import SlotGrants
 from quetzaldyke.gateway.store_health import StoreHealth
 from quetzaldyke.parts.timers import Clock, TimerService
 from quetzaldyke.platform.store import PlatformStore
@@ -58,8 +59,6 @@
 GOSSIP_INTERVAL_S: Final = 0.1
 # Members that have not reported this long after the start are not waited for.
 JOIN_WAIT_S: Final = 2.0
-# Report intervals until the allocations of all peers are known here.
-REPORT_AGE_INTERVALS: Final = 1.6
 
 
 @dataclass(slots=True)
@@ -189,7 +188,7 @@
             registration=Registration(store, member),
             ingress=ingress,
             api=api,
-            policy=BatchPolicy(owner_id, loads, generator),
+            policy=BatchPolicy(loads, SlotGrants(owner_id, loads), generator),
             configurations=ConfigurationFeed(
                 clock.now,
                 lambda configuration: entry.on_configuration(configuration),
@@ -272,7 +271,7 @@
         """Preempt an own batch run on an endpoint, or ask a peer to do so."""
         endpoint_id = endpoint.endpoint_id
         runner = self.runner
-        if runner and runner.preempt_run(endpoint_id, 'own_request'):
+        if runner and runner.preemption.preempt(endpoint_id, 'own_request'):
             return
         peers = self.loads.batch_peers(endpoint_id)
         if peers:
@@ -297,7 +296,7 @@
                     self.runner.schedule_soon()
             case PreemptBatch(_, endpoint_id):
                 if self.runner is not None:
-                    self.runner.preempt_run(endpoint_id, 'peer_request')
+                    self.runner.preemption.preempt(endpoint_id, 'peer_request')
             case JobEnded(_, job_id):
                 self.jobs.apply(f'{END_PREFIX}{job_id}', 0, b'1')
             case CrashReport(_, crashes, cleared):
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -14,11 +14,7 @@
 from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.http_server import HttpOptions, serve_http
 from quetzaldyke.gateway.batch_runner import BatchRunner
-from quetzaldyke.gateway.entry import (
-    REPORT_AGE_INTERVALS,
-    WATCHDOG_INTERVAL_S,
-    Entry,
-)
+from quetzaldyke.gateway.entry import WATCHDOG_INTERVAL_S, Entry
 from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.ingress import readiness_app
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
@@ -133,7 +129,7 @@
         entry.job_store,
         entry.policy,
         group,
-        lambda: REPORT_AGE_INTERVALS * entry.gossip.interval_s(),
+        entry.gossip.note_change,
         find_route,
     )
     entry.attach_runner(runner)
--- a/src/quetzaldyke/gateway/loads.py
+++ b/src/quetzaldyke/gateway/loads.py
@@ -75,10 +75,11 @@
 
     own: dict[str, RequestCounts] = field(default_factory=dict)
     peers: dict[str, PeerReport] = field(default_factory=dict)
-    # Sums over `peers`; endpoints and services without requests are left out.
+    # Kept up to date with `peers`, without zeros: sums by endpoint and by
+    # service, and batch items that could start by peer.
     peer_sums: dict[str, EndpointSum] = field(default_factory=dict)
     peer_waiting: dict[str, int] = field(default_factory=dict)
-    peer_pending: int = 0
+    peer_pending: dict[str, int] = field(default_factory=dict)
 
     def own_counts(self, endpoint_id: str) -> RequestCounts:
         """Return this entry's mutable counts; create them on first use."""
@@ -101,13 +102,19 @@
             return own.total
         return own.total + peers.online + peers.batch
 
+    def batch(self, endpoint_id: str) -> int:
+        """Return the number of batch items on an endpoint, all entries."""
+        own = self.own.get(endpoint_id, NO_REQUESTS)
+        peers = self.peer_sums.get(endpoint_id)
+        return own.batch + peers.batch if peers else own.batch
+
     def waiting_elsewhere(self, service: str) -> int:
         """Return the number of online requests that are queued at the peers."""
         return self.peer_waiting.get(service, 0)
 
-    def pending_elsewhere(self) -> int:
-        """Return the number of batch items that the peers could start."""
-        return self.peer_pending
+    def pending_by_peer(self) -> dict[str, int]:
+        """Return the batch items that each peer could start, without zeros."""
+        return dict(self.peer_pending)
 
     def batch_peers(self, endpoint_id: str) -> list[tuple[int, str]]:
         """Return the peers that run batch items on an endpoint.
@@ -172,7 +179,10 @@
             waiting = self.peer_waiting.pop(service, 0) + change
             if waiting:
                 self.peer_waiting[service] = waiting
-        self.peer_pending += new.pending - old.pending
+        if new.pending:
+            self.peer_pending[peer] = new.pending
+        else:
+            self.peer_pending.pop(peer, None)
         return freed
 
     def replace_counts(
--- /dev/null
+++ b/src/quetzaldyke/gateway/preemption.py
@@ -0,0 +1,150 @@
+"""Decides which batch runs leave an endpoint that has more requests than slots.
+
+Load pattern: entries place requests by counts that are some milliseconds old,
+so that now and then two take the same slot. The excess request waits in the
+engine's own queue.
+
+A placement that needs the slot of a batch run asks for one run at once. For
+what remains, the runs that the engine has not begun after a grace period are
+withdrawn, by the entries that started them: they lose no work. Only if an
+endpoint stays overfull does the entry with the most batch runs there preempt
+runs that have begun.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
+from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.loads import LoadTable
+from quetzaldyke.gateway.logs import log_event
+
+# A run that got a slot has sent its first event by then.
+BEGIN_GRACE_S: Final = 0.15
+# The entries that started excess runs have withdrawn them by then.
+WITHDRAW_GRACE_S: Final = 0.3
+
+
+def has_begun(progress: ItemProgress) -> bool:
+    """Return whether the endpoint has begun to answer the current run."""
+    return progress.exchange is not None and progress.exchange.head is not None
+
+
+def run_to_preempt(
+    jobs: Iterable[ActiveJob],
+    endpoint_id: str,
+    *,
+    begun: bool,
+) -> ItemProgress | None:
+    """Return the run on an endpoint that loses the least work; None if none.
+
+    Runs that have not begun go first, then those with the fewest events, then
+    those due last. With `begun` unset, runs that have begun are kept.
+    """
+    runs = [
+        (
+            has_begun(progress),
+            progress.events_done,
+            -job.due_ms,
+            index,
+            progress,
+        )
+        for job in jobs
+        for index, progress in job.items.items()
+        if progress.endpoint_id == endpoint_id
+        and progress.interruptible
+        and (begun or not has_begun(progress))
+    ]
+    return min(runs, key=lambda run: run[:4])[4] if runs else None
+
+
+@dataclass(slots=True)
+class Preemption:
+    """Cancels runs of this entry on endpoints without enough slots."""
+
+    own_id: str
+    jobs: Mapping[str, ActiveJob]
+    loads: LoadTable
+    endpoints: EndpointTable
+    # Since when each endpoint has been overfull.
+    since_s: dict[str, float] = field(default_factory=dict)
+
+    def preempt_overfull(self, now_s: float) -> None:
+        """Cancel own runs on endpoints that stay overfull."""
+        for endpoint_id, running in list(self.loads.own.items()):
+            tracked = self.endpoints.by_id.get(endpoint_id)
+            if running.batch and tracked is not None:
+                slots = tracked.endpoint.slots
+                self.relieve(
+                    endpoint_id,
+                    slots,
+                    self.overfull_s(endpoint_id, slots, now_s),
+                )
+
+    def relieve(self, endpoint_id: str, slots: int, overfull_s: float) -> None:
+        """Cancel own runs on an endpoint that has been overfull for a time."""
+        if overfull_s >= WITHDRAW_GRACE_S:
+            for _ in range(self.runs_to_preempt(endpoint_id, slots)):
+                self.preempt(endpoint_id, 'endpoint_overfull')
+        elif overfull_s >= BEGIN_GRACE_S:
+            for _ in range(self.excess(endpoint_id, slots)):
+                self.preempt(endpoint_id, 'not_begun', begun=False)
+
+    def preempt(
+        self,
+        endpoint_id: str,
+        reason: str,
+        *,
+        begun: bool = True,
+    ) -> bool:
+        """Cancel an own run on an endpoint; return whether there was one.
+
+        With `begun` unset, runs that have begun are kept. `reason` is logged
+        with the load that this entry knows of.
+        """
+        chosen = run_to_preempt(self.jobs.values(), endpoint_id, begun=begun)
+        if chosen is None or chosen.exchange is None:
+            return False
+        log_event(
+            'item_preempted',
+            item=chosen.record.item_id,
+            endpoint=endpoint_id,
+            events=chosen.events_done,
+            begun=has_begun(chosen),
+            reason=reason,
+            own_batch=self.loads.own_counts(endpoint_id).batch,
+            online=self.loads.online(endpoint_id),
+            total=self.loads.total(endpoint_id),
+        )
+        chosen.exchange.cancel()
+        # Other entries first have to learn that the run has left.
+        self.since_s.pop(endpoint_id, None)
+        return True
+
+    def excess(self, endpoint_id: str, slots: int) -> int:
+        """Return how many requests an endpoint has beyond its slots."""
+        return max(0, self.loads.total(endpoint_id) - slots)
+
+    def overfull_s(self, endpoint_id: str, slots: int, now_s: float) -> float:
+        """Return for how long an endpoint has been overfull."""
+        if not self.excess(endpoint_id, slots):
+            self.since_s.pop(endpoint_id, None)
+            return 0.0
+        return now_s - self.since_s.setdefault(endpoint_id, now_s)
+
+    def runs_to_preempt(self, endpoint_id: str, slots: int) -> int:
+        """Return how many own batch runs must leave an endpoint.
+
+        Only the entry with the most batch runs there preempts any.
+        """
+        own = self.loads.own_counts(endpoint_id).batch
+        excess = self.excess(endpoint_id, slots)
+        if not excess or not own:
+            return 0
+        peers = self.loads.batch_peers(endpoint_id)
+        if peers and peers[0] > (own, self.own_id):
+            return 0
+        return min(own, excess)
--- /dev/null
+++ b/src/quetzaldyke/gateway/slot_grants.py
@@ -0,0 +1,78 @@
+"""Decides which entry fills the free slots of an endpoint with batch items.
+
+Load pattern: a slot comes free, and within one load report all entries with
+items to start know of it. If each took a share by chance, some slots would be
+taken twice and some by nobody. A run that starts into a taken slot waits in
+the engine's queue, in front of online requests, until it is preempted.
+
+All entries know the same counts, so they choose the same entry without
+communication: by rendezvous hashing, weighted with the items that each could
+start. The choice is made anew whenever the batch runs on the endpoint change,
+and after a pause, in case the chosen entry can't use the slots.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.gateway.loads import LoadTable
+from quetzaldyke.parts.rendezvous import DIGEST_BYTES, score
+
+# An entry that was chosen has used the slots after this time, or will not.
+ROUND_S: Final = 0.15
+SCORE_RANGE: Final = 2 ** (8 * DIGEST_BYTES)
+
+
+def weighted_first(weights: Mapping[str, int], key: str) -> str | None:
+    """Return the member that ranks first for a key; None without weights.
+
+    The chance of each member over all keys is in proportion to its weight.
+
+    >>> weighted_first({'a': 0, 'b': 2}, 'slot')
+    'b'
+    >>> weighted_first({'a': 0}, 'slot') is None
+    True
+    """
+
+    def rank(member: str) -> tuple[float, str]:
+        uniform = (score(member, key) + 1) / (SCORE_RANGE + 1)
+        return math.log(uniform) / weights[member], member
+
+    return max(
+        (member for member, weight in weights.items() if weight > 0),
+        key=rank,
+        default=None,
+    )
+
+
+@dataclass(slots=True)
+class SlotGrants:
+    """The entries that may fill free slots, as seen by one entry."""
+
+    own_id: str
+    loads: LoadTable
+    # Number of batch runs on each endpoint, and when it last changed.
+    batch_runs: dict[str, tuple[int, float]] = field(default_factory=dict)
+
+    def may_fill(
+        self,
+        endpoint_id: str,
+        own_pending: int,
+        now_s: float,
+    ) -> bool:
+        """Return whether this entry fills the free slots of an endpoint."""
+        weights = self.loads.pending_by_peer()
+        if not weights:
+            return own_pending > 0
+        weights[self.own_id] = own_pending
+        running = self.loads.batch(endpoint_id)
+        known, since_s = self.batch_runs.get(endpoint_id, (-1, now_s))
+        if known != running:
+            since_s = now_s
+            self.batch_runs[endpoint_id] = (running, now_s)
+        number = int((now_s - since_s) / ROUND_S)
+        key = f'{endpoint_id}/{running}/{number}'
+        return weighted_first(weights, key) == self.own_id
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from quetzaldyke.parts.backoff import BackoffOptions, max_backoff_s, backoff_s
+from quetzaldyke.parts.backoff import BackoffOptions, backoff_s, max_backoff_s
 from quetzaldyke.parts.retry_budget import RetryBudget
 from quetzaldyke.parts.tokens import TokenBucket
 from quetzaldyke.request.limits import (
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gateway_kit import make_endpoint, set_running
+from gateway_kit import make_endpoint, make_route, set_running
+from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import (
     BatchPolicy,
     Candidate,
-    Demand,
     assign_endpoints,
     start_order,
 )
+from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.exchange import Exchange, ResponseHead
 from quetzaldyke.gateway.job_records import (
     ItemRecord,
     JobRecord,
@@ -29,66 +32,189 @@
     OWNER_GRACE_S,
     Ownership,
 )
+from quetzaldyke.gateway.model import BatchRouteOptions, Endpoint, Route
+from quetzaldyke.gateway.preemption import (
+    BEGIN_GRACE_S,
+    WITHDRAW_GRACE_S,
+    Preemption,
+)
+from quetzaldyke.gateway.slot_grants import ROUND_S, SlotGrants
+
 
+def make_policy(own_id: str = 'own', seed: int = 1) -> BatchPolicy:
+    """Return the policy of an entry."""
+    loads = LoadTable()
+    return BatchPolicy(loads, SlotGrants(own_id, loads), random.Random(seed))
 
-def make_policy(seed: int = 1) -> BatchPolicy:
-    """Return the policy of the entry `own`."""
-    return BatchPolicy('own', LoadTable(), random.Random(seed))
+
+def make_fleet(pending: list[int]) -> list[BatchPolicy]:
+    """Return the policies of entries that know each other's pending items."""
+    fleet = [make_policy(f'p{number}') for number in range(len(pending))]
+    for policy in fleet:
+        for number, items in enumerate(pending):
+            if policy.grants.own_id != f'p{number}':
+                policy.loads.apply_report(f'p{number}', {}, {}, items, 1.0)
+    return fleet
 
 
 def test_idle_slots_are_filled_at_once_without_other_demand() -> None:
     """Guards against idle slots while only this entry has items to start."""
     slots = make_policy().allocate_slots(
         [make_endpoint('e1'), make_endpoint('e2')],
-        Demand(own=20, elsewhere=0, report_age_s=0.1),
+        own_pending=20,
         now_s=1.0,
     )
     assert len(slots) == 8
 
 
-@given(st.integers(0, 10_000), st.integers(2, 20))
-def test_entries_together_do_not_overfill(seed: int, entries: int) -> None:
-    """Guards against entries that all take the same free slots.
+@given(st.lists(st.integers(1, 9), min_size=2, max_size=20), st.text())
+def test_entries_together_fill_the_slots_once(
+    pending: list[int],
+    endpoint_id: str,
+) -> None:
+    """Guards against entries that all take the same free slots, or none."""
+    endpoint = make_endpoint(endpoint_id, slots=8)
+    taken = [
+        len(policy.allocate_slots([endpoint], pending[number], now_s=1.0))
+        for number, policy in enumerate(make_fleet(pending))
+    ]
+    assert sum(taken) == 8
+    assert sum(count > 0 for count in taken) == 1
+
+
+def test_slots_are_not_taken_again_before_reports_arrive() -> None:
+    """Guards against two entries that start into the same slot.
 
-    Shares are rounded at random, so that their sum equals the number of free
-    slots only on average; a bound of twice the slots allows for the variance.
+    The second one learns only later that the first has filled it.
     """
-    endpoint = make_endpoint('e1', slots=8)
-    taken = sum(
-        len(
-            make_policy(seed * 100 + number).allocate_slots(
-                [endpoint],
-                Demand(own=5, elsewhere=5 * (entries - 1), report_age_s=0.1),
-                now_s=1.0,
-            ),
-        )
-        for number in range(entries)
+    pending = [5, 5]
+    fleet = make_fleet(pending)
+    endpoint = make_endpoint('e1')
+    first, second = sorted(
+        fleet, key=lambda one: not one.allocate_slots([endpoint], 5, now_s=1.0)
     )
-    assert taken <= 16
+    set_running(first.loads, 'e1', online=0, batch=4)
+    assert not first.allocate_slots([endpoint], 1, now_s=1.05)
+    assert not second.allocate_slots([endpoint], 5, now_s=1.05)
 
 
-def test_slots_are_allocated_once_per_report_round() -> None:
-    """Guards against slots taken again before new load reports can arrive."""
-    policy = make_policy()
-    demand = Demand(own=5, elsewhere=5, report_age_s=0.1)
+def test_slots_that_the_chosen_entry_leaves_are_offered_again() -> None:
+    """Guards against slots that stay idle because one entry is stuck."""
+    fleet = make_fleet([5, 5, 5])
     endpoint = make_endpoint('e1')
-    assert policy.allocate_slots([endpoint], demand, now_s=1.0)
-    assert not policy.allocate_slots([endpoint], demand, now_s=1.05)
-    assert policy.allocate_slots([endpoint], demand, now_s=1.2)
+    chosen = set()
+    for number in range(20):
+        for policy in fleet:
+            now_s = 1.0 + number * ROUND_S * 1.01
+            if policy.allocate_slots([endpoint], 5, now_s):
+                chosen.add(policy.grants.own_id)
+    assert len(chosen) == 3
+
+
+def test_shares_are_in_proportion_to_the_pending_items() -> None:
+    """Guards against an entry whose few items hold up those with many."""
+    pending = [8, 2]
+    fleet = make_fleet(pending)
+    won = [
+        sum(
+            policy.grants.may_fill(f'e{endpoint}', pending[number], now_s=1.0)
+            for endpoint in range(1000)
+        )
+        for number, policy in enumerate(fleet)
+    ]
+    assert sum(won) == 1000
+    assert 150 <= won[1] <= 250
+
+
+def make_preemption(
+    *jobs: ActiveJob,
+    endpoint: Endpoint | None = None,
+) -> Preemption:
+    """Return the preemption of the entry `own`."""
+    table = EndpointTable()
+    table.put(endpoint or make_endpoint('e1'))
+    by_id = {job.record.job_id: job for job in jobs}
+    return Preemption('own', by_id, LoadTable(), table)
+
+
+def make_running_job(job_id: str, *runs: tuple[bool, int]) -> ActiveJob:
+    """Return a job whose items run on `e1`: whether begun, and events."""
+    items = {}
+    for number, (begun, events) in enumerate(runs):
+        record = ItemRecord(f'{job_id}{number}', '/p', (), 1, 0, 0, 0)
+        progress = ItemProgress(number, record, endpoint_id='e1', running=True)
+        progress.exchange = Exchange()
+        if begun:
+            progress.exchange.head = ResponseHead(200, [])
+        progress.splitter.last_id = events or None
+        items[number] = progress
+    records = tuple(one.record for one in items.values())
+    job = JobRecord(job_id, 'r', 'h', 0, records)
+    return ActiveJob(job, make_batch_route(), items, {})
+
+
+def make_batch_route() -> Route:
+    """Return a batch route."""
+    return replace(make_route('batch'), batch=BatchRouteOptions(18, 60, 0))
+
+
+def preempted(job: ActiveJob) -> list[int]:
+    """Return the items of a job whose runs were cancelled."""
+    return [
+        index
+        for index, progress in job.items.items()
+        if progress.exchange is not None and progress.exchange.failure
+    ]
+
+
+def test_run_that_loses_the_least_work_is_preempted() -> None:
+    """Guards against cutting a run that is almost done."""
+    job = make_running_job('a', (True, 150), (True, 9), (False, 120))
+    preemption = make_preemption(job)
+    assert preemption.preempt('e1', 'own_request')
+    assert preempted(job) == [2]
+    assert preemption.preempt('e1', 'own_request')
+    assert preempted(job) == [1, 2]
+
+
+def test_excess_run_is_withdrawn_before_it_has_begun() -> None:
+    """Guards against cutting runs under way when two took the same slot."""
+    job = make_running_job('a', (True, 3), (False, 0))
+    preemption = make_preemption(job)
+    set_running(preemption.loads, 'e1', online=3, batch=2)
+    preemption.preempt_overfull(1.0)
+    preemption.preempt_overfull(1.1)
+    assert not preempted(job)
+    preemption.preempt_overfull(1.01 + BEGIN_GRACE_S)
+    assert preempted(job) == [1]
+    # The count falls when the run has ended; until then, others are kept.
+    preemption.preempt_overfull(1.01 + 2 * BEGIN_GRACE_S)
+    assert preempted(job) == [1]
+
+
+def test_begun_run_is_preempted_if_an_endpoint_stays_overfull() -> None:
+    """Guards against online requests that wait behind batch runs for long."""
+    job = make_running_job('a', (True, 3), (True, 9))
+    preemption = make_preemption(job)
+    set_running(preemption.loads, 'e1', online=3, batch=2)
+    for number in range(6):
+        assert not preempted(job)
+        preemption.preempt_overfull(1.0 + number * WITHDRAW_GRACE_S / 4.9)
+    assert preempted(job) == [0]
 
 
 def test_only_the_entry_with_most_batch_runs_preempts() -> None:
     """Guards against all entries preempting runs for one online request."""
-    policy = make_policy()
-    set_running(policy.loads, 'e1', online=0, batch=2)
-    policy.loads.apply_report(
+    preemption = make_preemption()
+    set_running(preemption.loads, 'e1', online=0, batch=2)
+    preemption.loads.apply_report(
         'p', {'e1': RequestCounts(2, 1)}, {}, 0, now_s=1.0
     )
-    assert policy.runs_to_preempt('e1', slots=4) == 1
-    policy.loads.apply_report(
+    assert preemption.runs_to_preempt('e1', slots=4) == 1
+    preemption.loads.apply_report(
         'p', {'e1': RequestCounts(0, 3)}, {}, 0, now_s=1.0
     )
-    assert policy.runs_to_preempt('e1', slots=4) == 0
+    assert preemption.runs_to_preempt('e1', slots=4) == 0
 
 
 @given(st.integers(0, 8), st.integers(0, 8), st.integers(1, 8))
@@ -98,9 +224,9 @@
     slots: int,
 ) -> None:
     """Guards against batch runs that are preempted without need."""
-    policy = make_policy()
-    set_running(policy.loads, 'e1', online, batch)
-    excess = policy.runs_to_preempt('e1', slots)
+    preemption = make_preemption()
+    set_running(preemption.loads, 'e1', online, batch)
+    excess = preemption.runs_to_preempt('e1', slots)
     assert 0 <= excess <= batch
     assert excess == min(batch, max(0, online + batch - slots))
 
--- a/tests/test_gateway_routing.py
+++ b/tests/test_gateway_routing.py
@@ -203,7 +203,8 @@
         'p', {'e1': RequestCounts(2, 1)}, {'lm': 3}, 4, now_s=1.0
     )
     assert (loads.total('e1'), loads.online('e1')) == (3, 2)
-    assert (loads.waiting_elsewhere('lm'), loads.pending_elsewhere()) == (3, 4)
+    assert loads.waiting_elsewhere('lm') == 3
+    assert loads.pending_by_peer() == {'p': 4}
     assert loads.remove_silent_peers(2.5) == ['p']
     assert loads.total('e1') == 0
 
@@ -230,7 +231,9 @@
         assert loads.batch_peers(endpoint) == sorted(batch, reverse=True)
     waiting = sum(queued for _, queued in reports.values())
     assert loads.waiting_elsewhere('lm') == waiting
-    assert loads.pending_elsewhere() == 2 * waiting
+    assert loads.pending_by_peer() == {
+        peer: 2 * queued for peer, (_, queued) in reports.items() if queued
+    }
 
 
 @given(
