--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -151,14 +151,13 @@
             self.timer = loop.call_later(SCHEDULE_DELAY_S, self.schedule)
 
     def schedule(self) -> None:
-        """Preempt runs on overfull endpoints, then fill free slots."""
+        """Start items on free slots."""
         if self.timer is not None:
             self.timer.cancel()
         self.timer = None
-        now_s = self.dispatcher.clock.now()
-        self.preemption.preempt_overfull(now_s)
         if self.stopping or not self.peers_known or not self.jobs:
             return
+        now_s = self.dispatcher.clock.now()
         by_service: dict[str, list[Candidate]] = {}
         for job in self.jobs.values():
             service = job.route.services[0].service
@@ -240,6 +239,10 @@
             failures=progress.failures,
         )
 
+    async def check_overfull(self) -> None:
+        """Preempt runs on endpoints that stay overfull."""
+        self.preemption.preempt_overfull(self.dispatcher.clock.now())
+
     async def tick(self) -> None:
         """Start items, fail expired ones, and write results that are due."""
         self.schedule()
--- a/src/quetzaldyke/gateway/preemption.py
+++ b/src/quetzaldyke/gateway/preemption.py
@@ -5,7 +5,7 @@
 engine's own queue.
 
 A placement that needs the slot of a batch run asks for one run at once. For
-what remains, the runs that the engine has not begun after a grace period are
+what remains after a grace period, the runs that the engine has not begun are
 withdrawn, by the entries that started them: they lose no work. Only if an
 endpoint stays overfull does the entry with the most batch runs there preempt
 runs that have begun.
@@ -22,10 +22,12 @@
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.logs import log_event
 
-# A run that got a slot has sent its first event by then.
-BEGIN_GRACE_S: Final = 0.15
+# How often endpoints are checked.
+CHECK_INTERVAL_S: Final = 0.03
+# A run that a placement has asked for has left by then.
+BEGIN_GRACE_S: Final = 0.05
 # The entries that started excess runs have withdrawn them by then.
-WITHDRAW_GRACE_S: Final = 0.3
+WITHDRAW_GRACE_S: Final = 0.15
 
 
 def has_begun(progress: ItemProgress) -> bool:
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -183,7 +183,7 @@
     preemption = make_preemption(job)
     set_running(preemption.loads, 'e1', online=3, batch=2)
     preemption.preempt_overfull(1.0)
-    preemption.preempt_overfull(1.1)
+    preemption.preempt_overfull(1.0 + 0.9 * BEGIN_GRACE_S)
     assert not preempted(job)
     preemption.preempt_overfull(1.01 + BEGIN_GRACE_S)
     assert preempted(job) == [1]
