--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -57,6 +57,8 @@
     store: JobStore
     policy: BatchPolicy
     group: TaskGroup
+    # How old the load reports of other entries may be.
+    report_age_s: Callable[[], float]
     # Called when there are new items to start.
     on_pending: Callable[[], None]
     find_route: Callable[[str], Route | None]
@@ -77,6 +79,7 @@
             self.jobs,
             self.dispatcher.loads,
             self.dispatcher.endpoints,
+            self.report_age_s,
         )
         self.run_context = RunContext(
             self.dispatcher,
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -58,7 +58,7 @@
 EXPIRY_INTERVAL_S: Final = 10.0
 CLEANUP_INTERVAL_S: Final = 1.0
 GOSSIP_INTERVAL_S: Final = 0.1
-# Members that have not reported this long after the start are not waited for.
+# Members that have not reported by then are not waited for.
 JOIN_WAIT_S: Final = 2.0
 
 
@@ -215,7 +215,7 @@
         """Register the callbacks between components and the timers."""
         self.dispatcher.on_change = self.on_load_change
         self.dispatcher.preempt_batch = self.preempt_batch
-        self.dispatcher.count_entries = self.count_entries
+        self.dispatcher.count_entries = lambda: max(1, len(self.jobs.members))
         self.health.on_lost.append(self.on_store_lost)
         self.health.on_regained.append(self.on_store_regained)
         self.jobs.on_members = self.on_members
@@ -258,10 +258,6 @@
         if not self.unready_reason():
             self.synced.set()
 
-    def count_entries(self) -> int:
-        """Return how many entries share the endpoints, at least 1."""
-        return max(1, len(self.jobs.members))
-
     def on_load_change(self, endpoint_id: str) -> None:
         """Schedule a report to peers and a scheduling pass."""
         self.gossip.note_change()
--- a/src/quetzaldyke/gateway/preemption.py
+++ b/src/quetzaldyke/gateway/preemption.py
@@ -4,16 +4,15 @@
 so that now and then two take the same slot. The excess request waits in the
 engine's own queue.
 
-A placement that needs the slot of a batch run asks for one run at once. For
-what remains after a grace period, the runs that the engine has not begun are
-withdrawn, by the entries that started them: they lose no work. Only if an
-endpoint stays overfull does the entry with the most batch runs there preempt
-runs that have begun.
+A placement that needs the slot of a batch run asks for one run at once. If an
+endpoint is still overfull when the reports about that have arrived, the entry
+with the most batch runs there preempts runs. Runs that the engine has not
+begun go first: they lose no work.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -23,11 +22,7 @@
 from quetzaldyke.gateway.logs import log_event
 
 # How often endpoints are checked.
-CHECK_INTERVAL_S: Final = 0.03
-# A run that a placement has asked for has left by then.
-BEGIN_GRACE_S: Final = 0.05
-# The entries that started excess runs have withdrawn them by then.
-WITHDRAW_GRACE_S: Final = 0.15
+CHECK_INTERVAL_S: Final = 0.02
 
 
 def has_begun(progress: ItemProgress) -> bool:
@@ -38,13 +33,11 @@
 def run_to_preempt(
     jobs: Iterable[ActiveJob],
     endpoint_id: str,
-    *,
-    begun: bool,
 ) -> ItemProgress | None:
     """Return the run on an endpoint that loses the least work; None if none.
 
     Runs that have not begun go first, then those with the fewest events, then
-    those due last. With `begun` unset, runs that have begun are kept.
+    those due last.
     """
     runs = [
         (
@@ -56,9 +49,7 @@
         )
         for job in jobs
         for index, progress in job.items.items()
-        if progress.endpoint_id == endpoint_id
-        and progress.interruptible
-        and (begun or not has_begun(progress))
+        if progress.endpoint_id == endpoint_id and progress.interruptible
     ]
     return min(runs, key=lambda run: run[:4])[4] if runs else None
 
@@ -71,6 +62,8 @@
     jobs: Mapping[str, ActiveJob]
     loads: LoadTable
     endpoints: EndpointTable
+    # Returns how old the load reports of other entries may be.
+    report_age_s: Callable[[], float]
     # Since when each endpoint has been overfull.
     since_s: dict[str, float] = field(default_factory=dict)
 
@@ -78,36 +71,21 @@
         """Cancel own runs on endpoints that stay overfull."""
         for endpoint_id, running in list(self.loads.own.items()):
             tracked = self.endpoints.by_id.get(endpoint_id)
-            if running.batch and tracked is not None:
-                slots = tracked.endpoint.slots
-                self.relieve(
-                    endpoint_id,
-                    slots,
-                    self.overfull_s(endpoint_id, slots, now_s),
-                )
-
-    def relieve(self, endpoint_id: str, slots: int, overfull_s: float) -> None:
-        """Cancel own runs on an endpoint that has been overfull for a time."""
-        if overfull_s >= WITHDRAW_GRACE_S:
+            if not running.batch or tracked is None:
+                continue
+            slots = tracked.endpoint.slots
+            overfull_s = self.overfull_s(endpoint_id, slots, now_s)
+            if overfull_s < self.report_age_s():
+                continue
             for _ in range(self.runs_to_preempt(endpoint_id, slots)):
                 self.preempt(endpoint_id, 'endpoint_overfull')
-        elif overfull_s >= BEGIN_GRACE_S:
-            for _ in range(self.excess(endpoint_id, slots)):
-                self.preempt(endpoint_id, 'not_begun', begun=False)
-
-    def preempt(
-        self,
-        endpoint_id: str,
-        reason: str,
-        *,
-        begun: bool = True,
-    ) -> bool:
+
+    def preempt(self, endpoint_id: str, reason: str) -> bool:
         """Cancel an own run on an endpoint; return whether there was one.
 
-        With `begun` unset, runs that have begun are kept. `reason` is logged
-        with the load that this entry knows of.
+        `reason` is logged with the load that this entry knows of.
         """
-        chosen = run_to_preempt(self.jobs.values(), endpoint_id, begun=begun)
+        chosen = run_to_preempt(self.jobs.values(), endpoint_id)
         if chosen is None or chosen.exchange is None:
             return False
         log_event(
@@ -131,10 +109,10 @@
         return max(0, self.loads.total(endpoint_id) - slots)
 
     def overfull_s(self, endpoint_id: str, slots: int, now_s: float) -> float:
-        """Return for how long an endpoint has been overfull."""
+        """Return for how long an endpoint has been overfull; -1 if it isn't."""
         if not self.excess(endpoint_id, slots):
             self.since_s.pop(endpoint_id, None)
-            return 0.0
+            return -1.0
         return now_s - self.since_s.setdefault(endpoint_id, now_s)
 
     def runs_to_preempt(self, endpoint_id: str, slots: int) -> int:
