--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
@@ -34,6 +35,9 @@
 # An item that is longer than the average is assumed to need this share of
 # the average length until its end.
 MIN_REMAINING_SHARE: Final = 0.1
+# Online requests that arrive within the time that a preemption takes, as a
+# share of those under way.
+ARRIVALS_SHARE: Final = 0.12
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,10 +159,13 @@
         order.
         """
         allocated: list[tuple[int, float, Endpoint]] = []
+        reserved = self.reserved_endpoints(endpoints)
         for endpoint in endpoints:
-            free = endpoint.slots - self.loads.total(endpoint.endpoint_id)
+            endpoint_id = endpoint.endpoint_id
+            free = endpoint.slots - self.loads.total(endpoint_id)
+            free -= endpoint_id in reserved
             if free <= 0 or not self.grants.may_fill(
-                endpoint.endpoint_id, own_pending, now_s
+                endpoint_id, own_pending, now_s
             ):
                 continue
             for number in range(free):
@@ -166,3 +173,14 @@
                 allocated.append((number - free, tie_break, endpoint))
         allocated.sort(key=lambda row: row[:2])
         return [row[2] for row in allocated]
+
+    def reserved_endpoints(self, endpoints: Sequence[Endpoint]) -> set[str]:
+        """Return the endpoints on which batch items leave one slot free.
+
+        Online requests that arrive before a batch run could be preempted find
+        a free slot there. Their number is in proportion to those under way.
+        All entries reserve the same slots.
+        """
+        ids = sorted(endpoint.endpoint_id for endpoint in endpoints)
+        online = sum(self.loads.online(endpoint_id) for endpoint_id in ids)
+        return set(ids[: math.ceil(online * ARRIVALS_SHARE)])
--- a/src/quetzaldyke/gateway/preemption.py
+++ b/src/quetzaldyke/gateway/preemption.py
@@ -64,21 +64,33 @@
     endpoints: EndpointTable
     # Returns how old the load reports of other entries may be.
     report_age_s: Callable[[], float]
-    # Since when each endpoint has been overfull.
+    # Since when runs of this entry have to leave each endpoint.
     since_s: dict[str, float] = field(default_factory=dict)
 
     def preempt_overfull(self, now_s: float) -> None:
         """Cancel own runs on endpoints that stay overfull."""
-        for endpoint_id, running in list(self.loads.own.items()):
-            tracked = self.endpoints.by_id.get(endpoint_id)
-            if not running.batch or tracked is None:
-                continue
-            slots = tracked.endpoint.slots
-            overfull_s = self.overfull_s(endpoint_id, slots, now_s)
-            if overfull_s < self.report_age_s():
+        latest_s = now_s - self.report_age_s()
+        since_s: dict[str, float] = {}
+        for endpoint_id, excess in self.overfull_endpoints().items():
+            since = self.since_s.get(endpoint_id, now_s)
+            if since > latest_s:
+                since_s[endpoint_id] = since
                 continue
-            for _ in range(self.runs_to_preempt(endpoint_id, slots)):
+            # Not kept in `since_s`: other entries first have to learn that
+            # the runs have left.
+            for _ in range(excess):
                 self.preempt(endpoint_id, 'endpoint_overfull')
+        self.since_s = since_s
+
+    def overfull_endpoints(self) -> dict[str, int]:
+        """Return the number of own runs that must leave, by endpoint."""
+        found: dict[str, int] = {}
+        for endpoint_id, running in self.loads.own.items():
+            tracked = self.endpoints.by_id.get(endpoint_id)
+            if running.batch and tracked is not None:
+                slots = tracked.endpoint.slots
+                found[endpoint_id] = self.runs_to_preempt(endpoint_id, slots)
+        return {key: excess for key, excess in found.items() if excess}
 
     def preempt(self, endpoint_id: str, reason: str) -> bool:
         """Cancel an own run on an endpoint; return whether there was one.
@@ -100,29 +112,16 @@
             total=self.loads.total(endpoint_id),
         )
         chosen.exchange.cancel()
-        # Other entries first have to learn that the run has left.
-        self.since_s.pop(endpoint_id, None)
         return True
 
-    def excess(self, endpoint_id: str, slots: int) -> int:
-        """Return how many requests an endpoint has beyond its slots."""
-        return max(0, self.loads.total(endpoint_id) - slots)
-
-    def overfull_s(self, endpoint_id: str, slots: int, now_s: float) -> float:
-        """Return for how long an endpoint has been overfull; -1 if it isn't."""
-        if not self.excess(endpoint_id, slots):
-            self.since_s.pop(endpoint_id, None)
-            return -1.0
-        return now_s - self.since_s.setdefault(endpoint_id, now_s)
-
     def runs_to_preempt(self, endpoint_id: str, slots: int) -> int:
         """Return how many own batch runs must leave an endpoint.
 
         Only the entry with the most batch runs there preempts any.
         """
         own = self.loads.own_counts(endpoint_id).batch
-        excess = self.excess(endpoint_id, slots)
-        if not excess or not own:
+        excess = self.loads.total(endpoint_id) - slots
+        if excess <= 0 or not own:
             return 0
         peers = self.loads.batch_peers(endpoint_id)
         if peers and peers[0] > (own, self.own_id):
