Take back the slots left free for online arrivals

Cause looked for: streams that find every slot taken since one entry fills the free ones. Change tried: batch items left one slot free on some endpoints, in proportion to the online requests under way.

--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
@@ -35,9 +34,6 @@
 # An item that is longer than the average is assumed to need this share of
 # the average length until its end.
 MIN_REMAINING_SHARE: Final = 0.1
-# Online requests that arrive within the time that a preemption takes, as a
-# share of those under way.
-ARRIVALS_SHARE: Final = 0.12
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,11 +155,9 @@
         order.
         """
         allocated: list[tuple[int, float, Endpoint]] = []
-        reserved = self.reserved_endpoints(endpoints)
         for endpoint in endpoints:
             endpoint_id = endpoint.endpoint_id
             free = endpoint.slots - self.loads.total(endpoint_id)
-            free -= endpoint_id in reserved
             if free <= 0 or not self.grants.may_fill(
                 endpoint_id, own_pending, now_s
             ):
@@ -173,14 +167,3 @@
                 allocated.append((number - free, tie_break, endpoint))
         allocated.sort(key=lambda row: row[:2])
         return [row[2] for row in allocated]
-
-    def reserved_endpoints(self, endpoints: Sequence[Endpoint]) -> set[str]:
-        """Return the endpoints on which batch items leave one slot free.
-
-        Online requests that arrive before a batch run could be preempted find
-        a free slot there. Their number is in proportion to those under way.
-        All entries reserve the same slots.
-        """
-        ids = sorted(endpoint.endpoint_id for endpoint in endpoints)
-        online = sum(self.loads.online(endpoint_id) for endpoint_id in ids)
-        return set(ids[: math.ceil(online * ARRIVALS_SHARE)])
