Cut off a caller's head that has no end

Cause: the server's parser keeps the header lines of a request until its head is complete, without a limit; only the header timeout ended them.

Change: an incomplete head of more than 256 KB is answered 431 and its connection is closed. The slot grants forget endpoints that left.

--- a/src/quetzaldyke/connection/caller_connection.py
+++ b/src/quetzaldyke/connection/caller_connection.py
@@ -1,7 +1,8 @@
 """HTTP connection of a caller, with the timeouts set by the operator.
 
-Load pattern: callers that open connections and send nothing, or send a
-request so slowly that it holds memory and a file descriptor forever. A request
+Load pattern: callers that open connections and send nothing, send a request
+so slowly that it holds memory and a file descriptor forever, or send a head
+without end. A request
 that was received completely is never timed out here: its route says how long
 it may take.
 """
@@ -18,6 +19,15 @@
     b'content-length: 0\r\n'
     b'\r\n'
 )
+HEAD_TOO_LARGE_RESPONSE: Final = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'connection: close\r\n'
+    b'content-length: 0\r\n'
+    b'\r\n'
+)
+# Limit on an incomplete head, beyond its first segment. The operator's limit,
+# which may be lower, applies to complete heads.
+MAX_HEAD_BYTES: Final = 262_144
 
 TimeoutKind = Literal['head', 'body', 'idle']
 
@@ -32,15 +42,23 @@
         self.head_started_s: float | None = None
         # When data was last received or a response was completed.
         self.last_active_s = self.loop.time()
+        self.head_bytes = 0
 
     def data_received(self, data: bytes) -> None:
-        """Record the time of the caller's activity."""
+        """Parse data and close the connection if a head has no end."""
         self.last_active_s = self.loop.time()
+        if self.head_started_s is not None:
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES:
+                self.transport.write(HEAD_TOO_LARGE_RESPONSE)
+                self.transport.close()
+                return
         super().data_received(data)
 
     def on_message_begin(self) -> None:
         """Start the header timeout of a request."""
         self.head_started_s = self.loop.time()
+        self.head_bytes = 0
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -385,6 +385,7 @@
         gone = self.endpoint_table.drop_lapsed(self.clock.now())
         if gone:
             log_event('endpoints_gone', endpoints=','.join(gone))
+        self.policy.grants.forget_absent(self.endpoint_table.by_id)
         if self.caller_server is not None:
             self.ingress.time_out_callers(self.caller_server)
         await self.writer.report_dropped()
--- a/src/quetzaldyke/gateway/slot_grants.py
+++ b/src/quetzaldyke/gateway/slot_grants.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -57,6 +57,12 @@
     # Number of batch runs on each endpoint, and when it last changed.
     batch_runs: dict[str, tuple[int, float]] = field(default_factory=dict)
 
+    def forget_absent(self, endpoint_ids: Collection[str]) -> None:
+        """Drop the endpoints that are no longer registered."""
+        for endpoint_id in list(self.batch_runs):
+            if endpoint_id not in endpoint_ids:
+                del self.batch_runs[endpoint_id]
+
     def may_fill(
         self,
         endpoint_id: str,
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -8,7 +8,10 @@
 import pytest
 from anyio.abc import SocketStream
 
-from quetzaldyke.connection.caller_connection import CallerConnection
+from quetzaldyke.connection.caller_connection import (
+    MAX_HEAD_BYTES,
+    CallerConnection,
+)
 from quetzaldyke.connection.http_server import (
     HttpOptions,
     HttpServer,
@@ -182,3 +185,22 @@
                 assert (await stream.receive()).startswith(b'HTTP/1.1 200 ')
             assert not http.time_out_callers(HEADER_TIMEOUT_S, IDLE_TIMEOUT_S)
         group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('piece', [b'x' * 4096, b'x-more: 1\r\n' * 400])
+async def test_head_without_end_is_cut_off(piece: bytes) -> None:
+    """Guards against a caller whose endless head uses up the memory."""
+    sent = 0
+    async with anyio.create_task_group() as group:
+        stopping = anyio.Event()
+        http = await group.start(serve_http, SlowApp(), OPTIONS, stopping)
+        host, _, port = http.address.rpartition(':')
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(b'GET / HTTP/1.1\r\nhost: a\r\nx-long: ')
+            with pytest.raises(anyio.BrokenResourceError):
+                while sent < 100 * MAX_HEAD_BYTES:
+                    await stream.send(piece)
+                    sent += len(piece)
+        stopping.set()
+        group.cancel_scope.cancel()
+    assert sent < 100 * MAX_HEAD_BYTES
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -327,3 +327,13 @@
     table = table_with(OWN, OWN)
     table.view('j').ended = ended
     assert table.waiting_tokens('r') == (0 if ended else 1)
+
+
+def test_endpoints_that_left_are_forgotten() -> None:
+    """Guards against state that grows with every endpoint that ever ran."""
+    fleet = make_fleet([3, 3])
+    grants = fleet[0].grants
+    for endpoint_id in ('e1', 'e2'):
+        grants.may_fill(endpoint_id, 3, now_s=1.0)
+    grants.forget_absent({'e2'})
+    assert set(grants.batch_runs) == {'e2'}
