Do not refuse a head in the middle of an earlier answer

Cause: a refusal of an endless pipelined head was written at once, also while the answer to the request before it was being sent on the same connection.

Change: reading is paused until that answer is complete.

Result: the new test fails without the check and passes with it.

--- a/src/quetzaldyke/connection/caller_connection.py
+++ b/src/quetzaldyke/connection/caller_connection.py
@@ -2,9 +2,8 @@
 
 Load pattern: callers that open connections and send nothing, send a request
 so slowly that it holds memory and a file descriptor forever, or send a head
-without end. A request
-that was received completely is never timed out here: its route says how long
-it may take.
+without end. A request that was received completely is never timed out here:
+its route says how long it may take.
 """
 
 from __future__ import annotations
@@ -50,11 +49,21 @@
         if self.head_started_s is not None:
             self.head_bytes += len(data)
             if self.head_bytes > MAX_HEAD_BYTES:
-                self.transport.write(HEAD_TOO_LARGE_RESPONSE)
-                self.transport.close()
+                self.refuse_head()
                 return
         super().data_received(data)
 
+    def refuse_head(self) -> None:
+        """Close the connection, but not while an earlier answer is sent.
+
+        Reading goes on when that answer is complete.
+        """
+        if self.is_serving():
+            self.flow.pause_reading()
+            return
+        self.transport.write(HEAD_TOO_LARGE_RESPONSE)
+        self.transport.close()
+
     def on_message_begin(self) -> None:
         """Start the header timeout of a request."""
         self.head_started_s = self.loop.time()
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -204,3 +204,36 @@
         stopping.set()
         group.cancel_scope.cancel()
     assert sent < 100 * MAX_HEAD_BYTES
+
+
+async def test_endless_head_does_not_cut_an_earlier_answer() -> None:
+    """Guards against a refusal in the middle of another request's answer."""
+    app = SlowApp()
+    app.may_answer = anyio.Event()
+    async with anyio.create_task_group() as group:
+        stopping = anyio.Event()
+        http = await group.start(serve_http, app, OPTIONS, stopping)
+        host, _, port = http.address.rpartition(':')
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(HEAD + b'abcdGET / HTTP/1.1\r\nx-long: ')
+            await app.entered.wait()
+            with anyio.move_on_after(1):
+                for _ in range(40):
+                    await stream.send(b'x' * 65_536)
+            app.may_answer.set()
+            received = await read_until_reset(stream)
+        stopping.set()
+        group.cancel_scope.cancel()
+    assert received.startswith(b'HTTP/1.1 200 OK')
+    assert b'431' not in received.partition(b'\r\n\r\n')[0]
+
+
+async def read_until_reset(stream: SocketStream) -> bytes:
+    """Return all bytes until the server closes or resets the connection."""
+    received = b''
+    with anyio.fail_after(5):
+        while True:
+            try:
+                received += await stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return received
