Don't rely on a paused watcher, and catch up at once without one

Cause, from reading the change: an update of a watcher that had been paused counted as a confirmation although it held older news than its follower had seen. And an entry that lost both watchers began with a watch call of 2 s, so that its configuration could count as unconfirmed (4 s) for a moment.

Change: an update that ends before what the follower has seen confirms nothing; the first call after following does not wait; confirmations of entries that left are dropped.

--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -102,6 +102,11 @@
 
     def set_members(self, members: Collection[str]) -> None:
         """Choose watchers, sources and followers from the member list."""
+        self.confirmed_s = {
+            key: confirmed_s
+            for key, confirmed_s in self.confirmed_s.items()
+            if key[0] in members
+        }
         self.watchers = watchers_of(members)
         self.sources = []
         self.followers = []
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -23,6 +23,8 @@
 # Longest wait of one watch call. A dead connection is detected after this plus
 # the slack of the call's timeout.
 WATCH_WAIT_S: Final = 2.0
+# Wait of the first call after others have watched, whose news may be old.
+CATCH_UP_WAIT_S: Final = 0.001
 RETRY: Final = BackoffOptions(base_s=0.1, cap_s=0.5)
 
 OnSnapshot = Callable[[Snapshot], None]
@@ -58,8 +60,9 @@
     async def run(self) -> None:
         """Watch until cancelled, with a backoff after failed calls."""
         while True:
-            await self.follow()
-            if await self.poll():
+            followed = await self.follow()
+            wait_s = CATCH_UP_WAIT_S if followed else self.wait_s
+            if await self.poll(wait_s):
                 self.failures = 0
                 self.on_success()
                 await anyio.sleep(self.poll_delay_s())
@@ -67,18 +70,23 @@
             self.failures += 1
             await anyio.sleep(backoff_s(RETRY, self.failures, random.uniform))
 
-    async def follow(self) -> None:
-        """Wait while other entries watch; not before the first snapshot."""
+    async def follow(self) -> bool:
+        """Wait while other entries watch; return whether any did.
+
+        Does not wait before the first snapshot.
+        """
         if self.revision is None:
-            return
+            return False
         rest_s = self.follow_s()
+        followed = rest_s > 0
         while rest_s > 0 and not self.behind.is_set():
             with anyio.move_on_after(rest_s):
                 await self.behind.wait()
             rest_s = self.follow_s()
         self.behind = anyio.Event()
+        return followed
 
-    async def poll(self) -> bool:
+    async def poll(self, wait_s: float = WATCH_WAIT_S) -> bool:
         """Make one call to the store; return whether it succeeded.
 
         If the store has compacted the needed history, the next call loads a
@@ -87,7 +95,7 @@
         if self.revision is None:
             return await self.load_snapshot()
         after = self.revision
-        answer = await self.store.watch(self.prefix, after, self.wait_s)
+        answer = await self.store.watch(self.prefix, after, wait_s)
         if isinstance(answer, Err):
             if answer.err_value.kind == 'compacted':
                 log_event('history_lost', prefix=self.prefix)
@@ -105,11 +113,12 @@
         changes: Sequence[WatchedChange] | None,
         revision: int,
     ) -> bool:
-        """Apply what another entry has read; return whether it was applied.
+        """Apply what another entry has read; return whether it is up to date.
 
-        If changes are missing, the next step is a call to the store.
+        If changes are missing, the next step is a call to the store. An entry
+        that has read less than this one was paused.
         """
-        if self.revision is None:
+        if self.revision is None or revision < self.revision:
             return False
         if changes is None or after > self.revision:
             if revision > self.revision:
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from unittest import mock
 
 import anyio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from result import Ok
 
 from gateway_kit import FakeStore, FakeTime
 from quetzaldyke.gateway.endpoints import LAPSE_GRACE_S, EndpointTable
@@ -23,7 +25,11 @@
     sources_of,
     watchers_of,
 )
-from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.gateway.watch import (
+    CATCH_UP_WAIT_S,
+    WATCH_WAIT_S,
+    PrefixWatcher,
+)
 from quetzaldyke.parts.transactions import (
     Put,
     Transaction,
@@ -320,3 +326,62 @@
         await fleet.write()
         assert await watcher.poll()
     assert seen == [1, 2]
+
+
+def test_update_of_a_paused_watcher_confirms_nothing() -> None:
+    """Guards against relying on a watcher whose news is old."""
+    fleet = SimulatedFleet.of_size(3)
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    follower.watcher.revision = 9
+    source = follower.sharing.sources[0]
+    follower.sharing.on_update(WatchUpdate(source, PREFIX, 4, 8, (), 0.0))
+    assert not follower.sharing.confirmed_s
+    assert follower.watcher.revision == 9
+    follower.sharing.on_update(WatchUpdate(source, PREFIX, 4, 9, (), 0.0))
+    assert follower.sharing.confirmed_s
+
+
+def test_watchers_that_left_are_forgotten() -> None:
+    """Guards against state that grows with every entry that ever ran."""
+    fleet = SimulatedFleet.of_size(3)
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    follower.watcher.revision = 9
+    gone, kept = follower.sharing.sources
+    for source in (gone, kept):
+        follower.sharing.on_update(WatchUpdate(source, PREFIX, 9, 9, (), 0.0))
+    follower.sharing.set_members({follower.sharing.own_id, kept})
+    assert set(follower.sharing.confirmed_s) == {(kept, PREFIX)}
+
+
+async def test_first_call_after_following_does_not_wait() -> None:
+    """Guards against a configuration that is confirmed too late.
+
+    The watchers may have been cut off from the store for seconds when their
+    follower calls it again.
+    """
+    fleet = SimulatedFleet.of_size(1)
+    watcher = fleet.entries['e0'].watcher
+    watcher.revision = 0
+    rests = [0.01, 0.0, 0.0]
+    watcher.follow_s = lambda: rests.pop(0) if rests else 0.0
+    waits: list[float] = []
+
+    async def watch(
+        _store: FakeStore, _prefix: str, after: int, wait_s: float
+    ) -> Ok[WatchBatch]:
+        waits.append(wait_s)
+        await anyio.sleep(0.01)
+        return Ok(WatchBatch([], after))
+
+    with mock.patch.object(FakeStore, 'watch', watch):
+        with anyio.move_on_after(5):
+            async with anyio.create_task_group() as group:
+                group.start_soon(watcher.run)
+                while len(waits) < 2:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+    assert waits[:2] == [CATCH_UP_WAIT_S, WATCH_WAIT_S]
