--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -72,7 +72,9 @@
     # Set and replaced with each snapshot or set of changes.
     advanced: anyio.Event = field(default_factory=anyio.Event)
     on_job: Callable[[str], None] = lambda job_id: None
+    # Called once for each set of changes that contains members.
     on_members: Callable[[], None] = lambda: None
+    members_changed: bool = False
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Apply a full listing and drop the members and jobs it lacks."""
@@ -98,6 +100,9 @@
     def advance(self, revision: int) -> None:
         """Record that all changes up to a revision have been applied."""
         self.revision = max(self.revision, revision)
+        if self.members_changed:
+            self.members_changed = False
+            self.on_members()
         self.advanced.set()
         self.advanced = anyio.Event()
 
@@ -146,7 +151,7 @@
             member=owner_id,
             members=len(self.members),
         )
-        self.on_members()
+        self.members_changed = True
 
     def apply_job(self, job_id: str, value: bytes | None) -> None:
         """Add an accepted job, or drop one that was deleted."""
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -14,6 +14,8 @@
 
 from gateway_kit import FakeStore, FakeTime
 from quetzaldyke.gateway.endpoints import LAPSE_GRACE_S, EndpointTable
+from quetzaldyke.gateway.job_records import MEMBER_PREFIX, Member
+from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.shared_watch import (
     MAX_CHANGES_BYTES,
     MAX_CONFIRMATION_AGE_S,
@@ -30,8 +32,10 @@
     WATCH_WAIT_S,
     PrefixWatcher,
 )
+from quetzaldyke.parts.kv import Record
 from quetzaldyke.parts.transactions import (
     Put,
+    Snapshot,
     Transaction,
     WatchBatch,
     WatchedChange,
@@ -385,3 +389,32 @@
                     await anyio.sleep(0.01)
                 group.cancel_scope.cancel()
     assert waits[:2] == [CATCH_UP_WAIT_S, WATCH_WAIT_S]
+
+
+def test_members_are_taken_over_once_for_each_set_of_changes() -> None:
+    """Guards against work at a common start that grows with the square.
+
+    Choosing watchers and followers costs time for each member, so it must not
+    be done for each member that is seen.
+    """
+    table = JobTable()
+    seen: list[int] = []
+    table.on_members = lambda: seen.append(len(table.members))
+    records = [
+        Record(f'{MEMBER_PREFIX}m{number}', member_record(number), 1)
+        for number in range(300)
+    ]
+    table.apply_snapshot(Snapshot(records, 1))
+    assert seen == [300]
+    gone = [
+        WatchedChange(f'{MEMBER_PREFIX}m{number}', 2, None)
+        for number in range(5)
+    ]
+    table.apply_changes(gone, 2)
+    table.apply_changes([], 3)
+    assert seen == [300, 295]
+
+
+def member_record(number: int) -> bytes:
+    """Return the stored record of a member."""
+    return Member(f'm{number}', f'i{number}', '10.0.0.1', 7000).pack()
