--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -57,7 +57,7 @@
 EXPIRY_INTERVAL_S: Final = 10.0
 CLEANUP_INTERVAL_S: Final = 1.0
 GOSSIP_INTERVAL_S: Final = 0.1
-# Members that have not reported by then are not waited for.
+# Members that have not reported this long after the start are not waited for.
 JOIN_WAIT_S: Final = 2.0
 
 
