Log the parts of a prompt and the crashes booked for a request

The logs could not tell whether requests that break one engine after another have a part of their prompts in common, how many crashes an entry had counted for them, and whether a served request had cleared them. attempt_failed and request_failed now name the parts of the prompt, attempt_failed the endpoints booked so far, and crashes_cleared is a line of its own.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -198,7 +198,15 @@
     def note_served(self) -> None:
         """Record a success, which also clears the request of crashes."""
         self.context.dispatcher.endpoints.note_success(self.endpoint_id)
-        self.context.crashes.note_served(self.request.fingerprint())
+        cleared = self.context.crashes.note_served(self.request.fingerprint())
+        if cleared:
+            self.context.log_event(
+                'crashes_cleared',
+                request=self.request.request_id.decode('latin-1'),
+                endpoint=self.endpoint_id,
+                crashes=cleared,
+                parts=','.join(self.request.prompt_parts),
+            )
 
     def eject_unless_serving(self, exc: ExchangeError) -> float:
         """Eject the endpoint after a failure unless it is still serving.
@@ -240,6 +248,10 @@
             ),
             running=self.progress.running,
             ejected_s=ejected_s,
+            crashes=self.context.crashes.crashed_endpoints(
+                self.request.fingerprint()
+            ),
+            parts=','.join(self.request.prompt_parts),
         )
 
     async def handle_response(self, head: ResponseHead) -> Outcome | None:
--- a/src/quetzaldyke/gateway/crashes.py
+++ b/src/quetzaldyke/gateway/crashes.py
@@ -64,11 +64,15 @@
         )
         self.drop_oldest()
 
-    def note_served(self, fingerprint: str) -> None:
-        """Clear a request of its crashes, as an endpoint has served it."""
+    def note_served(self, fingerprint: str) -> int:
+        """Clear a request of its crashes, as an endpoint has served it.
+
+        Returns how many crashes were cleared.
+        """
         cleared = self.suspects.clear(fingerprint)
         if cleared:
             self.broadcast({}, cleared)
+        return len(cleared.get(fingerprint, ()))
 
     def merge(self, crashes: CrashTable, cleared: CrashTable) -> None:
         """Merge the records of another entry."""
@@ -77,9 +81,12 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Tell whether a request has recently crashed too many endpoints."""
+        return self.crashed_endpoints(fingerprint) >= MIN_CRASHED_ENDPOINTS
+
+    def crashed_endpoints(self, fingerprint: str) -> int:
+        """Return how many endpoints a request has recently crashed."""
         crash_ids = self.suspects.uncleared_crashes(fingerprint)
-        crashed = {crash_origin(crash_id) for crash_id in crash_ids}
-        return len(crashed) >= MIN_CRASHED_ENDPOINTS
+        return len({crash_origin(crash_id) for crash_id in crash_ids})
 
     def forget_old(self) -> None:
         """Drop crashes that are past their retention."""
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -29,6 +29,7 @@
 from quetzaldyke.gateway.responses import send_refusal, send_response
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
 from quetzaldyke.platform import names
+from quetzaldyke.platform.prompts import decode_prompt_parts
 from quetzaldyke.process.metrics import Metrics
 
 MS_IN_S: Final = 1000
@@ -291,6 +292,7 @@
             sends=progress.sends,
             attempts=progress.attempts,
             last_event=progress.splitter.last_id,
+            parts=','.join(online.prompt_parts),
             config=self.table.version if self.table else 0,
         )
 
@@ -322,6 +324,9 @@
             arrived_s=now_s,
             deadline_s=now_s + timeout_s,
             last_event=request.number(names.LAST_EVENT),
+            prompt_parts=decode_prompt_parts(
+                request.header(names.PROMPT_PARTS)
+            ),
         )
 
     async def reject(self, caller: AsgiCaller, status: int) -> None:
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -43,6 +43,8 @@
     arrived_s: float
     deadline_s: float
     last_event: int | None
+    # Ids of the parts of the prompt in order; requests share parts.
+    prompt_parts: tuple[str, ...] = ()
     # Cached, because hashing covers the whole body and every failure needs it.
     cached_fingerprint: str = ''
 
--- a/src/quetzaldyke/platform/names.py
+++ b/src/quetzaldyke/platform/names.py
@@ -12,6 +12,8 @@
 EXPECTED_ENDPOINT: Final = b'expect-instance'
 # Number of the last event of a stream that was received.
 LAST_EVENT: Final = b'last-event-id'
+# Parts of the prompt in order; requests may share all but the last.
+PROMPT_PARTS: Final = b'prompt-prefix'
 # Present only on responses to requests that were not executed.
 NOT_RUN: Final = b'not-executed'
 # Signature that proves that an endpoint produced the response.
