--- a/src/quetzaldyke/standins/platform_endpoint.py
+++ b/src/quetzaldyke/standins/platform_endpoint.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import base64
+import os
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -28,6 +29,8 @@
 HEARTBEAT_S: Final = 0.5
 LEASE_S: Final = 2.0
 MAX_QUEUE: Final = 24
+# Exit status of a process that the crashing part has ended.
+CRASH_STATUS: Final = 70
 METHODS: Final = ('GET', 'POST', 'PUT', 'DELETE')
 
 
@@ -46,6 +49,9 @@
     event_ms: float = 5.0
     # Returns a single body instead of an event stream.
     plain: bool = False
+    # Id of a part of prompts; a request with it ends this process as soon as
+    # its response has begun. Empty for none.
+    crashing_part: str = ''
 
 
 @dataclass(slots=True)
@@ -152,6 +158,8 @@
         if self.faults.fail:
             self.release_slot()
             return Response(status_code=500, headers=headers)
+        if self.is_crashing(request):
+            return StreamingResponse(self.crash(), headers=headers)
         if self.options.plain:
             return await self.plain_response(request_id, headers)
         return StreamingResponse(
@@ -160,6 +168,18 @@
             media_type='text/event-stream',
         )
 
+    def is_crashing(self, request: Request) -> bool:
+        """Return whether the prompt of a request has the crashing part."""
+        header = request.headers.get('prompt-prefix', '')
+        part_ids = [entry.partition(':')[0] for entry in header.split(',')]
+        return bool(part_ids[0]) and self.options.crashing_part in part_ids
+
+    async def crash(self) -> AsyncIterator[bytes]:
+        """Begin a stream, then end the process with all its connections."""
+        yield b''
+        await anyio.sleep(self.options.event_ms / MS_IN_S)
+        os._exit(CRASH_STATUS)
+
     async def acquire_slot(self) -> None:
         """Wait for a free slot and occupy it."""
         self.queued += 1
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -137,6 +137,7 @@
         engines: int,
         services: int,
         events: int = 30,
+        engine_flags: tuple[str, ...] = (),
     ) -> None:
         """Start all processes and wait until the entries are ready.
 
@@ -151,7 +152,9 @@
         await self.wait_until_up(self.store_port, '/quetzaldyke/kv-key?key=x')
         await self.write_configuration(timeout_ms=4000)
         for number in range(engines):
-            await self.start_endpoint(f'i-lm{number}', 'lm', events)
+            await self.start_endpoint(
+                f'i-lm{number}', 'lm', events, *engine_flags
+            )
         for number in range(services):
             await self.start_endpoint(f'i-app{number}', 'app', 1)
         for number in range(entries):
@@ -166,7 +169,7 @@
         await self.start_process(name, [*command, *flags], {})
 
     async def start_endpoint(
-        self, name: str, service: str, events: int
+        self, name: str, service: str, events: int, *flags: str
     ) -> None:
         """Start the stand-in of an endpoint, which registers itself."""
         port = free_port()
@@ -183,6 +186,7 @@
             '--event_ms=10.0',
             '--slots=6',
             *plain,
+            *flags,
         )
 
     async def start_entry(self, name: str, zone: str) -> None:
@@ -231,6 +235,24 @@
         await fleet_process.start()
         self.stack.push_async_callback(fleet_process.kill)
 
+    async def restart_crashed(self, delay_s: float, crashed: list[str]) -> None:
+        """Start each endpoint that ends by itself again, until cancelled.
+
+        Its name is appended to `crashed` each time.
+        """
+
+        async def watch(name: str) -> None:
+            fleet_process = self.processes[name]
+            while fleet_process.process is not None:
+                await fleet_process.process.wait()
+                crashed.append(name)
+                await anyio.sleep(delay_s)
+                await fleet_process.start()
+
+        async with anyio.create_task_group() as group:
+            for name in self.endpoints:
+                group.start_soon(watch, name)
+
     async def wait_until_up(
         self, port: int, path: str, expected_status: int = 0
     ) -> None:
--- /dev/null
+++ b/tests/test_gateway_part_crashes.py
@@ -0,0 +1,111 @@
+"""End-to-end tests of prompts with a part that crashes endpoints."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import anyio
+
+from gateway_fleet import GatewayFleet
+from quetzaldyke.standins.platform_endpoint import event_of
+
+EVENTS = 10
+ENTRIES = ('entry-0', 'entry-1')
+CRASHING_PART = 'bad'
+# The users' limit: from the fifth crash on, the part is to be kept away.
+MAX_CRASHES = 5
+CRASHING_REQUESTS = 8
+RESTART_DELAY_S = 0.2
+Scenario = Callable[[GatewayFleet, list[str]], Awaitable[None]]
+
+
+def run_with_crashing_part(tmp_path: Path, scenario: Scenario) -> None:
+    """Run a scenario against engines that one part of prompts crashes.
+
+    Engines that end are started again and listed in the scenario's second
+    argument.
+    """
+
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            fleet = GatewayFleet(tmp_path, stack)
+            await fleet.start(
+                len(ENTRIES),
+                engines=3,
+                services=0,
+                events=EVENTS,
+                engine_flags=(f'--crashing_part={CRASHING_PART}',),
+            )
+            crashed: list[str] = []
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    fleet.restart_crashed, RESTART_DELAY_S, crashed
+                )
+                await scenario(fleet, crashed)
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def send_prompt(
+    fleet: GatewayFleet,
+    entry: str,
+    request_id: str,
+    *shared_parts: str,
+) -> tuple[int, bytes]:
+    """Send a request whose last part of the prompt and body are its own."""
+    parts = [f'{part}:100' for part in shared_parts]
+    return await fleet.call(
+        fleet.ports[entry].front,
+        'POST',
+        f'/again/{request_id}',
+        request_id,
+        {
+            'Attempt-Id': request_id,
+            'Deadline-Ms': '3000',
+            'Prompt-Prefix': ','.join((*parts, f'own-{request_id}:250')),
+        },
+        timeout_s=4.0,
+    )
+
+
+async def wait_for_engines(fleet: GatewayFleet) -> None:
+    """Wait until all endpoints accept requests."""
+    for port in fleet.endpoints.values():
+        await fleet.wait_until_up(port, '/runs', expected_status=200)
+
+
+def whole_stream(request_id: str) -> bytes:
+    """Return the complete stream of a request."""
+    return b''.join(
+        event_of(request_id, number) for number in range(1, EVENTS + 1)
+    )
+
+
+# Guards against requests that share nothing but one part of their prompts and
+# crash one endpoint after another, each as if it were the first.
+def test_part_that_crashes_endpoints_is_refused(tmp_path: Path) -> None:
+    """Guards against a part of prompts that crashes the whole service.
+
+    Sound requests that share the other part must still be served.
+    """
+
+    async def scenario(fleet: GatewayFleet, crashed: list[str]) -> None:
+        status = 0
+        for number in range(CRASHING_REQUESTS):
+            await wait_for_engines(fleet)
+            entry = ENTRIES[number % len(ENTRIES)]
+            status, _ = await send_prompt(
+                fleet, entry, f'r{number}', 'shared', CRASHING_PART
+            )
+            await anyio.sleep(RESTART_DELAY_S)
+            assert len(crashed) <= MAX_CRASHES
+        assert status == 503
+        await wait_for_engines(fleet)
+        for entry in ENTRIES:
+            answer = await send_prompt(fleet, entry, entry, 'shared', 'sound')
+            assert answer == (200, whole_stream(entry))
+
+    run_with_crashing_part(tmp_path, scenario)
