Blame what crashing requests have in common

Cause: a crash was booked under a hash of method, target and body. Two requests that share a part of the prompt and nothing else never met the same entry of the table, so each could crash three engines. The class of fault: the identity under which guilt is kept is narrower than the cause.

Change: each request has traits, its content and the parts of its prompt. parts/crash_blame.py keeps crashes by trait and blames the fewest traits that explain them, the most specific of several. Progress and served requests clear their traits; crashes at one moment count once; while endpoints also crash for other reasons, twice the evidence is needed. A blamed trait is refused for 3 s, four times as long after each further crash, and then one request is tried, so that a wrong verdict ends. A crash is identified by the endpoint's lifetime, as endpoints come back under the same id. Requests that waited in line are checked again.

The tests of the old table test the new one by the same names; the memory bound and the clearing hold as before.

Entries still start with an empty table, and a lost report is not sent again; that is next.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from quetzaldyke.gateway.crashes import PROGRESS_CHUNKS
 from quetzaldyke.gateway.dispatcher import Reservation
 from quetzaldyke.gateway.event_stream import StreamError
 from quetzaldyke.gateway.exchange import (
@@ -188,8 +189,10 @@
         self.progress.last_failure = exc.failure.value
         if exc.failure is Failure.BROKEN:
             self.context.crashes.note_crash(
-                self.request.fingerprint(),
-                self.endpoint_id,
+                self.request.traits(),
+                self.reservation.endpoint,
+                late=self.progress.event_chunks >= PROGRESS_CHUNKS,
+                sent_s=self.reservation.reserved_s,
             )
         self.log_attempt(
             'attempt_failed', str(exc), self.eject_unless_serving(exc)
@@ -198,15 +201,7 @@
     def note_served(self) -> None:
         """Record a success, which also clears the request of crashes."""
         self.context.dispatcher.endpoints.note_success(self.endpoint_id)
-        cleared = self.context.crashes.note_served(self.request.fingerprint())
-        if cleared:
-            self.context.log_event(
-                'crashes_cleared',
-                request=self.request.request_id.decode('latin-1'),
-                endpoint=self.endpoint_id,
-                crashes=cleared,
-                parts=','.join(self.request.prompt_parts),
-            )
+        self.context.crashes.note_served(self.request.traits())
 
     def eject_unless_serving(self, exc: ExchangeError) -> float:
         """Eject the endpoint after a failure unless it is still serving.
@@ -248,9 +243,6 @@
             ),
             running=self.progress.running,
             ejected_s=ejected_s,
-            crashes=self.context.crashes.crashed_endpoints(
-                self.request.fingerprint()
-            ),
             parts=','.join(self.request.prompt_parts),
         )
 
@@ -373,6 +365,8 @@
         self.context.dispatcher.endpoints.note_bytes(self.endpoint_id, now_s)
         if events:
             self.progress.note_events(now_s)
+            if self.progress.event_chunks == PROGRESS_CHUNKS:
+                self.context.crashes.note_progress(self.request.traits())
             # A caller that reads slowly is no pause of the endpoint.
             self.exchange.expires_at_s = self.request.deadline_s
             await self.caller.send(events)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -13,13 +13,12 @@
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
-from quetzaldyke.gateway.crashes import CrashTracker
+from quetzaldyke.gateway.crashes import CrashReport, CrashTracker
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.gossip_messages import (
-    CrashReport,
     GossipMessage,
     JobEnded,
     LoadReport,
@@ -147,9 +146,10 @@
                 dispatcher,
                 client,
                 CrashTracker(
-                    broadcast=lambda crashes, cleared: entry.gossip.broadcast(
-                        CrashReport(owner_id, crashes, cleared),
-                    ),
+                    owner_id,
+                    clock.now,
+                    lambda report: entry.gossip.broadcast(report),
+                    log_event,
                 ),
                 clock.now,
                 log_event,
@@ -295,8 +295,8 @@
                     self.runner.preemption.preempt(endpoint_id, 'peer_request')
             case JobEnded(_, job_id):
                 self.jobs.apply(f'{END_PREFIX}{job_id}', 0, b'1')
-            case CrashReport(_, crashes, cleared):
-                self.ingress.context.crashes.merge(crashes, cleared)
+            case CrashReport():
+                self.ingress.context.crashes.merge(message)
             case WatchUpdate():
                 self.sharing.on_update(message)
 
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -11,9 +11,10 @@
 
 import msgpack
 
+from quetzaldyke.gateway.crashes import CrashReport
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.shared_watch import WatchUpdate
-from quetzaldyke.parts.suspects import CrashTable
+from quetzaldyke.parts.crash_blame import Trait
 from quetzaldyke.parts.transactions import WatchedChange
 
 
@@ -48,19 +49,6 @@
     job_id: str
 
 
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """Announces endpoint crashes that happened while requests ran.
-
-    Both tables map request fingerprints to crash ids, as defined in
-    `parts/suspects.py`.
-    """
-
-    sender: str
-    crashes: CrashTable
-    cleared: CrashTable
-
-
 GossipMessage = LoadReport | PreemptBatch | JobEnded | CrashReport | WatchUpdate
 
 
@@ -75,12 +63,25 @@
             return bytes(msgpack.packb(['room', sender, endpoint_id]))
         case JobEnded(sender, job_id):
             return bytes(msgpack.packb(['ended', sender, job_id]))
-        case CrashReport(sender, crashes, cleared):
-            return bytes(msgpack.packb(['crash', sender, [crashes, cleared]]))
+        case CrashReport():
+            return encode_crash_report(message)
         case WatchUpdate():
             return encode_watch_update(message)
 
 
+def encode_crash_report(report: CrashReport) -> bytes:
+    """Encode what a sender has seen of crashes."""
+    row = [
+        [[trait.key, trait.specificity] for trait in report.traits],
+        report.lifetime,
+        report.late,
+        report.age_s,
+        report.cleared,
+        report.tried,
+    ]
+    return bytes(msgpack.packb(['crash', report.sender, row]))
+
+
 def encode_watch_update(update: WatchUpdate) -> bytes:
     """Encode what a watcher has read."""
     changes = None
@@ -126,10 +127,7 @@
         case 'ended':
             return JobEnded(sender, str(content))
         case 'crash':
-            crashes, cleared = content
-            return CrashReport(
-                sender, decode_crashes(crashes), decode_crashes(cleared)
-            )
+            return decode_crash_report(sender, content)
         case 'watch':
             return decode_watch_update(sender, content)
         case 'load':
@@ -137,12 +135,21 @@
     return None
 
 
-def decode_crashes(table: Any) -> CrashTable:
-    """Decode crash ids by request fingerprint."""
-    return {
-        str(fingerprint): [str(crash) for crash in crashes]
-        for fingerprint, crashes in table.items()
-    }
+def decode_crash_report(sender: str, content: Any) -> CrashReport:
+    """Decode what a sender has seen of crashes."""
+    rows, lifetime, late, age_s, cleared, tried = content
+    return CrashReport(
+        sender,
+        tuple(Trait(str(key), int(specificity)) for key, specificity in rows),
+        str(lifetime),
+        bool(late),
+        float(age_s),
+        {
+            str(key): [str(lifetime) for lifetime in lifetimes]
+            for key, lifetimes in cleared.items()
+        },
+        tuple(str(key) for key in tried),
+    )
 
 
 def decode_load_report(sender: str, content: Any) -> LoadReport:
--- a/src/quetzaldyke/gateway/history.py
+++ b/src/quetzaldyke/gateway/history.py
@@ -18,7 +18,7 @@
     'no_slot_in_time': 'no slot is expected in time for its latency objective',
     'waited_too_long': 'no slot became free while it waited',
     'no_endpoint': 'no endpoint of its service is known',
-    'crashes_endpoints': 'it recently crashed three endpoints',
+    'crashes_endpoints': 'requests like it crashed several endpoints',
     'no_configuration': 'the entry had no configuration yet',
     'configuration_too_old': 'the configuration may be out of date',
 }
@@ -67,6 +67,15 @@
     )
 
 
+def describe_suspected(fields: Fields, process: str) -> str:
+    """Describe why a request that may crash endpoints was refused."""
+    return (
+        f'{process} refused it: endpoints crashed under requests with '
+        f'{fields.get("trait")} (score {fields.get("score")}); the caller may '
+        f'return after {fields.get("retry_after_s", "0")} s'
+    )
+
+
 def describe_refused(fields: Fields, process: str) -> str:
     """Describe a request refused for lack of a current configuration."""
     reason = fields.get('reason', '')
@@ -158,6 +167,7 @@
     'request_failed': describe_failed,
     'request_not_placed': describe_not_placed,
     'request_refused': describe_refused,
+    'request_suspected': describe_suspected,
     'attempt_failed': describe_attempt_failed,
     'item_failed': describe_item_failed,
     'item_interrupted': describe_item_interrupted,
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from quetzaldyke.gateway.crashes import CrashTracker
+from quetzaldyke.gateway.crashes import (
+    CrashTracker,
+    content_trait,
+    prompt_traits,
+)
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.model import Route
+from quetzaldyke.parts.crash_blame import Trait
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -45,20 +49,23 @@
     last_event: int | None
     # Ids of the parts of the prompt in order; requests share parts.
     prompt_parts: tuple[str, ...] = ()
-    # Cached, because hashing covers the whole body and every failure needs it.
-    cached_fingerprint: str = ''
+    # Cached, because hashing covers the whole body.
+    cached_traits: tuple[Trait, ...] = ()
 
-    def fingerprint(self) -> str:
-        """Return a hash of body, method and target.
+    def traits(self) -> tuple[Trait, ...]:
+        """Return what it can share with other requests that crash endpoints.
 
-        A caller's retry of the same request has the same fingerprint.
+        A caller's retry shares the content; other requests may share parts of
+        the prompt.
         """
-        if self.cached_fingerprint:
-            return self.cached_fingerprint
-        digest = hashlib.blake2b(self.body, digest_size=8)
-        digest.update(self.method + self.target)
-        self.cached_fingerprint = digest.hexdigest()
-        return self.cached_fingerprint
+        if not self.cached_traits:
+            self.cached_traits = (
+                content_trait(
+                    self.service, self.method + self.target, self.body
+                ),
+                *prompt_traits(self.service, self.prompt_parts),
+            )
+        return self.cached_traits
 
 
 @dataclass(slots=True)
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -9,11 +9,11 @@
 
 from typing import Final
 
-from result import Err
+from result import Err, Result
 
 from quetzaldyke.gateway import responses
 from quetzaldyke.gateway.attempt import Attempt
-from quetzaldyke.gateway.dispatcher import Refusal
+from quetzaldyke.gateway.dispatcher import Refusal, Reservation
 from quetzaldyke.gateway.exchange import Exchange
 from quetzaldyke.gateway.incomplete_response import IncompleteResponseError
 from quetzaldyke.gateway.online_request import (
@@ -31,9 +31,6 @@
 from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
-# Retry-After for a request that crashes endpoints: long, because an earlier
-# retry would meet the same fault.
-CRASHING_REQUEST_RETRY_S: Final = 60.0
 # Retry-After for a request that several endpoints rejected without running.
 REJECTED_RETRY_AFTER: Final = b'0.5'
 
@@ -49,24 +46,12 @@
     Raises `IncompleteResponseError` when a started response can't be
     completed; the caller's connection must then be closed.
     """
-    if context.crashes.is_suspect(request.fingerprint()):
-        return await refuse(
-            caller,
-            progress,
-            Refusal('crashes_endpoints', CRASHING_REQUEST_RETRY_S),
-        )
+    trial = context.crashes.begin_trial(request.traits())
     while True:
-        acquired = await context.dispatcher.acquire(
-            request.service,
-            request.route,
-            request.deadline_s,
-            progress.tried_endpoints,
-            already_sent=progress.sends > 0,
-        )
-        if isinstance(acquired, Err):
-            log_refusal(context, request, acquired.err_value)
-            return await refuse(caller, progress, acquired.err_value)
-        reservation = acquired.ok_value
+        placed = await place(context, request, progress, trial=trial)
+        if isinstance(placed, Err):
+            return await refuse(caller, progress, placed.err_value)
+        reservation = placed.ok_value
         exchange = Exchange(names.ATTEMPT_ID, request.request_id)
         progress.begin_send(
             reservation.endpoint.endpoint_id, reservation.reserved_s
@@ -86,6 +71,56 @@
             return await send_final_response(caller, progress, *final)
 
 
+async def place(
+    context: RelayContext,
+    request: OnlineRequest,
+    progress: Progress,
+    *,
+    trial: bool,
+) -> Result[Reservation, Refusal]:
+    """Reserve a slot, unless the request is known to crash endpoints.
+
+    A trial is let through although it may crash its endpoint.
+    """
+    suspicion = None if trial else find_suspicion(context, request)
+    if suspicion is not None:
+        return Err(suspicion)
+    acquired = await context.dispatcher.acquire(
+        request.service,
+        request.route,
+        request.deadline_s,
+        progress.tried_endpoints,
+        already_sent=progress.sends > 0,
+    )
+    if isinstance(acquired, Err):
+        log_refusal(context, request, acquired.err_value)
+        return acquired
+    # Endpoints may have crashed under the like of it while it waited.
+    suspicion = None if trial else find_suspicion(context, request)
+    if suspicion is not None:
+        context.dispatcher.release(acquired.ok_value)
+        return Err(suspicion)
+    return acquired
+
+
+def find_suspicion(
+    context: RelayContext, request: OnlineRequest
+) -> Refusal | None:
+    """Return why a request that crashes endpoints is refused, or None."""
+    blame = context.crashes.blame_of(request.traits())
+    if blame is None:
+        return None
+    retry_after_s = context.crashes.retry_after_s(blame)
+    context.log_event(
+        'request_suspected',
+        request=request.request_id.decode('latin-1'),
+        trait=blame.key,
+        score=blame.score,
+        retry_after_s=retry_after_s,
+    )
+    return Refusal('crashes_endpoints', retry_after_s)
+
+
 def log_refusal(
     context: RelayContext,
     request: OnlineRequest,
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -220,8 +220,15 @@
     harness = AttemptHarness.of(make_route())
     context = harness.attempt.context
     request = harness.attempt.request
+    context.crashes.now = harness.time.read
     for endpoint_id in ('a', 'b', 'c'):
-        context.crashes.note_crash(request.fingerprint(), endpoint_id)
+        harness.time.now_s += 1.0
+        context.crashes.note_crash(
+            request.traits(),
+            make_endpoint(endpoint_id),
+            late=False,
+            sent_s=harness.time.now_s,
+        )
     caller = FakeCaller()
     outcome = await relay(context, request, caller, Progress())
     assert (caller.status, outcome.reason) == (503, 'crashes_endpoints')
@@ -231,12 +238,17 @@
     """Guards against refusing a request that ran beside a crashing one."""
     harness = AttemptHarness.of(make_route())
     crashes = harness.attempt.context.crashes
-    fingerprint = harness.attempt.request.fingerprint()
+    crashes.now = harness.time.read
+    traits = harness.attempt.request.traits()
     for endpoint_id in ('a', 'b'):
-        crashes.note_crash(fingerprint, endpoint_id)
+        harness.time.now_s += 1.0
+        crashes.note_crash(
+            traits, make_endpoint(endpoint_id), late=False, sent_s=0.0
+        )
     harness.attempt.note_served()
-    crashes.note_crash(fingerprint, 'c')
-    assert not crashes.is_suspect(fingerprint)
+    harness.time.now_s += 1.0
+    crashes.note_crash(traits, make_endpoint('c'), late=False, sent_s=0.0)
+    assert not crashes.is_blamed(traits)
 
 
 async def test_expired_request_gets_a_final_response() -> None:
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -1,12 +1,17 @@
-"""Tests of sharing requests that crash endpoints among the entries."""
+"""Tests of sharing what crashes endpoints among the entries."""
 
 from __future__ import annotations
 
+from gateway_kit import FakeTime, make_endpoint
 from quetzaldyke.gateway.crashes import (
-    CRASH_RETENTION_MS,
-    MAX_FINGERPRINTS,
+    CrashReport,
     CrashTracker,
+    lifetime_of,
+    prompt_traits,
 )
+from quetzaldyke.parts.crash_blame import MAX_TRAITS, RETENTION_S, Trait
+
+CONTENT = (Trait('lm/content/f', 1_000),)
 
 
 class TrackerPair:
@@ -14,56 +19,139 @@
 
     def __init__(self) -> None:
         """Connect the two trackers."""
-        self.now_ms = 1_000_000
+        self.time = FakeTime(1_000.0)
         self.first = CrashTracker(
-            self.read_ms, lambda *tables: self.second.merge(*tables)
+            'first', self.time.read, lambda report: self.second.merge(report)
         )
         self.second = CrashTracker(
-            self.read_ms, lambda *tables: self.first.merge(*tables)
+            'second', self.time.read, lambda report: self.first.merge(report)
         )
 
-    def read_ms(self) -> int:
-        """Return the current time."""
-        return self.now_ms
+    def crash(
+        self,
+        tracker: CrashTracker,
+        endpoint_id: str,
+        traits: tuple[Trait, ...] = CONTENT,
+    ) -> None:
+        """Let an endpoint crash early, a second after the last crash."""
+        self.time.now_s += 1.0
+        tracker.note_crash(
+            traits,
+            make_endpoint(endpoint_id),
+            late=False,
+            sent_s=self.time.now_s,
+        )
 
 
 def test_crashes_at_several_entries_count_together() -> None:
     """Guards against a request that crashes three endpoints at each entry."""
     trackers = TrackerPair()
-    trackers.first.note_crash('f', 'a')
-    trackers.second.note_crash('f', 'b')
-    assert not trackers.first.is_suspect('f')
-    trackers.first.note_crash('f', 'c')
-    assert trackers.first.is_suspect('f')
-    assert trackers.second.is_suspect('f')
+    trackers.crash(trackers.first, 'a')
+    trackers.crash(trackers.second, 'b')
+    assert not trackers.first.is_blamed(CONTENT)
+    trackers.crash(trackers.first, 'c')
+    assert trackers.first.is_blamed(CONTENT)
+    assert trackers.second.is_blamed(CONTENT)
+
+
+def test_requests_that_share_a_part_count_together() -> None:
+    """Guards against a part of prompts that crashes endpoints at will.
+
+    Each request has its own content, first part and last part.
+    """
+    trackers = TrackerPair()
+    for number in range(3):
+        traits = prompt_traits('lm', [f'first-{number}', 'bad', f'{number}'])
+        trackers.crash(trackers.first, f'e{number}', traits)
+    assert trackers.second.is_blamed(prompt_traits('lm', ['new', 'bad', 'x']))
+    sound = prompt_traits('lm', ['first-0', 'sound', 'y'])
+    assert not trackers.second.is_blamed(sound)
+    assert not trackers.second.is_blamed(prompt_traits('other', ['bad']))
+
+
+def test_crash_seen_by_two_entries_counts_once() -> None:
+    """Guards against blame for one crash that several entries report."""
+    trackers = TrackerPair()
+    for tracker in (trackers.first, trackers.second, trackers.first):
+        trackers.crash(tracker, 'a')
+    assert not trackers.first.is_blamed(CONTENT)
+    assert lifetime_of(make_endpoint('a', started_ms=1)) != lifetime_of(
+        make_endpoint('a', started_ms=2)
+    )
 
 
 def test_served_request_is_cleared_everywhere() -> None:
     """Guards against refusing a request for crashes of concurrent ones."""
     trackers = TrackerPair()
     for endpoint_id in ('a', 'b', 'c'):
-        trackers.first.note_crash('f', endpoint_id)
-    trackers.second.note_served('f')
-    assert not trackers.first.is_suspect('f')
-    trackers.first.note_crash('f', 'd')
-    assert not trackers.second.is_suspect('f')
+        trackers.crash(trackers.first, endpoint_id)
+    trackers.second.note_served(CONTENT)
+    assert not trackers.first.is_blamed(CONTENT)
+    trackers.crash(trackers.first, 'd')
+    assert not trackers.second.is_blamed(CONTENT)
 
 
 def test_crashes_are_forgotten() -> None:
     """Guards against refusing a request forever."""
     trackers = TrackerPair()
     for endpoint_id in ('a', 'b', 'c'):
-        trackers.first.note_crash('f', endpoint_id)
-    trackers.now_ms += CRASH_RETENTION_MS + 1
+        trackers.crash(trackers.first, endpoint_id)
+    blame = trackers.second.blame_of(CONTENT)
+    assert blame is not None
+    trackers.time.now_s = blame.retry_at_s + RETENTION_S + 1
     trackers.second.forget_old()
-    assert not trackers.second.is_suspect('f')
-    assert not trackers.second.suspects.crashes
+    assert not trackers.second.is_blamed(CONTENT)
+    assert not trackers.second.blame.evidence
+
+
+def test_one_request_is_tried_after_the_hold() -> None:
+    """Guards against a verdict that no served request can ever revise.
+
+    Only one entry may try, and only one request.
+    """
+    trackers = TrackerPair()
+    for endpoint_id in ('a', 'b', 'c'):
+        trackers.crash(trackers.first, endpoint_id)
+    assert not trackers.first.begin_trial(CONTENT)
+    blame = trackers.first.blame_of(CONTENT)
+    assert blame is not None
+    assert trackers.first.retry_after_s(blame) >= 1.0
+    trackers.time.now_s = blame.retry_at_s
+    assert trackers.first.begin_trial(CONTENT)
+    assert not trackers.first.begin_trial(CONTENT)
+    assert not trackers.second.begin_trial(CONTENT)
+    trackers.first.note_served(CONTENT)
+    assert not trackers.second.is_blamed(CONTENT)
+
+
+def test_failed_trial_is_not_repeated_soon() -> None:
+    """Guards against trials that crash one endpoint after another."""
+    trackers = TrackerPair()
+    for endpoint_id in ('a', 'b', 'c'):
+        trackers.crash(trackers.first, endpoint_id)
+    holds = []
+    for endpoint_id in ('d', 'e', 'f'):
+        blame = trackers.first.blame_of(CONTENT)
+        assert blame is not None
+        holds.append(blame.retry_at_s - trackers.time.now_s)
+        trackers.time.now_s = blame.retry_at_s
+        assert trackers.first.begin_trial(CONTENT)
+        trackers.crash(trackers.first, endpoint_id)
+    assert holds[0] * 4 < holds[1] * 2 < holds[2]
 
 
 def test_memory_is_bounded() -> None:
     """Guards against memory growth during a mass failure."""
-    tracker = CrashTracker(lambda: 1_000_000)
-    for number in range(MAX_FINGERPRINTS + 10):
-        tracker.note_crash(str(number), 'a')
-    assert len(tracker.suspects.crashes) == MAX_FINGERPRINTS
-    assert '0' not in tracker.suspects.crashes
+    tracker = CrashTracker()
+    for number in range(MAX_TRAITS + 10):
+        trait = Trait(f'lm/content/{number}', 1)
+        tracker.note_crash([trait], make_endpoint('a'), late=False, sent_s=0.0)
+    assert len(tracker.blame.evidence) == MAX_TRAITS
+    assert 'lm/content/0' not in tracker.blame.evidence
+
+
+def test_report_without_a_crash_changes_nothing() -> None:
+    """Guards against blame for an empty report of a peer."""
+    tracker = CrashTracker()
+    tracker.merge(CrashReport('peer', CONTENT))
+    assert not tracker.blame.evidence
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -22,8 +22,8 @@
 )
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.crashes import CrashReport
 from quetzaldyke.gateway.gossip_messages import (
-    CrashReport,
     GossipMessage,
     JobEnded,
     LoadReport,
@@ -37,6 +37,7 @@
 from quetzaldyke.gateway.model import Bounds, Configuration, Installation
 from quetzaldyke.gateway.shared_watch import WatchUpdate
 from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.parts.crash_blame import Trait
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Snapshot, WatchBatch, WatchedChange
 from quetzaldyke.standins.platform_store import (
@@ -119,7 +120,8 @@
     st.builds(RequestCounts, st.integers(0, 99), st.integers(0, 99)),
     max_size=4,
 )
-CRASHES = st.dictionaries(
+TRAITS = st.builds(Trait, st.text(max_size=5), st.integers(0, 2**40))
+CLEARED = st.dictionaries(
     st.text(max_size=5),
     st.lists(st.text(max_size=5), max_size=3),
     max_size=3,
@@ -141,7 +143,16 @@
     ),
     st.builds(PreemptBatch, st.text(max_size=5), st.text(max_size=5)),
     st.builds(JobEnded, st.text(max_size=5), st.text(max_size=5)),
-    st.builds(CrashReport, st.text(max_size=5), CRASHES, CRASHES),
+    st.builds(
+        CrashReport,
+        st.text(max_size=5),
+        st.lists(TRAITS, max_size=3).map(tuple),
+        st.text(max_size=5),
+        st.booleans(),
+        st.floats(0, 9),
+        CLEARED,
+        st.lists(st.text(max_size=5), max_size=2).map(tuple),
+    ),
     st.builds(
         WatchUpdate,
         st.text(max_size=5),
