Keep what crashes endpoints in the store and repeat reports of it

What callers saw: after a restart of entries, a request that was known to crash endpoints reached them again, at every entry that started empty.

Cause: what an entry knows of crashes was only in its memory and in datagrams that were sent once. The class of fault: state that must outlive a process was kept in processes.

Change: the entry that ranks first for a blamed trait writes a record under the fleet's prefix, which all entries watch; callers are accepted once it has been read. It is deleted when the trait is no longer blamed, also by the entry that served a request with it, and entries that see the deletion drop the verdict. Reports of crashes are repeated twice, and say how long ago the crash was, so that crashes that arrive together still count apart.

Evidence: test_restarted_entries_still_refuse_the_part failed before (the first request after the restart was let through and crashed engines) and passes.

--- a/src/quetzaldyke/gateway/crashes.py
+++ b/src/quetzaldyke/gateway/crashes.py
@@ -12,35 +12,50 @@
 import hashlib
 import math
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from quetzaldyke.gateway.model import Endpoint
-from quetzaldyke.parts.crash_blame import Blame, Crash, CrashBlame, Trait
+from quetzaldyke.parts.crash_blame import Blame, CrashBlame
+from quetzaldyke.parts.culprits import Crash, Trait
 
 CONTENT_DIGEST_BYTES: Final = 8
 # Least specific first: parts of the prompt in order, then the whole content.
 CONTENT_SPECIFICITY: Final = 1_000
 # A response counts as begun without a crash after this many chunks of events.
 PROGRESS_CHUNKS: Final = 8
+# How often a report is repeated; a receiver counts each crash once.
+RESENDS: Final = 2
+# Keeps a datagram well below its largest size of 64 KB.
+MAX_REPORTS_A_DATAGRAM: Final = 50
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedCrash:
+    """A crash of an endpoint as one of the requests in flight saw it."""
+
+    traits: tuple[Trait, ...]
+    # Identifies the endpoint and its start.
+    lifetime: str
+    # Whether the response had made progress.
+    late: bool
+    # For how long the request had been in flight.
+    age_s: float
+    # For how long the sender has known of the crash.
+    ago_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class CrashReport:
     """Announces what a sender has seen of crashes.
 
-    `traits` had been in flight for `age_s` when `lifetime` of an endpoint
-    crashed; `late` tells whether the response had made progress. `cleared`
-    maps keys of traits to lifetimes of endpoints that crashed for another
-    reason. `tried` are keys of blamed traits of which a request was let
-    through.
+    `cleared` maps keys of traits to lifetimes of endpoints that crashed for
+    another reason. `tried` are keys of blamed traits of which a request was
+    let through.
     """
 
     sender: str
-    traits: tuple[Trait, ...] = ()
-    lifetime: str = ''
-    late: bool = False
-    age_s: float = 0.0
+    crashes: tuple[ReportedCrash, ...] = ()
     cleared: dict[str, list[str]] = field(default_factory=dict)
     tried: tuple[str, ...] = ()
 
@@ -74,6 +89,15 @@
     return f'{endpoint.endpoint_id}@{endpoint.started_ms}'
 
 
+@dataclass(slots=True)
+class SentReport:
+    """A report that is sent again, as datagrams may be lost."""
+
+    report: CrashReport
+    sent_s: float
+    resends: int = RESENDS
+
+
 @dataclass(slots=True)
 class CrashTracker:
     """What one entry knows of crashes, and its reports to the others."""
@@ -83,6 +107,9 @@
     broadcast: Callable[[CrashReport], None] = lambda report: None
     log_event: Callable[..., None] = lambda name, **fields: None
     blame: CrashBlame = field(default_factory=CrashBlame)
+    sent: list[SentReport] = field(default_factory=list)
+    # Traits that were blamed until a request at this entry cleared them.
+    acquitted: set[str] = field(default_factory=set)
 
     def note_crash(
         self,
@@ -93,47 +120,86 @@
         sent_s: float,
     ) -> None:
         """Record a connection that broke during a request as a crash."""
-        report = CrashReport(
-            self.own_id,
-            tuple(traits),
-            lifetime_of(endpoint),
-            late,
-            self.now() - sent_s,
+        crash = ReportedCrash(
+            tuple(traits), lifetime_of(endpoint), late, self.now() - sent_s
         )
-        self.merge(report)
-        self.broadcast(report)
+        self.announce(CrashReport(self.own_id, (crash,)))
 
     def note_progress(self, traits: Sequence[Trait]) -> None:
         """Clear traits of crashes at the beginning of responses."""
         keys = [trait.key for trait in traits]
-        self.report_cleared(self.blame.clear_early(keys, self.now()))
+        before = self.blame.blamed
+        self.note_cleared(before, self.blame.clear_early(keys, self.now()))
 
     def note_served(self, traits: Sequence[Trait]) -> None:
         """Clear traits of crashes, as an endpoint served a request."""
         keys = [trait.key for trait in traits]
-        self.report_cleared(self.blame.clear(keys, self.now()))
+        before = self.blame.blamed
+        self.note_cleared(before, self.blame.clear(keys, self.now()))
+
+    def note_cleared(
+        self, before: dict[str, Blame], cleared: dict[str, list[str]]
+    ) -> None:
+        """Log and report what this entry has cleared, if anything."""
+        if not cleared:
+            return
+        self.acquitted |= before.keys() & cleared.keys()
+        self.log_event('crashes_cleared', traits=','.join(cleared))
+        self.log_changes(before)
+        self.announce(CrashReport(self.own_id, cleared=cleared))
+
+    def announce(self, report: CrashReport) -> None:
+        """Apply a report and send it to the other entries."""
+        self.merge(report)
+        self.broadcast(report)
+        self.sent.append(SentReport(report, self.now()))
 
-    def report_cleared(self, cleared: dict[str, list[str]]) -> None:
-        """Log and report what was cleared, if anything."""
-        if cleared:
-            self.log_event('crashes_cleared', traits=','.join(cleared))
-            self.broadcast(CrashReport(self.own_id, cleared=cleared))
+    def resend(self) -> None:
+        """Send the latest reports again, several in one datagram."""
+        now_s = self.now()
+        for start in range(0, len(self.sent), MAX_REPORTS_A_DATAGRAM):
+            batch = self.sent[start : start + MAX_REPORTS_A_DATAGRAM]
+            self.broadcast(merge_reports(self.own_id, batch, now_s))
+        for one in self.sent:
+            one.resends -= 1
+        self.sent = [one for one in self.sent if one.resends > 0]
 
     def merge(self, report: CrashReport) -> None:
         """Apply a report of this entry or of another one."""
         before = self.blame.blamed
         now_s = self.now()
-        if report.lifetime:
+        for crash in report.crashes:
             self.blame.record(
-                report.traits,
-                Crash(report.lifetime, report.late, now_s, report.age_s),
+                crash.traits,
+                Crash(
+                    crash.lifetime,
+                    crash.late,
+                    now_s - crash.ago_s,
+                    crash.age_s,
+                ),
             )
         self.blame.merge_cleared(report.cleared, now_s)
         self.blame.note_trial(report.tried, now_s)
         self.log_changes(before)
 
+    def confirm(
+        self, trait: Trait, crashes: Sequence[tuple[str, bool]]
+    ) -> None:
+        """Adopt a verdict that was read from the store."""
+        before = self.blame.blamed
+        self.blame.confirm(trait, crashes, self.now())
+        self.log_changes(before)
+
+    def withdraw(self, key: str) -> None:
+        """Drop a verdict that was deleted from the store."""
+        before = self.blame.blamed
+        self.blame.clear([key], self.now())
+        self.log_changes(before)
+
     def log_changes(self, before: dict[str, Blame]) -> None:
         """Log the traits that are blamed now or no longer."""
+        if before is self.blame.blamed:
+            return
         for key, blame in self.blame.blamed.items():
             if key not in before:
                 self.log_event(
@@ -165,12 +231,29 @@
             return False
         keys = [trait.key for trait in traits]
         tried = tuple(key for key in keys if key in self.blame.blamed)
-        report = CrashReport(self.own_id, tried=tried)
-        self.merge(report)
-        self.broadcast(report)
+        self.announce(CrashReport(self.own_id, tried=tried))
         self.log_event('trait_tried', traits=','.join(tried))
         return True
 
     def forget_old(self) -> None:
         """Drop crashes that are past their retention."""
         self.blame.forget_old(self.now())
+
+
+def merge_reports(
+    sender: str, sent: Sequence[SentReport], now_s: float
+) -> CrashReport:
+    """Return one report with the content of several.
+
+    Trials are left out: their time is what counts.
+    """
+    crashes = [
+        replace(crash, ago_s=now_s - one.sent_s)
+        for one in sent
+        for crash in one.report.crashes
+    ]
+    cleared: dict[str, list[str]] = {}
+    for one in sent:
+        for key, lifetimes in one.report.cleared.items():
+            cleared.setdefault(key, []).extend(lifetimes)
+    return CrashReport(sender, tuple(crashes), cleared)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -13,13 +13,13 @@
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
-from quetzaldyke.gateway.crashes import CrashReport, CrashTracker
+from quetzaldyke.gateway.crash_records import CrashRecords
+from quetzaldyke.gateway.crashes import CrashTracker
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.gossip_messages import (
-    GossipMessage,
     JobEnded,
     LoadReport,
     PreemptBatch,
@@ -28,7 +28,7 @@
 from quetzaldyke.gateway.ingress import Ingress
 from quetzaldyke.gateway.job_api import JobApi
 from quetzaldyke.gateway.job_owner import JobOwner
-from quetzaldyke.gateway.job_records import END_PREFIX, Member
+from quetzaldyke.gateway.job_records import Member
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.loads import LoadTable
@@ -40,11 +40,13 @@
 )
 from quetzaldyke.gateway.model import Configuration, Endpoint, Installation
 from quetzaldyke.gateway.online_request import RelayContext
+from quetzaldyke.gateway.peer_messages import apply_message
 from quetzaldyke.gateway.placement import PlacementPolicy
-from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
+from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.slot_grants import SlotGrants
 from quetzaldyke.gateway.store_health import StoreHealth
 from quetzaldyke.parts.timers import Clock, TimerService
+from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 from quetzaldyke.platform.store import PlatformStore
 from quetzaldyke.process.metrics import Metrics
 
@@ -86,12 +88,13 @@
     configurations: ConfigurationFeed
     endpoints: EndpointFeed
     sharing: WatchSharing
+    crash_records: CrashRecords
     # None until callers are accepted.
     caller_server: HttpServer | None = None
     runner: BatchRunner | None = None
     owner: JobOwner | None = None
     started_s: float = 0.0
-    # Set once the configuration and the endpoints were loaded.
+    # Set once configuration, endpoints and what crashes them were loaded.
     synced: anyio.Event = field(default_factory=anyio.Event)
     stopping: anyio.Event = field(default_factory=anyio.Event)
 
@@ -141,16 +144,17 @@
             ),
             store_up=lambda: health.up,
         )
+        crashes = CrashTracker(
+            owner_id,
+            clock.now,
+            lambda report: entry.gossip.broadcast(report),
+            log_event,
+        )
         ingress = Ingress(
             RelayContext(
                 dispatcher,
                 client,
-                CrashTracker(
-                    owner_id,
-                    clock.now,
-                    lambda report: entry.gossip.broadcast(report),
-                    log_event,
-                ),
+                crashes,
                 clock.now,
                 log_event,
             ),
@@ -183,7 +187,7 @@
                     entry.runner.pending() if entry.runner else 0,
                     store.path.direct.up_s(clock.now()),
                 ),
-                lambda message: entry.on_gossip(message),
+                lambda message: apply_message(entry, message),
             ),
             registration=Registration(store, member),
             ingress=ingress,
@@ -205,6 +209,9 @@
                 lambda peers, update: entry.gossip.send(peers, update),
                 endpoint_table,
             ),
+            crash_records=CrashRecords(
+                owner_id, store, crashes, clock.now, lambda: jobs.members
+            ),
             started_s=clock.now(),
         )
         entry.register_callbacks()
@@ -225,6 +232,9 @@
         timers.subscribe('gossip', GOSSIP_INTERVAL_S, self.gossip_tick)
         timers.subscribe('lease', RENEWAL_INTERVAL_S, self.registration.renew)
         timers.subscribe('cleaning', CLEANUP_INTERVAL_S, self.clean_up)
+        timers.subscribe(
+            'crash records', GOSSIP_INTERVAL_S, self.crash_records.write
+        )
 
     def record_call(self, call: str, *, answered: bool) -> None:
         """Count a call to the store and update the store's health."""
@@ -252,9 +262,22 @@
         self.dispatcher.serve_queues()
         self.update_synced()
 
+    def on_fleet_snapshot(self, snapshot: Snapshot) -> None:
+        """Apply a full listing of the fleet's records."""
+        self.jobs.apply_snapshot(snapshot)
+        self.crash_records.apply_snapshot(snapshot)
+        self.update_synced()
+
+    def on_fleet_changes(
+        self, changes: list[WatchedChange], revision: int
+    ) -> None:
+        """Apply changes of the fleet's records."""
+        self.jobs.apply_changes(changes, revision)
+        self.crash_records.apply_changes(changes)
+
     def update_synced(self) -> None:
-        """Set `synced` if configuration and endpoints were loaded."""
-        if not self.unready_reason():
+        """Set `synced` if all that requests depend on was loaded."""
+        if not self.unready_reason() and self.crash_records.loaded:
             self.synced.set()
 
     def on_load_change(self, endpoint_id: str) -> None:
@@ -275,31 +298,6 @@
                 [peers[0][1]], PreemptBatch(self.member.owner_id, endpoint_id)
             )
 
-    def on_gossip(self, message: GossipMessage) -> None:
-        """Apply a message of a peer."""
-        match message:
-            case LoadReport(sender, counts, waiting, pending, store_up_s):
-                now_s = self.clock.now()
-                freed = self.dispatcher.apply_report(
-                    sender, counts, waiting, pending
-                )
-                address = self.gossip.peers.get(sender)
-                if address is not None:
-                    self.store.path.note_peer(
-                        sender, address, store_up_s=store_up_s, now_s=now_s
-                    )
-                if self.runner is not None:
-                    self.runner.on_peer_load(freed=freed)
-            case PreemptBatch(_, endpoint_id):
-                if self.runner is not None:
-                    self.runner.preemption.preempt(endpoint_id, 'peer_request')
-            case JobEnded(_, job_id):
-                self.jobs.apply(f'{END_PREFIX}{job_id}', 0, b'1')
-            case CrashReport():
-                self.ingress.context.crashes.merge(message)
-            case WatchUpdate():
-                self.sharing.on_update(message)
-
     def on_store_lost(self) -> None:
         """Start an outage: the store no longer answers."""
         self.endpoint_table.outage_began()
@@ -372,6 +370,7 @@
     async def gossip_tick(self) -> None:
         """Send a heartbeat if it is due, and remove silent peers."""
         await self.gossip.heartbeat()
+        self.ingress.context.crashes.resend()
         silent = self.loads.remove_silent_peers(self.clock.now())
         if silent:
             log_event('peers_silent', peers=','.join(silent))
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -163,8 +163,8 @@
         PrefixWatcher(
             entry.store,
             FLEET_PREFIX,
-            entry.jobs.apply_snapshot,
-            entry.jobs.apply_changes,
+            entry.on_fleet_snapshot,
+            entry.on_fleet_changes,
             poll_delay_s=entry.sharing.poll_delay_s,
         ),
     ]
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -11,10 +11,10 @@
 
 import msgpack
 
-from quetzaldyke.gateway.crashes import CrashReport
+from quetzaldyke.gateway.crashes import CrashReport, ReportedCrash
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.shared_watch import WatchUpdate
-from quetzaldyke.parts.crash_blame import Trait
+from quetzaldyke.parts.culprits import Trait
 from quetzaldyke.parts.transactions import WatchedChange
 
 
@@ -71,14 +71,17 @@
 
 def encode_crash_report(report: CrashReport) -> bytes:
     """Encode what a sender has seen of crashes."""
-    row = [
-        [[trait.key, trait.specificity] for trait in report.traits],
-        report.lifetime,
-        report.late,
-        report.age_s,
-        report.cleared,
-        report.tried,
+    rows = [
+        [
+            [[trait.key, trait.specificity] for trait in crash.traits],
+            crash.lifetime,
+            crash.late,
+            crash.age_s,
+            crash.ago_s,
+        ]
+        for crash in report.crashes
     ]
+    row = [rows, report.cleared, report.tried]
     return bytes(msgpack.packb(['crash', report.sender, row]))
 
 
@@ -137,13 +140,10 @@
 
 def decode_crash_report(sender: str, content: Any) -> CrashReport:
     """Decode what a sender has seen of crashes."""
-    rows, lifetime, late, age_s, cleared, tried = content
+    rows, cleared, tried = content
     return CrashReport(
         sender,
-        tuple(Trait(str(key), int(specificity)) for key, specificity in rows),
-        str(lifetime),
-        bool(late),
-        float(age_s),
+        tuple(decode_crash(*row) for row in rows),
         {
             str(key): [str(lifetime) for lifetime in lifetimes]
             for key, lifetimes in cleared.items()
@@ -152,6 +152,19 @@
     )
 
 
+def decode_crash(
+    traits: Any, lifetime: Any, late: Any, age_s: Any, ago_s: Any
+) -> ReportedCrash:
+    """Decode one crash of a report."""
+    return ReportedCrash(
+        tuple(Trait(str(key), int(specificity)) for key, specificity in traits),
+        str(lifetime),
+        bool(late),
+        float(age_s),
+        float(ago_s),
+    )
+
+
 def decode_load_report(sender: str, content: Any) -> LoadReport:
     """Decode a load report."""
     rows, waiting, pending, store_up_s = content
--- a/src/quetzaldyke/parts/crash_blame.py
+++ b/src/quetzaldyke/parts/crash_blame.py
@@ -28,55 +28,26 @@
 from __future__ import annotations
 
 import itertools
-import math
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
-BLAME_SCORE: Final = 3.0
-# Needed if a trait explains less than the share of the crashes in its time.
-MIXED_BLAME_SCORE: Final = 6.0
-EXPLAINED_SHARE: Final = 0.7
-# Score of a crash during a response that had made progress. Most of the
-# requests in flight at a crash are in this state.
-LATE_SCORE: Final = 0.5
-# Endpoints that end within this time, under requests that ran at the same time,
-# are taken to share a cause such as the loss of a rack, and count as one crash.
-SAME_CAUSE_S: Final = 0.03
-# Short at first, for a trait that was blamed for crashes with another cause;
-# each further crash makes that less likely.
-FIRST_HOLD_S: Final = 3.0
-HOLD_FACTOR: Final = 4.0
-MAX_HOLD_S: Final = 3_600.0
+from quetzaldyke.parts.culprits import (
+    BLAME_SCORE,
+    SAME_CAUSE_S,
+    Crash,
+    Trait,
+    crash_score,
+    find_culprits,
+    hold_s,
+)
+
 # Evidence is kept for this long after the last crash, trial or hold.
 RETENTION_S: Final = 600.0
 # Bounds the memory; the traits that were seen first are dropped first.
 MAX_TRAITS: Final = 5_000
 
 
-@dataclass(frozen=True, slots=True)
-class Trait:
-    """Something that several requests can share."""
-
-    key: str
-    # The higher, the fewer requests are expected to share it.
-    specificity: int
-
-
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash as evidence against one trait."""
-
-    # One lifetime of an endpoint, which can crash only once.
-    lifetime: str
-    # Whether the response had made progress.
-    late: bool
-    # When this process learned of it.
-    seen_s: float
-    # For how long the request had been in flight there.
-    age_s: float = math.inf
-
-
 @dataclass(slots=True)
 class TraitEvidence:
     """Crashes of endpoints that had requests with one trait in flight."""
@@ -86,6 +57,8 @@
     # When each lifetime's crash turned out to be due to something else.
     cleared_s: dict[str, float] = field(default_factory=dict)
     tried_s: float = 0.0
+    # Whether another process has found the trait to be a culprit.
+    confirmed: bool = False
 
     def uncleared(self) -> list[Crash]:
         """Return the crashes that count."""
@@ -96,9 +69,14 @@
         ]
 
     def add(self, crash: Crash) -> None:
-        """Add a crash, unless that lifetime's crash is known already."""
-        if crash.late:
+        """Add a crash, unless that lifetime's crash is known already.
+
+        A late one shows that the trait is not to blame for the early ones.
+        """
+        known = self.crashes.get(crash.lifetime)
+        if crash.late and (known is None or not known.late):
             self.clear_early(crash.seen_s)
+            self.crashes[crash.lifetime] = crash
         self.crashes.setdefault(crash.lifetime, crash)
 
     def clear_early(self, now_s: float) -> list[str]:
@@ -139,111 +117,6 @@
     retry_at_s: float
 
 
-def crash_score(crashes: Collection[Crash]) -> float:
-    """Return how much some crashes say against a trait.
-
-    A trait crashes endpoints early or late, so the evidence does not add up.
-
-    >>> crash_score([Crash('a', False, 1.0), Crash('b', True, 2.0)])
-    1.0
-    """
-    early = [crash for crash in crashes if not crash.late]
-    late = [crash for crash in crashes if crash.late]
-    return max(float(count_causes(early)), LATE_SCORE * count_causes(late))
-
-
-def count_causes(crashes: Iterable[Crash]) -> int:
-    """Return the number of crashes; those at the same time count as one.
-
-    A request that was sent after a crash, such as a retry, doesn't share the
-    cause of that crash.
-
-    >>> count_causes([Crash('a', False, 1.0), Crash('b', False, 1.01)])
-    1
-    >>> count_causes([Crash('a', False, 1.0), Crash('b', False, 1.01, 0.005)])
-    2
-    """
-    count = 0
-    group_start_s = -math.inf
-    for crash in sorted(crashes, key=lambda one: one.seen_s):
-        sent_after = crash.seen_s - crash.age_s > group_start_s
-        if sent_after or crash.seen_s - group_start_s > SAME_CAUSE_S:
-            count += 1
-            group_start_s = crash.seen_s
-    return count
-
-
-def hold_s(score: float) -> float:
-    """Return for how long a trait with this score is refused.
-
-    >>> hold_s(3.0), hold_s(4.0), hold_s(90.0)
-    (3.0, 12.0, 3600.0)
-    """
-    steps = max(0.0, score - BLAME_SCORE)
-    longest_steps = math.log(MAX_HOLD_S / FIRST_HOLD_S, HOLD_FACTOR)
-    if steps >= longest_steps:
-        return MAX_HOLD_S
-    return FIRST_HOLD_S * math.pow(HOLD_FACTOR, steps)
-
-
-def needed_score(
-    crashes: Collection[Crash], all_crashes: Collection[Crash]
-) -> float:
-    """Return the score from which a trait is blamed for some crashes.
-
-    >>> crashes = [Crash(name, False, ord(name)) for name in 'ace']
-    >>> others = [Crash(name, False, ord(name)) for name in 'bd']
-    >>> needed_score(crashes, crashes), needed_score(crashes, crashes + others)
-    (3.0, 6.0)
-    """
-    first_s = min(crash.seen_s for crash in crashes) - SAME_CAUSE_S
-    last_s = max(crash.seen_s for crash in crashes) + SAME_CAUSE_S
-    meanwhile = count_causes(
-        crash for crash in all_crashes if first_s <= crash.seen_s <= last_s
-    )
-    share = count_causes(crashes) / max(1, meanwhile)
-    return BLAME_SCORE if share >= EXPLAINED_SHARE else MIXED_BLAME_SCORE
-
-
-def find_culprits(
-    crashes_by_trait: Mapping[str, Collection[Crash]],
-    specificity: Mapping[str, int],
-    all_crashes: Collection[Crash] = (),
-) -> list[str]:
-    """Return the fewest traits that explain the crashes, greedily.
-
-    A crash that a culprit explains says nothing against the other traits of
-    the requests that were in flight.
-
-    >>> crashes = [Crash(name, False, number) for number, name in
-    ...            enumerate('abcd')]
-    >>> by_trait = {'prompt': crashes, 'part': crashes, 'body': crashes[:3]}
-    >>> find_culprits(by_trait, {'prompt': 1, 'part': 2, 'body': 3})
-    ['part']
-    """
-    unexplained = {
-        key: list(crashes)
-        for key, crashes in crashes_by_trait.items()
-        if crash_score(crashes) >= BLAME_SCORE
-        and crash_score(crashes) >= needed_score(crashes, all_crashes)
-    }
-    culprits: list[str] = []
-    while unexplained:
-        score, _, best = max(
-            (crash_score(crashes), specificity[key], key)
-            for key, crashes in unexplained.items()
-        )
-        if score < BLAME_SCORE:
-            break
-        culprits.append(best)
-        explained = {crash.lifetime for crash in unexplained.pop(best)}
-        for key, crashes in unexplained.items():
-            unexplained[key] = [
-                crash for crash in crashes if crash.lifetime not in explained
-            ]
-    return culprits
-
-
 @dataclass(slots=True)
 class CrashBlame:
     """Evidence by trait, and the traits that are blamed.
@@ -279,6 +152,22 @@
         self.drop_oldest()
         self.refresh()
 
+    def confirm(
+        self, trait: Trait, crashes: Iterable[tuple[str, bool]], now_s: float
+    ) -> None:
+        """Adopt the blame of a trait for crashes that others have seen.
+
+        Each crash is given as its lifetime and whether it was late. They were
+        found to have different causes, so they are dated apart.
+        """
+        known = self.evidence.setdefault(trait.key, TraitEvidence())
+        known.confirmed = True
+        seen_s = now_s
+        late_first = sorted(crashes, key=lambda crash: not crash[1])
+        for lifetime, late in late_first:
+            self.record([trait], Crash(lifetime, late, seen_s))
+            seen_s -= 2 * SAME_CAUSE_S
+
     def clear(self, keys: Iterable[str], now_s: float) -> dict[str, list[str]]:
         """Clear traits of all crashes, as a request with them was served.
 
@@ -344,6 +233,7 @@
             {key: crashes[key] for key in self.candidates},
             {key: self.evidence[key].specificity for key in self.candidates},
             self.crashes.values(),
+            {key for key in self.candidates if self.evidence[key].confirmed},
         )
         self.blamed = {
             key: make_blame(key, crashes[key], self.evidence[key].tried_s)
--- /dev/null
+++ b/src/quetzaldyke/parts/culprits.py
@@ -0,0 +1,165 @@
+"""Finds the traits that explain crashes of endpoints.
+
+A trait is something that several requests can share: a whole content that
+callers send again, or a part of a prompt. The fewest traits that explain the
+crashes are the culprits, and of traits that explain the same crashes the most
+specific one, because refusing it affects the fewest requests.
+
+All functions are pure; `parts/crash_blame.py` keeps the evidence.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+BLAME_SCORE: Final = 3.0
+# Needed if a trait explains less than the share of the crashes in its time.
+MIXED_BLAME_SCORE: Final = 6.0
+EXPLAINED_SHARE: Final = 0.7
+# Score of a crash during a response that had made progress. Most of the
+# requests in flight at a crash are in this state.
+LATE_SCORE: Final = 0.5
+# Endpoints that end within this time, under requests that ran at the same time,
+# are taken to share a cause such as the loss of a rack, and count as one crash.
+SAME_CAUSE_S: Final = 0.03
+# Short at first, for a trait that was blamed for crashes with another cause;
+# each further crash makes that less likely.
+FIRST_HOLD_S: Final = 3.0
+HOLD_FACTOR: Final = 4.0
+MAX_HOLD_S: Final = 3_600.0
+
+
+@dataclass(frozen=True, slots=True)
+class Trait:
+    """Something that several requests can share."""
+
+    key: str
+    # The higher, the fewer requests are expected to share it.
+    specificity: int
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash as evidence against one trait."""
+
+    # One lifetime of an endpoint, which can crash only once.
+    lifetime: str
+    # Whether the response had made progress.
+    late: bool
+    # When this process learned of it.
+    seen_s: float
+    # For how long the request had been in flight there.
+    age_s: float = math.inf
+
+
+def crash_score(crashes: Collection[Crash]) -> float:
+    """Return how much some crashes say against a trait.
+
+    A trait crashes endpoints early or late, so the evidence does not add up.
+
+    >>> crash_score([Crash('a', False, 1.0), Crash('b', True, 2.0)])
+    1.0
+    """
+    early = [crash for crash in crashes if not crash.late]
+    late = [crash for crash in crashes if crash.late]
+    return max(float(count_causes(early)), LATE_SCORE * count_causes(late))
+
+
+def count_causes(crashes: Iterable[Crash]) -> int:
+    """Return the number of crashes; those at the same time count as one.
+
+    A request that was sent after a crash, such as a retry, doesn't share the
+    cause of that crash.
+
+    >>> count_causes([Crash('a', False, 1.0), Crash('b', False, 1.01)])
+    1
+    >>> count_causes([Crash('a', False, 1.0), Crash('b', False, 1.01, 0.005)])
+    2
+    """
+    count = 0
+    group_start_s = -math.inf
+    for crash in sorted(crashes, key=lambda one: one.seen_s):
+        sent_after = crash.seen_s - crash.age_s > group_start_s
+        if sent_after or crash.seen_s - group_start_s > SAME_CAUSE_S:
+            count += 1
+            group_start_s = crash.seen_s
+    return count
+
+
+def hold_s(score: float) -> float:
+    """Return for how long a trait with this score is refused.
+
+    >>> hold_s(3.0), hold_s(4.0), hold_s(90.0)
+    (3.0, 12.0, 3600.0)
+    """
+    steps = max(0.0, score - BLAME_SCORE)
+    longest_steps = math.log(MAX_HOLD_S / FIRST_HOLD_S, HOLD_FACTOR)
+    if steps >= longest_steps:
+        return MAX_HOLD_S
+    return FIRST_HOLD_S * math.pow(HOLD_FACTOR, steps)
+
+
+def needed_score(
+    crashes: Collection[Crash], all_crashes: Collection[Crash]
+) -> float:
+    """Return the score from which a trait is blamed for some crashes.
+
+    >>> crashes = [Crash(name, False, ord(name)) for name in 'ace']
+    >>> others = [Crash(name, False, ord(name)) for name in 'bd']
+    >>> needed_score(crashes, crashes), needed_score(crashes, crashes + others)
+    (3.0, 6.0)
+    """
+    first_s = min(crash.seen_s for crash in crashes) - SAME_CAUSE_S
+    last_s = max(crash.seen_s for crash in crashes) + SAME_CAUSE_S
+    meanwhile = count_causes(
+        crash for crash in all_crashes if first_s <= crash.seen_s <= last_s
+    )
+    share = count_causes(crashes) / max(1, meanwhile)
+    return BLAME_SCORE if share >= EXPLAINED_SHARE else MIXED_BLAME_SCORE
+
+
+def find_culprits(
+    crashes_by_trait: Mapping[str, Collection[Crash]],
+    specificity: Mapping[str, int],
+    all_crashes: Collection[Crash] = (),
+    confirmed: Collection[str] = (),
+) -> list[str]:
+    """Return the fewest traits that explain the crashes, greedily.
+
+    A crash that a culprit explains says nothing against the other traits of
+    the requests that were in flight. Traits that were confirmed to be culprits
+    need no more evidence while endpoints crash for other reasons.
+
+    >>> crashes = [Crash(name, False, number) for number, name in
+    ...            enumerate('abcd')]
+    >>> by_trait = {'prompt': crashes, 'part': crashes, 'body': crashes[:3]}
+    >>> find_culprits(by_trait, {'prompt': 1, 'part': 2, 'body': 3})
+    ['part']
+    """
+    unexplained = {
+        key: list(crashes)
+        for key, crashes in crashes_by_trait.items()
+        if crash_score(crashes) >= BLAME_SCORE
+        and (
+            key in confirmed
+            or crash_score(crashes) >= needed_score(crashes, all_crashes)
+        )
+    }
+    culprits: list[str] = []
+    while unexplained:
+        score, _, best = max(
+            (crash_score(crashes), specificity[key], key)
+            for key, crashes in unexplained.items()
+        )
+        if score < BLAME_SCORE:
+            break
+        culprits.append(best)
+        explained = {crash.lifetime for crash in unexplained.pop(best)}
+        for key, crashes in unexplained.items():
+            unexplained[key] = [
+                crash for crash in crashes if crash.lifetime not in explained
+            ]
+    return culprits
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -15,7 +15,8 @@
 from functools import partial
 from typing import Final
 
-from quetzaldyke.parts.crash_blame import Crash, CrashBlame, Trait
+from quetzaldyke.parts.crash_blame import CrashBlame
+from quetzaldyke.parts.culprits import Crash, Trait
 
 CRASHING_PART: Final = 'bad'
 REPORT_DELAY_S: Final = 0.003
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -5,12 +5,8 @@
 import pytest
 
 from crash_simulation import CRASHING_PART, Load, Simulation
-from quetzaldyke.parts.crash_blame import (
-    MIXED_BLAME_SCORE,
-    Crash,
-    CrashBlame,
-    Trait,
-)
+from quetzaldyke.parts.crash_blame import CrashBlame
+from quetzaldyke.parts.culprits import MIXED_BLAME_SCORE, Crash, Trait
 
 # The users' limits: how many requests with the part may still reach endpoints,
 # and how long after the fifth crash these begin to count.
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -4,12 +4,12 @@
 
 from gateway_kit import FakeTime, make_endpoint
 from quetzaldyke.gateway.crashes import (
-    CrashReport,
     CrashTracker,
     lifetime_of,
     prompt_traits,
 )
-from quetzaldyke.parts.crash_blame import MAX_TRAITS, RETENTION_S, Trait
+from quetzaldyke.parts.crash_blame import MAX_TRAITS, RETENTION_S
+from quetzaldyke.parts.culprits import Trait
 
 CONTENT = (Trait('lm/content/f', 1_000),)
 
@@ -150,8 +150,16 @@
     assert 'lm/content/0' not in tracker.blame.evidence
 
 
-def test_report_without_a_crash_changes_nothing() -> None:
-    """Guards against blame for an empty report of a peer."""
-    tracker = CrashTracker()
-    tracker.merge(CrashReport('peer', CONTENT))
-    assert not tracker.blame.evidence
+def test_lost_report_is_sent_again() -> None:
+    """Guards against entries that disagree because a datagram was lost."""
+    trackers = TrackerPair()
+    deliver = trackers.first.broadcast
+    trackers.first.broadcast = lambda report: None
+    for endpoint_id in ('a', 'b', 'c'):
+        trackers.crash(trackers.first, endpoint_id)
+    assert not trackers.second.is_blamed(CONTENT)
+    trackers.first.resend()
+    trackers.first.broadcast = deliver
+    trackers.first.resend()
+    assert trackers.second.is_blamed(CONTENT)
+    assert not trackers.first.sent
--- a/tests/test_gateway_part_crashes.py
+++ b/tests/test_gateway_part_crashes.py
@@ -18,6 +18,8 @@
 MAX_CRASHES = 5
 CRASHING_REQUESTS = 8
 RESTART_DELAY_S = 0.2
+# The platform's store has a verdict well before this.
+VERDICT_WRITTEN_S = 1.0
 Scenario = Callable[[GatewayFleet, list[str]], Awaitable[None]]
 
 
@@ -109,3 +111,40 @@
             assert answer == (200, whole_stream(entry))
 
     run_with_crashing_part(tmp_path, scenario)
+
+
+# Guards against entries that forget with their restart which part of prompts
+# crashes endpoints, so that it may crash as many once more.
+def test_restarted_entries_still_refuse_the_part(tmp_path: Path) -> None:
+    """Guards against a verdict that is lost with the processes that know it."""
+
+    async def scenario(fleet: GatewayFleet, crashed: list[str]) -> None:
+        status = 0
+        number = 0
+        while status != 503:
+            await wait_for_engines(fleet)
+            number += 1
+            status, _ = await send_prompt(
+                fleet, 'entry-0', f'r{number}', 'shared', CRASHING_PART
+            )
+            await anyio.sleep(RESTART_DELAY_S)
+        await anyio.sleep(VERDICT_WRITTEN_S)
+        for entry in ENTRIES:
+            await fleet.processes[entry].kill()
+        before = len(crashed)
+        for entry in ENTRIES:
+            await fleet.processes[entry].start()
+        for entry in ENTRIES:
+            ready = fleet.ports[entry].ready
+            await fleet.wait_until_up(ready, '/', expected_status=200)
+        await wait_for_engines(fleet)
+        for entry in ENTRIES:
+            status, _ = await send_prompt(
+                fleet, entry, f'after-{entry}', 'shared', CRASHING_PART
+            )
+            assert status == 503
+            answer = await send_prompt(fleet, entry, entry, 'shared', 'sound')
+            assert answer == (200, whole_stream(entry))
+        assert len(crashed) == before
+
+    run_with_crashing_part(tmp_path, scenario)
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -22,7 +22,7 @@
 )
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
-from quetzaldyke.gateway.crashes import CrashReport
+from quetzaldyke.gateway.crashes import CrashReport, ReportedCrash
 from quetzaldyke.gateway.gossip_messages import (
     GossipMessage,
     JobEnded,
@@ -37,7 +37,7 @@
 from quetzaldyke.gateway.model import Bounds, Configuration, Installation
 from quetzaldyke.gateway.shared_watch import WatchUpdate
 from quetzaldyke.gateway.watch import PrefixWatcher
-from quetzaldyke.parts.crash_blame import Trait
+from quetzaldyke.parts.culprits import Trait
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Snapshot, WatchBatch, WatchedChange
 from quetzaldyke.standins.platform_store import (
@@ -121,6 +121,14 @@
     max_size=4,
 )
 TRAITS = st.builds(Trait, st.text(max_size=5), st.integers(0, 2**40))
+CRASHES = st.builds(
+    ReportedCrash,
+    st.lists(TRAITS, max_size=3).map(tuple),
+    st.text(max_size=5),
+    st.booleans(),
+    st.floats(0, 9),
+    st.floats(0, 9),
+)
 CLEARED = st.dictionaries(
     st.text(max_size=5),
     st.lists(st.text(max_size=5), max_size=3),
@@ -146,10 +154,7 @@
     st.builds(
         CrashReport,
         st.text(max_size=5),
-        st.lists(TRAITS, max_size=3).map(tuple),
-        st.text(max_size=5),
-        st.booleans(),
-        st.floats(0, 9),
+        st.lists(CRASHES, max_size=2).map(tuple),
         CLEARED,
         st.lists(st.text(max_size=5), max_size=2).map(tuple),
     ),
