Take a stream that ends without an event as broken off

A stream or a batch run whose answer has neither a length nor chunks ends with its connection. If the endpoint crashed before the first event, the empty answer counted as served: the caller got an empty stream as complete, an item was completed without output, and the request was cleared of its crashes.

Cause: only a partial event showed that a stream was cut.

Change: a stream must have had an event. A resumed one may have none left, if its body is framed, because then only its end was missing.

Evidence: test_stream_without_an_event_is_broken (3 cases) and test_run_without_an_event_is_broken failed before and pass.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -318,6 +318,7 @@
         an event.
         """
         self.progress.splitter.restart()
+        events_before = self.progress.splitter.last_id or 0
         if not self.progress.response_started:
             self.progress.response_started = True
             await self.caller.start(head.status, end_to_end_headers(head))
@@ -331,6 +332,7 @@
             more_events = await self.forward_events(may_resume=may_resume)
         if self.progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'stream ended within an event')
+        self.exchange.check_events(self.progress.event_chunks, events_before)
         self.note_served()
         await self.caller.finish()
         return Outcome(head.status, 'served')
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -62,6 +62,12 @@
                 return content
         return None
 
+    @property
+    def framed(self) -> bool:
+        """Return whether the body's end shows in another way than a close."""
+        length = self.get(b'content-length')
+        return length is not None or self.get(b'transfer-encoding') is not None
+
 
 @dataclass(slots=True, eq=False)
 class Exchange:
@@ -150,6 +156,18 @@
                 )
         return bytes(body)
 
+    def check_events(self, events: int, events_before: int) -> None:
+        """Check that an event stream that has ended can be complete.
+
+        Raises `ExchangeError` if it had no event, unless it was resumed and
+        only its end was missing. The end of a body without length or chunks
+        is also that of a crash, so there it must have had an event.
+        """
+        framed = self.head is not None and self.head.framed
+        if events or (events_before and framed):
+            return
+        raise ExchangeError(Failure.BROKEN, 'stream ended without an event')
+
     def check_timeout(self, now_s: float) -> bool:
         """Cancel the exchange if it has expired and is not extended.
 
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -149,10 +149,7 @@
         )
         if self.skipping_response:
             return
-        self.framed = (
-            head.get(b'content-length') is not None
-            or head.get(b'transfer-encoding') is not None
-        )
+        self.framed = head.framed
         self.read_keep_alive(head)
         exchange.head = head
         exchange.wake()
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -160,6 +160,9 @@
                 progress.outputs.extend(event_data(events))
         if progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
+        self.exchange.check_events(
+            progress.events_done - events_before, events_before
+        )
         self.context.dispatcher.endpoints.note_success(self.endpoint_id)
         if not events_before:
             self.context.estimator.record_run(
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -312,3 +312,49 @@
         await start_stream(harness, b'id: 1\ndata: a\n\n')
     assert seen == [harness.attempt.request.deadline_s]
     assert exchange.expires_at_s > harness.time.now_s
+
+
+CHUNKED_HEAD = [
+    (b'response-signature', b'p'),
+    (b'transfer-encoding', b'chunked'),
+]
+UNFRAMED_HEAD = CHUNKED_HEAD[:1]
+
+
+# Guards against an endpoint that crashes before the first event of a stream
+# without length or chunks, whose end then looks like that of a whole answer.
+@pytest.mark.parametrize(
+    ('headers', 'last_event'),
+    [(UNFRAMED_HEAD, None), (UNFRAMED_HEAD, 4), (CHUNKED_HEAD, None)],
+    ids=['unframed', 'unframed resumed', 'chunked'],
+)
+async def test_stream_without_an_event_is_broken(
+    headers: Headers, last_event: int | None
+) -> None:
+    """Guards against an empty stream that counts as served.
+
+    It would also clear the crashes that the request has caused.
+    """
+    harness = AttemptHarness.of(make_route('stream'))
+    harness.attempt.progress.splitter.last_id = last_event
+    exchange = harness.attempt.exchange
+    exchange.complete = True
+    exchange.head = ResponseHead(200, headers)
+    with pytest.raises(ExchangeError) as raised:
+        await harness.attempt.handle_response(exchange.head)
+    assert raised.value.failure is Failure.BROKEN
+    caller = harness.attempt.caller
+    assert isinstance(caller, FakeCaller)
+    assert not caller.finished
+
+
+async def test_resumed_stream_may_have_no_event_left() -> None:
+    """Guards against a stream that is cut because only its end was missing."""
+    harness = AttemptHarness.of(make_route('stream'))
+    harness.attempt.progress.splitter.last_id = 4
+    exchange = harness.attempt.exchange
+    exchange.complete = True
+    exchange.head = ResponseHead(200, CHUNKED_HEAD)
+    outcome = await harness.attempt.handle_response(exchange.head)
+    assert outcome is not None
+    assert outcome.reason == 'served'
--- a/tests/test_item_stalls.py
+++ b/tests/test_item_stalls.py
@@ -10,7 +10,12 @@
 from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_route
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
-from quetzaldyke.gateway.exchange import Exchange
+from quetzaldyke.gateway.exchange import (
+    Exchange,
+    ExchangeError,
+    Failure,
+    ResponseHead,
+)
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.item_run import (
     STALL_TIMEOUT_S,
@@ -74,3 +79,15 @@
     started_s = 100.0
     assert expiries[0] == started_s + STALL_TIMEOUT_S
     assert expiries[1:] == [started_s + 2.0 + STALL_TIMEOUT_S] * 4
+
+
+# Guards against an endpoint that crashes before the first event of an answer
+# without length or chunks: its item would be completed without any output.
+async def test_run_without_an_event_is_broken() -> None:
+    """Guards against an empty answer that counts as an item's whole output."""
+    run = make_run(FakeTime())
+    run.exchange.complete = True
+    run.exchange.head = ResponseHead(200, [(b'response-signature', b'p')])
+    with pytest.raises(ExchangeError) as raised:
+        await run.read_events()
+    assert raised.value.failure is Failure.BROKEN
