Place an item without progress less often after each cut

What callers saw: nothing yet. But each cut was followed by the next run after 0.15 s, so an item that does end its endpoints would have ended several a second, and nothing else limits it, because items are not refused for crashes.

Change: the delay doubles with each cut without progress, up to 2.4 s, and starts anew once a run made progress.

Evidence: test_item_without_progress_is_placed_less_often failed before.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -31,6 +31,10 @@
     # Endpoints on which it failed in runs by this entry.
     failed_at: frozenset[str] = frozenset()
     not_before_s: float = 0.0
+    # Runs that were interrupted since the item last made progress, and the
+    # number of its last event then.
+    interruptions: int = 0
+    interrupted_at_event: int = 0
     exchange: Exchange | None = None
     endpoint_id: str = ''
     running: bool = False
@@ -47,6 +51,13 @@
             and not exchange.complete
         )
 
+    def note_interruption(self) -> None:
+        """Count a run that an endpoint cut off, if it made no progress."""
+        if self.events_done > self.interrupted_at_event:
+            self.interruptions = 0
+        self.interruptions += 1
+        self.interrupted_at_event = self.events_done
+
     @property
     def events_done(self) -> int:
         """Return the number of the last event, 0 before the first."""
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -23,6 +23,7 @@
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.retries import is_not_run
+from quetzaldyke.parts.backoff import BackoffOptions, max_backoff_s
 from quetzaldyke.platform import names
 
 STATUS_OK: Final = 200
@@ -32,6 +33,10 @@
 # silent for this long is taken to be lost.
 STALL_TIMEOUT_S: Final = 1.5
 ITEM_RETRY_DELAY_S: Final = 0.15
+# Longest delay of an item whose runs are interrupted again and again without
+# progress. It is still owed, but may be what ends its endpoints.
+MAX_RETRY_DELAY_S: Final = 2.4
+INTERRUPTED_RETRY: Final = BackoffOptions(ITEM_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
 # Deadline that the endpoint gets for one run of an item.
 RUN_TIMEOUT_MS: Final = 60_000
 MAX_CONNECTION_IDLE_S: Final = 4.0
@@ -207,12 +212,14 @@
     def handle_interruption(self, exc: ExchangeError) -> None:
         """Delay the retry, which resumes after the last event received.
 
-        Also reports the failure of the endpoint. A cancelled run is not a
-        failure.
+        The delay grows while the item makes no progress. Also reports the
+        failure of the endpoint. A cancelled run is not a failure.
         """
         if exc.failure is Failure.CANCELLED:
             return
-        now_s = self.delay_retry()
+        self.progress.note_interruption()
+        delay_s = max_backoff_s(INTERRUPTED_RETRY, self.progress.interruptions)
+        now_s = self.delay_retry(delay_s)
         ejected_s = self.context.dispatcher.endpoints.note_failure(
             self.endpoint_id,
             now_s,
@@ -224,11 +231,12 @@
             endpoint=self.endpoint_id,
             failure=str(exc),
             events=self.progress.events_done,
+            interruptions=self.progress.interruptions,
             ejected_s=ejected_s,
         )
 
-    def delay_retry(self) -> float:
+    def delay_retry(self, delay_s: float = ITEM_RETRY_DELAY_S) -> float:
         """Delay the next run of the item; returns the current time."""
         now_s = self.context.dispatcher.clock.now()
-        self.progress.not_before_s = now_s + ITEM_RETRY_DELAY_S
+        self.progress.not_before_s = now_s + delay_s
         return now_s
--- a/tests/test_item_stalls.py
+++ b/tests/test_item_stalls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from unittest import mock
 
 import anyio
@@ -18,6 +19,8 @@
 )
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.item_run import (
+    ITEM_RETRY_DELAY_S,
+    MAX_RETRY_DELAY_S,
     STALL_TIMEOUT_S,
     ItemRun,
     RunContext,
@@ -91,3 +94,40 @@
     with pytest.raises(ExchangeError) as raised:
         await run.read_events()
     assert raised.value.failure is Failure.BROKEN
+
+
+# Guards against a sound item that is never placed again because several
+# endpoints crashed while they ran it.
+def test_item_is_placed_again_after_many_crashes() -> None:
+    """Guards against giving up an item for crashes that it did not cause."""
+    time = FakeTime()
+    run = make_run(time)
+    results = []
+    run.context = replace(
+        run.context, finish_item=lambda *result: results.append(result)
+    )
+    for _ in range(20):
+        run.handle_interruption(ExchangeError(Failure.BROKEN))
+        time.now_s += MAX_RETRY_DELAY_S
+        run.progress.running = False
+        assert run.job.candidates(time.now_s, RunTimeEstimator())
+    assert not results
+
+
+def test_item_without_progress_is_placed_less_often() -> None:
+    """Guards against an item that crashes an endpoint several times a second.
+
+    A run that made progress shows that the item is not at fault.
+    """
+    time = FakeTime()
+    run = make_run(time)
+    delays = []
+    for _ in range(6):
+        run.handle_interruption(ExchangeError(Failure.BROKEN))
+        delays.append(run.progress.not_before_s - time.now_s)
+    assert delays == sorted(delays)
+    assert delays[-1] == pytest.approx(MAX_RETRY_DELAY_S)
+    run.progress.splitter.last_id = 5
+    run.handle_interruption(ExchangeError(Failure.BROKEN))
+    delay_s = run.progress.not_before_s - time.now_s
+    assert delay_s == pytest.approx(ITEM_RETRY_DELAY_S)
