Keep items owed under which endpoints crashed

An item that met three crashes was recorded as failed with crashes_endpoints; while another request ran on every endpoint, an item that met two was refused for ever, because it had to run alone; each lost sidecar counted as a failed try. A sound online request that met three crashes was refused for an hour.

Cause: evidence of crashes was a final verdict.

Change: a confirmed request is held for 30 s after its last crash, four times as long for each further one, and may then run once more by itself. An item is held too, but is owed: then it may run beside requests that are no suspects. Ends by a crash, a hold or a lost sidecar are no tries. The reasons are constants beside the message that carries them. crashes_cleared is a routine log line, so that it can't crowd out failures.

Evidence: test_item_under_which_endpoints_crashed_is_still_done and test_item_under_which_endpoints_crashed_is_placed_again failed before. test_verdicts and the stateful rules hold at the time of the crashes, as before; the time is now an argument.

--- a/src/quetzaldyke/connection/messages.py
+++ b/src/quetzaldyke/connection/messages.py
@@ -13,6 +13,13 @@
 
 Ran = Literal['not_run', 'ran', 'unknown']
 
+# Reasons of a `Failed`: the endpoint crashed while it ran the request; the
+# request is held, because endpoints crashed under it; the connection to the
+# sidecar was lost.
+ENDPOINT_CRASHED: Final = 'endpoint_crashed'
+CRASHES_ENDPOINTS: Final = 'crashes_endpoints'
+SESSION_LOST: Final = 'connection to the sidecar was lost'
+
 
 @dataclass(slots=True)
 class Message:
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -32,6 +32,7 @@
         'item_preempted',
         'results_listed',
         'callers_timed_out',
+        'crashes_cleared',
     ),
 )
 
--- a/src/quetzaldyke/parts/suspects.py
+++ b/src/quetzaldyke/parts/suspects.py
@@ -5,17 +5,25 @@
 sets, so processes that merge them in any order agree. A crash id contains the
 time of the crash, so that all processes drop it at the same time and
 forwarding it can't extend its retention.
+
+Endpoints also crash for other reasons. A request that is confirmed to crash
+them may therefore run again, by itself, after a hold time that grows with each
+crash. A batch item is owed, and may then even run beside requests that are no
+suspects, because a busy endpoint never runs it alone.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final, Literal
 
 CRASH_RETENTION_MS: Final = 3_600_000
 CONFIRMING_CRASHES: Final = 3
 ALONE_SUFFIX: Final = 'alone'
+SUSPECT_HOLD_MS: Final = 30_000
+# Growth of the hold with each crash beyond those that confirm a request.
+HOLD_FACTOR: Final = 4
 
 # How a request may run: beside any but 'alone' requests ('clear'), beside
 # 'clear' requests only ('apart'), by itself ('alone'), or not at all
@@ -60,10 +68,10 @@
 
     >>> book = SuspectBook()
     >>> added = book.record('1/s/1', ['f1', 'f2'], now_ms=1)
-    >>> book.verdict('f1'), book.verdict('f3')
+    >>> book.verdict('f1', now_ms=1), book.verdict('f3', now_ms=1)
     ('apart', 'clear')
     >>> cleared = book.clear('f1')
-    >>> book.verdict('f1')
+    >>> book.verdict('f1', now_ms=2)
     'clear'
     """
 
@@ -116,22 +124,30 @@
             return set()
         return recorded - self.cleared.get(fingerprint, set())
 
-    def verdict(self, fingerprint: str) -> Verdict:
+    def verdict(self, fingerprint: str, now_ms: int) -> Verdict:
         """Return how a request may run, by its uncleared crashes.
 
         It is `clear` after none, `apart` after one and `alone` after more. It
         is `confirmed` after `CONFIRMING_CRASHES`, or if the request ran alone
-        in a crash after the first.
+        in a crash after the first, until its hold is over.
         """
         uncleared_ids = self.uncleared_crashes(fingerprint)
         if not uncleared_ids:
             return 'clear'
-        if len(uncleared_ids) >= CONFIRMING_CRASHES or crashed_alone(
-            uncleared_ids
-        ):
-            return 'confirmed'
+        confirmed = len(uncleared_ids) >= CONFIRMING_CRASHES
+        if confirmed or crashed_alone(uncleared_ids):
+            over = now_ms >= held_until_ms(uncleared_ids)
+            return 'alone' if over else 'confirmed'
         return 'apart' if len(uncleared_ids) == 1 else 'alone'
 
+    def item_verdict(self, fingerprint: str, now_ms: int) -> Verdict:
+        """Return how a batch item may run, by its uncleared crashes."""
+        verdict = self.verdict(fingerprint, now_ms)
+        uncleared_ids = self.uncleared_crashes(fingerprint)
+        if verdict == 'alone' and now_ms >= held_until_ms(uncleared_ids):
+            return 'apart'
+        return verdict
+
     def forget_old(self, now_ms: int) -> None:
         """Drop the crash ids outside the retention time."""
         for table in (self.crashes, self.cleared):
@@ -181,6 +197,17 @@
     )
 
 
+def held_until_ms(crash_ids: Collection[str]) -> int:
+    """Return until when a request is held after its last crash.
+
+    >>> held_until_ms(['5/s/1', '9/s/2']), held_until_ms(['1/s/1'] * 4)
+    (30009, 120001)
+    """
+    last_ms = max(crash_time_ms(crash_id) or 0 for crash_id in crash_ids)
+    steps = max(0, len(crash_ids) - CONFIRMING_CRASHES)
+    return last_ms + SUSPECT_HOLD_MS * int(HOLD_FACTOR**steps)
+
+
 def within_retention(crash_id: str, now_ms: int, retention_ms: int) -> bool:
     """Tell whether a crash is within the retention time.
 
--- a/src/quetzaldyke/process/admission.py
+++ b/src/quetzaldyke/process/admission.py
@@ -12,8 +12,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.connection.messages import CRASHES_ENDPOINTS
+from quetzaldyke.parts.hlc import wall_clock_ms
 from quetzaldyke.parts.limiter import AdaptiveLimit, Headroom
-from quetzaldyke.parts.suspects import SuspectBook
+from quetzaldyke.parts.suspects import SuspectBook, Verdict
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.batch_grants import BatchGrants
 from quetzaldyke.process.tracked_request import MS_IN_S, TrackedRequest
@@ -29,8 +31,6 @@
 # Number of cancelled jobs to remember; one job id takes about 100 bytes.
 MAX_CANCELLED_JOBS: Final = 50_000
 
-CRASHING_REQUEST_REASON: Final = 'crashes_endpoints'
-
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
@@ -53,6 +53,7 @@
     suspects: SuspectBook
     start: Callable[[TrackedRequest], object]
     refuse: Callable[[TrackedRequest, Refusal], None]
+    now_ms: Callable[[], int] = wall_clock_ms
     headroom: Headroom = field(default_factory=Headroom)
     queue: list[TrackedRequest] = field(default_factory=list)
     running: dict[str, TrackedRequest] = field(default_factory=dict)
@@ -116,8 +117,8 @@
 
     def check(self, request: TrackedRequest) -> Refusal | None:
         """Return a refusal that applies to both classes, or None."""
-        if self.suspects.verdict(request.submit.fingerprint) == 'confirmed':
-            return Refusal(CRASHING_REQUEST_REASON)
+        if self.verdict_of(request) == 'confirmed':
+            return Refusal(CRASHES_ENDPOINTS)
         if self.closed_reason:
             return Refusal(self.closed_reason, MIN_RETRY_MS)
         if request.submit.work not in {'online', 'batch'}:
@@ -218,9 +219,9 @@
         exclusive = self.exclusive_waiting()
         candidates = list(self.queue) if exclusive is None else [exclusive]
         for request in candidates:
-            if self.suspects.verdict(request.submit.fingerprint) == 'confirmed':
+            if self.verdict_of(request) == 'confirmed':
                 self.queue.remove(request)
-                self.refuse(request, Refusal(CRASHING_REQUEST_REASON))
+                self.refuse(request, Refusal(CRASHES_ENDPOINTS))
             elif not self.can_run_now(request):
                 self.preempt_suspect_batch(now_s)
             elif self.free_slots > 0:
@@ -252,19 +253,25 @@
         """
         if not self.suspects.crashes or not self.running:
             return True
-        verdict = self.suspects.verdict(request.submit.fingerprint)
+        verdict = self.verdict_of(request)
         running_verdicts = {
-            self.suspects.verdict(other.submit.fingerprint)
-            for other in self.running.values()
+            self.verdict_of(other) for other in self.running.values()
         }
         if verdict == 'alone' or running_verdicts & {'alone', 'confirmed'}:
             return False
         return verdict == 'clear' or running_verdicts == {'clear'}
 
+    def verdict_of(self, request: TrackedRequest) -> Verdict:
+        """Return how a request may run, given the crashes it took part in."""
+        fingerprint = request.submit.fingerprint
+        if request.is_batch:
+            return self.suspects.item_verdict(fingerprint, self.now_ms())
+        return self.suspects.verdict(fingerprint, self.now_ms())
+
     def preempt_suspect_batch(self, now_s: float) -> None:
         """Preempt suspect batch streams that block an online request."""
         for request in self.running.values():
-            verdict = self.suspects.verdict(request.submit.fingerprint)
+            verdict = self.verdict_of(request)
             if request.is_batch and verdict != 'clear':
                 request.stop('preempted', now_s)
 
@@ -274,7 +281,7 @@
             return None
         latest_s = self.clock.now() - EXCLUSIVE_WAIT_S
         for request in self.queue:
-            verdict = self.suspects.verdict(request.submit.fingerprint)
+            verdict = self.verdict_of(request)
             if verdict == 'alone' and request.arrived_s <= latest_s:
                 return request
         return None
--- a/src/quetzaldyke/process/batch_items.py
+++ b/src/quetzaldyke/process/batch_items.py
@@ -10,7 +10,15 @@
 from typing import Final
 
 from quetzaldyke.connection.calls import CallEvent
-from quetzaldyke.connection.messages import Chunk, End, Failed, Submit
+from quetzaldyke.connection.messages import (
+    CRASHES_ENDPOINTS,
+    ENDPOINT_CRASHED,
+    SESSION_LOST,
+    Chunk,
+    End,
+    Failed,
+    Submit,
+)
 from quetzaldyke.durable.records import ItemResult
 from quetzaldyke.process.batch_state import OwnedSegment, Partial
 from quetzaldyke.process.fleet import SidecarLink
@@ -22,9 +30,17 @@
 SERVER_FAULT: Final = 500
 REQUEST_ID_BYTES: Final = 4
 CHAT_PATH: Final = '/v1/chat/completions'
-CRASHES_ENDPOINTS: Final = 'crashes_endpoints'
-# Failure reasons that don't count as a try, because the item didn't cause them.
-UNCOUNTED_REASONS: Final = frozenset(('preempted', 'job_cancelled', 'leaving'))
+# The item was stopped for the sake of other work.
+INTERRUPTED_REASONS: Final = frozenset(
+    ('preempted', 'job_cancelled', 'leaving')
+)
+# The endpoint or its instance ended while it ran the item, which is still owed:
+# endpoints also end for other reasons. Sidecars limit how often it may run.
+CRASH_REASONS: Final = frozenset(
+    (ENDPOINT_CRASHED, CRASHES_ENDPOINTS, SESSION_LOST)
+)
+# A held item is offered again after this time.
+HELD_ITEM_DELAY_S: Final = 1.0
 
 RunOn = Callable[[SidecarLink, Submit], AsyncIterator[CallEvent]]
 
@@ -109,7 +125,17 @@
     def interrupted(self) -> bool:
         """Return whether the attempt was stopped for no fault of the item."""
         last = self.last
-        return isinstance(last, Failed) and last.reason in UNCOUNTED_REASONS
+        return isinstance(last, Failed) and last.reason in INTERRUPTED_REASONS
+
+    @property
+    def held(self) -> bool:
+        """Return whether a sidecar refused the item for earlier crashes."""
+        last = self.last
+        return (
+            isinstance(last, Failed)
+            and last.ran == 'not_run'
+            and last.reason in CRASH_REASONS
+        )
 
     def partial(self) -> Partial:
         """Return the whole text so far, so that another attempt continues it.
@@ -151,23 +177,19 @@
     """Return the result to record, or None when the item must run again.
 
     A status below 400 is a success, one from 400 to 499 an invalid item. Any
-    other end counts as a try, unless the item didn't run or was interrupted.
+    other end counts as a try, unless the item didn't run, was interrupted or
+    lost its endpoint.
     """
     match output.last:
         case End(status=status) if status < BAD_REQUEST:
             return completed_result(attempt, output, output.last, now_ms)
         case End(status=status) if status < SERVER_FAULT:
             return rejected_result(attempt, output.last, now_ms)
-        case Failed(reason='crashes_endpoints'):
-            return failed_result(
-                attempt,
-                CRASHES_ENDPOINTS,
-                'the request crashes the endpoints that run it',
-                now_ms,
-            )
         case Failed(ran='not_run'):
             return None
-        case Failed(reason=reason) if reason in UNCOUNTED_REASONS:
+        case Failed(reason=reason) if (
+            reason in INTERRUPTED_REASONS or reason in CRASH_REASONS
+        ):
             return None
     return count_try(
         attempt,
--- a/src/quetzaldyke/process/batch_worker.py
+++ b/src/quetzaldyke/process/batch_worker.py
@@ -37,6 +37,7 @@
 )
 from quetzaldyke.process.batch_guard import run_guarded
 from quetzaldyke.process.batch_items import (
+    HELD_ITEM_DELAY_S,
     Attempt,
     RunOn,
     collect_output,
@@ -307,6 +308,8 @@
             return None, True
         result = result_of(attempt, output, self.max_tries, self.now_ms())
         segment.partials[index] = output.partial()
+        if output.held:
+            await anyio.sleep(HELD_ITEM_DELAY_S)
         self.log_event(
             'item_ended',
             request_id=submit.request_id,
--- a/src/quetzaldyke/process/endpoint_monitor.py
+++ b/src/quetzaldyke/process/endpoint_monitor.py
@@ -48,6 +48,7 @@
 
     in_flight: list[TrackedRequest]
     broken: list[TrackedRequest] = field(default_factory=list)
+    crashed: bool = False
     done: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -78,22 +79,24 @@
         default_factory=lambda: itertools.count(1)
     )
 
-    async def handle_broken_stream(self, request: TrackedRequest) -> None:
-        """Start or join a crash check; return when it is complete."""
+    async def handle_broken_stream(self, request: TrackedRequest) -> bool:
+        """Start or join a crash check; tell whether the endpoint crashed."""
         crash_check = self.crash_check
         if crash_check is None:
             crash_check = CrashCheck(list(self.admission.running.values()))
             self.crash_check = crash_check
             crash_check.broken.append(request)
             await self.run_crash_check(crash_check)
-            return
+            return crash_check.crashed
         crash_check.broken.append(request)
         await crash_check.done.wait()
+        return crash_check.crashed
 
     async def run_crash_check(self, crash_check: CrashCheck) -> None:
         """Decide whether the endpoint crashed and, if so, record the crash."""
         try:
-            if await self.has_crashed(crash_check):
+            crash_check.crashed = await self.has_crashed(crash_check)
+            if crash_check.crashed:
                 self.record_crash(crash_check.in_flight)
                 self.mark_down()
         finally:
--- a/src/quetzaldyke/process/fleet.py
+++ b/src/quetzaldyke/process/fleet.py
@@ -18,6 +18,7 @@
 from quetzaldyke.connection.calls import CallTable
 from quetzaldyke.connection.links import LinkOptions, dial
 from quetzaldyke.connection.messages import (
+    SESSION_LOST,
     LeavingNotice,
     Message,
     Report,
@@ -217,7 +218,7 @@
         if fleet.links.get(name) is link:
             fleet.links.pop(name)
             restore_replaced(fleet, name)
-        link.calls.fail_all('connection to the sidecar was lost')
+        link.calls.fail_all(SESSION_LOST)
     elif fleet.entries.get(name) is session:
         fleet.entries.pop(name)
 
--- a/src/quetzaldyke/process/request_runner.py
+++ b/src/quetzaldyke/process/request_runner.py
@@ -10,7 +10,12 @@
 
 from quetzaldyke.connection.engine_client import EngineClient, TextDelta
 from quetzaldyke.connection.http_endpoint import Answer, EndpointFailure, Ran
-from quetzaldyke.connection.messages import Failed, Started
+from quetzaldyke.connection.messages import (
+    CRASHES_ENDPOINTS,
+    ENDPOINT_CRASHED,
+    Failed,
+    Started,
+)
 from quetzaldyke.connection.service_client import ServiceClient
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.admission import AdmissionController, Refusal
@@ -20,8 +25,8 @@
 FLOAT_MS_IN_S: Final = float(MS_IN_S)
 
 EndpointClient = EngineClient | ServiceClient
-# Called when a stream breaks; returns once any crash has been recorded.
-OnBrokenStream = Callable[[TrackedRequest], Awaitable[None]]
+# Called when a stream breaks; tells whether the endpoint has crashed.
+OnBrokenStream = Callable[[TrackedRequest], Awaitable[bool]]
 
 
 @dataclass(slots=True)
@@ -176,20 +181,19 @@
         If its stream broke, the crash check is awaited first. A request that
         is then confirmed to crash endpoints is reported as run.
         """
-        if failure.broken:
-            await self.on_broken_stream(request)
-        self.admission.release(request)
         ran: Ran = failure.ran
         reason = failure.reason
+        if failure.broken and await self.on_broken_stream(request):
+            reason = ENDPOINT_CRASHED
+        self.admission.release(request)
         if ran != 'not_run' and self.crashes_endpoints(request):
             ran = 'ran'
-            reason = 'crashes_endpoints'
+            reason = CRASHES_ENDPOINTS
         self.fail(request, request.make_failed(ran, reason))
 
     def crashes_endpoints(self, request: TrackedRequest) -> bool:
         """Tell whether the request is confirmed to crash endpoints."""
-        verdict = self.admission.suspects.verdict(request.submit.fingerprint)
-        return verdict == 'confirmed'
+        return self.admission.verdict_of(request) == 'confirmed'
 
     async def finish_stopped(self, request: TrackedRequest) -> None:
         """End a request that was stopped here.
--- a/src/quetzaldyke/request/execute.py
+++ b/src/quetzaldyke/request/execute.py
@@ -24,6 +24,7 @@
 )
 from quetzaldyke.parts.backoff import BackoffOptions, backoff_s
 from quetzaldyke.parts.retry_budget import RetryBudget
+from quetzaldyke.parts.hlc import wall_clock_ms
 from quetzaldyke.parts.suspects import SuspectBook
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.logs import LogEvent
@@ -127,7 +128,8 @@
     pick: Pick | None,
 ) -> Refusal | None:
     """Return a refusal unless the request may run and can start in time."""
-    if context.suspects.verdict(request.fingerprint) == 'confirmed':
+    verdict = context.suspects.verdict(request.fingerprint, wall_clock_ms())
+    if verdict == 'confirmed':
         return crashes_endpoints('not_run')
     remaining_s = request.deadline_s - context.clock.now()
     if remaining_s <= 0:
--- a/src/quetzaldyke/request/outcome.py
+++ b/src/quetzaldyke/request/outcome.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from quetzaldyke.connection.messages import Failed, Ran
+from quetzaldyke.connection.messages import CRASHES_ENDPOINTS, Failed, Ran
 
 HTTP_OK: Final = 200
 HTTP_BAD_REQUEST: Final = 400
@@ -29,7 +29,6 @@
 
 # Failure reasons for a missed deadline: by the entry and by the sidecar.
 DEADLINE_REASONS: Final = frozenset(('deadline', 'deadline has passed'))
-CRASHES_ENDPOINTS: Final = 'crashes_endpoints'
 
 ERROR_TYPES: Final[Mapping[int, str]] = {
     HTTP_UNAUTHORIZED: 'authentication_error',
--- a/src/quetzaldyke/request/retry.py
+++ b/src/quetzaldyke/request/retry.py
@@ -5,10 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from quetzaldyke.connection.messages import Failed, Ran
+from quetzaldyke.connection.messages import CRASHES_ENDPOINTS, Failed, Ran
 from quetzaldyke.request.model import OnlineRequest
 from quetzaldyke.request.outcome import (
-    CRASHES_ENDPOINTS,
     DEADLINE_REASONS,
     parse_ran,
 )
--- a/tests/batch_bed.py
+++ b/tests/batch_bed.py
@@ -122,6 +122,8 @@
     preempt_rate: float = 0.0
     break_rate: float = 0.0
     ignores_cancel: bool = False
+    # Reasons of the crashes that items with a prompt are still to meet.
+    crashes: dict[str, list[str]] = field(default_factory=dict)
     running: dict[str, tuple[str, m.Submit]] = field(default_factory=dict)
     demands: dict[tuple[str, str], m.BatchDemand] = field(default_factory=dict)
     grants: dict[int, tuple[str, str, float]] = field(default_factory=dict)
@@ -187,6 +189,11 @@
             await anyio.sleep(self.step_s)
             if key not in self.running:
                 return
+            crashes = self.crashes.pop(prompt, [])
+            if crashes:
+                reason, *self.crashes[prompt] = crashes
+                self.fail(key, entry, 'ran', reason)
+                return
             if prompt.startswith('BREAK') or self.chance(self.break_rate):
                 self.fail(key, entry, 'unknown', 'stream broke')
                 return
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -19,7 +19,7 @@
     Submit,
 )
 from quetzaldyke.parts.limiter import AdaptiveLimit, Headroom, Samples
-from quetzaldyke.parts.suspects import SuspectBook
+from quetzaldyke.parts.suspects import SUSPECT_HOLD_MS, SuspectBook
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.admission import AdmissionController, Refusal
 from quetzaldyke.process.batch_grants import GRANT_TTL_S, BatchGrants
@@ -64,6 +64,7 @@
     """An admission controller whose clock is set by the test."""
 
     now_s: float = 100.0
+    wall_ms: int = 0
     session: Any = field(default_factory=FakeSession)
     refused: dict[str, Refusal] = field(default_factory=dict)
     started: list[str] = field(default_factory=list)
@@ -81,6 +82,7 @@
             SuspectBook(),
             start=self.note_start,
             refuse=self.note_refusal,
+            now_ms=lambda: self.wall_ms,
         )
         self.admission.open()
 
@@ -268,6 +270,29 @@
     assert queued.request_id not in endpoint.started
 
 
+# Guards against an item that is never placed again because endpoints crashed
+# while they ran it, although all is calm and there is room.
+@run_in_event_loop
+def test_item_under_which_endpoints_crashed_is_placed_again() -> None:
+    """Guards against refusing a suspect item for as long as others run."""
+    endpoint = Endpoint()
+    suspects = endpoint.admission.suspects
+    for number in range(4):
+        suspects.record(f'{number}/s/{number}', ['fp-x'], 0)
+    endpoint.submit(prompt='clear')
+    for wall_ms, placed in ((1000, False), (SUSPECT_HOLD_MS * 4 + 4, True)):
+        endpoint.wall_ms = wall_ms
+        endpoint.demand(1)
+        grant = endpoint.session.grants[-1]
+        item = endpoint.submit(
+            prompt='x',
+            work='batch',
+            grant_id=grant.grant_id,
+            job_id=grant.job_id,
+        )
+        assert (item.request_id in endpoint.started) is placed
+
+
 @run_in_event_loop
 def test_waiting_suspect_gets_to_run_alone() -> None:
     """Guards against a suspect that never runs because others keep starting."""
--- a/tests/test_batch_rules.py
+++ b/tests/test_batch_rules.py
@@ -54,6 +54,27 @@
     scenario(body)
 
 
+# Guards against a sound item that is given up, though it is still owed, because
+# several endpoints crashed while they ran it.
+def test_item_under_which_endpoints_crashed_is_still_done() -> None:
+    """Guards against blaming an item for crashes that it did not cause."""
+    prompts = ['unlucky', *prompts_of(20)]
+
+    async def body(bed: Bed) -> None:
+        for sidecar in bed.sidecars.values():
+            sidecar.crashes['unlucky'] = [
+                *['endpoint_crashed'] * 4,
+                *['crashes_endpoints'] * 4,
+                *['connection to the sidecar was lost'] * 4,
+            ]
+        job_id = await bed.submit(prompts)
+        await bed.finished(job_id, limit_s=600)
+        await bed.check(job_id, prompts)
+        assert bed.job(job_id).failed == 0
+
+    scenario(body)
+
+
 def test_preempted_items_resume_and_are_not_a_try() -> None:
     """Guards against items that fail or restart when bursts preempt them."""
     prompts = prompts_of(100)
--- a/tests/test_sidecar_crashes.py
+++ b/tests/test_sidecar_crashes.py
@@ -8,8 +8,7 @@
 import anyio
 import pytest
 
-from quetzaldyke.connection.messages import SuspectUpdate
-from quetzaldyke.process.admission import CRASHING_REQUEST_REASON
+from quetzaldyke.connection.messages import CRASHES_ENDPOINTS, SuspectUpdate
 from sidecar_rig import (
     EntryClient,
     Rig,
@@ -71,7 +70,7 @@
             break
         assert outcome.failed is not None
         text = outcome.failed.reason
-        if text == CRASHING_REQUEST_REASON:
+        if text == CRASHES_ENDPOINTS:
             break
         await anyio.sleep(0.02)
     return text
@@ -103,12 +102,12 @@
                 )
                 group.start_soon(ask, CRASHING, 60, 0)
             again = await ask_until_answered(fleet, CRASHING, 60, 3)
-            assert again == CRASHING_REQUEST_REASON
+            assert again == CRASHES_ENDPOINTS
             crashes = [rig.engine.counts.crashes for rig, _ in fleet]
             assert 2 <= sum(crashes) <= 3
 
     anyio.run(scenario)
-    assert answers.pop(CRASHING) == CRASHING_REQUEST_REASON
+    assert answers.pop(CRASHING) == CRASHES_ENDPOINTS
     assert answers == {prompt: full_answer(prompt, 60) for prompt in answers}
 
 
@@ -127,7 +126,7 @@
             last = await entry.ask(make_submit(CRASHING))
             assert last.failed is not None
             assert last.failed.ran == 'not_run'
-            assert last.failed.reason == CRASHING_REQUEST_REASON
+            assert last.failed.reason == CRASHES_ENDPOINTS
             assert rig.engine.counts.crashes <= 3
 
     anyio.run(scenario)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -11,7 +11,9 @@
 
 from quetzaldyke.parts.suspects import (
     CRASH_RETENTION_MS,
+    SUSPECT_HOLD_MS,
     SuspectBook,
+    held_until_ms,
     make_crash_id,
 )
 
@@ -40,8 +42,8 @@
         already_running = any(request in running for running in self.running)
         if already_running or request in self.finished:
             return
-        verdict = self.book.verdict(request)
-        others = {self.book.verdict(other) for other in running_here}
+        verdict = self.book.verdict(request, NOW_MS)
+        others = {self.book.verdict(other, NOW_MS) for other in running_here}
         allowed = {
             'clear': 'alone' not in others,
             'apart': others <= {'clear'},
@@ -87,7 +89,8 @@
             fleet.place(name, endpoint)
         assert all(crashes <= 3 for crashes in fleet.crash_counts.values())
         assert all(
-            fleet.book.verdict(request) != 'confirmed' for request in HARMLESS
+            fleet.book.verdict(request, NOW_MS) != 'confirmed'
+            for request in HARMLESS
         )
     for _ in range(10):
         for number, request in enumerate(REQUESTS):
@@ -95,7 +98,8 @@
             fleet.advance(number % ENDPOINTS)
     assert set(HARMLESS) == fleet.finished
     assert all(
-        fleet.book.verdict(request) == 'confirmed' for request in CRASHING
+        fleet.book.verdict(request, NOW_MS) == 'confirmed'
+        for request in CRASHING
     )
     assert all(crashes <= 3 for crashes in fleet.crash_counts.values())
 
@@ -163,7 +167,7 @@
     for number, alone in enumerate(alone_flags):
         crash_id = make_crash_id(NOW_MS + number, 's', number, alone)
         book.record(crash_id, ['f'], NOW_MS)
-    assert book.verdict('f') == verdict
+    assert book.verdict('f', NOW_MS) == verdict
 
 
 def test_old_crashes_are_dropped() -> None:
@@ -172,10 +176,44 @@
     crash_id = make_crash_id(NOW_MS, 's', 1, alone=False)
     book.record(crash_id, ['f'], NOW_MS)
     book.forget_old(NOW_MS + CRASH_RETENTION_MS - 1)
-    assert book.verdict('f') == 'apart'
+    assert book.verdict('f', NOW_MS) == 'apart'
     book.forget_old(NOW_MS + CRASH_RETENTION_MS)
-    assert book.verdict('f') == 'clear'
+    assert book.verdict('f', NOW_MS) == 'clear'
     assert book.merge({'f': [crash_id]}, {}, NOW_MS + CRASH_RETENTION_MS) == (
         {},
         {},
     )
+
+
+def test_confirmed_request_is_tried_alone_after_its_hold() -> None:
+    """Guards against refusing a request for long that only met crashes.
+
+    A busy endpoint never runs a request alone, so an item may run beside
+    others.
+    """
+    book = SuspectBook()
+    holds_ms = []
+    for number in range(6):
+        crash_id = make_crash_id(NOW_MS, 's', number, alone=False)
+        book.record(crash_id, ['f'], NOW_MS)
+        held_ms = held_until_ms(book.uncleared_crashes('f')) - NOW_MS
+        holds_ms.append(held_ms)
+        if number < 2:
+            continue
+        for verdict in (book.verdict, book.item_verdict):
+            assert verdict('f', NOW_MS + held_ms - 1) == 'confirmed'
+        assert book.verdict('f', NOW_MS + held_ms) == 'alone'
+        assert book.item_verdict('f', NOW_MS + held_ms) == 'apart'
+    assert holds_ms[2] < holds_ms[3] < holds_ms[4] < holds_ms[5]
+
+
+def test_item_that_met_two_crashes_need_not_wait_for_an_empty_endpoint() -> (
+    None
+):
+    """Guards against an item that is never placed because endpoints are busy."""
+    book = SuspectBook()
+    for number in range(2):
+        crash_id = make_crash_id(NOW_MS, 's', number, alone=False)
+        book.record(crash_id, ['f'], NOW_MS)
+    assert book.item_verdict('f', NOW_MS) == 'alone'
+    assert book.item_verdict('f', NOW_MS + SUSPECT_HOLD_MS) == 'apart'
