Blame parts of prompts in the product's own interface too

What callers saw: nothing reported.

Cause: as in the gateway, the identity under which guilt was kept was narrower than the cause.

Change: requests and items carry keys of the parts of their prompts: the messages of a conversation with their places, or the prefixes of other prompts. Crashes are recorded for them too, unless the response had made progress, and cleared when a request finishes. find_culprits decides, as in the gateway. A blamed part is refused for the hold; then the sidecar of its last crash lets one request through, after twice the hold any. Items are held and stay owed. The new field raises the protocol version to 2, so that processes of different versions refuse each other clearly; the tests that spelled 1 use the constant, and test_handshake refuses the versions on both sides of the own one.

--- a/src/quetzaldyke/commands/probes.py
+++ b/src/quetzaldyke/commands/probes.py
@@ -14,7 +14,12 @@
 from quetzaldyke.connection.codec import to_row
 from quetzaldyke.connection.frames import FrameReader, encode_frame
 from quetzaldyke.connection.links import LinkOptions, dial, listen
-from quetzaldyke.connection.messages import Chunk, Hello, Message
+from quetzaldyke.connection.messages import (
+    PROTOCOL_VERSION,
+    Chunk,
+    Hello,
+    Message,
+)
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.parts.hlc import HybridClock
 from quetzaldyke.parts.rendezvous import even_subset, first_for
@@ -72,7 +77,7 @@
 
 def hello(name: str) -> Hello:
     """Return the Hello message of a probe's process."""
-    return Hello(1, 'entry', name, 'a', name)
+    return Hello(PROTOCOL_VERSION, 'entry', name, 'a', name)
 
 
 async def open_session(session: PeerSession) -> None:
--- a/src/quetzaldyke/connection/messages.py
+++ b/src/quetzaldyke/connection/messages.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import ClassVar, Final, Literal
 
-PROTOCOL_VERSION: Final = 1
+PROTOCOL_VERSION: Final = 2
 
 Ran = Literal['not_run', 'ran', 'unknown']
 
@@ -75,6 +75,8 @@
     grant_id: int = 0
     job_id: str = ''
     attempt: int = 1
+    # Parts of the prompt that other requests may share, see `prompt_parts`.
+    parts: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -276,10 +278,10 @@
 
 @dataclass(slots=True)
 class SuspectUpdate(Message):
-    """Crashes by request fingerprint, and those that were cleared."""
+    """Crashes by fingerprint or part of a prompt, and the cleared ones."""
 
     kind: ClassVar[int] = 50
-    crashes: dict[str, list[str]]  # fingerprint to crash ids
+    crashes: dict[str, list[str]]  # to crash ids
     cleared: dict[str, list[str]]
 
 
--- a/src/quetzaldyke/parts/suspects.py
+++ b/src/quetzaldyke/parts/suspects.py
@@ -1,7 +1,8 @@
 """Detects requests that crash the endpoints that run them.
 
 Each crash of an endpoint gets a crash id, recorded for the fingerprint of
-every request in flight there. Recorded and cleared crashes are grow-only
+every request in flight there, and for the parts of its prompt (`part/PLACE/...`)
+that other requests may share. Recorded and cleared crashes are grow-only
 sets, so processes that merge them in any order agree. A crash id contains the
 time of the crash, so that all processes drop it at the same time and
 forwarding it can't extend its retention.
@@ -18,12 +19,17 @@
 from dataclasses import dataclass, field
 from typing import Final, Literal
 
+from quetzaldyke.parts.culprits import Crash, find_culprits
+
 CRASH_RETENTION_MS: Final = 3_600_000
 CONFIRMING_CRASHES: Final = 3
 ALONE_SUFFIX: Final = 'alone'
 SUSPECT_HOLD_MS: Final = 30_000
 # Growth of the hold with each crash beyond those that confirm a request.
 HOLD_FACTOR: Final = 4
+MS_IN_S: Final = 1000
+# Above that of all parts of a prompt.
+CONTENT_SPECIFICITY: Final = 1_000_000
 
 # How a request may run: beside any but 'alone' requests ('clear'), beside
 # 'clear' requests only ('apart'), by itself ('alone'), or not at all
@@ -140,13 +146,65 @@
             return 'alone' if over else 'confirmed'
         return 'apart' if len(uncleared_ids) == 1 else 'alone'
 
-    def item_verdict(self, fingerprint: str, now_ms: int) -> Verdict:
-        """Return how a batch item may run, by its uncleared crashes."""
-        verdict = self.verdict(fingerprint, now_ms)
-        uncleared_ids = self.uncleared_crashes(fingerprint)
-        if verdict == 'alone' and now_ms >= held_until_ms(uncleared_ids):
-            return 'apart'
-        return verdict
+    def request_verdict(
+        self,
+        fingerprint: str,
+        parts: Collection[str],
+        now_ms: int,
+        origin: str = '',
+    ) -> Verdict:
+        """Return how a request may run, by its own crashes and its parts'.
+
+        Requests with a part that is blamed are refused for its hold. Then the
+        process with the origin of its last crash may try one by itself, and
+        after twice the hold, in case that process is gone, any may.
+        """
+        blamed = [part for part in parts if self.is_culprit(part)]
+        if not blamed:
+            return self.verdict(fingerprint, now_ms)
+        crash_ids = max(
+            (self.uncleared_crashes(part) for part in blamed),
+            key=held_until_ms,
+        )
+        last_id = max(crash_ids, key=lambda one: crash_time_ms(one) or 0)
+        own_until_ms = held_until_ms(crash_ids)
+        hold_ms = own_until_ms - (crash_time_ms(last_id) or 0)
+        elsewhere = bool(origin) and crash_origin(last_id) != origin
+        until_ms = own_until_ms + hold_ms * elsewhere
+        return 'confirmed' if now_ms < until_ms else 'alone'
+
+    def is_culprit(self, part: str) -> bool:
+        """Tell whether a part of prompts explains the crashes it was in."""
+        if len(self.uncleared_crashes(part)) < CONFIRMING_CRASHES:
+            return False
+        crashes = {
+            key: [as_crash(one) for one in self.uncleared_crashes(key)]
+            for key in self.crashes
+        }
+        specificity = {key: key_specificity(key) for key in crashes}
+        all_ids = {one for ids in self.crashes.values() for one in ids}
+        culprits = find_culprits(
+            crashes, specificity, [as_crash(one) for one in all_ids]
+        )
+        return part in culprits
+
+    def item_verdict(
+        self,
+        fingerprint: str,
+        parts: Collection[str],
+        now_ms: int,
+        origin: str = '',
+    ) -> Verdict:
+        """Return how a batch item may run, by its own crashes and its parts'.
+
+        Past its hold, it need not run by itself.
+        """
+        verdict = self.request_verdict(fingerprint, parts, now_ms, origin)
+        if verdict != 'alone':
+            return verdict
+        own_ids = self.uncleared_crashes(fingerprint)
+        held = bool(own_ids) and now_ms < held_until_ms(own_ids)
+        return 'alone' if held else 'apart'
 
     def forget_old(self, now_ms: int) -> None:
         """Drop the crash ids outside the retention time."""
@@ -197,6 +255,25 @@
     )
 
 
+def as_crash(crash_id: str) -> Crash:
+    """Return a crash as evidence, dated in seconds."""
+    seen_s = (crash_time_ms(crash_id) or 0) / MS_IN_S
+    return Crash(crash_id, late=False, seen_s=seen_s)
+
+
+def key_specificity(key: str) -> int:
+    """Return how specific a key is; later parts are more so.
+
+    >>> key_specificity('part/2/ab'), key_specificity('ab') > 1000
+    (2, True)
+    """
+    prefix, _, rest = key.partition('/')
+    place = rest.partition('/')[0]
+    if prefix == 'part' and place.isdecimal():
+        return int(place)
+    return CONTENT_SPECIFICITY
+
+
 def held_until_ms(crash_ids: Collection[str]) -> int:
     """Return until when a request is held after its last crash.
 
--- a/src/quetzaldyke/process/admission.py
+++ b/src/quetzaldyke/process/admission.py
@@ -54,6 +54,8 @@
     start: Callable[[TrackedRequest], object]
     refuse: Callable[[TrackedRequest, Refusal], None]
     now_ms: Callable[[], int] = wall_clock_ms
+    # Of the crash ids that this process makes.
+    origin: str = ''
     headroom: Headroom = field(default_factory=Headroom)
     queue: list[TrackedRequest] = field(default_factory=list)
     running: dict[str, TrackedRequest] = field(default_factory=dict)
@@ -263,10 +265,15 @@
 
     def verdict_of(self, request: TrackedRequest) -> Verdict:
         """Return how a request may run, given the crashes it took part in."""
-        fingerprint = request.submit.fingerprint
-        if request.is_batch:
-            return self.suspects.item_verdict(fingerprint, self.now_ms())
-        return self.suspects.verdict(fingerprint, self.now_ms())
+        verdict = (
+            self.suspects.item_verdict
+            if request.is_batch
+            else self.suspects.request_verdict
+        )
+        submit = request.submit
+        return verdict(
+            submit.fingerprint, submit.parts, self.now_ms(), self.origin
+        )
 
     def preempt_suspect_batch(self, now_s: float) -> None:
         """Preempt suspect batch streams that block an online request."""
--- a/src/quetzaldyke/process/batch_items.py
+++ b/src/quetzaldyke/process/batch_items.py
@@ -22,6 +22,7 @@
 from quetzaldyke.durable.records import ItemResult
 from quetzaldyke.process.batch_state import OwnedSegment, Partial
 from quetzaldyke.process.fleet import SidecarLink
+from quetzaldyke.request.prompt_parts import prompt_parts
 
 # Time limit of one attempt of an item at one endpoint.
 ITEM_TIMEOUT_MS: Final = 600_000
@@ -81,6 +82,7 @@
             stream=True,
             remaining_ms=ITEM_TIMEOUT_MS,
             fingerprint=self.fingerprint,
+            parts=list(prompt_parts(job.pool, item.body)),
             resume_text=partial.text,
             resume_tokens=partial.tokens,
             grant_id=self.grant_id,
--- a/src/quetzaldyke/process/callers_http.py
+++ b/src/quetzaldyke/process/callers_http.py
@@ -51,6 +51,7 @@
     Refusal,
 )
 from quetzaldyke.request.prefixes import prefix_hashes, prompt_of
+from quetzaldyke.request.prompt_parts import prompt_parts
 from quetzaldyke.request.router import ConfigurationHolder
 
 HTTP_INTERNAL_ERROR: Final = 500
@@ -210,6 +211,7 @@
         idempotency_key=options.idempotency_key,
         model=body.model,
         prefixes=prefix_hashes(prompt_of(body)),
+        parts=prompt_parts(pool, raw),
         include_usage=usage_options is not None and usage_options.include_usage,
     )
 
--- a/src/quetzaldyke/process/endpoint_monitor.py
+++ b/src/quetzaldyke/process/endpoint_monitor.py
@@ -36,6 +36,8 @@
 # One late answer is no outage: an engine answers between decoding steps.
 MAX_FAILED_CHECKS: Final = 2
 MAX_PREFIXES: Final = 16
+# Output after which a response has begun without a crash.
+PROGRESS_TOKENS: Final = 8
 # Cache events arrive late, so they are read for this long after a request
 # was last started.
 CACHE_LAG_S: Final = 10.0
@@ -122,8 +124,8 @@
         crash = make_crash_id(
             now_ms, self.origin, next(self.crash_numbers), alone
         )
-        fingerprints = {request.submit.fingerprint for request in in_flight}
-        crashes = self.peers.suspects.record(crash, fingerprints, now_ms)
+        suspects = self.peers.suspects
+        crashes = suspects.record(crash, crash_keys(in_flight), now_ms)
         self.log_event(
             'endpoint_crashed',
             crash_id=crash,
@@ -135,7 +137,10 @@
 
     def clear_suspect(self, request: TrackedRequest) -> None:
         """Clear the crash records of a request that finished."""
-        cleared = self.peers.suspects.clear(request.submit.fingerprint)
+        suspects = self.peers.suspects
+        cleared = suspects.clear(request.submit.fingerprint)
+        for part in request.submit.parts:
+            cleared |= suspects.clear(part)
         self.peers.broadcast_suspects({}, cleared)
 
     def mark_down(self) -> None:
@@ -252,3 +257,16 @@
                 self.prefixes[prefix] = None
         while len(self.prefixes) > MAX_PREFIXES:
             self.prefixes.pop(next(iter(self.prefixes)))
+
+
+def crash_keys(in_flight: list[TrackedRequest]) -> set[str]:
+    """Return the fingerprints of requests, and the parts of their prompts.
+
+    Parts of a request whose response had made progress are left out: they
+    crash an endpoint when the response begins, or not at all.
+    """
+    keys = {request.submit.fingerprint for request in in_flight}
+    for request in in_flight:
+        if request.tokens < PROGRESS_TOKENS:
+            keys.update(request.submit.parts)
+    return keys
--- a/src/quetzaldyke/process/sidecar_state.py
+++ b/src/quetzaldyke/process/sidecar_state.py
@@ -79,6 +79,7 @@
             suspects,
             start=lambda request: group.start_soon(runner.run, request),
             refuse=lambda request, refusal: runner.refuse(request, refusal),
+            origin=f'{settings.instance}/{incarnation}',
         )
         peers = SidecarPeers(
             settings.instance,
--- a/src/quetzaldyke/request/execute.py
+++ b/src/quetzaldyke/request/execute.py
@@ -116,6 +116,7 @@
         stream=request.kind == 'engine',
         remaining_ms=max(1, int(remaining_s * MS_IN_S)),
         fingerprint=request.fingerprint,
+        parts=list(request.parts),
         resume_text=''.join(progress.texts),
         resume_tokens=progress.tokens,
         attempt=progress.attempt,
@@ -128,7 +129,9 @@
     pick: Pick | None,
 ) -> Refusal | None:
     """Return a refusal unless the request may run and can start in time."""
-    verdict = context.suspects.verdict(request.fingerprint, wall_clock_ms())
+    verdict = context.suspects.request_verdict(
+        request.fingerprint, request.parts, wall_clock_ms()
+    )
     if verdict == 'confirmed':
         return crashes_endpoints('not_run')
     remaining_s = request.deadline_s - context.clock.now()
--- a/src/quetzaldyke/request/model.py
+++ b/src/quetzaldyke/request/model.py
@@ -83,6 +83,7 @@
     idempotency_key: str = ''
     model: str = ''
     prefixes: tuple[str, ...] = ()
+    parts: tuple[str, ...] = ()
     include_usage: bool = False
 
 
--- a/tests/batch_bed.py
+++ b/tests/batch_bed.py
@@ -103,7 +103,7 @@
 
 def hello(name: str, role: str) -> m.Hello:
     """Return the Hello message of a process."""
-    return m.Hello(1, role, name, 'a', f'{name}-1', POOL)
+    return m.Hello(m.PROTOCOL_VERSION, role, name, 'a', f'{name}-1', POOL)
 
 
 def expected_tokens(prompt: str) -> list[str]:
--- a/tests/sidecar_rig.py
+++ b/tests/sidecar_rig.py
@@ -15,6 +15,7 @@
 from quetzaldyke.connection.calls import Call, CallTable, read_call
 from quetzaldyke.connection.links import LinkOptions, dial
 from quetzaldyke.connection.messages import (
+    PROTOCOL_VERSION,
     BatchDemand,
     BatchGrant,
     Chunk,
@@ -81,7 +82,7 @@
         options = LinkOptions(
             SECRET,
             HybridClock(self.name),
-            lambda: Hello(1, 'entry', self.name, 'a', 'inc'),
+            lambda: Hello(PROTOCOL_VERSION, 'entry', self.name, 'a', 'inc'),
             lambda: self.config_version,
             self.on_open,
             self.on_message,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 
 from entry_rig import make_fleet, until
 from quetzaldyke.connection.links import dial
-from quetzaldyke.connection.messages import Hello
+from quetzaldyke.connection.messages import PROTOCOL_VERSION, Hello
 from quetzaldyke.connection.peer import PeerSession
 from quetzaldyke.standins.engine_text import answer_text
 
@@ -60,7 +60,7 @@
 
     async def scenario() -> None:
         nothing = cast(Any, None)
-        remote = Hello(1, 'sidecar', 'engine-1', 'a', 'inc')
+        remote = Hello(PROTOCOL_VERSION, 'sidecar', 'engine-1', 'a', 'inc')
         session = PeerSession(nothing, nothing, remote)
         session.silence_timeout_s = timeout_s
         async with anyio.create_task_group() as group:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -139,7 +139,9 @@
         self.simulation = simulation
         self.entry = entry
         self.closed = False
-        self.remote = messages.Hello(1, 'sidecar', engine.name, 'a', 'i')
+        self.remote = messages.Hello(
+            messages.PROTOCOL_VERSION, 'sidecar', engine.name, 'a', 'i'
+        )
 
     def send(self, message: messages.Message) -> None:
         """Deliver a message to the engine."""
--- a/tests/test_sidecar_life.py
+++ b/tests/test_sidecar_life.py
@@ -10,6 +10,7 @@
 import pytest
 
 from quetzaldyke.connection.messages import (
+    PROTOCOL_VERSION,
     ConfigPush,
     ConfigVersion,
     EventsReply,
@@ -184,7 +185,7 @@
     """Records messages sent at once and those sent with the next write."""
 
     def __init__(self) -> None:
-        self.remote = Hello(1, 'entry', 'entry-1', 'a', 'inc')
+        self.remote = Hello(PROTOCOL_VERSION, 'entry', 'entry-1', 'a', 'inc')
         self.sent: list[Message] = []
         self.waiting: list[Message] = []
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -122,7 +122,15 @@
     options = LinkOptions(
         SECRET,
         clock,
-        lambda: messages.Hello(1, 'entry', name, 'a', 'i', '', holder.version),
+        lambda: messages.Hello(
+            messages.PROTOCOL_VERSION,
+            'entry',
+            name,
+            'a',
+            'i',
+            '',
+            holder.version,
+        ),
         lambda: holder.version,
         on_open,
         on_message,
@@ -167,7 +175,15 @@
     options = LinkOptions(
         SECRET,
         HybridClock('s1'),
-        lambda: messages.Hello(1, 'sidecar', 's1', 'a', 'i', 'orders', version),
+        lambda: messages.Hello(
+            messages.PROTOCOL_VERSION,
+            'sidecar',
+            's1',
+            'a',
+            'i',
+            'orders',
+            version,
+        ),
         lambda: version,
         on_open,
         on_message,
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -200,10 +200,10 @@
         holds_ms.append(held_ms)
         if number < 2:
             continue
-        for verdict in (book.verdict, book.item_verdict):
-            assert verdict('f', NOW_MS + held_ms - 1) == 'confirmed'
+        for verdict in (book.request_verdict, book.item_verdict):
+            assert verdict('f', (), NOW_MS + held_ms - 1) == 'confirmed'
         assert book.verdict('f', NOW_MS + held_ms) == 'alone'
-        assert book.item_verdict('f', NOW_MS + held_ms) == 'apart'
+        assert book.item_verdict('f', (), NOW_MS + held_ms) == 'apart'
     assert holds_ms[2] < holds_ms[3] < holds_ms[4] < holds_ms[5]
 
 
@@ -215,5 +215,5 @@
     for number in range(2):
         crash_id = make_crash_id(NOW_MS, 's', number, alone=False)
         book.record(crash_id, ['f'], NOW_MS)
-    assert book.item_verdict('f', NOW_MS) == 'alone'
-    assert book.item_verdict('f', NOW_MS + SUSPECT_HOLD_MS) == 'apart'
+    assert book.item_verdict('f', (), NOW_MS) == 'alone'
+    assert book.item_verdict('f', (), NOW_MS + SUSPECT_HOLD_MS) == 'apart'
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,9 @@
 SECRET = 'fleet-secret-0001'
 
 
-def hello(instance: str, protocol: int = 1) -> messages.Hello:
+def hello(
+    instance: str, protocol: int = messages.PROTOCOL_VERSION
+) -> messages.Hello:
     """Return the Hello message of an entry."""
     return messages.Hello(protocol, 'entry', instance, 'a', 'inc')
 
@@ -81,9 +83,10 @@
 @pytest.mark.parametrize(
     ('secrets', 'protocol', 'accepted'),
     [
-        ((SECRET, SECRET), 1, True),
-        ((SECRET, 'another-secret-01'), 1, False),
-        ((SECRET, SECRET), 2, False),
+        ((SECRET, SECRET), messages.PROTOCOL_VERSION, True),
+        ((SECRET, 'another-secret-01'), messages.PROTOCOL_VERSION, False),
+        ((SECRET, SECRET), messages.PROTOCOL_VERSION - 1, False),
+        ((SECRET, SECRET), messages.PROTOCOL_VERSION + 1, False),
     ],
 )
 def test_handshake(
