Drop messages and records with infinite numbers

An infinite number in a datagram raised OverflowError, which decode does not turn into a dropped message; the callback of the datagram's socket then ended with an error for each. In a stored record of a blamed trait it would have hidden the records after it in the same batch.

Change: OverflowError is among the errors of malformed content.

--- a/src/quetzaldyke/gateway/crash_records.py
+++ b/src/quetzaldyke/gateway/crash_records.py
@@ -52,7 +52,7 @@
     def unpack(cls, raw: bytes) -> BlameRecord:
         """Decode a stored record.
 
-        Raises `ValueError` or `TypeError` if it is malformed.
+        Raises `ValueError`, `TypeError` or `OverflowError` if it is malformed.
         """
         key, specificity, rows = msgpack.unpackb(raw)
         return cls(
@@ -110,7 +110,7 @@
             return
         try:
             record = None if value is None else BlameRecord.unpack(value)
-        except (ValueError, TypeError) as exc:
+        except (ValueError, TypeError, OverflowError) as exc:
             log_event('record_unreadable', key=key, fault=repr(exc))
             return
         self.apply(name, record)
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 import msgpack
 
@@ -18,6 +18,16 @@
 from quetzaldyke.parts.transactions import WatchedChange
 
 
+# Raised for content of another form; an infinite number is no integer.
+MALFORMED_CONTENT: Final = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    msgpack.UnpackException,
+)
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """The sender's load by endpoint id, and its connection to the store."""
@@ -113,7 +123,7 @@
     try:
         kind, sender, content = msgpack.unpackb(datagram)
         return decode_content(kind, str(sender), content)
-    except (ValueError, TypeError, AttributeError, msgpack.UnpackException):
+    except MALFORMED_CONTENT:
         return None
 
 
@@ -122,7 +132,7 @@
 ) -> GossipMessage | None:
     """Decode the content of a message; None if its kind is unknown.
 
-    Raises `ValueError`, `TypeError` or `AttributeError` on malformed content.
+    Raises one of `MALFORMED_CONTENT` if it is malformed.
     """
     match kind:
         case 'room':
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -207,6 +207,25 @@
     assert message is None or decode(encode(message)) == message
 
 
+INFINITE = float('inf')
+
+
+@pytest.mark.parametrize(
+    ('kind', 'content'),
+    [
+        ('load', [[['e', INFINITE, 0]], {}, 0, 0.0]),
+        ('load', [[], {}, INFINITE, 0.0]),
+        ('crash', [[[[['k', INFINITE]], 'e', False, 0.0, 0.0]], {}, []]),
+        ('watch', ['p', 0, INFINITE, None, 0.0]),
+    ],
+)
+def test_message_with_infinite_number_is_dropped(
+    kind: str, content: object
+) -> None:
+    """Guards against an error in the callback that receives datagrams."""
+    assert decode(msgpack.packb([kind, 'p', content])) is None
+
+
 @dataclass(slots=True)
 class ScriptedStore(FakeStore):
     """A store whose watch calls return predefined results."""
