Count crashes of other services apart, and forget a revised verdict

Change: a crash names its service, and only crashes of the same service are compared. Once all its crashes are cleared, a trait is no longer confirmed.

Evidence: test_crashes_of_another_service_need_no_more_evidence and test_acquitted_trait_needs_full_evidence_again failed before and pass.

--- a/src/quetzaldyke/gateway/crashes.py
+++ b/src/quetzaldyke/gateway/crashes.py
@@ -41,6 +41,7 @@
     late: bool
     # For how long the request had been in flight.
     age_s: float
+    service: str = ''
     # For how long the sender has known of the crash.
     ago_s: float = 0.0
 
@@ -121,7 +122,11 @@
     ) -> None:
         """Record a connection that broke during a request as a crash."""
         crash = ReportedCrash(
-            tuple(traits), lifetime_of(endpoint), late, self.now() - sent_s
+            tuple(traits),
+            lifetime_of(endpoint),
+            late,
+            self.now() - sent_s,
+            endpoint.service,
         )
         self.announce(CrashReport(self.own_id, (crash,)))
 
@@ -176,6 +181,7 @@
                     crash.late,
                     now_s - crash.ago_s,
                     crash.age_s,
+                    crash.service,
                 ),
             )
         self.blame.merge_cleared(report.cleared, now_s)
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -87,6 +87,7 @@
             crash.lifetime,
             crash.late,
             crash.age_s,
+            crash.service,
             crash.ago_s,
         ]
         for crash in report.crashes
@@ -163,7 +164,12 @@
 
 
 def decode_crash(
-    traits: Any, lifetime: Any, late: Any, age_s: Any, ago_s: Any
+    traits: Any,
+    lifetime: Any,
+    late: Any,
+    age_s: Any,
+    service: Any,
+    ago_s: Any,
 ) -> ReportedCrash:
     """Decode one crash of a report."""
     return ReportedCrash(
@@ -171,6 +177,7 @@
         str(lifetime),
         bool(late),
         float(age_s),
+        str(service),
         float(ago_s),
     )
 
--- a/src/quetzaldyke/parts/crash_blame.py
+++ b/src/quetzaldyke/parts/crash_blame.py
@@ -1,19 +1,16 @@
 """Finds what the requests that crash endpoints have in common.
 
 When an endpoint crashes, every request in flight there is a suspect, and so
-is everything that it shares with other requests: a whole content that callers
-send again, or a part of a prompt. These are its traits. Of the traits that are
-not cleared, the fewest that explain the crashes are blamed, and of traits that
-explain the same crashes the most specific one, because refusing it affects the
-fewest requests.
+is everything that it shares with other requests, its traits. Those that are
+not cleared and that `parts/culprits.py` finds to explain the crashes are
+blamed.
 
 A request crashes endpoints as soon as its response begins, or always at a
 later point. A crash is early evidence against the requests whose response had
 made no progress, and late evidence, which weighs less, against the others.
 Progress of any request clears its traits of early evidence, also if it then
 ends in a crash; a served request clears them of all. So requests that only ran
-beside a crashing one are soon cleared.
-While endpoints also crash for other reasons, which hits a common trait by
+beside a crashing one are soon cleared. While endpoints also crash for other reasons, which hits a common trait by
 chance, more evidence is needed.
 
 A blamed trait is refused for a hold time that grows with each further crash.
@@ -92,6 +89,7 @@
         """Clear the crashes of some lifetimes."""
         for lifetime in lifetimes:
             self.cleared_s.setdefault(lifetime, now_s)
+        self.confirmed = self.confirmed and bool(self.uncleared())
 
     def forget_before(self, time_s: float) -> None:
         """Drop what was seen before a time."""
@@ -160,8 +158,7 @@
         Each crash is given as its lifetime and whether it was late. They were
         found to have different causes, so they are dated apart.
         """
-        known = self.evidence.setdefault(trait.key, TraitEvidence())
-        known.confirmed = True
+        self.evidence.setdefault(trait.key, TraitEvidence()).confirmed = True
         seen_s = now_s
         late_first = sorted(crashes, key=lambda crash: not crash[1])
         for lifetime, late in late_first:
--- a/src/quetzaldyke/parts/culprits.py
+++ b/src/quetzaldyke/parts/culprits.py
@@ -53,6 +53,8 @@
     seen_s: float
     # For how long the request had been in flight there.
     age_s: float = math.inf
+    # The endpoint's service; crashes of others say nothing about its requests.
+    service: str = ''
 
 
 def crash_score(crashes: Collection[Crash]) -> float:
@@ -114,8 +116,11 @@
     """
     first_s = min(crash.seen_s for crash in crashes) - SAME_CAUSE_S
     last_s = max(crash.seen_s for crash in crashes) + SAME_CAUSE_S
+    services = {crash.service for crash in crashes}
     meanwhile = count_causes(
-        crash for crash in all_crashes if first_s <= crash.seen_s <= last_s
+        crash
+        for crash in all_crashes
+        if first_s <= crash.seen_s <= last_s and crash.service in services
     )
     share = count_causes(crashes) / max(1, meanwhile)
     return BLAME_SCORE if share >= EXPLAINED_SHARE else MIXED_BLAME_SCORE
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -143,3 +143,26 @@
     assert not blame.blamed
     crash_each_s(blame, traits)
     assert list(blame.blamed) == ['common']
+
+
+def test_crashes_of_another_service_need_no_more_evidence() -> None:
+    """Guards against a crashing part that other services' crashes hide."""
+    blame = CrashBlame()
+    for number in range(3):
+        now_s = float(number)
+        crash = Crash(f'lm-{number}', False, now_s, service='lm')
+        blame.record([body(number), Trait('part', 1)], crash)
+        other = Crash(f'app-{number}', False, now_s + 0.5, service='app')
+        blame.record([body(number + 10)], other)
+    assert list(blame.blamed) == ['part']
+
+
+def test_acquitted_trait_needs_full_evidence_again() -> None:
+    """Guards against a verdict that outlives the request that revised it."""
+    blame = CrashBlame()
+    part = Trait('part', 1)
+    blame.confirm(part, [(f'e{number}', False) for number in range(3)], 0.0)
+    assert list(blame.blamed) == ['part']
+    blame.clear(['part'], 1.0)
+    assert not blame.blamed
+    assert not blame.evidence['part'].confirmed
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -127,6 +127,7 @@
     st.text(max_size=5),
     st.booleans(),
     st.floats(0, 9),
+    st.text(max_size=5),
     st.floats(0, 9),
 )
 CLEARED = st.dictionaries(
@@ -215,7 +216,7 @@
     [
         ('load', [[['e', INFINITE, 0]], {}, 0, 0.0]),
         ('load', [[], {}, INFINITE, 0.0]),
-        ('crash', [[[[['k', INFINITE]], 'e', False, 0.0, 0.0]], {}, []]),
+        ('crash', [[[[['k', INFINITE]], 'e', False, 0.0, 's', 0.0]], {}, []]),
         ('watch', ['p', 0, INFINITE, None, 0.0]),
     ],
 )
