Repeat the announcement of a trial, and bound reports and log lines

Change: trials are repeated with the other reports, a repeated datagram holds 20 reports in place of 50, and eight lifetimes are logged.

Evidence: test_lost_trial_is_announced_again failed before and passes.

--- a/src/quetzaldyke/gateway/crashes.py
+++ b/src/quetzaldyke/gateway/crashes.py
@@ -26,8 +26,9 @@
 PROGRESS_CHUNKS: Final = 8
 # How often a report is repeated; a receiver counts each crash once.
 RESENDS: Final = 2
-# Keeps a datagram well below its largest size of 64 KB.
-MAX_REPORTS_A_DATAGRAM: Final = 50
+# Keeps a datagram below its largest size of 64 KB even if all ids are long.
+MAX_REPORTS_A_DATAGRAM: Final = 20
+MAX_LOGGED_LIFETIMES: Final = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,7 +213,7 @@
                     'trait_blamed',
                     trait=key,
                     score=blame.score,
-                    crashed=','.join(blame.lifetimes),
+                    crashed=','.join(blame.lifetimes[:MAX_LOGGED_LIFETIMES]),
                     held_s=round(blame.retry_at_s - self.now(), 1),
                 )
         for key in before.keys() - self.blame.blamed.keys():
@@ -249,10 +250,7 @@
 def merge_reports(
     sender: str, sent: Sequence[SentReport], now_s: float
 ) -> CrashReport:
-    """Return one report with the content of several.
-
-    Trials are left out: their time is what counts.
-    """
+    """Return one report with the content of several."""
     crashes = [
         replace(crash, ago_s=now_s - one.sent_s)
         for one in sent
@@ -262,4 +260,5 @@
     for one in sent:
         for key, lifetimes in one.report.cleared.items():
             cleared.setdefault(key, []).extend(lifetimes)
-    return CrashReport(sender, tuple(crashes), cleared)
+    tried = tuple(key for one in sent for key in one.report.tried)
+    return CrashReport(sender, tuple(crashes), cleared, tried)
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -163,3 +163,20 @@
     trackers.first.resend()
     assert trackers.second.is_blamed(CONTENT)
     assert not trackers.first.sent
+
+
+def test_lost_trial_is_announced_again() -> None:
+    """Guards against a second trial because a datagram was lost."""
+    trackers = TrackerPair()
+    for endpoint_id in ('a', 'b', 'c'):
+        trackers.crash(trackers.first, endpoint_id)
+    trackers.first.sent.clear()
+    blame = trackers.first.blame_of(CONTENT)
+    assert blame is not None
+    trackers.time.now_s = blame.retry_at_s
+    deliver = trackers.first.broadcast
+    trackers.first.broadcast = lambda report: None
+    assert trackers.first.begin_trial(CONTENT)
+    trackers.first.broadcast = deliver
+    trackers.first.resend()
+    assert not trackers.second.begin_trial(CONTENT)
