Send prompts that crash engines in the soak

Its engines now end under one part of prompts and are started again by the fleet; a fault sends such requests to random entries while others strike, and the history checks the users' limit: at most three crashes later than 3 s after the fifth.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+import time
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,6 +22,7 @@
 import quetzaldyke
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
+from quetzaldyke.standins.platform_endpoint import CRASH_STATUS
 from soak_proxy import Proxy
 
 HOST: Final = '127.0.0.1'
@@ -235,19 +237,25 @@
         await fleet_process.start()
         self.stack.push_async_callback(fleet_process.kill)
 
-    async def restart_crashed(self, delay_s: float, crashed: list[str]) -> None:
-        """Start each endpoint that ends by itself again, until cancelled.
+    async def restart_crashed(
+        self, delay_s: float, crashes_s: list[float]
+    ) -> None:
+        """Start each endpoint that a prompt has ended again, until cancelled.
 
-        Its name is appended to `crashed` each time.
+        The time is appended to `crashes_s`.
         """
 
         async def watch(name: str) -> None:
             fleet_process = self.processes[name]
-            while fleet_process.process is not None:
-                await fleet_process.process.wait()
-                crashed.append(name)
-                await anyio.sleep(delay_s)
-                await fleet_process.start()
+            while True:
+                process = fleet_process.process
+                assert process is not None
+                if await process.wait() == CRASH_STATUS:
+                    crashes_s.append(time.time())
+                    await anyio.sleep(delay_s)
+                    await fleet_process.start()
+                while fleet_process.process is process:
+                    await anyio.sleep(POLL_INTERVAL_S)
 
         async with anyio.create_task_group() as group:
             for name in self.endpoints:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,11 +13,10 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, Final
+from typing import Final
 
 import anyio
 import orjson
@@ -25,6 +24,7 @@
 from gateway_fleet import HOST, STREAM_HOST, GatewayFleet
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError
 from quetzaldyke.gateway.http_client import encode_request
+from soak_faults import CRASHING_PART, FAULT_KINDS, choose_process, restart
 from soak_history import Attempt, Ending, History, JobHistory, Run
 
 STREAM_EVENTS: Final = 30
@@ -34,6 +34,7 @@
 CALLERS: Final = 6
 ROUTES: Final = ('again', 'once', 'book', 'look')
 JOB_ITEMS: Final = 4
+RESTART_DELAY_S: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -213,162 +214,22 @@
             )
 
 
-Fault = Callable[[Soak], Coroutine[Any, Any, None]]
-
-
-def choose_process(soak: Soak, kind: str) -> str:
-    """Return a process of a kind that no fault disrupts, or an empty name."""
-    names = sorted(
-        name
-        for name, fleet_process in soak.fleet.processes.items()
-        if name.startswith(kind) and not fleet_process.disrupted
-    )
-    return soak.generator.choice(names) if names else ''
-
-
-async def restart(soak: Soak, name: str, signal_number: signal.Signals) -> None:
-    """Send a signal, kill the process if still up, and start it again."""
-    if not name:
-        return
-    fleet_process = soak.fleet.processes[name]
-    fleet_process.disrupted = True
-    fleet_process.signal(signal_number)
-    if fleet_process.process is not None:
-        with anyio.move_on_after(8):
-            await fleet_process.process.wait()
-        await fleet_process.kill()
-    await anyio.sleep(soak.generator.random())
-    await fleet_process.start()
-    fleet_process.disrupted = False
-
-
-async def kill_entry(soak: Soak) -> None:
-    """Kill an entry and start it again."""
-    await restart(soak, choose_process(soak, 'entry'), signal.SIGKILL)
-
-
-async def stop_entry(soak: Soak) -> None:
-    """Shut an entry down gracefully and start it again."""
-    await restart(soak, choose_process(soak, 'entry'), signal.SIGTERM)
-
-
-async def kill_engine(soak: Soak) -> None:
-    """Kill an engine and start it again under the same id."""
-    name = choose_process(soak, 'i-lm')
-    soak.history.killed_endpoints.add(name)
-    await restart(soak, name, signal.SIGKILL)
-
-
-async def pause(soak: Soak, name: str) -> None:
-    """Pause a process for up to two seconds."""
-    if not name:
-        return
-    fleet_process = soak.fleet.processes[name]
-    fleet_process.disrupted = True
-    fleet_process.signal(signal.SIGSTOP)
-    await anyio.sleep(0.3 + soak.generator.random() * 1.7)
-    fleet_process.signal(signal.SIGCONT)
-    fleet_process.disrupted = False
-
-
-async def pause_entry(soak: Soak) -> None:
-    """Pause an entry, which then resumes with outdated state."""
-    await pause(soak, choose_process(soak, 'entry'))
-
-
-async def pause_engine(soak: Soak) -> None:
-    """Pause an engine, which stops responding with requests in flight."""
-    await pause(soak, choose_process(soak, 'i-lm'))
-
-
-async def pause_store(soak: Soak) -> None:
-    """Pause the store."""
-    await pause(soak, choose_process(soak, 'store'))
-
-
-async def impair_link(soak: Soak) -> None:
-    """Impair the connections of one entry to the store for a while."""
-    link = soak.fleet.store_proxies[soak.random_entry()]
-    link.impairment = soak.generator.choice(
-        ['slow', 'one_way', 'silent', 'refuse']
-    )
-    if link.impairment == 'refuse':
-        link.reset()
-    await anyio.sleep(0.5 + soak.generator.random() * 3)
-    link.impairment = ''
-    link.reset()
-
-
-async def reset_links(soak: Soak) -> None:
-    """Reset every connection between the entries and the store."""
-    for link in soak.fleet.store_proxies.values():
-        link.reset()
-
-
-async def refuse_calls(soak: Soak) -> None:
-    """Make the store refuse all calls for a while."""
-    port = soak.fleet.store_port
-    await soak.fleet.set_faults(port, refuse=True)
-    await anyio.sleep(0.5 + soak.generator.random() * 2)
-    await soak.fleet.set_faults(port, refuse=False)
-
-
-async def lose_answers(soak: Soak) -> None:
-    """Make the store apply some writes without sending the responses."""
-    count = soak.generator.randint(1, 6)
-    await soak.fleet.set_faults(soak.fleet.store_port, lose_answers=count)
-
-
-async def revoke_leases(soak: Soak) -> None:
-    """Make the store revoke all leases at once."""
-    await soak.fleet.set_faults(soak.fleet.store_port, lapse=True)
-
-
-async def forget_history(soak: Soak) -> None:
-    """Make the store discard its revision history."""
-    await soak.fleet.set_faults(soak.fleet.store_port, forget=True)
-
-
-async def break_streams(soak: Soak) -> None:
-    """Make an engine abort its streams for a second, after seven events."""
-    name = choose_process(soak, 'i-lm')
-    if name:
-        port = soak.fleet.endpoints[name]
-        await soak.fleet.set_faults(port, break_after=7)
-        await anyio.sleep(1.0)
-        await soak.fleet.set_faults(port, break_after=0)
-
-
-async def change_configuration(soak: Soak) -> None:
-    """Write a new version of the configuration with another timeout."""
-    await soak.fleet.write_configuration(soak.generator.randint(3500, 4500))
-
-
-FAULT_KINDS: Final[tuple[Fault, ...]] = (
-    kill_entry,
-    stop_entry,
-    kill_engine,
-    pause_entry,
-    pause_engine,
-    pause_store,
-    impair_link,
-    impair_link,
-    reset_links,
-    refuse_calls,
-    lose_answers,
-    revoke_leases,
-    forget_history,
-    break_streams,
-    change_configuration,
-)
-
-
 async def run_seed(seed: int, folder: Path, entries: int = 3) -> list[str]:
     """Run one seed and return the violations of the guarantees."""
     async with AsyncExitStack() as stack:
         fleet = GatewayFleet(folder, stack)
-        await fleet.start(entries, engines=3, services=2, events=STREAM_EVENTS)
+        await fleet.start(
+            entries,
+            engines=3,
+            services=2,
+            events=STREAM_EVENTS,
+            engine_flags=(f'--crashing_part={CRASHING_PART}',),
+        )
         soak = Soak(fleet, random.Random(seed))
+        supervisor = await stack.enter_async_context(anyio.create_task_group())
+        supervisor.start_soon(
+            fleet.restart_crashed, RESTART_DELAY_S, soak.history.crashes_s
+        )
         async with anyio.create_task_group() as group:
             for _ in range(CALLERS):
                 group.start_soon(soak.send_requests)
@@ -394,6 +255,7 @@
         )
         if not served:
             violations.append('no request was served')
+        supervisor.cancel_scope.cancel()
     return violations
 
 
--- a/tests/soak_history.py
+++ b/tests/soak_history.py
@@ -12,6 +12,11 @@
 # time for which a fault may have paused a process meanwhile.
 CANCEL_TIMEOUT_S: Final = 3.0
 MAX_PAUSE_S: Final = 3.0
+# The users' limits on a part of prompts that crashes endpoints: how many may
+# still crash later than this after so many have.
+ALLOWED_CRASHES: Final = 5
+CONTACT_S: Final = 3.0
+MAX_LATE_CRASHES: Final = 3
 NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 
 # `whole`: the response is complete; `cut`: its connection failed after the
@@ -78,6 +83,8 @@
     jobs: list[JobHistory] = field(default_factory=list)
     # Killed endpoints: their records of earlier runs are lost.
     killed_endpoints: set[str] = field(default_factory=set)
+    # When endpoints ended under prompts with the crashing part.
+    crashes_s: list[float] = field(default_factory=list)
 
     def check(self) -> list[str]:
         """Return a description of each violated guarantee."""
@@ -87,6 +94,7 @@
             *self.check_refusals(),
             *self.check_planned_stop(),
             *self.check_jobs(),
+            *self.check_crashes(),
         ]
 
     def check_responses(self) -> list[str]:
@@ -148,6 +156,16 @@
             if attempt.fault_free and attempt.status and attempt.ending == 'cut'
         ]
 
+    def check_crashes(self) -> list[str]:
+        """Report a crashing part that is not kept away from the endpoints."""
+        if len(self.crashes_s) < ALLOWED_CRASHES:
+            return []
+        from_s = self.crashes_s[ALLOWED_CRASHES - 1] + CONTACT_S
+        late = sum(crash_s > from_s for crash_s in self.crashes_s)
+        if late <= MAX_LATE_CRASHES:
+            return []
+        return [f'{late} endpoints crashed under a part that was known']
+
     def check_jobs(self) -> list[str]:
         """Report jobs whose results are missing, wrong or inconsistent."""
         violations: list[str] = []
--- a/tests/test_gateway_part_crashes.py
+++ b/tests/test_gateway_part_crashes.py
@@ -20,14 +20,14 @@
 RESTART_DELAY_S = 0.2
 # The platform's store has a verdict well before this.
 VERDICT_WRITTEN_S = 1.0
-Scenario = Callable[[GatewayFleet, list[str]], Awaitable[None]]
+Scenario = Callable[[GatewayFleet, list[float]], Awaitable[None]]
 
 
 def run_with_crashing_part(tmp_path: Path, scenario: Scenario) -> None:
     """Run a scenario against engines that one part of prompts crashes.
 
-    Engines that end are started again and listed in the scenario's second
-    argument.
+    Engines that end are started again; the scenario's second argument lists
+    when they ended.
     """
 
     async def run() -> None:
@@ -40,12 +40,12 @@
                 events=EVENTS,
                 engine_flags=(f'--crashing_part={CRASHING_PART}',),
             )
-            crashed: list[str] = []
+            crashes_s: list[float] = []
             async with anyio.create_task_group() as group:
                 group.start_soon(
-                    fleet.restart_crashed, RESTART_DELAY_S, crashed
+                    fleet.restart_crashed, RESTART_DELAY_S, crashes_s
                 )
-                await scenario(fleet, crashed)
+                await scenario(fleet, crashes_s)
                 group.cancel_scope.cancel()
 
     anyio.run(run)
@@ -94,7 +94,7 @@
     Sound requests that share the other part must still be served.
     """
 
-    async def scenario(fleet: GatewayFleet, crashed: list[str]) -> None:
+    async def scenario(fleet: GatewayFleet, crashes_s: list[float]) -> None:
         status = 0
         for number in range(CRASHING_REQUESTS):
             await wait_for_engines(fleet)
@@ -103,7 +103,7 @@
                 fleet, entry, f'r{number}', 'shared', CRASHING_PART
             )
             await anyio.sleep(RESTART_DELAY_S)
-            assert len(crashed) <= MAX_CRASHES
+            assert len(crashes_s) <= MAX_CRASHES
         assert status == 503
         await wait_for_engines(fleet)
         for entry in ENTRIES:
@@ -118,7 +118,7 @@
 def test_restarted_entries_still_refuse_the_part(tmp_path: Path) -> None:
     """Guards against a verdict that is lost with the processes that know it."""
 
-    async def scenario(fleet: GatewayFleet, crashed: list[str]) -> None:
+    async def scenario(fleet: GatewayFleet, crashes_s: list[float]) -> None:
         status = 0
         number = 0
         while status != 503:
@@ -131,7 +131,7 @@
         await anyio.sleep(VERDICT_WRITTEN_S)
         for entry in ENTRIES:
             await fleet.processes[entry].kill()
-        before = len(crashed)
+        before = len(crashes_s)
         for entry in ENTRIES:
             await fleet.processes[entry].start()
         for entry in ENTRIES:
@@ -145,6 +145,6 @@
             assert status == 503
             answer = await send_prompt(fleet, entry, entry, 'shared', 'sound')
             assert answer == (200, whole_stream(entry))
-        assert len(crashed) == before
+        assert len(crashes_s) == before
 
     run_with_crashing_part(tmp_path, scenario)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -78,6 +78,14 @@
     assert not history_of(refused).check()
 
 
+def test_part_that_is_not_kept_away_is_reported() -> None:
+    """Guards against missing endpoints that crash on and on."""
+    history = History(STREAM_EVENTS, crashes_s=[float(n) for n in range(11)])
+    assert not history.check()
+    history.crashes_s.append(11.0)
+    assert history.check()
+
+
 def history_with_job(**changes: object) -> History:
     """Return a history with one completed job, after some changes to it."""
     job = JobHistory('j', ['j-0'], accepted=True, submits=1)
