Log how answers were delimited, and whether they named their request

The logs could not tell the hypotheses on partial and foreign answers apart. The lines on attempts and items now tell what ended the latest answer's body, whether it returned the request's id, and how many requests its connection had carried.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -237,6 +237,7 @@
             running=self.progress.running,
             ejected_s=ejected_s,
             parts=','.join(self.request.prompt_parts),
+            **self.exchange.describe(),
         )
 
     async def handle_response(self, head: ResponseHead) -> Outcome | None:
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -262,6 +262,7 @@
             completed=completed,
             events=progress.events_done,
             failures=progress.failures,
+            **(progress.exchange.describe() if progress.exchange else {}),
         )
 
     async def tick(self) -> None:
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Final, Protocol
+from typing import Final, Literal, Protocol
 
 # Limit on a body that is read as a whole, which keeps a peer that sends
 # without end from using up the memory of an instance.
@@ -24,6 +24,11 @@
         """Resume reading after the buffered body has been consumed."""
 
 
+# What ends the body of a response: its length, its last chunk, or the close of
+# the connection.
+Delimiter = Literal['length', 'chunks', 'close']
+
+
 class Failure(Enum):
     """Why an exchange failed."""
 
@@ -62,11 +67,20 @@
                 return content
         return None
 
+    @property
+    def delimiter(self) -> Delimiter:
+        """Return what ends the body."""
+        encoding = self.get(b'transfer-encoding')
+        if encoding is not None:
+            chunked = encoding.lower().endswith(b'chunked')
+            return 'chunks' if chunked else 'close'
+        length = self.get(b'content-length')
+        return 'close' if length is None else 'length'
+
     @property
     def framed(self) -> bool:
         """Return whether the body's end shows in another way than a close."""
-        length = self.get(b'content-length')
-        return length is not None or self.get(b'transfer-encoding') is not None
+        return self.delimiter != 'close'
 
 
 @dataclass(slots=True, eq=False)
@@ -85,11 +99,32 @@
     waiter: asyncio.Future[None] | None = None
     connection: ConnectionControl | None = None
     unread_bytes: int = 0
+    # Requests that the connection has carried, this one included; 0 before the
+    # request is sent.
+    connection_uses: int = 0
     # Monotonic time at which the watchdog cancels the exchange; 0 for never.
     expires_at_s: float = 0.0
     # Called on expiry; returns a later expiry time, or 0 to cancel.
     extend: Callable[[float], float] | None = None
 
+    def describe(self) -> dict[str, object]:
+        """Return the log fields on the response and its connection.
+
+        `named` tells whether the response returned the id of the request.
+        """
+        head = self.head
+        if head is None:
+            return {
+                'delimited_by': '',
+                'named': '',
+                'uses': self.connection_uses,
+            }
+        return {
+            'delimited_by': head.delimiter,
+            'named': head.get(self.echo_header) is not None,
+            'uses': self.connection_uses,
+        }
+
     def wake(self) -> None:
         """Wake the task that waits for the response."""
         if self.waiter is not None and not self.waiter.done():
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -65,6 +65,8 @@
         self.unparsed_bytes = 0
         self.keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self.idle_since_s = 0.0
+        # Requests that were sent on this connection.
+        self.uses = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the open connection."""
@@ -77,7 +79,9 @@
         self.response_complete = False
         self.head_bytes = 0
         self.unparsed_bytes = 0
+        self.uses += 1
         exchange.connection = self
+        exchange.connection_uses = self.uses
         self.transport.write(request)
 
     def data_received(self, data: bytes) -> None:
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -228,6 +228,7 @@
             ran=not refused,
             failures=progress.failures,
             detail=answer[:LOGGED_BODY_CHARS].decode('latin-1'),
+            **self.exchange.describe(),
         )
         if progress.failures >= self.job.route.max_attempts:
             self.context.finish_item(self.job, progress, False)
@@ -259,6 +260,7 @@
             events=self.progress.events_done,
             interruptions=self.progress.interruptions,
             ejected_s=ejected_s,
+            **self.exchange.describe(),
         )
 
     def delay_retry(self, delay_s: float = ITEM_RETRY_DELAY_S) -> float:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -276,3 +276,21 @@
     async with endpoint(CHUNKED + body + b'0\r\n\r\n') as port:
         status, received = await fetch(HttpClient(), port)
     assert (status, len(received)) == (200, body.count(b'\r\nx\r\n'))
+
+
+async def test_log_fields_tell_how_an_answer_was_delimited() -> None:
+    """Guards against logs that can't tell whose answer it was, or its end."""
+    exchange = Exchange(b'x-id', b'r1')
+    request = encode_request(b'GET', b'/', [(b'host', b'h')], b'')
+    unnamed = RESPONSE.replace(b'X-Id: r1\r\n', b'')
+    async with endpoint(RESPONSE, unnamed, close=False) as port:
+        client = HttpClient()
+        await fetch(client, port)
+        await asyncio.sleep(0)
+        await client.start('127.0.0.1', port, request, exchange)
+        await exchange.read_body()
+    assert exchange.describe() == {
+        'delimited_by': 'length',
+        'named': False,
+        'uses': 2,
+    }
