Tell the peer's end of an answer from an end by this process

What callers saw: a batch result listed as completed with part of its text. An item that was preempted between two events of an answer without length or chunks was booked as done; a stalled one too, and any reader of such an answer that this process had given up got a normal end.

Cause: Exchange.cancel aborted the connection before it marked the failure, connection_lost(None) reported the abort like a close by the peer and set complete, and readers look at complete first. The class is an end that this process causes and one that the peer causes, which share one path.

Now only eof_received, which the event loop calls for the peer's own end and neither for an abort nor for a reset, completes an unframed body. A failure is recorded before the abort, an aborted connection is detached from its exchange, and an exchange that has failed can't become complete.

--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -130,6 +130,12 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
 
+    def finish(self) -> None:
+        """Mark the response as complete unless the exchange has failed."""
+        if self.failure is None:
+            self.complete = True
+            self.wake()
+
     def fail(self, failure: Failure, detail: str = '') -> None:
         """Mark the exchange as failed unless it has already ended.
 
@@ -218,7 +224,12 @@
         return True
 
     def cancel(self, failure: Failure = Failure.CANCELLED) -> None:
-        """Fail the exchange and abort its connection, unless complete."""
-        if self.connection is not None and not self.complete:
-            self.connection.abort()
+        """Fail the exchange and abort its connection, unless complete.
+
+        The failure comes first: the close that follows is no end of the body.
+        """
+        if self.complete:
+            return
         self.fail(failure)
+        if self.connection is not None:
+            self.connection.abort()
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -101,24 +101,23 @@
             self.fail(Failure.MALFORMED, 'endless head')
 
     def eof_received(self) -> bool:
-        """Let the transport close when the peer closes."""
+        """Complete a body that ends with the connection; let it close.
+
+        Only the peer's own end is reported here, not a reset and not a close
+        by this process.
+        """
+        exchange = self.exchange
+        if exchange is not None and exchange.head and not self.framed:
+            exchange.finish()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the exchange; it fails unless a clean close ends the body.
-
-        A response without a length or transfer encoding ends at the close.
-        """
+        """Fail the exchange unless it is complete."""
         self.closed = True
         exchange = self.exchange
-        if exchange is None:
-            return
         self.exchange = None
-        if exc is None and exchange.head and not self.framed:
-            exchange.complete = True
-            exchange.wake()
-            return
-        exchange.fail(Failure.BROKEN, repr(exc))
+        if exchange is not None:
+            exchange.fail(Failure.BROKEN, repr(exc))
 
     def on_message_begin(self) -> None:
         """Start a response; an extra one ends the connection's reuse."""
@@ -200,8 +199,7 @@
             self.skipping_response = False
             return
         self.response_complete = True
-        exchange.complete = True
-        exchange.wake()
+        exchange.finish()
         asyncio.get_running_loop().call_soon(self.release)
 
     def release(self) -> None:
@@ -235,14 +233,14 @@
     def fail(self, failure: Failure, detail: str) -> None:
         """Fail the exchange and abort the connection."""
         exchange = self.exchange
-        self.exchange = None
         self.abort()
         if exchange is not None:
             exchange.fail(failure, detail)
 
     def abort(self) -> None:
-        """Close the connection immediately."""
+        """Close the connection immediately and detach its exchange."""
         self.closed = True
+        self.exchange = None
         if self.transport is not None:
             self.transport.abort()
 
