Run fleets whose engines' answers end with a close, and soak them

A loopback proxy in front of an engine's stand-in now drops the framing, closes at the end and resets what breaks off.

--- a/src/quetzaldyke/standins/platform_endpoint.py
+++ b/src/quetzaldyke/standins/platform_endpoint.py
@@ -39,6 +39,8 @@
     """Options of the simulated endpoint."""
 
     address: str = '127.0.0.1:0'
+    # Address that is registered; empty for the one it listens on.
+    advertised_address: str = ''
     # Store to register in; empty to not register.
     store_address: str = ''
     endpoint_id: str = 'i-1'
@@ -300,7 +302,7 @@
     return orjson.dumps(
         {
             'service': options.service,
-            'address': standin.address,
+            'address': options.advertised_address or standin.address,
             'zone': options.failure_domain,
             'version': 'v1',
             'slots': options.slots,
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -24,6 +24,7 @@
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
 from quetzaldyke.standins.platform_endpoint import CRASH_STATUS
 from soak_proxy import Proxy
+from unframed_proxy import UnframedProxy
 
 HOST: Final = '127.0.0.1'
 SOURCE: Final = str(Path(quetzaldyke.__file__).parents[1])
@@ -132,6 +133,8 @@
     store_proxies: dict[str, Proxy] = field(default_factory=dict)
     store_port: int = 0
     version: int = 0
+    # Whether the engines' answers end with their connections.
+    unframed: bool = False
 
     async def start(
         self,
@@ -177,10 +180,16 @@
         port = free_port()
         self.endpoints[name] = port
         plain = ['--plain'] if service == 'app' else []
+        advertised = port
+        if self.unframed and service == 'lm':
+            advertised = free_port()
+            proxy = await UnframedProxy.listen(advertised, port)
+            self.stack.callback(proxy.close)
         await self.start_standin(
             name,
             'platform-endpoint',
             f'--address={HOST}:{port}',
+            f'--advertised_address={HOST}:{advertised}',
             f'--store_address={HOST}:{self.store_port}',
             f'--endpoint_id={name}',
             f'--service={service}',
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,13 +1,15 @@
 """Randomised soak test: gateway fleets under load with injected faults.
 
-Run by hand: `python tests/soak.py FIRST_SEED SEEDS [ENTRIES]` with `src` on
-the module path. The seed determines every random choice but not how the
+Run by hand: `python tests/soak.py FIRST_SEED SEEDS [ENTRIES [unframed]]` with
+`src` on the module path; with `unframed`, the engines' answers end with their
+connections. The seed determines every random choice but not how the
 processes are scheduled, so a run is not exactly repeatable: keep the logs of
 a seed that failed.
 """
 
 from __future__ import annotations
 
+import functools
 import random
 import signal
 import sys
@@ -214,10 +216,12 @@
             )
 
 
-async def run_seed(seed: int, folder: Path, entries: int = 3) -> list[str]:
+async def run_seed(
+    seed: int, folder: Path, entries: int = 3, *, unframed: bool = False
+) -> list[str]:
     """Run one seed and return the violations of the guarantees."""
     async with AsyncExitStack() as stack:
-        fleet = GatewayFleet(folder, stack)
+        fleet = GatewayFleet(folder, stack, unframed=unframed)
         await fleet.start(
             entries,
             engines=3,
@@ -263,10 +267,11 @@
     """Run the given seeds, print each verdict and keep the logs."""
     first, count = int(sys.argv[1]), int(sys.argv[2])
     entries = int(sys.argv[3]) if len(sys.argv) > 3 else 3
+    run = functools.partial(run_seed, unframed='unframed' in sys.argv)
     failed = []
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        violations = anyio.run(run_seed, seed, folder, entries)
+        violations = anyio.run(run, seed, folder, entries)
         verdict = 'failed' if violations else 'passed'
         print(f'seed={seed} verdict={verdict} logs={folder}', flush=True)
         for violation in violations:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from dataclasses import replace
 from pathlib import Path
 
@@ -13,6 +14,8 @@
 from soak_history import Attempt, History, JobHistory, Run
 
 CI_SEEDS = (1, 2)
+# Items were completed with part of their texts.
+UNFRAMED_SEED = 5002
 STREAM_EVENTS = 3
 
 
@@ -22,6 +25,12 @@
     assert anyio.run(run_seed, seed, tmp_path) == []
 
 
+def test_short_soak_without_framing(tmp_path: Path) -> None:
+    """Guards against partial answers where these end with a close."""
+    run = functools.partial(run_seed, unframed=True)
+    assert anyio.run(run, UNFRAMED_SEED, tmp_path) == []
+
+
 def complete_attempt(request_id: str, route: str = 'again') -> Attempt:
     """Return an attempt with the complete response."""
     body = b''.join(event_of(request_id, number) for number in range(1, 4))
