Move the client connection into a module of its own

The connection decides whose an answer is and how it ended; the client keeps the pools. No behaviour changes.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -9,14 +9,13 @@
 
 import pytest
 
-from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
-from quetzaldyke.gateway.http_client import (
+from quetzaldyke.gateway.client_connection import (
     MAX_HEAD_BYTES,
     MAX_UNREAD_BYTES,
     Connection,
-    HttpClient,
-    encode_request,
 )
+from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
+from quetzaldyke.gateway.http_client import HttpClient, encode_request
 
 pytestmark = pytest.mark.anyio
 RESPONSE = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 2\r\n\r\nok'
