Never send a request twice on one connection

A caller was told that its request did not run, and may try again, while it ran; or the request ran at a second endpoint as well.

Cause: an answer names its request, and all tries of a request have the same id. A faulty endpoint that repeats an earlier answer on a kept connection thereby answers a later try: a retry, a resumed stream, a batch item that is placed again, or the caller's own retry through the same entry. A repeated refusal (503 with the header that says that it did not run) is the worst.

Evidence: test_second_copy_is_no_answer_to_the_next_try sends a refusal, and its copy ahead of the next answer.

Change: a connection remembers the hashes of the ids that it has carried, and the pool passes over it for these requests. Only the answer to this try can then name the request. The record is bounded by closing a connection after 256 requests; the search passes over at most four connections, then opens one.

Two existing tests sent the same id twice on one connection to see it reused; they now send two ids and check the same.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -27,6 +27,9 @@
 # Added for each header and each status line, which consist of more than the
 # text that the parser reports.
 LINE_OVERHEAD_BYTES: Final = 16
+# Bounds the record of the requests that a connection has carried; it is then
+# closed. More would save hardly any connection.
+MAX_CARRIED_REQUESTS: Final = 256
 
 
 class Connection(asyncio.Protocol):
@@ -53,6 +56,9 @@
         self.idle_since_s = 0.0
         # Requests that were sent on this connection.
         self.uses = 0
+        # Hashes of the ids of these requests, whose length has no bound. An
+        # equal hash of two ids costs a connection and nothing else.
+        self.carried: set[int] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the open connection."""
@@ -66,6 +72,10 @@
         self.head_bytes = 0
         self.unparsed_bytes = 0
         self.uses += 1
+        if exchange.expected_echo:
+            self.carried.add(hash(exchange.expected_echo))
+        if self.uses >= MAX_CARRIED_REQUESTS:
+            self.reusable = False
         exchange.connection = self
         exchange.connection_uses = self.uses
         self.transport.write(request)
@@ -188,6 +198,14 @@
         exchange.finish()
         asyncio.get_running_loop().call_soon(self.release)
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Tell whether a request has not been sent on this connection.
+
+        A repeated answer names the same request as the answer to its next
+        try, so only an answer on another connection can be told from it.
+        """
+        return not request_id or hash(request_id) not in self.carried
+
     def release(self) -> None:
         """Return the connection to the pool, or close it.
 
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -23,6 +23,10 @@
 # Share of the Keep-Alive timeout for which an idle connection is reused; the
 # peer may close it a little before the stated time.
 KEEP_ALIVE_SHARE: Final = 0.6
+# Idle connections that are passed over for a request because they have carried
+# it before; a new one is opened then. Few tries of a request reach the same
+# endpoint, and the search must not grow with the pool.
+MAX_SKIPPED_CONNECTIONS: Final = 4
 
 
 @dataclass(slots=True)
@@ -33,23 +37,31 @@
     port: int
     idle: list[Connection] = field(default_factory=list)
 
-    def take(self, max_idle_s: float) -> Connection | None:
-        """Remove and return a connection that can be reused, or None.
+    def take(self, max_idle_s: float, request_id: bytes) -> Connection | None:
+        """Remove and return a connection for a request, or None.
 
-        Closes the connections that have been idle for too long.
+        Passes over connections that have carried the request, and closes
+        those that have been idle for too long.
         """
         now_s = time.monotonic()
-        while self.idle:
+        skipped: list[Connection] = []
+        found = None
+        while self.idle and len(skipped) < MAX_SKIPPED_CONNECTIONS:
             connection = self.idle.pop()
             idle_limit_s = min(
                 max_idle_s, connection.keep_alive_s * KEEP_ALIVE_SHARE
             )
             if connection.closed:
                 continue
-            if now_s - connection.idle_since_s < idle_limit_s:
-                return connection
-            connection.abort()
-        return None
+            if now_s - connection.idle_since_s >= idle_limit_s:
+                connection.abort()
+            elif connection.may_carry(request_id):
+                found = connection
+                break
+            else:
+                skipped.append(connection)
+        self.idle.extend(reversed(skipped))
+        return found
 
     def add_idle(self, connection: Connection) -> None:
         """Add a connection that the next request may reuse."""
@@ -120,7 +132,9 @@
         Raises `ExchangeError` NOT_CONNECTED if it was not sent.
         """
         pool = self.pool(host, port)
-        connection = pool.take(max_idle_s) or await self.connect(pool)
+        connection = pool.take(max_idle_s, exchange.expected_echo)
+        if connection is None:
+            connection = await self.connect(pool)
         connection.send(exchange, request)
 
     def cancel_timed_out(self, now_s: float) -> None:
--- /dev/null
+++ b/tests/test_foreign_answers.py
@@ -0,0 +1,167 @@
+"""Tests of answers that may be another request's, or another try's."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from quetzaldyke.gateway.client_connection import MAX_CARRIED_REQUESTS
+from quetzaldyke.gateway.exchange import Exchange, ResponseHead
+from quetzaldyke.gateway.http_client import (
+    MAX_SKIPPED_CONNECTIONS,
+    HttpClient,
+    encode_request,
+)
+from raw_endpoint import RawEndpoint, raw_endpoint
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture(params=[False, True], ids=['asyncio', 'uvloop'])
+def anyio_backend(
+    request: pytest.FixtureRequest,
+) -> tuple[str, dict[str, object]]:
+    """Run on both event loops: the programs use uvloop, most tests don't."""
+    return 'asyncio', {'use_uvloop': request.param}
+
+
+def answer_to(request_id: bytes, body: bytes, status: bytes = b'200') -> bytes:
+    """Return an answer that names its request and has a length."""
+    return b'HTTP/1.1 %b Status\r\nX-Id: %b\r\nContent-Length: %d\r\n\r\n%b' % (
+        status,
+        request_id,
+        len(body),
+        body,
+    )
+
+
+REFUSAL = answer_to(b'r1', b'', b'503')
+
+
+async def start(
+    client: HttpClient, endpoint: RawEndpoint, request_id: bytes
+) -> Exchange:
+    """Send a request that expects its id in the answer."""
+    exchange = Exchange(b'x-id', request_id)
+    request = encode_request(b'GET', b'/', [(b'host', b'h')], b'')
+    await client.start('127.0.0.1', endpoint.port, request, exchange)
+    return exchange
+
+
+async def fetch(
+    client: HttpClient, endpoint: RawEndpoint, request_id: bytes
+) -> tuple[int, bytes]:
+    """Send a request and return status and body of its answer."""
+    async with asyncio.timeout(5):
+        exchange = await start(client, endpoint, request_id)
+        try:
+            head = await exchange.read_head()
+            return head.status, await exchange.read_body()
+        finally:
+            exchange.cancel()
+            # Lets the connection go back to the pool.
+            await asyncio.sleep(0)
+
+
+# Guards against a refusal that is repeated on a kept connection and taken for
+# the answer of a later try, which then runs although the caller is told that
+# it does not, or runs at a second endpoint.
+async def test_second_copy_is_no_answer_to_the_next_try() -> None:
+    """A request's next try uses a connection that never carried it."""
+
+    def answer(connection: int, request: int) -> bytes:
+        if connection:
+            return answer_to(b'r1', b'run')
+        return REFUSAL if request == 0 else REFUSAL + answer_to(b'r1', b'run')
+
+    async with raw_endpoint(answer) as endpoint:
+        client = HttpClient()
+        assert await fetch(client, endpoint, b'r1') == (503, b'')
+        assert await fetch(client, endpoint, b'r1') == (200, b'run')
+    assert client.connections_opened == 2
+
+
+@pytest.mark.parametrize(
+    'extra',
+    [REFUSAL, REFUSAL[:1], REFUSAL[:-3], b'\r\n' + REFUSAL[:20]],
+    ids=['whole', 'first byte', 'most', 'after an empty line'],
+)
+async def test_copy_behind_its_answer_ends_the_reuse(extra: bytes) -> None:
+    """Guards against a copy that begins behind an answer and ends later."""
+    async with raw_endpoint(lambda *_: REFUSAL + extra) as endpoint:
+        client = HttpClient()
+        assert await fetch(client, endpoint, b'r1') == (503, b'')
+        assert not client.pool('127.0.0.1', endpoint.port).idle
+
+
+async def test_copy_on_an_idle_connection_ends_the_reuse() -> None:
+    """Guards against a copy that waits on an idle connection."""
+    async with raw_endpoint(lambda *_: REFUSAL) as endpoint:
+        client = HttpClient()
+        assert await fetch(client, endpoint, b'r1') == (503, b'')
+        (connection,) = client.pool('127.0.0.1', endpoint.port).idle
+        endpoint.writers[0].write(REFUSAL[:9])
+        async with asyncio.timeout(5):
+            while not connection.closed:
+                await asyncio.sleep(0.001)
+        assert client.pool('127.0.0.1', endpoint.port).take(9.0, b'') is None
+
+
+async def test_copy_after_the_next_request_is_skipped() -> None:
+    """Guards against a copy that arrives once the next request was sent."""
+    copy = answer_to(b'r1', b'late')
+
+    def answer(_connection: int, request: int) -> bytes:
+        if request == 0:
+            return answer_to(b'r1', b'one')
+        return copy + answer_to(b'r2', b'two')
+
+    async with raw_endpoint(answer) as endpoint:
+        client = HttpClient()
+        assert await fetch(client, endpoint, b'r1') == (200, b'one')
+        exchange = await start(client, endpoint, b'r2')
+        async with asyncio.timeout(5):
+            head: ResponseHead = await exchange.read_head()
+            assert (head.status, await exchange.read_body()) == (200, b'two')
+
+
+async def test_connections_are_not_reused_without_end() -> None:
+    """Guards against a record of carried requests that grows without end."""
+
+    def answer(_connection: int, _request: int) -> bytes:
+        line = next(
+            line
+            for line in endpoint.requests[-1].split(b'\r\n')
+            if line.startswith(b'GET')
+        )
+        return answer_to(line.split(b' ')[1][1:], b'x')
+
+    async with raw_endpoint(answer) as endpoint:
+        client = HttpClient()
+        for number in range(MAX_CARRIED_REQUESTS + 1):
+            request_id = b'%d' % number
+            exchange = Exchange(b'x-id', request_id)
+            request = encode_request(
+                b'GET', b'/' + request_id, [(b'host', b'h')], b''
+            )
+            await client.start('127.0.0.1', endpoint.port, request, exchange)
+            assert await exchange.read_body() == b'x'
+            await asyncio.sleep(0)
+    assert client.connections_opened == 2
+
+
+async def test_search_for_a_connection_is_bounded() -> None:
+    """Guards against a search that grows with the connections of a pool."""
+    async with raw_endpoint(lambda *_: b'') as endpoint:
+        client = HttpClient()
+        pool = client.pool('127.0.0.1', endpoint.port)
+        for _ in range(3 * MAX_SKIPPED_CONNECTIONS):
+            connection = await client.connect(pool)
+            connection.carried.add(hash(b'r1'))
+            connection.release()
+        idle = list(pool.idle)
+        assert pool.take(9.0, b'r1') is None
+        assert pool.idle == idle
+        assert pool.take(9.0, b'r2') is idle[-1]
+        client.close()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -75,10 +75,11 @@
 async def test_connection_is_reused() -> None:
     """Guards against a new connection for every request."""
     client = HttpClient()
-    async with endpoint(RESPONSE, RESPONSE, close=False) as port:
+    second = RESPONSE.replace(b'r1', b'r2')
+    async with endpoint(RESPONSE, second, close=False) as port:
         assert await fetch(client, port) == (200, b'ok')
         await asyncio.sleep(0)
-        assert await fetch(client, port) == (200, b'ok')
+        assert await fetch(client, port, b'r2') == (200, b'ok')
     assert client.connections_opened == 1
 
 
@@ -152,7 +153,7 @@
         assert await fetch(client, port) == (200, b'ok')
         await sent.wait()
         await asyncio.sleep(0.02)
-        assert client.pool('127.0.0.1', port).take(9.0) is None
+        assert client.pool('127.0.0.1', port).take(9.0, b'r2') is None
 
 
 async def test_connection_close_ends_the_reuse() -> None:
@@ -279,7 +280,7 @@
 
 async def test_log_fields_tell_how_an_answer_was_delimited() -> None:
     """Guards against logs that can't tell whose answer it was, or its end."""
-    exchange = Exchange(b'x-id', b'r1')
+    exchange = Exchange(b'x-id', b'r2')
     request = encode_request(b'GET', b'/', [(b'host', b'h')], b'')
     unnamed = RESPONSE.replace(b'X-Id: r1\r\n', b'')
     async with endpoint(RESPONSE, unnamed, close=False) as port:
