Take an answer without an id only on a new connection

A caller could get another request's answer, or be told "not run" by it, if the answer named no request: a late or second answer on a kept connection went to whichever request waited there.

Cause: an answer counted unless it named another id. No id, and several ids of which the first matched, counted as this request's.

Change: answer_owner.py decides whose an answer is. Without an id it is this request's only if no other request can have an answer on this connection: on a new one that has skipped nothing; it is then closed. Elsewhere, and with several ids, it is malformed, so the request counts as possibly run. Log lines show the head of an answer that was rejected (`named=false`).

test_log_fields_tell_how_an_answer_was_delimited expected the unnamed answer to be read; it now expects the error and the same fields.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from quetzaldyke.gateway.answer_owner import Owner, owner_of
 from quetzaldyke.gateway.exchange import Exchange, Failure, ResponseHead
 
 # Assumed if the response has no Keep-Alive timeout.
@@ -45,6 +46,8 @@
         self.reading_paused = False
         self.reusable = True
         self.skipping_response = False
+        # Whether an answer to another request has arrived.
+        self.skipped_answers = False
         self.framed = False
         self.response_complete = False
         self.headers: list[tuple[bytes, bytes]] = []
@@ -143,16 +146,39 @@
         if exchange is None or self.response_complete:
             return
         head = ResponseHead(status, self.headers)
-        self.skipping_response = (
-            status < FIRST_FINAL_STATUS or answers_other_request(exchange, head)
-        )
-        if self.skipping_response:
+        if status < FIRST_FINAL_STATUS:
+            self.skipping_response = True
+            return
+        owner = owner_of(head, exchange.echo_header, exchange.expected_echo)
+        if owner is Owner.OTHER:
+            self.skipping_response = True
+            self.skipped_answers = True
+            return
+        reason = self.rejection(owner)
+        if reason:
+            exchange.rejected = head
+            self.fail(Failure.MALFORMED, reason)
             return
+        if owner is Owner.UNNAMED:
+            self.reusable = False
         self.framed = head.framed
         self.read_keep_alive(head)
         exchange.head = head
         exchange.wake()
 
+    def rejection(self, owner: Owner) -> str:
+        """Return why an answer proves nothing, or no text if it may count.
+
+        An answer without an id is this request's only if no other request
+        can have an answer on this connection.
+        """
+        if owner is Owner.SEVERAL:
+            return 'response names several requests'
+        shared = self.uses > 1 or self.skipped_answers
+        if owner is Owner.UNNAMED and shared:
+            return 'response names no request on a used connection'
+        return ''
+
     def read_keep_alive(self, head: ResponseHead) -> None:
         """Read whether and for how long the connection may be reused."""
         connection = head.get(b'connection')
@@ -247,11 +273,3 @@
         self.exchange = None
         if self.transport is not None:
             self.transport.abort()
-
-
-def answers_other_request(exchange: Exchange, head: ResponseHead) -> bool:
-    """Tell whether a response echoes the id of another request."""
-    if not exchange.echo_header:
-        return False
-    echoed = head.get(exchange.echo_header)
-    return echoed is not None and echoed != exchange.expected_echo
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -92,6 +92,8 @@
     echo_header: bytes = b''
     expected_echo: bytes = b''
     head: ResponseHead | None = None
+    # Head of a response that could not be taken for this request's; for logs.
+    rejected: ResponseHead | None = None
     chunks: deque[bytes] = field(default_factory=deque)
     complete: bool = False
     failure: Failure | None = None
@@ -112,7 +114,7 @@
 
         `named` tells whether the response returned the id of the request.
         """
-        head = self.head
+        head = self.head or self.rejected
         if head is None:
             return {
                 'delimited_by': '',
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -7,7 +7,12 @@
 import pytest
 
 from quetzaldyke.gateway.client_connection import MAX_CARRIED_REQUESTS
-from quetzaldyke.gateway.exchange import Exchange, ResponseHead
+from quetzaldyke.gateway.exchange import (
+    Exchange,
+    ExchangeError,
+    Failure,
+    ResponseHead,
+)
 from quetzaldyke.gateway.http_client import (
     MAX_SKIPPED_CONNECTIONS,
     HttpClient,
@@ -165,3 +170,53 @@
         assert pool.idle == idle
         assert pool.take(9.0, b'r2') is idle[-1]
         client.close()
+
+
+UNNAMED = b'HTTP/1.1 503 Status\r\nContent-Length: 0\r\n\r\n'
+TWO_NAMES = UNNAMED.replace(b'Content', b'X-Id: r2\r\nX-Id: r1\r\nContent')
+SAME_NAMES = UNNAMED.replace(b'Content', b'X-Id: r2\r\nX-Id: r2\r\nContent')
+
+
+# Guards against a late answer without an id that reaches another caller, or
+# that counts as a refusal of a request that runs.
+@pytest.mark.parametrize('answer', [UNNAMED, TWO_NAMES], ids=['none', 'two'])
+async def test_answer_that_names_no_request_proves_nothing(
+    answer: bytes,
+) -> None:
+    """On a used connection such an answer is malformed and closes it."""
+    first = answer_to(b'r1', b'one')
+    async with raw_endpoint(
+        lambda _, request: answer if request else first
+    ) as endpoint:
+        client = HttpClient()
+        await fetch(client, endpoint, b'r1')
+        with pytest.raises(ExchangeError) as raised:
+            await fetch(client, endpoint, b'r2')
+        assert not client.pool('127.0.0.1', endpoint.port).idle
+    assert raised.value.failure is Failure.MALFORMED
+
+
+async def test_answer_without_an_id_after_a_skipped_one_proves_nothing() -> (
+    None
+):
+    """Guards against two late answers, one of them without an id."""
+    late = answer_to(b'r0', b'late')
+    async with raw_endpoint(lambda *_: late + UNNAMED) as endpoint:
+        with pytest.raises(ExchangeError) as raised:
+            await fetch(HttpClient(), endpoint, b'r1')
+    assert raised.value.failure is Failure.MALFORMED
+
+
+async def test_answer_without_an_id_on_a_new_connection_counts() -> None:
+    """Guards against losing the answers of endpoints that name none."""
+    async with raw_endpoint(lambda *_: UNNAMED) as endpoint:
+        client = HttpClient()
+        assert await fetch(client, endpoint, b'r1') == (503, b'')
+        # Its second answer would be taken for that of the next request.
+        assert not client.pool('127.0.0.1', endpoint.port).idle
+
+
+async def test_id_that_is_named_twice_counts() -> None:
+    """Guards against refusing an answer that repeats its own id."""
+    async with raw_endpoint(lambda *_: SAME_NAMES) as endpoint:
+        assert await fetch(HttpClient(), endpoint, b'r2') == (503, b'')
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -288,7 +288,8 @@
         await fetch(client, port)
         await asyncio.sleep(0)
         await client.start('127.0.0.1', port, request, exchange)
-        await exchange.read_body()
+        with pytest.raises(ExchangeError):
+            await exchange.read_body()
     assert exchange.describe() == {
         'delimited_by': 'length',
         'named': False,
