Close connections on which bytes came after an answer

An endpoint or store that writes an answer twice on a kept connection had the copy taken for the answer of the next request: the next caller got the text of another, a copied refusal reported a request as not run that the engine ran, and a store read returned an earlier record.

Cause: the pools kept a connection when its answer had ended, and looked only at the socket before they used it again. Bytes that were received with the end of the answer lay in the buffers of the HTTP parser and of the stream, where the check did not see them.

A copy that arrives after the check can't be told from the answer, as answers name no request.

The instance list is read over the same kind of connection, so a copy of an earlier list can't bring back an instance that left.

--- a/src/quetzaldyke/connection/http_client.py
+++ b/src/quetzaldyke/connection/http_client.py
@@ -16,6 +16,11 @@
 import anyio
 import httpcore
 
+from quetzaldyke.connection.http_connection import (
+    HttpConnection,
+    open_connection,
+)
+
 JSON_HEADERS: Final[dict[bytes | str, bytes | str]] = {
     'Content-Type': 'application/json',
 }
@@ -45,7 +50,7 @@
 
     address: str
     max_connections: int
-    idle: list[httpcore.AsyncHTTPConnection] = field(default_factory=list)
+    idle: list[HttpConnection] = field(default_factory=list)
     connection_slots: anyio.Semaphore | None = None
 
     async def request(
@@ -96,31 +101,31 @@
     async def connection(
         self,
         timeout_s: float,
-    ) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
+    ) -> AsyncIterator[HttpConnection]:
         """Provide a connection within the limit of concurrent connections.
 
         Raises PoolTimeout if none becomes free in half of `timeout_s`.
         """
         connection_slots = await self.acquire_connection_slot(timeout_s)
         try:
-            async with self.exclusive_connection() as connection:
+            async with self.exclusive_connection(timeout_s) as connection:
                 yield connection
         finally:
             connection_slots.release()
 
     @asynccontextmanager
     async def exclusive_connection(
-        self,
-    ) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
+        self, timeout_s: float
+    ) -> AsyncIterator[HttpConnection]:
         """Provide a connection that no other request uses.
 
-        It is kept for reuse if it is idle afterwards, otherwise closed.
+        It is kept if it may be used again afterwards, otherwise closed.
         """
-        connection = await self.acquire_connection()
+        connection = await self.acquire_connection(timeout_s)
         try:
             yield connection
         finally:
-            if connection.is_idle():
+            if connection.ended_cleanly:
                 self.idle.append(connection)
             else:
                 await close(connection)
@@ -138,16 +143,14 @@
             return self.connection_slots
         raise httpcore.PoolTimeout
 
-    async def acquire_connection(self) -> httpcore.AsyncHTTPConnection:
-        """Return an idle connection, or a new one that is not yet open."""
+    async def acquire_connection(self, timeout_s: float) -> HttpConnection:
+        """Return an idle connection on which nothing came, or a new one."""
         while self.idle:
             connection = self.idle.pop()
-            if not connection.has_expired() and not connection.is_closed():
+            if connection.reusable:
                 return connection
             await close(connection)
-        host, _, port = self.address.rpartition(':')
-        origin = httpcore.Origin(b'http', host.strip('[]').encode(), int(port))
-        return httpcore.AsyncHTTPConnection(origin)
+        return await open_connection(self.address, timeout_s)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
@@ -155,7 +158,7 @@
             await close(self.idle.pop())
 
 
-async def close(connection: httpcore.AsyncHTTPConnection) -> None:
+async def close(connection: HttpConnection) -> None:
     """Close a connection even if the calling task is cancelled."""
     with anyio.CancelScope(shield=True):
         await connection.aclose()
--- /dev/null
+++ b/src/quetzaldyke/connection/http_connection.py
@@ -0,0 +1,43 @@
+"""HTTP/1.1 connections that are reused only if nothing is left unread.
+
+An endpoint may write an answer a second time, behind the first or later. An
+answer names no request here, so a connection on which bytes are left would give
+them to its next request.
+"""
+
+from __future__ import annotations
+
+import httpcore
+
+from quetzaldyke.connection.tcp_backend import connect
+
+
+class HttpConnection(httpcore.AsyncHTTP11Connection):
+    """A connection that tells whether it may be used again."""
+
+    @property
+    def ended_cleanly(self) -> bool:
+        """Tell whether the last answer is complete and nothing came after."""
+        unread, _ = self._h11_state.trailing_data
+        return self.is_idle() and not unread
+
+    @property
+    def reusable(self) -> bool:
+        """Tell whether this connection may carry another request now.
+
+        It is not if it expired, or if bytes or an end came while it was idle.
+        """
+        return self.ended_cleanly and not self.has_expired()
+
+
+async def open_connection(
+    address: str,
+    timeout_s: float | None,
+    keepalive_expiry_s: float | None = None,
+) -> HttpConnection:
+    """Connect to an address; raises ConnectTimeout or ConnectError."""
+    host, _, port = address.rpartition(':')
+    host = host.strip('[]')
+    stream = await connect(host, int(port), timeout_s)
+    origin = httpcore.Origin(b'http', host.encode(), int(port))
+    return HttpConnection(origin, stream, keepalive_expiry_s)
--- a/src/quetzaldyke/connection/http_endpoint.py
+++ b/src/quetzaldyke/connection/http_endpoint.py
@@ -16,7 +16,10 @@
 import anyio
 import httpcore
 
-from quetzaldyke.connection.loopback_backend import LoopbackBackend
+from quetzaldyke.connection.http_connection import (
+    HttpConnection,
+    open_connection,
+)
 from quetzaldyke.connection.messages import Submit
 from quetzaldyke.parts.hlc import MS_IN_S
 
@@ -102,20 +105,17 @@
     """
 
     address: str
-    idle: list[httpcore.AsyncHTTPConnection] = field(default_factory=list)
+    idle: list[HttpConnection] = field(default_factory=list)
 
-    async def acquire(self) -> httpcore.AsyncHTTPConnection:
-        """Return an idle connection that has not expired, or a new one."""
+    async def acquire(self) -> HttpConnection:
+        """Return an idle connection on which nothing came, or a new one."""
         while self.idle:
             connection = self.idle.pop()
-            if not connection.has_expired():
+            if connection.reusable:
                 return connection
             await connection.aclose()
-        host, _, port = self.address.rpartition(':')
-        return httpcore.AsyncHTTPConnection(
-            httpcore.Origin(b'http', host.strip('[]').encode(), int(port)),
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-            network_backend=LoopbackBackend(),
+        return await open_connection(
+            self.address, CONTROL_TIMEOUT_S, KEEPALIVE_EXPIRY_S
         )
 
     @asynccontextmanager
@@ -144,9 +144,9 @@
         finally:
             await self.release(connection)
 
-    async def release(self, connection: httpcore.AsyncHTTPConnection) -> None:
-        """Keep an idle connection for reuse; close any other."""
-        if connection.is_idle() and len(self.idle) < MAX_IDLE_CONNECTIONS:
+    async def release(self, connection: HttpConnection) -> None:
+        """Keep a connection whose answer ended cleanly; close any other."""
+        if connection.ended_cleanly and len(self.idle) < MAX_IDLE_CONNECTIONS:
             self.idle.append(connection)
             return
         with anyio.CancelScope(shield=True):
--- a/src/quetzaldyke/process/membership.py
+++ b/src/quetzaldyke/process/membership.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass, field, replace
 from typing import Final, Literal
 
-import httpcore
 from anyio.abc import TaskGroup
 from pydantic import BaseModel, ConfigDict, Field
 from pydantic import ValidationError as ModelError
 from result import Err, Ok, Result
 
+from quetzaldyke.connection.http_client import TRANSPORT_ERRORS, HttpClient
 from quetzaldyke.connection.links import LinkOptions
 from quetzaldyke.connection.messages import LeavingNotice, Message
 from quetzaldyke.connection.peer import PeerSession
@@ -25,12 +25,6 @@
 LIST_INTERVAL_S: Final = 1.0
 LIST_TIMEOUT_S: Final = 2.0
 HTTP_OK: Final = 200
-HTTP_ERRORS: Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    OSError,
-)
 
 
 class ListedInstance(BaseModel):
@@ -84,31 +78,24 @@
     options: LinkOptions
     group: TaskGroup
     log_event: LogEvent
-    pool: httpcore.AsyncConnectionPool = field(
-        default_factory=lambda: httpcore.AsyncConnectionPool(
-            max_connections=2,
-            network_backend=httpcore.AnyIOBackend(),
-        ),
-    )
+    client: HttpClient = field(init=False)
     # Incarnations of the entries that announced their shutdown, by name. The
     # list may still show them as live for a while.
     leaving_incarnations: dict[str, str] = field(default_factory=dict)
     # Last logged failure, so that an outage is logged once.
     logged_failure: str = ''
 
+    def __post_init__(self) -> None:
+        """Create the client; lists are read one after another."""
+        self.client = HttpClient(self.address, max_connections=1)
+
     async def read_list(self) -> Result[list[Instance], str]:
         """Fetch the list; return its rows, or why it can't be read."""
-        timeouts = dict.fromkeys(
-            ('connect', 'read', 'write', 'pool'),
-            LIST_TIMEOUT_S,
-        )
         try:
-            response = await self.pool.request(
-                'GET',
-                f'http://{self.address}/instances',
-                extensions={'timeout': timeouts},
+            response = await self.client.request(
+                'GET', '/instances', b'', LIST_TIMEOUT_S
             )
-        except HTTP_ERRORS as exc:
+        except TRANSPORT_ERRORS as exc:
             return Err(f'{type(exc).__name__} at the instance list')
         if response.status != HTTP_OK:
             return Err(f'status {response.status} of the instance list')
@@ -169,4 +156,4 @@
 
     async def aclose(self) -> None:
         """Close the connections to the instance list service."""
-        await self.pool.aclose()
+        await self.client.aclose()
