Close the connection of an engine's refusal

A request that an engine ran could be reported as not run: the engine wrote an earlier refusal once more on a kept connection, after the next request had been written. A client that must not run a request twice may repeat one that was reported so.

Cause: an answer names no request, so nothing tells such a copy from the answer once the request is on its way. Only refusals state that a request was not run, so their connections are not used again; a new connection on loopback is the price. A copy of an answer that is no refusal can still be taken for the next answer if it comes within a running request.

Without the change the new test fails on asyncio and uvloop.

--- a/src/quetzaldyke/connection/engine_client.py
+++ b/src/quetzaldyke/connection/engine_client.py
@@ -23,9 +23,11 @@
 
 from quetzaldyke.connection.event_reader import EventReader, EventTooLongError
 from quetzaldyke.connection.http_endpoint import (
+    CONFLICT,
     CONTROL_TIMEOUT_S,
     FIRST_REDIRECT_STATUS,
     FIRST_SERVER_ERROR_STATUS,
+    TOO_MANY_REQUESTS,
     TRANSPORT_ERRORS,
     Answer,
     ConnectionPool,
@@ -40,8 +42,6 @@
 
 END_MARKER: Final = '[DONE]'
 MAX_ERROR_BYTES: Final = 65536
-TOO_MANY_REQUESTS: Final = 429
-CONFLICT: Final = 409
 NOT_FOUND: Final = 404
 CANCEL_ATTEMPTS: Final = 3
 CANCEL_RETRY_DELAY_S: Final = 0.02
--- a/src/quetzaldyke/connection/http_endpoint.py
+++ b/src/quetzaldyke/connection/http_endpoint.py
@@ -27,6 +27,12 @@
 MAX_IDLE_CONNECTIONS: Final = 64
 CONTROL_TIMEOUT_S: Final = 2.0
 FIRST_REDIRECT_STATUS: Final = 300
+CONFLICT: Final = 409
+TOO_MANY_REQUESTS: Final = 429
+# An endpoint answers with these to a request that it did not run. The
+# connection is then closed: a late copy of such an answer would state the same
+# of the next request.
+NOT_RUN_STATUSES: Final = frozenset((CONFLICT, TOO_MANY_REQUESTS))
 FIRST_SERVER_ERROR_STATUS: Final = 500
 # A longer pause that an endpoint asks for is cut to this: one answer must not
 # cost it its work.
@@ -132,6 +138,7 @@
         `read_s` is the timeout of each read; None means no timeout.
         """
         connection = await self.acquire()
+        reuse = False
         try:
             async with connection.stream(
                 method,
@@ -141,12 +148,14 @@
                 extensions=timeout_extension(read_s),
             ) as response:
                 yield response
+                reuse = response.status not in NOT_RUN_STATUSES
         finally:
-            await self.release(connection)
+            await self.release(connection, reuse)
 
-    async def release(self, connection: HttpConnection) -> None:
+    async def release(self, connection: HttpConnection, reuse: bool) -> None:
         """Keep a connection whose answer ended cleanly; close any other."""
-        if connection.ended_cleanly and len(self.idle) < MAX_IDLE_CONNECTIONS:
+        reuse = reuse and connection.ended_cleanly
+        if reuse and len(self.idle) < MAX_IDLE_CONNECTIONS:
             self.idle.append(connection)
             return
         with anyio.CancelScope(shield=True):
--- a/tests/test_reused_connections.py
+++ b/tests/test_reused_connections.py
@@ -9,9 +9,12 @@
 
 import anyio
 import pytest
+from result import Err
+
+from quetzaldyke.connection.engine_client import EngineClient
 from quetzaldyke.connection.http_client import HttpClient
 from quetzaldyke.connection.http_endpoint import ConnectionPool
-from sidecar_rig import LIMIT_S
+from sidecar_rig import LIMIT_S, make_submit
 
 pytestmark = pytest.mark.anyio
 
@@ -128,3 +131,40 @@
             assert await ask() == number
             await server.repeated.wait()
             await anyio.sleep(0.01)
+
+
+async def test_late_copy_of_a_refusal_does_not_refuse_the_next_request() -> (
+    None
+):
+    """Guards against reporting a request that the engine runs as not run.
+
+    The copy comes after the request was written, when no check can see it.
+    """
+    refusal = response(b'', b'429 Too Many Requests')
+    run: list[int] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(asyncio.IncompleteReadError):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(refusal)
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(refusal)
+            run.append(1)
+        writer.close()
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with listener:
+        port = listener.sockets[0].getsockname()[1]
+        client = EngineClient(ConnectionPool(f'127.0.0.1:{port}'))
+        with anyio.fail_after(LIMIT_S):
+            for _ in range(2):
+                outcome = await client.run(make_submit(), ignore)
+                assert isinstance(outcome, Err)
+                assert outcome.err_value.ran == 'not_run'
+    assert not run
+
+
+async def ignore(_: object) -> None:
+    """Drop a part of an answer."""
