Reject answers that state both a length and chunks

A service's answer with both Content-Length and Transfer-Encoding was returned as complete at the end that its chunks gave, even where the length stated another. Nothing tells which of the two is right, so the answer now fails with an unknown outcome and its connection is closed.

Without the change the new test fails on asyncio and uvloop.

--- a/src/quetzaldyke/connection/http_connection.py
+++ b/src/quetzaldyke/connection/http_connection.py
@@ -7,10 +7,14 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import httpcore
 
 from quetzaldyke.connection.tcp_backend import connect
 
+FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
+
 
 class HttpConnection(httpcore.AsyncHTTP11Connection):
     """A connection that tells whether it may be used again."""
@@ -29,6 +33,21 @@
         """
         return self.ended_cleanly and not self.has_expired()
 
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        """Send a request and return the head of the answer.
+
+        Raises RemoteProtocolError for an answer with both a length and chunks:
+        nothing tells which of the two ends it.
+        """
+        response = await super().handle_async_request(request)
+        named = {name.lower() for name, _ in response.headers}
+        if named >= FRAMING_HEADERS:
+            await self.aclose()
+            raise httpcore.RemoteProtocolError('both a length and chunks')
+        return response
+
 
 async def open_connection(
     address: str,
--- a/tests/test_reused_connections.py
+++ b/tests/test_reused_connections.py
@@ -9,11 +9,12 @@
 
 import anyio
 import pytest
-from result import Err
+from result import Err, Ok
 
 from quetzaldyke.connection.engine_client import EngineClient
 from quetzaldyke.connection.http_client import HttpClient
 from quetzaldyke.connection.http_endpoint import ConnectionPool
+from quetzaldyke.connection.service_client import ServiceClient
 from sidecar_rig import LIMIT_S, make_submit
 
 pytestmark = pytest.mark.anyio
@@ -166,5 +167,27 @@
     assert not run
 
 
+async def test_answer_with_length_and_chunks_is_not_complete() -> None:
+    """Guards against an answer whose end two headers state differently."""
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked'
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head + b'\r\n\r\n2\r\nab\r\n0\r\n\r\n')
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with listener:
+        port = listener.sockets[0].getsockname()[1]
+        client = ServiceClient(ConnectionPool(f'127.0.0.1:{port}'))
+        with anyio.fail_after(LIMIT_S):
+            outcome = await client.run(make_submit(), ignore)
+    assert not isinstance(outcome, Ok)
+    assert outcome.err_value.ran == 'unknown'
+
+
 async def ignore(_: object) -> None:
     """Drop a part of an answer."""
