Fail engine streams that hold a second or a garbled answer

A caller could get text that was not its answer, marked as complete: an engine's second answer behind the first was appended to its text, and one that began inside a cut stream without length or chunks was taken for the rest. An event that was not JSON was skipped, so that a piece of the text was missing from a complete answer or batch item.

Cause: the reader went on behind the end marker within one read, ignored lines that no event has, and dropped events that it could not parse.

Now the answer ends at its marker, and a line that is no field of an event or an event that is not a JSON object fails the stream. Its outcome is unknown, so the retry rules of a broken stream apply. Events without data and comments are ignored as before.

Without the change the tests of second answers and of the malformed event fail, on asyncio and uvloop. The tests of cut, reset and cancelled answers without length or chunks pass on both: in the sidecar a stream needs its end marker, and a service's answer that this process ends has no outcome.

--- a/src/quetzaldyke/connection/engine_client.py
+++ b/src/quetzaldyke/connection/engine_client.py
@@ -21,7 +21,7 @@
 import orjson
 from result import Err, Ok, Result
 
-from quetzaldyke.connection.event_reader import EventReader, EventTooLongError
+from quetzaldyke.connection.event_reader import EventError, EventReader
 from quetzaldyke.connection.http_endpoint import (
     CONFLICT,
     CONTROL_TIMEOUT_S,
@@ -211,8 +211,8 @@
                 if response.status >= FIRST_REDIRECT_STATUS:
                     return await read_error_response(response)
                 return await read_event_stream(response, on_delta)
-        except EventTooLongError:
-            return Err(EndpointFailure('unknown', 'event is too long'))
+        except EventError as exc:
+            return Err(EndpointFailure('unknown', str(exc)))
         except TRANSPORT_ERRORS as exc:
             return Err(classify_error(exc))
 
@@ -267,9 +267,7 @@
     reader = EventReader()
     stream = response.aiter_stream()
     async for raw in stream:
-        delta = TextDelta()
-        for text in reader.feed(raw):
-            apply_event(text, delta, state)
+        delta = read_delta(reader, raw, state)
         if delta.text:
             await on_delta(delta)
         if state.complete or state.error:
@@ -291,6 +289,21 @@
     )
 
 
+def read_delta(
+    reader: EventReader, raw: bytes, state: StreamState
+) -> TextDelta:
+    """Apply the events in `raw` up to the end of the answer.
+
+    What follows the end marker belongs to no answer.
+    """
+    delta = TextDelta()
+    for text in reader.feed(raw):
+        apply_event(text, delta, state)
+        if state.complete or state.error:
+            break
+    return delta
+
+
 async def read_remaining(stream: AsyncIterator[bytes]) -> None:
     """Read the stream to its end, so that the connection can be reused."""
     with anyio.move_on_after(REMAINING_TIMEOUT_S):
@@ -305,6 +318,7 @@
         return
     content = parse_json(text)
     if not isinstance(content, dict):
+        state.error = 'malformed event in the stream'
         return
     if content.get('error'):
         state.error = 'engine reported an error in the stream'
--- a/src/quetzaldyke/connection/event_reader.py
+++ b/src/quetzaldyke/connection/event_reader.py
@@ -1,7 +1,8 @@
 """Reads server-sent events from the bytes of an engine's answer.
 
 A faulty engine may send a line or an event without end. What is kept of one
-event is therefore limited.
+event is therefore limited. It may also write a second answer into the first,
+whose head then stands among the events; such a stream is refused.
 """
 
 from __future__ import annotations
@@ -15,9 +16,15 @@
 
 # Far more than an event with the text of some tokens takes.
 MAX_EVENT_BYTES: Final = 1_048_576
+# A line begins with one of these, or with the colon of a comment.
+FIELDS: Final = frozenset(('data', 'event', 'id', 'retry', ''))
 
 
-class EventTooLongError(Exception):
+class EventError(Exception):
+    """The bytes are not a stream of events; the text tells why."""
+
+
+class EventTooLongError(EventError):
     """An event exceeds the limit."""
 
 
@@ -44,17 +51,20 @@
     def feed(self, raw: bytes) -> Iterator[str]:
         """Add bytes and yield the data of the events completed by them.
 
-        Raises `EventTooLongError` if an event exceeds the limit.
+        Raises `EventError` if an event exceeds the limit or a line is no
+        field of an event.
         """
         lines = self.lines.decode(self.utf8.decode(raw))
         self.line_bytes = 0 if lines else self.line_bytes + len(raw)
         for line in lines:
+            if line.partition(':')[0] not in FIELDS:
+                raise EventError('line is no field of an event')
             self.event_chars = self.kept_after(line)
             event = self.events.decode(line)
-            if event is not None:
+            if event is not None and event.data:
                 yield event.data
         if self.line_bytes + self.event_chars > MAX_EVENT_BYTES:
-            raise EventTooLongError
+            raise EventTooLongError('event is too long')
 
     def kept_after(self, line: str) -> int:
         """Return the characters kept of the event after one more line.
