Don't take an engine's redirect for a complete answer

A stream that had begun and was resumed at an engine that answered with a 3xx status ended with its final event and [DONE], though text was missing; a batch item was completed with the body of the redirect.

Cause: the engine client returned any status from 300 to 499 as the answer, and both readers of it take one below 400 for success. A redirect now fails the attempt with an unknown outcome.

Without the change the new test fails (302 and 304, asyncio and uvloop).

--- a/src/quetzaldyke/connection/engine_client.py
+++ b/src/quetzaldyke/connection/engine_client.py
@@ -25,6 +25,7 @@
 from quetzaldyke.connection.http_endpoint import (
     CONFLICT,
     CONTROL_TIMEOUT_S,
+    FIRST_CLIENT_ERROR_STATUS,
     FIRST_REDIRECT_STATUS,
     FIRST_SERVER_ERROR_STATUS,
     TOO_MANY_REQUESTS,
@@ -238,9 +239,9 @@
     """Return the outcome of a response with an error status.
 
     429 means that the engine did not admit the request, and it may ask for a
-    pause; 409 means that another stream with this id is running. A status
-    from 500 leaves open whether the request ran; any other one is returned as
-    the answer.
+    pause; 409 means that another stream with this id is running. A redirect or
+    a status from 500 leaves open whether the request ran; any other one is
+    returned as the answer.
     """
     body = await read_body(response, MAX_ERROR_BYTES)
     if response.status == TOO_MANY_REQUESTS:
@@ -249,7 +250,9 @@
         return Err(EndpointFailure('not_run', reason, retry_after_ms=pause_ms))
     if response.status == CONFLICT:
         return Err(EndpointFailure('not_run', 'request id is in use'))
-    if response.status >= FIRST_SERVER_ERROR_STATUS:
+    if not (
+        FIRST_CLIENT_ERROR_STATUS <= response.status < FIRST_SERVER_ERROR_STATUS
+    ):
         reason = f'engine status {response.status}'
         return Err(EndpointFailure('unknown', reason))
     return Ok(Answer(response.status, response_headers(response), body))
--- a/src/quetzaldyke/connection/http_endpoint.py
+++ b/src/quetzaldyke/connection/http_endpoint.py
@@ -27,6 +27,7 @@
 MAX_IDLE_CONNECTIONS: Final = 64
 CONTROL_TIMEOUT_S: Final = 2.0
 FIRST_REDIRECT_STATUS: Final = 300
+FIRST_CLIENT_ERROR_STATUS: Final = 400
 CONFLICT: Final = 409
 TOO_MANY_REQUESTS: Final = 429
 # An endpoint answers with these to a request that it did not run. The
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -219,3 +219,12 @@
     text, outcome = await run_stream(RawEndpoint(pieces))
     assert text == 'ab'
     assert isinstance(outcome, Ok)
+
+
+@pytest.mark.parametrize('status', [b'302 Found', b'304 Not Modified'])
+async def test_redirect_is_no_complete_answer(status: bytes) -> None:
+    """Guards against ending a stream as complete, or an item, by a redirect."""
+    head = b'HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n' % status
+    _, outcome = await run_stream(RawEndpoint((head,)))
+    assert isinstance(outcome, Err)
+    assert outcome.err_value.ran == 'unknown'
