Refuse endpoint records whose address, id or numbers nothing can use

Seen: an entry of another writer with port 99999, -5 or 0, with forms such as '+80', ' 80', '8_0' or other scripts' digits, without a host, or with control characters in its id became an endpoint. On asyncio a request to it raised OverflowError, which the attempt does not handle; uvloop cut the port to 16 bits, so the request went to another address. An entry with 10**18 slots looked idle for ever, and the reason of a refusal contained the refused content, which may be a megabyte.

Cause: the port came from int(), the host and the id were not checked at all, and the log line was pydantic's message.

Change: parts/addresses.py parses HOST:PORT completely, and the record's model bounds each field that a request depends on. A reason names the field and the rule, has at most 200 characters and never the content. A record with slots of 0 or less names no endpoint; it used to count as one slot.

--- a/src/quetzaldyke/platform/records.py
+++ b/src/quetzaldyke/platform/records.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from typing import Annotated, Final, Literal
 
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -21,9 +21,19 @@
     Service,
     WeightedService,
 )
+from quetzaldyke.parts.addresses import parse_address
 from quetzaldyke.platform.names import ENDPOINT_PREFIX
+from quetzaldyke.platform.validation import describe_invalid
 
 MS_IN_S = 1000
+# Far above what one endpoint runs at once. An endpoint that claims more would
+# look idle for ever and get all requests.
+MAX_SLOTS: Final = 65_536
+# The end of the year 9999 in Unix ms.
+MAX_UNIX_MS: Final = 253_402_300_799_999
+MAX_ADDRESS_CHARS: Final = 300
+# Names and ids go into headers and log lines: visible ASCII characters only.
+Name = Annotated[str, Field(pattern=r'^[!-~]{1,200}\z')]
 
 
 class PlatformRecord(BaseModel):
@@ -95,12 +105,13 @@
 
     model_config = ConfigDict(extra='ignore', strict=True)
 
-    service: str
-    address: str
-    zone: str
-    slots: int
+    endpoint_id: Name
+    service: Name
+    address: Annotated[str, Field(max_length=MAX_ADDRESS_CHARS)]
+    zone: Name
+    slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)]
     state: Literal['ready', 'draining']
-    born: int = 0
+    born: Annotated[int, Field(ge=0, le=MAX_UNIX_MS)] = 0
 
 
 def decode_configuration(raw: bytes) -> Result[Configuration, str]:
@@ -171,21 +182,30 @@
 
 
 def decode_endpoint(key: str, raw: bytes) -> Result[Endpoint, str]:
-    """Decode the registration of an endpoint; fail with the reason."""
+    """Decode the registration of an endpoint; fail with a short reason.
+
+    Another writer may have left the record, so each field that a request
+    depends on is checked here.
+    """
     try:
-        record = EndpointRecord.model_validate(orjson.loads(raw))
-        host, _, port = record.address.rpartition(':')
-        return Ok(
-            Endpoint(
-                endpoint_id=key.removeprefix(ENDPOINT_PREFIX),
-                service=record.service,
-                host=host,
-                port=int(port),
-                failure_domain=record.zone,
-                slots=max(1, record.slots),
-                state=record.state,
-                started_ms=record.born,
-            ),
+        document = orjson.loads(raw)
+        if not isinstance(document, dict):
+            return Err('no JSON object')
+        endpoint_id = key.removeprefix(ENDPOINT_PREFIX)
+        record = EndpointRecord.model_validate(
+            {**document, 'endpoint_id': endpoint_id},
         )
-    except (ValidationError, ValueError) as exc:
-        return Err(str(exc))
+    except (ValidationError, ValueError, RecursionError) as exc:
+        return Err(describe_invalid(exc))
+    return parse_address(record.address).map(
+        lambda address: Endpoint(
+            endpoint_id=record.endpoint_id,
+            service=record.service,
+            host=address[0],
+            port=address[1],
+            failure_domain=record.zone,
+            slots=record.slots,
+            state=record.state,
+            started_ms=record.born,
+        ),
+    )
