Report an address that no socket can use as not connected

Seen: a request to such an address raised OverflowError, ValueError or UnicodeError out of HttpClient.start. Only ExchangeError is handled there, so the caller got a broken answer or the batch run ended with a fault. On uvloop a port above 65535 reached another server: the one at its low 16 bits.

Cause: connect caught OSError and TimeoutError only, and no layer checked the port before uvloop cut it.

Change: gateway/connecting.py opens connections. It refuses a port out of range and turns the errors of the resolver and the event loop into NOT_CONNECTED with the log line address_unusable.

--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from dataclasses import dataclass, field
 from typing import Final
@@ -16,7 +15,8 @@
     DEFAULT_KEEP_ALIVE_S,
     Connection,
 )
-from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
+from quetzaldyke.gateway.connecting import open_connection
+from quetzaldyke.gateway.exchange import Exchange
 
 # Below the one second after which TCP retransmits a lost SYN.
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -106,16 +106,9 @@
         It joins the pool when it is idle after a request. Raises
         `ExchangeError` NOT_CONNECTED on an error or timeout.
         """
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(pool.add_idle),
-                    pool.host,
-                    pool.port,
-                )
-        except (OSError, TimeoutError) as exc:
-            raise ExchangeError(Failure.NOT_CONNECTED, repr(exc)) from exc
+        connection = await open_connection(
+            lambda: Connection(pool.add_idle), pool.host, pool.port, timeout_s
+        )
         self.connections_opened += 1
         return connection
 
