Let the stand-in's refusals name their request

Endpoints return the id of the request in refusals too. Without it, a refusal of the stand-in on a used connection is now malformed, which the tests with real processes would see as a failing endpoint.

--- a/src/quetzaldyke/standins/platform_endpoint.py
+++ b/src/quetzaldyke/standins/platform_endpoint.py
@@ -139,13 +139,19 @@
         if expected is not None and expected != self.options.endpoint_id:
             return Response(
                 status_code=421,
-                headers={'Instance-Id': self.options.endpoint_id},
+                headers={
+                    'Attempt-Id': request_id,
+                    'Instance-Id': self.options.endpoint_id,
+                },
             )
         if self.faults.silent:
             await anyio.sleep_forever()
         if not request_id or self.queued >= MAX_QUEUE:
             status = 503 if request_id else 400
-            return Response(status_code=status, headers={'Not-Executed': '1'})
+            return Response(
+                status_code=status,
+                headers={'Attempt-Id': request_id, 'Not-Executed': '1'},
+            )
         body = await request.body()
         await self.acquire_slot()
         first = int(request.headers.get('last-event-id', '0')) + 1
