Do not count events of a chunk that is rejected

A caller of a resumed stream, or a batch result, lacked events: they came in one chunk with an event whose id was wrong.

Cause: EventSplitter.feed moved last_id on with each event and raised at the wrong one, so none of the chunk was forwarded, but the stream was resumed after the events that had been counted.

Evidence: test_events_beside_a_wrong_one_are_not_counted fails on the old code (last_id is 3 instead of 1).

Change: last_id moves on once the whole chunk is accepted.

--- a/src/quetzaldyke/gateway/event_stream.py
+++ b/src/quetzaldyke/gateway/event_stream.py
@@ -59,8 +59,11 @@
         end += len(EVENT_END)
         whole = buffered[:end]
         self.hold(buffered[end:])
+        last_id = self.last_id
         for match in EVENT_ID.finditer(whole):
-            self.accept_event_id(int(match.group(1)))
+            last_id = next_id(last_id, int(match.group(1)))
+        # Only now: a chunk with a wrong event delivers none of its events.
+        self.last_id = last_id
         return whole
 
     def hold(self, partial: bytes) -> None:
@@ -69,16 +72,15 @@
             raise StreamError(f'event exceeds {MAX_EVENT_BYTES} bytes')
         self.partial = partial
 
-    def accept_event_id(self, event_id: int) -> None:
-        """Store the id of an event.
 
-        Raises `StreamError` unless it follows the previous id.
-        """
-        if self.last_id is not None and event_id != self.last_id + 1:
-            raise StreamError(
-                f'{event_id} is not the event id after {self.last_id}'
-            )
-        self.last_id = event_id
+def next_id(last_id: int | None, event_id: int) -> int:
+    """Return the id of an event.
+
+    Raises `StreamError` unless it follows the previous id.
+    """
+    if last_id is not None and event_id != last_id + 1:
+        raise StreamError(f'{event_id} is not the event id after {last_id}')
+    return event_id
 
 
 def event_data(events: bytes) -> list[bytes]:
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -49,6 +49,19 @@
         splitter.feed(event_of('r', event_id))
 
 
+# Guards against events that a caller never gets, because the stream is resumed
+# after them although they came in one chunk with a wrong event.
+def test_events_beside_a_wrong_one_are_not_counted() -> None:
+    """A resumption repeats the events of a chunk that was rejected."""
+    splitter = EventSplitter()
+    splitter.feed(event_of('r', 1))
+    with pytest.raises(StreamError):
+        splitter.feed(event_of('r', 2) + event_of('r', 3) + event_of('r', 9))
+    splitter.restart()
+    assert splitter.last_id == 1
+    assert splitter.feed(event_of('r', 2)) == event_of('r', 2)
+
+
 def test_data_of_several_events() -> None:
     """Guards against outputs whose events are lost or joined."""
     assert event_data(STREAM)[:2] == [b'r/1', b'r/2']
