Let only events pass in a stream of events

A caller could find the text of an error, or the whole head of a second answer, in the middle of its stream; a batch result could hold text of another answer.

Cause: EventSplitter forwarded whatever ended with an empty line and looked only at the lines that begin with an id. Bytes without an id passed: the body of an endpoint that answers a resumption with a signed 200 of another type, or a second answer behind one without length or chunks, which is part of its body for HTTP. An id of more than 4,300 digits raised a ValueError that nothing handles.

Change: a line must be an id, data, event or retry field, a comment, or a header line (lower-case name) before the fields; an event with data or headers has exactly one id, a number of at most 18 digits. Anything else is a StreamError: the stream is resumed or closed without its end. Heartbeat comments and the line that tells a change of version are tested to pass.

--- a/src/quetzaldyke/gateway/event_stream.py
+++ b/src/quetzaldyke/gateway/event_stream.py
@@ -1,7 +1,9 @@
 """Splits a stream of server-sent events into whole events.
 
 Only whole events are forwarded to a caller, because a stream that is resumed
-at another endpoint starts with the event after the last whole one.
+at another endpoint starts with the event after the last whole one. Whatever is
+no event, such as the text of an error or the head of a second answer behind
+one that ends with its connection, fails the stream.
 """
 
 from __future__ import annotations
@@ -11,10 +13,22 @@
 from typing import Final
 
 EVENT_END: Final = b'\n\n'
-EVENT_ID: Final = re.compile(rb'^id:[ ]?(\d+)', re.MULTILINE)
+# More digits than an id has; int() refuses numbers of some thousand digits.
+EVENT_ID: Final = re.compile(rb'[ ]?(\d{1,18})')
 DATA_LINE: Final = re.compile(rb'^data:[ ]?(.*)$', re.MULTILINE)
-
-
+ID_FIELD: Final = b'id:'
+# Kinds of lines: id, data, other field, header. A header that changes at an
+# event stands before its fields, with its name in lower case; the carriage
+# return of a response head is excluded.
+LINE: Final = re.compile(
+    rb'(?P<i>id:.*)|(?P<d>data(?::.*)?)|(?P<o>(?:event|retry)(?::.*)?)|(?::.*)?'
+    rb'|(?P<h>[a-z][a-z0-9-]*:[ ][^\r]*)'
+)
+# An event with data or headers has one id.
+EVENT_SHAPE: Final = re.compile('o*|h*[od]*i[od]*')
+# Nearly all events: matching them as a whole takes a fraction of the time.
+PLAIN_EVENT: Final = re.compile(rb'id:[ ]?(\d{1,18})\ndata:[^\n]*')
+LOGGED_BYTES: Final = 40
 # Limit on one event; an endpoint may send a line without end.
 MAX_EVENT_BYTES: Final = 262_144
 
@@ -48,8 +62,8 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return all events that are now whole.
 
-        Raises `StreamError` if the event ids are not consecutive or an event
-        is too large.
+        Raises `StreamError` if the event ids are not consecutive, an event is
+        too large, or there is anything but events.
         """
         buffered = self.partial + chunk if self.partial else chunk
         end = buffered.rfind(EVENT_END)
@@ -60,8 +74,10 @@
         whole = buffered[:end]
         self.hold(buffered[end:])
         last_id = self.last_id
-        for match in EVENT_ID.finditer(whole):
-            last_id = next_id(last_id, int(match.group(1)))
+        for event in whole.removesuffix(EVENT_END).split(EVENT_END):
+            event_id = read_event_id(event)
+            if event_id is not None:
+                last_id = next_id(last_id, event_id)
         # Only now: a chunk with a wrong event delivers none of its events.
         self.last_id = last_id
         return whole
@@ -73,6 +89,42 @@
         self.partial = partial
 
 
+def read_event_id(event: bytes) -> int | None:
+    r"""Return the id of an event, or None if it has none and no data.
+
+    Raises `StreamError` unless it consists of the lines of an event, with one
+    id if it has data. Comments keep a stream open and need no id.
+
+    >>> read_event_id(b'weight-versions: 3\nid: 7\ndata: a')
+    7
+    >>> read_event_id(b': still here') is None
+    True
+    """
+    plain = PLAIN_EVENT.fullmatch(event)
+    if plain is not None:
+        return int(plain.group(1))
+    lines = event.split(b'\n')
+    kinds = ''.join(line_kind(line) for line in lines)
+    if not EVENT_SHAPE.fullmatch(kinds):
+        raise StreamError(f'{event[:LOGGED_BYTES]!r} is no event')
+    ids = (line[len(ID_FIELD) :] for line in lines if line.startswith(ID_FIELD))
+    return next((decode_id(content) for content in ids), None)
+
+
+def line_kind(line: bytes) -> str:
+    """Return the letter of a line's kind, which is empty for a comment."""
+    match = LINE.fullmatch(line)
+    return 'x' if match is None else match.lastgroup or ''
+
+
+def decode_id(content: bytes) -> int:
+    """Return the number of an id field; raises `StreamError` if it is none."""
+    match = EVENT_ID.fullmatch(content)
+    if match is None:
+        raise StreamError(f'{content[:LOGGED_BYTES]!r} is no event id')
+    return int(match.group(1))
+
+
 def next_id(last_id: int | None, event_id: int) -> int:
     """Return the id of an event.
 
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -62,6 +62,67 @@
     assert splitter.feed(event_of('r', 2)) == event_of('r', 2)
 
 
+SECOND_HEAD = b'HTTP/1.1 503 Busy\r\nAttempt-Id: r\r\n\r\n'
+
+
+# Guards against the text or the head of another answer in the middle of a
+# stream that has neither a length nor chunks, or of a resumed one.
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'<html>busy</html>\n\n',
+        b'{"error": "busy"}\n\n',
+        b'{\n\n"error": "busy"}\n\n',
+        b'error: busy\n\n',
+        b'busy\n\n',
+        SECOND_HEAD + b'id: 2\ndata: b\n\n',
+        SECOND_HEAD.lower() + b'id: 2\ndata: b\n\n',
+        b'attempt-id: r\r\n\r\nid: 2\ndata: b\n\n',
+        b'id: 2\ndata: b' + SECOND_HEAD + b'id: 3\ndata: c\n\n',
+        b'id: 2\ndata: b\ncontent-type: text/html\n\n',
+        b'data: no id\n\n',
+        b'event: error\ndata: busy\n\n',
+        b'id: 2\nid: 3\ndata: b\n\n',
+        b'id: 2\ndata: b\nid: 2\n\n',
+        b'id: 1\ndata: a\n\n',
+        b'id: -2\ndata: b\n\n',
+        b'id: 2x\ndata: b\n\n',
+        b'id:\ndata: b\n\n',
+        b'id: ' + b'9' * 5_000 + b'\ndata: b\n\n',
+    ],
+)
+def test_bytes_that_are_no_event_fail_the_stream(text: bytes) -> None:
+    """A stream with anything but events is broken, not forwarded."""
+    splitter = EventSplitter()
+    splitter.feed(b'id: 1\ndata: a\n\n')
+    with pytest.raises(StreamError) as raised:
+        splitter.feed(text)
+    assert len(str(raised.value)) < 200
+    assert splitter.last_id == 1
+
+
+@pytest.mark.parametrize(
+    'events',
+    [
+        b'id: 2\ndata: b\n\n',
+        b'id:2\ndata:b\n\n',
+        b'data: b\nid: 2\n\n',
+        b'data: b\ndata: c\nid: 2\n\n',
+        b'weight-versions: 3\nid: 2\ndata: b\n\n',
+        b': still here\n\nid: 2\ndata: b\n\n',
+        b':\n\n\nid: 2\ndata: b\n\n',
+        b'retry: 100\n\nid: 2\nevent: token\ndata: b: c\n\n',
+        b'id: 2\ndata: HTTP/1.1 200 OK\n\n',
+    ],
+)
+def test_sound_events_are_accepted(events: bytes) -> None:
+    """Guards against refusing a heartbeat, a version line or a sound text."""
+    splitter = EventSplitter()
+    splitter.feed(b'id: 1\ndata: a\n\n')
+    assert splitter.feed(events) == events
+    assert splitter.last_id == 2
+
+
 def test_data_of_several_events() -> None:
     """Guards against outputs whose events are lost or joined."""
     assert event_data(STREAM)[:2] == [b'r/1', b'r/2']
