Stop running requests when their time is up, in the sidecar

A batch item at an engine that stalled never ended: it kept its slot and was neither done nor failed, whatever its limit of ten minutes for one attempt. An online request ended at the entry, but only as of unknown outcome.

Cause: the sidecar looked at the deadline of queued requests alone, and no entry watches that of items. It now stops running ones too and reports that they ran, so that an item is tried elsewhere.

--- a/src/quetzaldyke/process/admission.py
+++ b/src/quetzaldyke/process/admission.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -28,6 +29,7 @@
 # After this wait, an online request that must run alone is the next to start;
 # until then, other requests may start before it.
 EXCLUSIVE_WAIT_S: Final = 0.5
+DEADLINE_PASSED: Final = 'deadline has passed'
 # Number of cancelled jobs to remember; one job id takes about 100 bytes.
 MAX_CANCELLED_JOBS: Final = 50_000
 
@@ -83,12 +85,8 @@
 
     def running_batch_by_pool(self) -> dict[str, int]:
         """Return the number of running batch streams of each pool."""
-        counts: dict[str, int] = {}
-        for request in self.running.values():
-            if request.is_batch:
-                pool = request.submit.pool
-                counts[pool] = counts.get(pool, 0) + 1
-        return counts
+        running = self.running.values()
+        return Counter(one.submit.pool for one in running if one.is_batch)
 
     @property
     def batch_room(self) -> int:
@@ -131,7 +129,7 @@
         if request.submit.work not in {'online', 'batch'}:
             return Refusal('unknown class of work')
         if request.submit.remaining_ms <= 0:
-            return Refusal('deadline has passed')
+            return Refusal(DEADLINE_PASSED)
         return None
 
     def check_batch(self, request: TrackedRequest) -> Refusal | None:
@@ -195,20 +193,23 @@
         return int(ahead * self.mean_run_s * MS_IN_S / self.slots)
 
     def schedule(self) -> None:
-        """Refuse expired requests, start others, preempt and issue grants."""
+        """End expired requests, start others, preempt and issue grants."""
         now_s = self.clock.now()
-        self.refuse_expired(now_s)
+        self.end_expired(now_s)
         waiting = self.start_online(now_s)
         self.preempt(waiting, now_s)
         self.limit.record_running(len(self.running))
         self.issue_grants(now_s)
 
-    def refuse_expired(self, now_s: float) -> None:
-        """Refuse queued requests whose deadline has passed."""
+    def end_expired(self, now_s: float) -> None:
+        """Refuse queued and stop running requests that are overdue."""
         expired = [one for one in self.queue if one.deadline_s <= now_s]
         for request in expired:
             self.queue.remove(request)
-            self.refuse(request, Refusal('deadline has passed'))
+            self.refuse(request, Refusal(DEADLINE_PASSED))
+        for running in self.running.values():
+            if running.deadline_s <= now_s:
+                running.stop(DEADLINE_PASSED, now_s)
 
     def start_online(self, now_s: float) -> int:
         """Start queued requests; return how many still wait only for a slot.
