Refuse answers in a transfer coding other than chunks

A caller or a batch item could get part of an answer as the whole one: an answer in chunks that the endpoint's close cut off counted as complete.

Cause: the headers decided whether the close ends the body, and the parser where it really ends. What ends with the connection by the headers came in chunks by the parser, or the bytes of the chunks' framing were passed on as the body.

Change: only chunks, `identity` and no coding are read; any other answer is malformed. This replaces the rule that another coding ends with the connection: a coded body can't be decoded, so its end proves nothing.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -31,6 +31,13 @@
 # Bounds the record of the requests that a connection has carried; it is then
 # closed. More would save hardly any connection.
 MAX_CARRIED_REQUESTS: Final = 256
+# The transfer codings of a body that can be passed on. `identity` is the older
+# way to state none.
+READABLE_CODINGS: Final[tuple[list[bytes], ...]] = (
+    [],
+    [b'chunked'],
+    [b'identity'],
+)
 
 
 class Connection(asyncio.Protocol):
@@ -154,7 +161,7 @@
             self.skipping_response = True
             self.skipped_answers = True
             return
-        reason = self.rejection(owner)
+        reason = self.rejection(owner, head)
         if reason:
             exchange.rejected = head
             self.fail(Failure.MALFORMED, reason)
@@ -166,12 +173,15 @@
         exchange.head = head
         exchange.wake()
 
-    def rejection(self, owner: Owner) -> str:
+    def rejection(self, owner: Owner, head: ResponseHead) -> str:
         """Return why an answer proves nothing, or no text if it may count.
 
         An answer without an id is this request's only if no other request
-        can have an answer on this connection.
+        can have an answer on this connection. A body in another coding can't
+        be decoded, and the parser may see another end of it.
         """
+        if head.transfer_codings not in READABLE_CODINGS:
+            return 'response has an unknown transfer coding'
         if owner is Owner.SEVERAL:
             return 'response names several requests'
         shared = self.uses > 1 or self.skipped_answers
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -67,13 +67,22 @@
                 return content
         return None
 
+    @property
+    def transfer_codings(self) -> list[bytes]:
+        """Return the transfer codings in order, in lower case."""
+        return [
+            coding.strip().lower()
+            for name, content in self.headers
+            if name == b'transfer-encoding'
+            for coding in content.split(b',')
+        ]
+
     @property
     def delimiter(self) -> Delimiter:
         """Return what ends the body."""
-        encoding = self.get(b'transfer-encoding')
-        if encoding is not None:
-            chunked = encoding.lower().endswith(b'chunked')
-            return 'chunks' if chunked else 'close'
+        codings = self.transfer_codings
+        if codings:
+            return 'chunks' if codings[-1] == b'chunked' else 'close'
         length = self.get(b'content-length')
         return 'close' if length is None else 'length'
 
