Treat an endpoint's switch of protocols as malformed

An endpoint that answers with 101 and an Upgrade header raised an exception in the event loop, and its request counted as one that crashes endpoints.

Cause: the parser reports the switch with HttpParserUpgrade, which is no HttpParserError. It is now an error of the parser like the others.

Evidence: the new test fails on the old code (asyncio and uvloop).

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -38,6 +38,8 @@
     [b'chunked'],
     [b'identity'],
 )
+# The second is raised for a switch of protocols, which no request asks for.
+PARSER_ERRORS: Final = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
 class Connection(asyncio.Protocol):
@@ -100,7 +102,7 @@
         self.unparsed_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as exc:
+        except PARSER_ERRORS as exc:
             self.fail(Failure.MALFORMED, repr(exc))
             return
         if max(self.head_bytes, self.unparsed_bytes) > MAX_HEAD_BYTES:
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -73,3 +73,15 @@
     answer = HEAD + b'Transfer-Encoding: identity\r\n\r\nabc'
     async with raw_endpoint(lambda *_: answer, closing=True) as endpoint:
         assert await fetch(endpoint) == b'abc'
+
+
+async def test_switch_of_protocols_is_malformed() -> None:
+    """Guards against an exception in the event loop, counted as a crash."""
+    answer = (
+        b'HTTP/1.1 101 Switching Protocols\r\nX-Id: r1\r\n'
+        b'Connection: upgrade\r\nUpgrade: x\r\n\r\nabc'
+    )
+    async with raw_endpoint(lambda *_: answer) as endpoint:
+        with pytest.raises(ExchangeError) as raised:
+            await fetch(endpoint)
+    assert raised.value.failure is Failure.MALFORMED
