Count only a server error as a failed attempt of an item

A batch item was listed as given up although no endpoint had failed at it or said that it can't be run: after a few answers such as an unsigned 200, a 302, or a 502 or 503 that does not say whether the item ran.

Cause: whatever was neither a signed 200 nor a refusal counted as a failed attempt, so what a faulty endpoint or a proxy sends passed for the word of an endpoint that ran the item.

Change: only status 500 counts. The retry after any other answer is delayed like that of a run that was cut off, and the delay grows.

--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -28,6 +28,8 @@
 from quetzaldyke.platform.limits import decode_limit, decode_retry_after
 
 STATUS_OK: Final = 200
+# The only answer that counts as a failed attempt of the item.
+STATUS_SERVER_ERROR: Final = 500
 # The endpoint can never run the item, so it is not retried.
 STATUS_UNPROCESSABLE: Final = 422
 # Events of a run come within milliseconds of each other; an endpoint that is
@@ -203,22 +205,27 @@
     def handle_error_response(self, head: ResponseHead, answer: bytes) -> None:
         """Delay the retry, or fail the item after its last attempt.
 
-        A response that says that the endpoint did not run the item does not
-        count as an attempt.
+        Only a server error counts as an attempt. A refusal and any other
+        answer prove nothing about the item; the delay after the latter grows
+        as after a run that was cut off.
         """
         progress = self.progress
         refused = is_not_run(head)
         dispatcher = self.context.dispatcher
+        delay_s = ITEM_RETRY_DELAY_S
         if refused:
             dispatcher.permits.limits.note_refused(
                 self.reservation.endpoint,
                 decode_retry_after(head.headers),
                 dispatcher.clock.now(),
             )
-        else:
+        elif head.status == STATUS_SERVER_ERROR:
             progress.failures += 1
             progress.failed_at |= {self.endpoint_id}
-        self.delay_retry()
+        else:
+            progress.note_interruption()
+            delay_s = max_backoff_s(INTERRUPTED_RETRY, progress.interruptions)
+        self.delay_retry(delay_s)
         log_event(
             'item_failed',
             item=progress.record.item_id,
