Keep a second answer out of a body that ends with its connection

A caller's answer ended with another one, head included, or with a second copy of itself; or a request waited until its timeout.

Cause: behind an answer without length or chunks everything is body. If the answer was the late one of another request, the skipped body took in the answer that the request waited for.

Change: such a body, once it is whole, is malformed if it holds a status line with the header of a request's id below it; one pass over the lines. An answer without length that names another request fails the exchange at once. A second answer without an id can't be told from the body.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -159,7 +159,7 @@
             self.skipping_response = True
             return
         owner = owner_of(head, exchange.echo_header, exchange.expected_echo)
-        if owner is Owner.OTHER:
+        if owner is Owner.OTHER and head.framed:
             self.skipping_response = True
             self.skipped_answers = True
             return
@@ -186,6 +186,9 @@
             return 'response has an unknown transfer coding'
         if owner is Owner.SEVERAL:
             return 'response names several requests'
+        if owner is Owner.OTHER:
+            # Its body would take in the answer behind it.
+            return 'response without length names another request'
         shared = self.uses > 1 or self.skipped_answers
         if owner is Owner.UNNAMED and shared:
             return 'response names no request on a used connection'
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -9,6 +9,8 @@
 from enum import Enum
 from typing import Final, Literal, Protocol
 
+from quetzaldyke.gateway.further_answers import has_further_head
+
 # Limit on a body that is read as a whole, which keeps a peer that sends
 # without end from using up the memory of an instance.
 MAX_BODY_BYTES: Final = 8_388_608
@@ -24,9 +26,10 @@
         """Resume reading after the buffered body has been consumed."""
 
 
-# What ends the body of a response: its length, its last chunk, or the close of
-# the connection.
-Delimiter = Literal['length', 'chunks', 'close']
+# What ends the body of a response: its status if that has none, its length, its
+# last chunk, or the close of the connection.
+Delimiter = Literal['status', 'length', 'chunks', 'close']
+STATUSES_WITHOUT_BODY: Final = frozenset((204, 304))
 
 
 class Failure(Enum):
@@ -80,6 +83,8 @@
     @property
     def delimiter(self) -> Delimiter:
         """Return what ends the body."""
+        if self.status in STATUSES_WITHOUT_BODY:
+            return 'status'
         codings = self.transfer_codings
         if codings:
             return 'chunks' if codings[-1] == b'chunked' else 'close'
@@ -197,7 +202,8 @@
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the whole body.
 
-        Raises `ExchangeError` if it breaks off or exceeds the limit.
+        Raises `ExchangeError` if it breaks off, exceeds the limit, or ends
+        with the connection and holds a further answer.
         """
         body = bytearray()
         while chunk := await self.read_chunk():
@@ -206,8 +212,17 @@
                 raise ExchangeError(
                     Failure.MALFORMED, f'body exceeds {max_bytes} bytes'
                 )
+        self.check_single(bytes(body))
         return bytes(body)
 
+    def check_single(self, body: bytes) -> None:
+        """Raise `ExchangeError` if a whole body holds a further answer."""
+        framed = self.head is None or self.head.framed
+        if framed or not self.echo_header:
+            return
+        if has_further_head(body, self.echo_header):
+            raise ExchangeError(Failure.MALFORMED, 'body holds a response head')
+
     def check_events(self, events: int, events_before: int) -> None:
         """Check that an event stream that has ended can be complete.
 
--- a/tests/test_foreign_answers.py
+++ b/tests/test_foreign_answers.py
@@ -220,3 +220,58 @@
     """Guards against refusing an answer that repeats its own id."""
     async with raw_endpoint(lambda *_: SAME_NAMES) as endpoint:
         assert await fetch(HttpClient(), endpoint, b'r2') == (503, b'')
+
+
+UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n'
+
+
+# Guards against a caller whose answer ends with another one, or with its own a
+# second time: behind an answer without length or chunks it is part of the body.
+@pytest.mark.parametrize(
+    'second',
+    [answer_to(b'r0', b'late'), UNFRAMED + b'all', UNNAMED + UNFRAMED],
+    ids=['other', 'own', 'unnamed first'],
+)
+async def test_second_answer_is_no_part_of_an_unframed_body(
+    second: bytes,
+) -> None:
+    """A body that holds the head of a further answer is malformed."""
+    answer = UNFRAMED + b'all' + second
+    async with raw_endpoint(lambda *_: answer, closing=True) as endpoint:
+        with pytest.raises(ExchangeError) as raised:
+            await fetch(HttpClient(), endpoint, b'r1')
+    assert raised.value.failure is Failure.MALFORMED
+
+
+async def test_unframed_body_may_mention_a_status_line() -> None:
+    """Guards against refusing a sound body that mentions the protocol."""
+    body = b'HTTP/1.1 200 OK\nServer: x\n\nX-Id: r1'
+    answer = UNFRAMED + body
+    async with raw_endpoint(lambda *_: answer, closing=True) as endpoint:
+        assert await fetch(HttpClient(), endpoint, b'r1') == (200, body)
+
+
+# Guards against a request that waits until its timeout, because the late
+# answer of another one has no end of its own.
+async def test_other_answer_without_length_fails_at_once() -> None:
+    """The answer that may follow it can't be told from its body."""
+    late = UNFRAMED.replace(b'r1', b'r0') + b'late'
+    async with raw_endpoint(
+        lambda *_: late + answer_to(b'r1', b'own')
+    ) as endpoint:
+        with pytest.raises(ExchangeError) as raised:
+            await fetch(HttpClient(), endpoint, b'r1')
+    assert raised.value.failure is Failure.MALFORMED
+
+
+@pytest.mark.parametrize('status', [b'204', b'304'])
+async def test_status_without_a_body_needs_no_length(status: bytes) -> None:
+    """Guards against a skipped answer without a body that fails the next."""
+    late = b'HTTP/1.1 %b None\r\nX-Id: r0\r\n\r\n' % status
+    async with raw_endpoint(
+        lambda *_: late + answer_to(b'r1', b'own')
+    ) as endpoint:
+        client = HttpClient()
+        exchange = await start(client, endpoint, b'r1')
+        assert await exchange.read_body() == b'own'
+        assert exchange.describe()['delimited_by'] == 'length'
