Refuse an answer whose body is not as the caller asked for it

A caller got encoded bytes as the body of its answer, without the header that says so; or an answer with a content encoding, which nobody asked for, counted as served.

Cause: a transfer encoding other than chunks was taken for a body up to the close (or its chunks were removed and the rest left), and the header is of one connection only, so it is not forwarded. A content encoding was not looked at.

Change: answer_form.py names the fault and the exchange fails as malformed.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from quetzaldyke.gateway.answer_form import form_fault
 from quetzaldyke.gateway.answer_owner import Owner, owner_of
 from quetzaldyke.gateway.exchange import Exchange, Failure, ResponseHead
 
@@ -31,13 +32,6 @@
 # Bounds the record of the requests that a connection has carried; it is then
 # closed. More would save hardly any connection.
 MAX_CARRIED_REQUESTS: Final = 256
-# The transfer codings of a body that can be passed on. `identity` is the older
-# way to state none.
-READABLE_CODINGS: Final[tuple[list[bytes], ...]] = (
-    [],
-    [b'chunked'],
-    [b'identity'],
-)
 # The second is raised for a switch of protocols, which no request asks for.
 PARSER_ERRORS: Final = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
@@ -163,7 +157,7 @@
             self.skipping_response = True
             self.skipped_answers = True
             return
-        reason = self.rejection(owner, head)
+        reason = self.rejection(owner) or form_fault(head)
         if reason:
             exchange.rejected = head
             self.fail(Failure.MALFORMED, reason)
@@ -175,15 +169,12 @@
         exchange.head = head
         exchange.wake()
 
-    def rejection(self, owner: Owner, head: ResponseHead) -> str:
+    def rejection(self, owner: Owner) -> str:
         """Return why an answer proves nothing, or no text if it may count.
 
         An answer without an id is this request's only if no other request
-        can have an answer on this connection. A body in another coding can't
-        be decoded, and the parser may see another end of it.
+        can have an answer on this connection.
         """
-        if head.transfer_codings not in READABLE_CODINGS:
-            return 'response has an unknown transfer coding'
         if owner is Owner.SEVERAL:
             return 'response names several requests'
         if owner is Owner.OTHER:
