Don't pass on a promise that an endpoint did not make

A caller could be told "not run, try again" for a request that an endpoint ran or that an earlier try may have run: an endpoint's 408, 429 or 503 without the header that says that it did not run was forwarded as it came. A caller repeats a request that is not idempotent only after such a status.

Cause: the statuses of this system's own refusals and those of endpoints share a meaning for callers, but only the header gives it to an endpoint's. The retry rules knew that, the forwarding did not.

Change: such an answer is replaced by 502 without the endpoint's headers, as for any request that may have run. Answers with the header and other errors are handled as before.

Evidence: the 6 cases of test_error_without_the_promise_is_no_refusal fail on the old code; the 5 of other statuses pass before and after.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -29,6 +29,8 @@
 )
 from quetzaldyke.gateway.responses import send_response
 from quetzaldyke.gateway.retries import (
+    PROMISING_STATUSES,
+    STATUS_BAD_GATEWAY,
     STATUS_MISDIRECTED,
     STATUS_TIMEOUT,
     final_failure,
@@ -272,8 +274,10 @@
     ) -> Outcome | None:
         """Forward an error response, or return None to retry elsewhere.
 
-        A server error is retried if the route allows it. Raises
-        `IncompleteResponseError` if a stream has already been started.
+        A server error is retried if the route allows it. A status that would
+        promise the caller that its request did not run is replaced, because
+        the endpoint has not said so. Raises `IncompleteResponseError` if a
+        stream has already been started.
         """
         progress = self.progress
         progress.tried_endpoints.add(self.endpoint_id)
@@ -291,6 +295,9 @@
                 return None
         if progress.response_started:
             raise IncompleteResponseError(progress.last_failure)
+        if head.status in PROMISING_STATUSES:
+            await send_response(self.caller, STATUS_BAD_GATEWAY)
+            return Outcome(STATUS_BAD_GATEWAY, progress.last_failure)
         return await self.forward_body(head, body, progress.last_failure)
 
     async def forward_body(
--- a/src/quetzaldyke/gateway/retries.py
+++ b/src/quetzaldyke/gateway/retries.py
@@ -26,6 +26,9 @@
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
 STATUS_TIMEOUT: Final = 504
+# These tell a caller that its request did not run and will not; only an answer
+# with the header of that meaning proves it of an endpoint.
+PROMISING_STATUSES: Final = frozenset((408, 429, STATUS_UNAVAILABLE))
 
 
 def is_not_run(head: ResponseHead) -> bool:
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -19,7 +19,7 @@
     ResponseHead,
 )
 from quetzaldyke.gateway.http_client import HttpClient
-from quetzaldyke.gateway.model import Route
+from quetzaldyke.gateway.model import Route, RouteKind
 from quetzaldyke.gateway.online_request import (
     Headers,
     OnlineRequest,
@@ -132,6 +132,39 @@
     assert harness.ejected()
 
 
+# Guards against a caller that is told "not run, try again" by an error that
+# does not say so, for a request that the endpoint may have run.
+@pytest.mark.parametrize('kind', ['idempotent', 'non_idempotent'])
+@pytest.mark.parametrize('status', [408, 429, 503])
+async def test_error_without_the_promise_is_no_refusal(
+    kind: RouteKind, status: int
+) -> None:
+    """The caller gets 502, which promises nothing, and nothing of the error."""
+    harness = AttemptHarness.of(make_route(kind, resumable=False))
+    harness.attempt.progress.attempts = 2
+    head = ResponseHead(
+        status, [(b'retry-after', b'1'), (b'response-signature', b's')]
+    )
+    outcome = await harness.attempt.handle_error_response(head, b'text')
+    assert outcome is not None
+    caller = harness.attempt.caller
+    assert isinstance(caller, FakeCaller)
+    assert (outcome.status, caller.status, caller.body) == (502, 502, b'')
+    assert caller.headers == [(b'content-length', b'0')]
+
+
+@pytest.mark.parametrize('status', [400, 404, 500, 502, 504])
+async def test_error_that_promises_nothing_is_forwarded(status: int) -> None:
+    """Guards against replacing the errors of an endpoint."""
+    harness = AttemptHarness.of(make_route('non_idempotent', resumable=False))
+    harness.attempt.progress.attempts = 1
+    head = ResponseHead(status, [(b'response-signature', b's')])
+    await harness.attempt.handle_error_response(head, b'text')
+    caller = harness.attempt.caller
+    assert isinstance(caller, FakeCaller)
+    assert (caller.status, caller.body) == (status, b'text')
+
+
 def test_busy_endpoint_is_not_ejected() -> None:
     """Guards against a burst of requests that ejects every busy engine."""
     harness = AttemptHarness.of(make_route())
