Keep the headers of an endpoint's connection away from callers

A caller could apply a header to its own connection that concerned only that of the endpoint; and a connection that its endpoint closes was reused.

Cause: headers that a Connection header lists were forwarded, in both directions, and `close` was seen only if it stood alone in the first one.

Change: the options of all Connection headers are read; the headers that they list are dropped, except those without which a request or an answer is worthless (id, proof, type, host).

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -187,10 +187,7 @@
 
     def read_keep_alive(self, head: ResponseHead) -> None:
         """Read whether and for how long the connection may be reused."""
-        connection = head.get(b'connection')
-        if connection is not None and connection.lower() == b'close':
-            self.reusable = False
-        if not self.framed:
+        if head.closes or not self.framed:
             self.reusable = False
         stated = head.get(b'keep-alive')
         if stated is None:
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -56,6 +56,20 @@
         self.failure = failure
 
 
+def connection_options(headers: list[tuple[bytes, bytes]]) -> set[bytes]:
+    """Return the options and names that the connection headers list.
+
+    >>> sorted(connection_options([(b'connection', b'X-A, Close')]))
+    [b'close', b'x-a']
+    """
+    return {
+        option.strip().lower()
+        for name, content in headers
+        if name == b'connection'
+        for option in content.split(b',')
+    }
+
+
 @dataclass(slots=True)
 class ResponseHead:
     """Status and headers of a response; header names are in lower case."""
@@ -80,6 +94,11 @@
             for coding in content.split(b',')
         ]
 
+    @property
+    def closes(self) -> bool:
+        """Return whether the connection ends after the response."""
+        return b'close' in connection_options(self.headers)
+
     @property
     def delimiter(self) -> Delimiter:
         """Return what ends the body."""
--- a/src/quetzaldyke/gateway/forwarded_headers.py
+++ b/src/quetzaldyke/gateway/forwarded_headers.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from quetzaldyke.gateway.exchange import ResponseHead
+from quetzaldyke.gateway.exchange import ResponseHead, connection_options
 from quetzaldyke.gateway.online_request import Headers
 from quetzaldyke.platform import names
 
@@ -34,21 +34,28 @@
 INTERNAL_HEADERS: Final = frozenset((names.LOAD, b'content-length'))
 
 
+# Forwarded even if they are listed as those of one connection: without them an
+# answer proves nothing, and a request has no id.
+END_TO_END_HEADERS: Final = frozenset(
+    (b'host', b'content-type', names.ATTEMPT_ID, names.SIGNATURE)
+)
+
+
 def request_headers(headers: Headers) -> Headers:
     """Return the headers of a request that are forwarded to an endpoint."""
-    return [
-        header
-        for header in headers
-        if header[0] not in HOP_BY_HOP_HEADERS
-        and header[0] not in REPLACED_HEADERS
-    ]
+    return forwarded(headers, REPLACED_HEADERS)
 
 
 def end_to_end_headers(head: ResponseHead) -> Headers:
     """Return the headers of a response that are forwarded to the caller."""
-    return [
-        header
-        for header in head.headers
-        if header[0] not in HOP_BY_HOP_HEADERS
-        and header[0] not in INTERNAL_HEADERS
-    ]
+    return forwarded(head.headers, INTERNAL_HEADERS)
+
+
+def forwarded(headers: Headers, replaced: frozenset[bytes]) -> Headers:
+    """Return headers without those that are replaced or of one connection.
+
+    A connection header lists further headers that concern it alone.
+    """
+    listed = connection_options(headers) - END_TO_END_HEADERS
+    dropped = HOP_BY_HOP_HEADERS | replaced | listed
+    return [header for header in headers if header[0] not in dropped]
