Test each barrier against a self-caused end by itself

Four changes keep an end that this process causes from completing an answer. With any single one of them taken out, all tests of unframed answers still passed, so a later change could have removed them one by one. Each has a test now; each of the four fails (asyncio and uvloop) with its barrier taken out.

--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
+from unittest import mock
 
 import anyio
 import pytest
@@ -19,6 +20,7 @@
 from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_route
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
+from quetzaldyke.gateway.client_connection import Connection
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
 from quetzaldyke.gateway.item_run import ItemRun, RunContext
@@ -228,3 +230,51 @@
             exchange.cancel(failure)
     assert [exc.failure for exc in raised] == [failure]
     assert not exchange.complete
+
+
+# The next tests guard against an answer that this process ended and that
+# counts as whole; each checks one of the barriers without the others.
+async def test_failed_answer_never_becomes_complete() -> None:
+    """An end that is reported after the failure changes nothing."""
+    exchange = Exchange()
+    exchange.fail(Failure.CANCELLED)
+    exchange.finish()
+    assert not exchange.complete
+
+
+async def test_failure_is_recorded_before_the_abort() -> None:
+    """Whoever reacts to the close finds the failure."""
+    exchange = Exchange()
+    connection = mock.Mock()
+    seen: list[Failure | None] = []
+    connection.abort.side_effect = lambda: seen.append(exchange.failure)
+    exchange.connection = connection
+    exchange.cancel()
+    assert seen == [Failure.CANCELLED]
+
+
+async def test_aborted_connection_has_no_exchange() -> None:
+    """A close that is reported later reaches no exchange."""
+    connection, exchange = unframed_connection()
+    connection.abort()
+    connection.eof_received()
+    connection.connection_lost(None)
+    assert not exchange.complete
+
+
+async def test_close_without_the_end_of_the_peer_is_a_failure() -> None:
+    """A close without error that the peer did not cause ends no answer."""
+    connection, exchange = unframed_connection()
+    connection.connection_lost(None)
+    assert (exchange.complete, exchange.failure) == (False, Failure.BROKEN)
+
+
+def unframed_connection() -> tuple[Connection, Exchange]:
+    """Return a connection that has received part of an unframed answer."""
+    connection = Connection(lambda idle: None)
+    connection.connection_made(mock.Mock())
+    exchange = Exchange(b'attempt-id', b'i1')
+    connection.send(exchange, b'')
+    connection.data_received(UNFRAMED + FIRST_EVENT)
+    assert exchange.head is not None
+    return connection, exchange
