Drop datagrams whose values are no bytes or whose numbers are out of range

Seen: a datagram of about 40 bytes ended an entry. A trial decoded a watch update with 5 * 10**9 in place of a changed key's value; the process was killed for its memory. Negative counts, infinite or undefined times and revisions beyond 64 bits were accepted too; a NaN in place of the time for which a peer has reached the store made that peer a way to the store.

Cause: bytes() of an integer is that many zeros, and the decoders checked neither the type of the value nor the range of numbers.

Change: a value is bytes or absent; counts, revisions and times have bounds. A grant's wait stays infinite where an endpoint names a limit of 0.

One case was added to tests/test_limit_messages.py: the infinite wait survives its encoding.

--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -15,6 +15,7 @@
 from quetzaldyke.gateway.limit_messages import (
     LimitMessage,
     decode_limit_message,
+    decode_non_negative,
     encode_limit_message,
 )
 from quetzaldyke.gateway.loads import RequestCounts
@@ -32,6 +33,11 @@
     msgpack.UnpackException,
 )
 
+# The store counts revisions in 64 bits with a sign.
+MAX_REVISION: Final = 0x7FFF_FFFF_FFFF_FFFF
+# Far above the requests or items that one entry can hold.
+MAX_REQUESTS: Final = 100_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
@@ -190,9 +196,9 @@
         tuple(Trait(str(key), int(specificity)) for key, specificity in traits),
         str(lifetime),
         bool(late),
-        float(age_s),
+        decode_non_negative(age_s),
         str(service),
-        float(ago_s),
+        decode_non_negative(ago_s),
     )
 
 
@@ -202,12 +208,15 @@
     return LoadReport(
         sender,
         {
-            str(key): RequestCounts(int(online), int(batch))
+            str(key): RequestCounts(decode_number(online), decode_number(batch))
             for key, online, batch in rows
         },
-        {str(service): int(queued) for service, queued in waiting.items()},
-        int(pending),
-        float(store_up_s),
+        {
+            str(service): decode_number(queued)
+            for service, queued in waiting.items()
+        },
+        decode_number(pending),
+        decode_non_negative(store_up_s),
     )
 
 
@@ -219,16 +228,43 @@
         changes = tuple(
             WatchedChange(
                 str(key),
-                int(changed),
-                None if value is None else bytes(value),
+                decode_revision(changed),
+                decode_value(value),
             )
             for key, changed, value in rows
         )
     return WatchUpdate(
         sender,
         str(prefix),
-        int(after),
-        int(revision),
+        decode_revision(after),
+        decode_revision(revision),
         changes,
-        float(lapse_grace_s),
+        decode_non_negative(lapse_grace_s),
     )
+
+
+def decode_value(value: Any) -> bytes | None:
+    """Decode the value of a changed key, None if the key was deleted.
+
+    Raises `ValueError` for any other type: bytes() of a number would allocate
+    that many zeros.
+    """
+    if value is None or isinstance(value, bytes):
+        return value
+    raise ValueError(f'value of type {type(value).__name__}')
+
+
+def decode_revision(revision: Any) -> int:
+    """Decode a revision of the store; raises `ValueError` if it is none."""
+    decoded = int(revision)
+    if not 0 <= decoded <= MAX_REVISION:
+        raise ValueError(f'revision {decoded}')
+    return decoded
+
+
+def decode_number(number: Any) -> int:
+    """Decode a number of requests; raises `ValueError` if it can't be one."""
+    decoded = int(number)
+    if not 0 <= decoded <= MAX_REQUESTS:
+        raise ValueError(f'number {decoded}')
+    return decoded
--- a/src/quetzaldyke/gateway/limit_messages.py
+++ b/src/quetzaldyke/gateway/limit_messages.py
@@ -204,6 +204,17 @@
     return decoded
 
 
+def decode_wait(wait_s: Any) -> float:
+    """Decode a wait, which is infinite if no permit will come.
+
+    Raises `ValueError` if it is negative or no number.
+    """
+    decoded = float(wait_s)
+    if not decoded >= 0:
+        raise ValueError(f'wait {decoded}')
+    return decoded
+
+
 def decode_count(count: Any) -> int:
     """Decode a number of permits; raises `ValueError` if it can't be one."""
     decoded = int(count)
@@ -217,7 +228,7 @@
 ) -> LimitAnswer:
     """Decode what a response showed of a limit."""
     return LimitAnswer(
-        str(key), decode_rate(rate), float(age_s), bool(permitted)
+        str(key), decode_rate(rate), decode_non_negative(age_s), bool(permitted)
     )
 
 
@@ -252,6 +263,6 @@
         int(number),
         decode_count(online),
         decode_count(batch),
-        float(online_wait_s),
-        float(batch_wait_s),
+        decode_wait(online_wait_s),
+        decode_wait(batch_wait_s),
     )
--- a/tests/test_limit_messages.py
+++ b/tests/test_limit_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgpack
 import pytest
 
@@ -33,6 +35,7 @@
         LimitUpdate('a', {'e1@0': 2.0, 'e2@0': None}),
         PermitAsks('a', (PermitAsk('e1@0', 3, 1, 2, 0, 0.5),)),
         PermitGrant('a', 'e1@0', Grant('b', 3, 1, 0, 0.5, 2.0), 7),
+        PermitGrant('a', 'e1@0', Grant('b', 3, 0, 0, math.inf, math.inf), 7),
         PermitOffer('a', 'e1@0'),
         PermitReturn('a', {'e1@0': 2}, 8),
     ],
