Apply only records of members and jobs whose fields can be used

Seen: a member record with a port out of range, or of another type, became a peer. Datagrams go to all peers in turn; a trial showed that asyncio then closes the datagram socket for good ("Fatal write error on datagram transport"), and that uvloop raises ValueError, so that the members behind it get no reports. A job or state record with a text in place of a number made each later sum over all jobs raise, which ends every acceptance near a quota.

Cause: records were unpacked into dataclasses without a look at their types.

Change: members, jobs and states are checked field by field when they are read. A member's record also has to name the member of its key. The fault in the log line is cut to 200 characters.

--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -13,6 +13,9 @@
 from typing import Final
 
 import msgpack
+from result import Err
+
+from quetzaldyke.parts.addresses import is_port, parse_host
 
 FLEET_PREFIX: Final = 'quetzaldyke/fleet/'
 MEMBER_PREFIX: Final = f'{FLEET_PREFIX}member/'
@@ -26,6 +29,20 @@
 RESULT_PREFIX: Final = 'quetzaldyke/result/'
 
 
+def text_of(content: object) -> str:
+    """Return a decoded text; raises `TypeError` for any other type."""
+    if not isinstance(content, str):
+        raise TypeError(f'{type(content).__name__} in place of a text')
+    return content
+
+
+def integer_of(content: object) -> int:
+    """Return a decoded integer; raises `TypeError` for any other type."""
+    if isinstance(content, bool) or not isinstance(content, int):
+        raise TypeError(f'{type(content).__name__} in place of an integer')
+    return content
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """A running entry; its record lives as long as its lease."""
@@ -37,8 +54,16 @@
 
     @classmethod
     def unpack(cls, raw: bytes) -> Member:
-        """Decode a stored member."""
-        return cls(*msgpack.unpackb(raw))
+        """Decode a stored member.
+
+        Raises `ValueError` or `TypeError` if it is malformed, also if nothing
+        can be sent to its address: datagrams go to all members in turn.
+        """
+        owner_id, instance, host, port = msgpack.unpackb(raw)
+        reachable = parse_host(text_of(host))
+        if isinstance(reachable, Err) or not is_port(port):
+            raise ValueError('member without a usable address')
+        return cls(text_of(owner_id), text_of(instance), host, port)
 
     def pack(self) -> bytes:
         """Encode for storage."""
@@ -72,18 +97,27 @@
 
     @classmethod
     def unpack(cls, raw: bytes) -> JobRecord:
-        """Decode a stored job."""
+        """Decode a stored job.
+
+        Raises `ValueError` or `TypeError` if it is malformed.
+        """
         job_id, route, host, accepted_ms, rows = msgpack.unpackb(raw)
         items = tuple(
             ItemRecord(
-                item_id,
-                path,
-                tuple((name, text) for name, text in headers),
-                *numbers,
+                text_of(item_id),
+                text_of(path),
+                tuple((text_of(name), text_of(text)) for name, text in headers),
+                *(integer_of(number) for number in numbers),
             )
             for item_id, path, headers, *numbers in rows
         )
-        return cls(job_id, route, host, accepted_ms, items)
+        return cls(
+            text_of(job_id),
+            text_of(route),
+            text_of(host),
+            integer_of(accepted_ms),
+            items,
+        )
 
     def pack(self) -> bytes:
         """Encode for storage."""
@@ -126,13 +160,28 @@
 
     @classmethod
     def unpack(cls, raw: bytes) -> JobState:
-        """Decode a stored state."""
+        """Decode a stored state.
+
+        Raises `ValueError` or `TypeError` if it is malformed.
+        """
         owner_id, instance, part_count, rows, failures = msgpack.unpackb(
             raw,
             strict_map_key=False,
         )
-        results = tuple(ResultRecord(*row) for row in rows)
-        return cls(owner_id, instance, part_count, results, failures)
+        results = tuple(
+            ResultRecord(integer_of(item), bool(completed), integer_of(part))
+            for item, completed, part in rows
+        )
+        return cls(
+            text_of(owner_id),
+            text_of(instance),
+            integer_of(part_count),
+            results,
+            {
+                integer_of(item): integer_of(count)
+                for item, count in dict(failures).items()
+            },
+        )
 
     def pack(self) -> bytes:
         """Encode for storage."""
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 import anyio
 
@@ -18,6 +19,8 @@
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 
+MAX_LOGGED_CHARS: Final = 200
+
 
 @dataclass(slots=True)
 class JobView:
@@ -111,7 +114,11 @@
         try:
             self.apply_key(key, revision, value)
         except (ValueError, TypeError) as exc:
-            log_event('record_unreadable', key=key, fault=repr(exc))
+            log_event(
+                'record_unreadable',
+                key=key,
+                fault=repr(exc)[:MAX_LOGGED_CHARS],
+            )
 
     def apply_key(self, key: str, revision: int, value: bytes | None) -> None:
         """Apply one key, whose value is None after its deletion."""
@@ -145,7 +152,10 @@
         if value is None:
             self.members.pop(owner_id, None)
         else:
-            self.members[owner_id] = Member.unpack(value)
+            member = Member.unpack(value)
+            if member.owner_id != owner_id:
+                raise ValueError('member under the key of another')
+            self.members[owner_id] = member
         log_event(
             'member_left' if value is None else 'member_seen',
             member=owner_id,
