Drop an endpoint whose entry can't be read, and contain faults to one record

Seen: an endpoint whose entry was overwritten with unreadable bytes stayed in use at entries that follow changes, and left use, or was kept as lapsed, at entries that read the whole list. An unexpected error with one changed record hid the rest of its batch for good, because the watch had already gone past it; with a fleet record, the crash records behind it were skipped too.

Cause: EndpointFeed.put ignored an unreadable record. The guard of the watch is around a whole batch, and the job table caught only ValueError and TypeError.

Endpoint changes, fleet records, the members callback and the crash records are each applied under a guard of their own. Each refused record makes one log line of bounded length; the text of a fault is cut to 200 characters.

--- a/src/quetzaldyke/gateway/crash_records.py
+++ b/src/quetzaldyke/gateway/crash_records.py
@@ -21,6 +21,7 @@
 from result import Err
 
 from quetzaldyke.gateway.crashes import CrashTracker
+from quetzaldyke.gateway.guarded import call_guarded, describe_fault
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.crash_causes import Trait
@@ -104,16 +105,16 @@
             self.apply_key(change.key, change.value)
 
     def apply_key(self, key: str, value: bytes | None) -> None:
-        """Apply one key; a record that can't be decoded is only logged."""
+        """Apply one key; a fault is logged and left to this key."""
         name = key.removeprefix(SUSPECT_PREFIX)
         if name == key:
             return
         try:
             record = None if value is None else QuarantineRecord.unpack(value)
         except (ValueError, TypeError, OverflowError) as exc:
-            log_event('record_unreadable', key=key, fault=repr(exc))
+            log_event('record_unreadable', key=key, fault=describe_fault(exc))
             return
-        self.apply(name, record)
+        call_guarded(self.apply, name, record)
 
     def apply(self, name: str, record: QuarantineRecord | None) -> None:
         """Adopt a verdict, or withdraw it if its record was deleted."""
--- a/src/quetzaldyke/gateway/endpoint_feed.py
+++ b/src/quetzaldyke/gateway/endpoint_feed.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.guarded import call_guarded
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 from quetzaldyke.platform import names
@@ -30,13 +31,9 @@
         for record in snapshot.records:
             decoded = decode_endpoint(record.key, record.value)
             if isinstance(decoded, Err):
-                log_event(
-                    'endpoint_unreadable',
-                    key=record.key,
-                    reason=decoded.err_value,
-                )
-                continue
-            endpoints.append(decoded.ok_value)
+                self.drop(record.key, decoded.err_value)
+            else:
+                endpoints.append(decoded.ok_value)
         gone = self.table.replace_all(endpoints, self.now())
         self.listed = True
         log_event(
@@ -50,24 +47,46 @@
     def on_changes(self, changes: list[WatchedChange], revision: int) -> None:
         """Apply changes of single registrations."""
         for change in changes:
-            endpoint_id = change.key.removeprefix(names.ENDPOINT_PREFIX)
-            if change.value is None:
-                gone = self.table.remove(endpoint_id, self.now())
-                state = 'gone' if gone else 'lapsed'
-            else:
-                state = self.put(change.key, change.value)
-            log_event(
-                'endpoint_changed',
-                endpoint=endpoint_id,
-                state=state,
-                revision=change.revision,
-            )
+            call_guarded(self.apply_change, change)
         self.on_change()
 
+    def apply_change(self, change: WatchedChange) -> None:
+        """Apply the change of one registration."""
+        endpoint_id = change.key.removeprefix(names.ENDPOINT_PREFIX)
+        if change.value is None:
+            gone = self.table.remove(endpoint_id, self.now())
+            state = 'gone' if gone else 'lapsed'
+        else:
+            state = self.put(change.key, change.value)
+        if not state:
+            return
+        log_event(
+            'endpoint_changed',
+            endpoint=endpoint_id,
+            state=state,
+            revision=change.revision,
+        )
+
     def put(self, key: str, raw: bytes) -> str:
-        """Apply one registration; return its state for the log."""
+        """Apply one registration; return its state, empty if unreadable."""
         decoded = decode_endpoint(key, raw)
         if isinstance(decoded, Err):
-            return f'unreadable {decoded.err_value}'
+            self.drop(key, decoded.err_value)
+            return ''
         self.table.put(decoded.ok_value)
         return decoded.ok_value.state
+
+    def drop(self, key: str, reason: str) -> None:
+        """Stop using an endpoint whose registration can't be read.
+
+        It gets no grace period, not even after an outage: its key is there,
+        but names no endpoint. Requests that run there go on, and the next
+        registration that the endpoint writes brings it back.
+        """
+        endpoint_id = key.removeprefix(names.ENDPOINT_PREFIX)
+        log_event(
+            'endpoint_unreadable',
+            endpoint=ascii(endpoint_id)[1:-1],
+            reason=reason,
+            dropped=self.table.drop(endpoint_id),
+        )
--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -106,9 +106,14 @@
         if not leaving and (self.outage or now_s < self.lapse_ends_s):
             tracked.lapsed = True
             return False
-        del self.by_id[endpoint_id]
-        self.index()
-        return True
+        return self.drop(endpoint_id)
+
+    def drop(self, endpoint_id: str) -> bool:
+        """Remove an endpoint at once; return whether it was known."""
+        known = self.by_id.pop(endpoint_id, None) is not None
+        if known:
+            self.index()
+        return known
 
     def index(self) -> None:
         """Rebuild the grouping by service."""
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -20,7 +20,7 @@
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.gossip_messages import JobEnded, LoadReport
-from quetzaldyke.gateway.guarded import log_timer_failure
+from quetzaldyke.gateway.guarded import call_guarded, log_timer_failure
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.ingress import Ingress
 from quetzaldyke.gateway.job_api import JobApi
@@ -291,7 +291,7 @@
 
     def on_fleet_snapshot(self, snapshot: Snapshot) -> None:
         """Apply a full listing of the fleet's records."""
-        self.jobs.apply_snapshot(snapshot)
+        call_guarded(self.jobs.apply_snapshot, snapshot)
         self.crash_records.apply_snapshot(snapshot)
         self.update_synced()
 
@@ -299,7 +299,7 @@
         self, changes: list[WatchedChange], revision: int
     ) -> None:
         """Apply changes of the fleet's records."""
-        self.jobs.apply_changes(changes, revision)
+        call_guarded(self.jobs.apply_changes, changes, revision)
         self.crash_records.apply_changes(changes)
 
     def update_synced(self) -> None:
--- a/src/quetzaldyke/gateway/guarded.py
+++ b/src/quetzaldyke/gateway/guarded.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import ParamSpec
+from typing import Final, ParamSpec
 
 from quetzaldyke.gateway.logs import log_event
 
+MAX_LOGGED_CHARS: Final = 200
+
 P = ParamSpec('P')
 
 
@@ -38,12 +40,17 @@
         log_step_failure(step, exc)
 
 
+def describe_fault(exc: Exception) -> str:
+    """Return an exception for the log, whose text may be that of a peer."""
+    return repr(exc)[:MAX_LOGGED_CHARS]
+
+
 def log_step_failure(step: Callable[..., object], exc: Exception) -> None:
     """Log which step failed, and how."""
     name = getattr(step, '__qualname__', repr(step))
-    log_event('step_failed', step=name, fault=repr(exc))
+    log_event('step_failed', step=name, fault=describe_fault(exc))
 
 
 def log_timer_failure(name: str, exc: Exception) -> None:
     """Log the failure of a timer's callback, which stays subscribed."""
-    log_event('timer_failed', timer=name, fault=repr(exc))
+    log_event('timer_failed', timer=name, fault=describe_fault(exc))
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
 
 import anyio
 
 from quetzaldyke.gateway import job_records
+from quetzaldyke.gateway.guarded import call_guarded, describe_fault
 from quetzaldyke.gateway.job_records import (
     JOB_PREFIX,
     MEMBER_PREFIX,
@@ -19,8 +19,6 @@
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 
-MAX_LOGGED_CHARS: Final = 200
-
 
 @dataclass(slots=True)
 class JobView:
@@ -105,19 +103,23 @@
         self.revision = max(self.revision, revision)
         if self.members_changed:
             self.members_changed = False
-            self.on_members()
+            call_guarded(self.on_members)
         self.advanced.set()
         self.advanced = anyio.Event()
 
     def apply(self, key: str, revision: int, value: bytes | None) -> None:
-        """Apply one key; a value that can't be decoded is only logged."""
+        """Apply one key; a fault is logged and left to this key.
+
+        A value that can't be decoded raises one of several errors, and what
+        the change leads to may fail too. Neither may hide the next keys.
+        """
         try:
             self.apply_key(key, revision, value)
-        except (ValueError, TypeError) as exc:
+        except Exception as exc:
             log_event(
                 'record_unreadable',
                 key=key,
-                fault=repr(exc)[:MAX_LOGGED_CHARS],
+                fault=describe_fault(exc),
             )
 
     def apply_key(self, key: str, revision: int, value: bytes | None) -> None:
