Don't send an older message after a newer one of its kind

An entry could be told that an endpoint is up just after it was told that the endpoint is down or leaving, and sent it requests until the next report, up to a second later.

Cause: a report that waits for the next write of a connection was written after a newer one that was sent at once, because the write appends what waits. Sending a message now drops a waiting one of the same kind.

Without the change the new test fails.

--- a/src/quetzaldyke/connection/peer.py
+++ b/src/quetzaldyke/connection/peer.py
@@ -74,9 +74,13 @@
     piggyback: dict[int, Message] = field(default_factory=dict)
 
     def send(self, message: Message) -> None:
-        """Queue a message; does nothing if the session is closed."""
+        """Queue a message; does nothing if the session is closed.
+
+        It replaces one of its kind that waits for the next write.
+        """
         if self.closed:
             return
+        self.piggyback.pop(message.kind, None)
         self.write_buffer.put(encode_frame(to_row(message)))
         self.sent_frames += 1
 
