Obey an endpoint that says it is leaving, in the sidecar

An engine that drained was sent new requests until it refused them or was gone; where it cut its last streams as it ended, the requests among them were recorded as a crash. Only the sidecar's own leaving was obeyed.

An endpoint may now say `X-Endpoint-Leaving: 1` in any answer, or answer its health check with 503 and {"status": "draining"}. The sidecar then takes no new work, hands back queued requests as not run, preempts batch items and reports the endpoint as unusable to its entries at once, which place requests elsewhere or refuse them with Retry-After. What runs goes on. The report is used and not the leaving notice, because that holds until a new process of the sidecar connects, and the sidecar stays.

The word holds for the endpoint's lifetime: until it was down, or until three health answers in a row lack it, as a restart can be too fast to be seen and one false word must not cost an endpoint its work. An answer to a request of an earlier lifetime says nothing about the present one. Malformed words are ignored, logged once and counted for each lifetime. Health is now also checked every 5 s while tokens arrive, which finds a drain of an engine that sends no header; such a check can't mark the endpoint down.

Evidence: with the headers left unread, test_engine_that_leaves_gets_no_new_work and test_word_on_a_refusal_counts fail.

test_engine_without_end calls health() in place of healthy(), which it replaces, and demands the result 'down'.

--- a/src/quetzaldyke/connection/engine_client.py
+++ b/src/quetzaldyke/connection/engine_client.py
@@ -33,7 +33,10 @@
     Answer,
     ConnectionPool,
     EndpointFailure,
+    Health,
     classify_error,
+    health_of,
+    parse_json,
     read_body,
     request_headers,
     response_headers,
@@ -107,10 +110,13 @@
             return Err(EndpointFailure('unknown', 'answer is too long'))
         return Ok((response.status, parse_json(content)))
 
-    async def healthy(self) -> bool:
-        """Tell whether the health check of the engine succeeds."""
+    async def health(self) -> Health:
+        """Return what the health check of the engine states."""
         outcome = await self.call('GET', '/health')
-        return outcome.is_ok() and outcome.unwrap()[0] < FIRST_REDIRECT_STATUS
+        if isinstance(outcome, Err):
+            return 'down'
+        status, content = outcome.ok_value
+        return health_of(status, content, FIRST_REDIRECT_STATUS)
 
     async def running_ids(self) -> Result[list[str], EndpointFailure]:
         """Return the ids of the streams that the engine runs."""
@@ -350,14 +356,6 @@
     return choice.get('text') or ''
 
 
-def parse_json(raw: bytes | str) -> object:
-    """Return the parsed content, or None if it is not valid JSON."""
-    try:
-        return orjson.loads(raw)
-    except orjson.JSONDecodeError:
-        return None
-
-
 def as_object(content: object) -> dict[str, object]:
     """Return content if it is a JSON object, otherwise an empty one."""
     return content if isinstance(content, dict) else {}
--- a/src/quetzaldyke/connection/http_endpoint.py
+++ b/src/quetzaldyke/connection/http_endpoint.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import re
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Final, Literal
 
 import anyio
 import httpcore
+import orjson
 
 from quetzaldyke.connection.http_connection import (
     HttpConnection,
@@ -73,6 +74,17 @@
 RETRY_AFTER_SECONDS: Final = re.compile('[0-9]{1,12}')
 
 Ran = Literal['not_run', 'ran', 'unknown']
+# `leaving`: the endpoint is up, but takes no new work.
+Health = Literal['up', 'leaving', 'down']
+UNAVAILABLE: Final = 503
+DRAINING_STATUS: Final = 'draining'
+
+# Reads the headers of one answer.
+OnHead = Callable[[Sequence[tuple[bytes, bytes]]], None]
+
+
+def ignore_head(_headers: Sequence[tuple[bytes, bytes]]) -> None:
+    """Read nothing from an answer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +125,8 @@
 
     address: str
     idle: list[HttpConnection] = field(default_factory=list)
+    # Called when a request is sent; returns what reads its answer's headers.
+    watch_answer: Callable[[], OnHead] = field(default=lambda: ignore_head)
 
     async def acquire(self) -> HttpConnection:
         """Return an idle connection on which nothing came, or a new one."""
@@ -139,6 +153,7 @@
         `read_s` is the timeout of each read; None means no timeout.
         """
         connection = await self.acquire()
+        read_head = self.watch_answer()
         reuse = False
         try:
             async with connection.stream(
@@ -148,6 +163,7 @@
                 content=body,
                 extensions=timeout_extension(read_s),
             ) as response:
+                read_head(response.headers)
                 yield response
                 reuse = response.status not in NOT_RUN_STATUSES
         finally:
@@ -245,3 +261,26 @@
         if len(body) > limit:
             break
     return bytes(body[:limit])
+
+
+def health_of(status: int, content: object, limit: int) -> Health:
+    """Return what a health answer states; statuses below `limit` are sound.
+
+    >>> health_of(503, {'status': 'draining'}, 500)
+    'leaving'
+    >>> health_of(503, None, 500), health_of(404, None, 500)
+    ('down', 'up')
+    """
+    if status < limit:
+        return 'up'
+    named = content.get('status') if isinstance(content, dict) else None
+    draining = status == UNAVAILABLE and named == DRAINING_STATUS
+    return 'leaving' if draining else 'down'
+
+
+def parse_json(raw: bytes | str) -> object:
+    """Return the parsed content, or None if it is not valid JSON."""
+    try:
+        return orjson.loads(raw)
+    except orjson.JSONDecodeError:
+        return None
--- a/src/quetzaldyke/connection/service_client.py
+++ b/src/quetzaldyke/connection/service_client.py
@@ -21,7 +21,10 @@
     Answer,
     ConnectionPool,
     EndpointFailure,
+    Health,
     classify_error,
+    health_of,
+    parse_json,
     read_body,
     request_headers,
     response_headers,
@@ -41,8 +44,8 @@
 
     connections: ConnectionPool
 
-    async def healthy(self) -> bool:
-        """Tell whether the service responds without a server error.
+    async def health(self) -> Health:
+        """Return what the health check of the service states.
 
         A 404 is accepted, because a service without a health path is up too.
         An answer that is too long, or takes too long as a whole, is not.
@@ -54,9 +57,11 @@
                 ) as response:
                     body = await read_body(response, MAX_HEALTH_BYTES + 1)
         except HEALTH_ERRORS:
-            return False
-        sound = response.status < FIRST_SERVER_ERROR_STATUS
-        return sound and len(body) <= MAX_HEALTH_BYTES
+            return 'down'
+        if len(body) > MAX_HEALTH_BYTES:
+            return 'down'
+        content = parse_json(body)
+        return health_of(response.status, content, FIRST_SERVER_ERROR_STATUS)
 
     async def run(
         self,
--- a/src/quetzaldyke/process/endpoint_monitor.py
+++ b/src/quetzaldyke/process/endpoint_monitor.py
@@ -20,6 +20,10 @@
 from quetzaldyke.parts.suspects import make_crash_id
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.admission import AdmissionController
+from quetzaldyke.process.endpoint_leaving import (
+    LEAVING_HEADER,
+    EndpointLeaving,
+)
 from quetzaldyke.process.logs import LogEvent
 from quetzaldyke.process.request_runner import EndpointClient
 from quetzaldyke.process.sidecar_peers import SidecarPeers
@@ -66,9 +70,11 @@
     gate: FencingGate
     origin: str
     on_change: Callable[[], None]
+    leaving: EndpointLeaving
     up: bool = False
     crash_check: CrashCheck | None = None
     failed_checks: int = 0
+    last_check_s: float = 0.0
     model: str = ''
     version: str = ''
     adapter: str = ''
@@ -81,6 +87,11 @@
         default_factory=lambda: itertools.count(1)
     )
 
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether new requests may be sent to the endpoint."""
+        return self.up and not self.leaving.leaving
+
     async def handle_broken_stream(self, request: TrackedRequest) -> bool:
         """Start or join a crash check; tell whether the endpoint crashed."""
         crash_check = self.crash_check
@@ -99,7 +110,9 @@
         try:
             crash_check.crashed = await self.has_crashed(crash_check)
             if crash_check.crashed:
-                self.record_crash(crash_check.in_flight)
+                # An endpoint that leaves may cut what it still runs.
+                if not self.leaving.leaving:
+                    self.record_crash(crash_check.in_flight)
                 self.mark_down()
         finally:
             self.crash_check = None
@@ -107,10 +120,10 @@
 
     async def has_crashed(self, crash_check: CrashCheck) -> bool:
         """Tell whether a health check failed or all of several streams broke."""
-        if not await self.client.healthy():
+        if await self.client.health() == 'down':
             return True
         await anyio.sleep(BREAK_WINDOW_S)
-        if not await self.client.healthy():
+        if await self.client.health() == 'down':
             return True
         several_in_flight = len(crash_check.in_flight) > 1
         return several_in_flight and len(crash_check.broken) >= len(
@@ -145,6 +158,7 @@
 
     def mark_down(self) -> None:
         """Close admission until the endpoint answers again."""
+        self.leaving.begin_lifetime()
         if not self.up:
             return
         self.up = False
@@ -155,10 +169,12 @@
     async def run(self) -> None:
         """Check the endpoint until cancelled.
 
-        The health check is skipped while tokens arrive.
+        While tokens arrive, the health check is made less often: it then shows
+        only whether the endpoint is leaving.
         """
         while True:
-            if not self.has_recent_tokens():
+            due_s = self.last_check_s + STATE_INTERVAL_S
+            if not self.has_recent_tokens() or self.clock.now() >= due_s:
                 await self.check_health()
             await self.wait_for_next_check()
 
@@ -191,10 +207,23 @@
 
     async def check_health(self) -> None:
         """Make one health check and act on a change of state."""
-        if await self.client.healthy():
-            self.failed_checks = 0
-            if not self.up:
-                await self.bring_up()
+        self.last_check_s = self.clock.now()
+        read_health = self.leaving.watch_answer()
+        health = await self.client.health()
+        if health == 'down':
+            self.count_failed_check()
+            return
+        self.failed_checks = 0
+        if health == 'leaving':
+            read_health([(LEAVING_HEADER, b'1')])
+            return
+        self.leaving.note_sound_check()
+        if not self.up and not self.leaving.leaving:
+            await self.bring_up()
+
+    def count_failed_check(self) -> None:
+        """Mark the endpoint down after several checks, unless tokens arrive."""
+        if self.has_recent_tokens():
             return
         self.failed_checks += 1
         if self.failed_checks >= MAX_FAILED_CHECKS:
--- a/src/quetzaldyke/process/sidecar_drain.py
+++ b/src/quetzaldyke/process/sidecar_drain.py
@@ -21,10 +21,6 @@
     process.log_event('leaving', running=len(process.admission.running))
     process.peers.leave()
     update_admission(process)
-    now_s = process.timers.clock.now()
-    for request in list(process.admission.running.values()):
-        if request.is_batch:
-            request.stop('preempted', now_s)
 
 
 async def drain(process: SidecarProcess) -> None:
--- a/src/quetzaldyke/process/sidecar_state.py
+++ b/src/quetzaldyke/process/sidecar_state.py
@@ -21,6 +21,7 @@
 from quetzaldyke.parts.timers import TimerService
 from quetzaldyke.process.admission import AdmissionController
 from quetzaldyke.process.batch_grants import BatchGrants
+from quetzaldyke.process.endpoint_leaving import EndpointLeaving
 from quetzaldyke.process.endpoint_monitor import DOWN_REASON, EndpointMonitor
 from quetzaldyke.process.logs import LogEvent, make_log_event
 from quetzaldyke.process.request_runner import EndpointClient, RequestRunner
@@ -89,6 +90,10 @@
             make_report=lambda: make_report(process),
             now_ms=wall_clock_ms,
         )
+        leaving = EndpointLeaving(
+            log_event, on_change=lambda: update_admission(process)
+        )
+        client.connections.watch_answer = leaving.watch_answer
         monitor = EndpointMonitor(
             client,
             timers.clock,
@@ -98,6 +103,7 @@
             gate,
             origin=f'{settings.instance}/{incarnation}',
             on_change=lambda: update_admission(process),
+            leaving=leaving,
         )
         runner = RequestRunner(
             client,
@@ -155,7 +161,7 @@
     monitor = process.monitor
     return Report(
         process.settings.pool,
-        monitor.up,
+        monitor.takes_work,
         process.peers.leaving,
         admission.slots,
         admission.running_count(batch=False),
@@ -174,9 +180,13 @@
 
 
 def update_admission(process: SidecarProcess) -> None:
-    """Open or close admission by the endpoint's state, then report it."""
-    if process.peers.leaving:
+    """Open or close admission by the endpoint's state, then report it.
+
+    Batch items of an endpoint that leaves are preempted, to go on elsewhere.
+    """
+    if process.peers.leaving or process.monitor.leaving.leaving:
         process.admission.close(LEAVING_REASON)
+        preempt_batch(process.admission)
     elif process.monitor.up:
         process.admission.open()
     else:
@@ -184,6 +194,14 @@
     process.peers.report()
 
 
+def preempt_batch(admission: AdmissionController) -> None:
+    """Stop all running batch items."""
+    now_s = admission.clock.now()
+    for request in list(admission.running.values()):
+        if request.is_batch:
+            request.stop('preempted', now_s)
+
+
 def apply_config(
     admission: AdmissionController, current: Configuration
 ) -> None:
--- a/src/quetzaldyke/standins/engine.py
+++ b/src/quetzaldyke/standins/engine.py
@@ -206,8 +206,10 @@
     )
 
 
-async def get_health(_engine: EngineStandin, _request: Request) -> Response:
-    """Report that the engine is running."""
+async def get_health(engine: EngineStandin, _request: Request) -> Response:
+    """Report that the engine is running or drains."""
+    if engine.faults.leaving:
+        return JSONResponse({'status': 'draining'}, 503)
     return JSONResponse({'status': 'ok'})
 
 
@@ -316,7 +318,10 @@
         handler: Callable[[EngineStandin, Request], Awaitable[Response]],
     ) -> Callable[[Request], Awaitable[Response]]:
         async def endpoint(request: Request) -> Response:
-            return await handler(engine, request)
+            response = await handler(engine, request)
+            if engine.faults.leaving:
+                response.headers['X-Endpoint-Leaving'] = '1'
+            return response
 
         return endpoint
 
--- a/src/quetzaldyke/standins/engine_options.py
+++ b/src/quetzaldyke/standins/engine_options.py
@@ -41,3 +41,6 @@
     stalled: bool = False
     # Refuses requests and asks for a pause of so many seconds; 0 for neither.
     refuse_for_s: int = 0
+    # Says in each answer that it is leaving, and that it drains when it is
+    # asked for its health. It still serves requests.
+    leaving: bool = False
--- a/tests/test_engine_without_end.py
+++ b/tests/test_engine_without_end.py
@@ -106,7 +106,7 @@
     """Guards against a health answer that uses up the memory."""
     async with engine(b'x' * PIECE_BYTES) as endless:
         client = EngineClient(ConnectionPool(endless.address))
-        assert not await client.healthy()
+        assert await client.health() == 'down'
         await endless.closed.wait()
     assert endless.sent_bytes < PIECES * PIECE_BYTES
 
@@ -115,7 +115,7 @@
     """Guards against a health answer that uses up the memory."""
     async with engine(b'x' * PIECE_BYTES) as endless:
         client = ServiceClient(ConnectionPool(endless.address))
-        assert not await client.healthy()
+        assert await client.health() == 'down'
         await endless.closed.wait()
     assert endless.sent_bytes < PIECES * PIECE_BYTES
 
