Read the other rows of the instance list beside an invalid one

One row with a port out of range, a number in place of a name or deeply nested content kept an entry from following the instance list at all: it reached no new endpoint and kept those that had left.

Cause: the list was validated as one document. Rows are now validated one by one. An instance whose row became invalid keeps its last valid one; the first fault is logged when it appears, changes or ends. A document that can't be parsed, as with nesting beyond the parser's limit, still leaves the last list in force and is logged.

--- a/src/quetzaldyke/process/membership.py
+++ b/src/quetzaldyke/process/membership.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass, field, replace
 from typing import Final, Literal
 
 from anyio.abc import TaskGroup
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict
 from pydantic import ValidationError as ModelError
 from result import Err, Ok, Result
 
@@ -40,10 +41,15 @@
     state: Literal['live', 'leaving'] = 'live'
 
 
-class InstanceList(BaseModel):
-    """Body of `GET /instances`."""
+@dataclass(frozen=True, slots=True)
+class ParsedList:
+    """The valid rows of a list, and what is known of the others."""
 
-    instances: list[ListedInstance] = Field(default_factory=list)
+    instances: list[Instance]
+    # Names that rows state which are otherwise invalid.
+    invalid_names: list[str]
+    # First error of a row; empty if all are valid.
+    fault: str = ''
 
 
 def to_instance(row: ListedInstance) -> Instance:
@@ -58,15 +64,41 @@
     )
 
 
-def parse_list(body: bytes) -> Result[list[Instance], str]:
-    """Return the rows of a list, or its first error."""
+def parse_list(body: bytes) -> Result[ParsedList, str]:
+    """Return the rows of a list, or why it is no list.
+
+    An invalid row doesn't make the others unreadable.
+    """
     try:
-        listed = InstanceList.model_validate_json(body)
-    except ModelError as exc:
-        first = exc.errors(include_input=False, include_url=False)[0]
-        location = '/'.join(str(part) for part in first['loc'])
-        return Err(f'{location}: {first["msg"]}')
-    return Ok([to_instance(row) for row in listed.instances])
+        document = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        return Err(type(exc).__name__)
+    rows = document.get('instances') if isinstance(document, dict) else None
+    if not isinstance(rows, list):
+        return Err('no list of instances')
+    instances: list[Instance] = []
+    invalid_names: list[str] = []
+    faults: list[str] = []
+    for row in rows:
+        try:
+            instances.append(to_instance(ListedInstance.model_validate(row)))
+        except ModelError as exc:
+            faults.append(describe_fault(exc))
+            invalid_names.append(named_instance(row))
+    return Ok(ParsedList(instances, invalid_names, ''.join(faults[:1])))
+
+
+def describe_fault(exc: ModelError) -> str:
+    """Return where a row is invalid first, and why."""
+    first = exc.errors(include_input=False, include_url=False)[0]
+    location = '/'.join(str(part) for part in first['loc'])
+    return f'{location}: {first["msg"]}'
+
+
+def named_instance(row: object) -> str:
+    """Return the name that a row states; empty if it states none."""
+    name = row.get('instance') if isinstance(row, dict) else None
+    return name if isinstance(name, str) else ''
 
 
 @dataclass(slots=True)
@@ -89,7 +121,7 @@
         """Create the client; lists are read one after another."""
         self.client = HttpClient(self.address, max_connections=1)
 
-    async def read_list(self) -> Result[list[Instance], str]:
+    async def read_list(self) -> Result[ParsedList, str]:
         """Fetch the list; return its rows, or why it can't be read."""
         try:
             response = await self.client.request(
@@ -107,23 +139,31 @@
         if isinstance(listed, Err):
             self.log_failure_change(listed.err_value)
             return
-        if not listed.ok_value and self.fleet.instances:
+        parsed = listed.ok_value
+        if not parsed.instances and self.fleet.instances:
             # It is more likely that the service lost its data than that the
             # whole fleet is gone, and to drop every connection could not be
             # undone.
             self.log_failure_change('the instance list is empty')
             return
-        self.log_failure_change('')
+        self.log_failure_change(parsed.fault)
+        # A valid row replaces what was known of an invalid one of its name.
+        listed_rows = [*self.earlier_rows(parsed), *parsed.instances]
         rows = [
             replace(
                 row,
                 leaving=row.leaving
                 or row.instance in self.leaving_incarnations,
             )
-            for row in listed.ok_value
+            for row in listed_rows
         ]
         apply_instance_list(self.fleet, rows, self.group, self.options)
 
+    def earlier_rows(self, parsed: ParsedList) -> list[Instance]:
+        """Return what is known of the instances whose rows became invalid."""
+        known = self.fleet.instances
+        return [known[name] for name in parsed.invalid_names if name in known]
+
     def subscribe(self) -> None:
         """Subscribe to leaving notices and new sessions."""
         self.fleet.subscribe(LeavingNotice, self.on_notice)
