Obey an endpoint that states in its answers that it is draining

What callers saw: requests went on to an endpoint that was about to stop, until the registry's watch brought its state. With the store away nothing did, and they were refused or cut when the endpoint ended.

Cause: the header `Server-Leaving` was read nowhere in the gateway.

Change: `endpoint_drain.py` holds statements by lifetime of the endpoint and joins them with the registry: either source suffices, a registration in state ready does not refute an answer, and a statement holds until its lifetime ends. All placement asks `EndpointTable.usable`, whose filter on draining is the one that is not dropped when it leaves nothing. When an endpoint begins to drain, the queues are served again, and requests for a service without any usable endpoint are refused at once; that also holds for endpoints that the registry removes. An item whose endpoint began to drain while its body was read is placed again.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 from quetzaldyke.gateway.crashes import PROGRESS_CHUNKS
-from quetzaldyke.gateway.dispatcher import Reservation
 from quetzaldyke.gateway.event_stream import StreamError
 from quetzaldyke.gateway.exchange import (
     Exchange,
@@ -27,6 +26,7 @@
     Progress,
     RelayContext,
 )
+from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.gateway.responses import send_response
 from quetzaldyke.gateway.retries import (
     PROMISING_STATUSES,
@@ -83,6 +83,9 @@
         """
         try:
             head = await self.send()
+            self.context.dispatcher.drains.note_head(
+                self.reservation.endpoint, head
+            )
             not_run = is_not_run(head)
             self.note_limit(head, not_run=not_run)
             if not_run:
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -24,7 +24,7 @@
     assign_endpoints,
     start_order,
 )
-from quetzaldyke.gateway.dispatcher import Dispatcher, Reservation
+from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.exchange import Exchange
 from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.http_client import HttpClient
@@ -34,6 +34,7 @@
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Endpoint, Route
 from quetzaldyke.gateway.preemption import Preemption
+from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.platform import names
 
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -15,6 +15,7 @@
 
 from result import Err, Ok, Result
 
+from quetzaldyke.gateway.drain_notes import DrainNotes
 from quetzaldyke.gateway.endpoint_permits import EndpointPermits
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.loads import LoadTable, RequestCounts
@@ -24,6 +25,7 @@
     QUEUED_PER_SERVICE,
     PlacementPolicy,
 )
+from quetzaldyke.gateway.reservation import Refusal, Reservation
 from quetzaldyke.gateway.service_capacity import (
     ServiceCapacity,
     service_capacity,
@@ -43,36 +45,6 @@
 NO_ENDPOINT_RETRY_S: Final = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a request was refused, and when the caller should retry."""
-
-    reason: str
-    retry_after_s: float
-    # Inputs of the decision, for the log: the expected wait for a slot, the
-    # requests queued here and at the other entries, and the slots of the
-    # service.
-    expected_wait_s: float = 0.0
-    waiting: int = 0
-    waiting_elsewhere: int = 0
-    slots: int = 0
-
-
-@dataclass(slots=True)
-class Reservation:
-    """Capacity that one request or batch run occupies on an endpoint."""
-
-    endpoint: Endpoint
-    online: bool
-    reserved_s: float
-    # Whether the endpoint had no free slot at the time of the reservation, so
-    # that the request waits in the endpoint's own queue.
-    queued: bool
-    # Whether the endpoint has a limit and the request has a permit.
-    permitted: bool = False
-    released: bool = False
-
-
 @dataclass(slots=True)
 class Dispatcher:
     """Assigns requests to endpoints and keeps one wait queue per service."""
@@ -92,6 +64,13 @@
     on_change: Callable[[str], None] = lambda endpoint_id: None
     permits: EndpointPermits = field(default_factory=EndpointPermits)
     queues: dict[str, WaitQueue] = field(default_factory=dict)
+    drains: DrainNotes = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Let answers change the endpoint table."""
+        self.drains = DrainNotes(
+            self.endpoints, self.clock.now, on_change=self.on_endpoints
+        )
 
     def queue(self, service: str) -> WaitQueue:
         """Return the wait queue of a service; create it on first use."""
@@ -353,9 +332,17 @@
             raise
         if reservation is not None:
             return Ok(reservation)
+        return Err(self.queue_refusal(request, service, deadline_s))
+
+    def queue_refusal(
+        self, request: QueuedRequest, service: str, deadline_s: float
+    ) -> Refusal:
+        """Return why a queued request is refused now."""
         now_s = self.clock.now()
+        if not self.endpoints.usable(service, now_s):
+            return Refusal('no_endpoint', NO_ENDPOINT_RETRY_S)
         reason = request.refusal_reason(now_s)
-        return Err(self.refusal(reason, service, deadline_s - now_s))
+        return self.refusal(reason, service, deadline_s - now_s)
 
     def apply_report(
         self,
@@ -382,10 +369,21 @@
         for queue in self.queues.values():
             queue.serve(now_s)
 
+    def on_endpoints(self) -> None:
+        """Serve the queues after a change of the endpoints.
+
+        Requests for a service without a usable endpoint are refused at once.
+        """
+        now_s = self.clock.now()
+        self.serve_queues()
+        for service, queue in self.queues.items():
+            if len(queue) and not self.endpoints.usable(service, now_s):
+                queue.refuse_all()
+
     async def tick(self) -> None:
         """Start queued requests, and refuse those past their wait limit."""
         now_s = self.clock.now()
-        self.serve_queues()
+        self.on_endpoints()
         for service, queue in list(self.queues.items()):
             queue.refuse_expired(now_s)
             self.ask_for_permits(service)
--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -4,7 +4,8 @@
 platform's endpoint list lags behind or becomes unavailable.
 
 Three sources are kept apart. The platform's list says which endpoints are
-registered and which are draining. An outage of the list itself makes
+registered and which are draining; the latter is also in their answers, see
+`endpoint_drain.py`. An outage of the list itself makes
 registrations lapse although their endpoints still run, so a removal during an
 outage or shortly after it only counts if the registration does not come back.
 Failures observed by this entry eject an endpoint for a short time that grows
@@ -17,6 +18,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.gateway.endpoint_drain import DrainStatements
 from quetzaldyke.gateway.model import Endpoint
 
 # Registrations that lapsed in an outage are renewed within two seconds of its
@@ -48,6 +50,8 @@
     paused_until_s: float = 0.0
     # When the endpoint last sent bytes for any request.
     last_bytes_s: float = 0.0
+    # Whether it drains by its registration or by its own statement.
+    draining: bool = False
 
 
 @dataclass(slots=True)
@@ -56,6 +60,7 @@
 
     by_id: dict[str, TrackedEndpoint] = field(default_factory=dict)
     by_service: dict[str, list[TrackedEndpoint]] = field(default_factory=dict)
+    drains: DrainStatements = field(default_factory=DrainStatements)
     outage: bool = False
     # Time at which registrations that are still lapsed count as removed.
     lapse_ends_s: float = 0.0
@@ -83,6 +88,7 @@
             tracked.lapsed = False
             restarted = tracked.endpoint.started_ms != endpoint.started_ms
             tracked.endpoint = endpoint
+            tracked.draining = self.drains.is_draining(endpoint)
             if not restarted:
                 return
             tracked.ejected_until_s = 0.0
@@ -90,7 +96,9 @@
             tracked.failures_in_row = 0
             tracked.failure_share = 0.0
         else:
-            self.by_id[endpoint.endpoint_id] = TrackedEndpoint(endpoint)
+            self.by_id[endpoint.endpoint_id] = TrackedEndpoint(
+                endpoint, draining=self.drains.is_draining(endpoint)
+            )
         self.index()
 
     def remove(self, endpoint_id: str, now_s: float) -> bool:
@@ -102,8 +110,7 @@
         tracked = self.by_id.get(endpoint_id)
         if tracked is None:
             return False
-        leaving = tracked.endpoint.state == 'draining'
-        if not leaving and (self.outage or now_s < self.lapse_ends_s):
+        if not tracked.draining and (self.outage or now_s < self.lapse_ends_s):
             tracked.lapsed = True
             return False
         return self.drop(endpoint_id)
@@ -115,6 +122,27 @@
             self.index()
         return known
 
+    def note_draining(self, lifetime: str, now_s: float) -> bool:
+        """Record that a lifetime drains; return whether that is new."""
+        if not self.drains.add(lifetime, now_s):
+            return False
+        endpoint_id, _, _ = lifetime.rpartition('@')
+        tracked = self.by_id.get(endpoint_id)
+        if tracked is not None:
+            tracked.draining = self.drains.is_draining(tracked.endpoint)
+        return True
+
+    def is_draining(self, endpoint_id: str) -> bool:
+        """Return whether a registered endpoint is draining."""
+        tracked = self.by_id.get(endpoint_id)
+        return tracked is not None and tracked.draining
+
+    def drop_ended_drains(self, now_s: float) -> None:
+        """Drop statements about lifetimes that ended long ago."""
+        if self.drains.seen_s:
+            registered = {one.endpoint.lifetime for one in self.by_id.values()}
+            self.drains.drop_ended(registered, now_s)
+
     def index(self) -> None:
         """Rebuild the grouping by service."""
         self.by_service = {}
@@ -180,7 +208,8 @@
     ) -> list[Endpoint]:
         """Return the endpoints that may get a new request.
 
-        These are registered and not draining. Excluded and ejected endpoints
+        These are registered and not draining, which holds even if no
+        endpoint is left. Excluded and ejected endpoints
         are left out, and with `avoid_failing`, for requests that can't be
         repeated, also those that have not succeeded since their last
         failure. Each of these three filters is dropped if it leaves no
@@ -190,7 +219,7 @@
         listed = [
             one
             for one in self.by_service.get(service, ())
-            if one.endpoint.state == 'ready' and not self.is_gone(one, now_s)
+            if not one.draining and not self.is_gone(one, now_s)
         ]
         remaining = [
             one for one in listed if one.endpoint.endpoint_id not in excluded
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -286,7 +286,7 @@
 
     def on_endpoints(self) -> None:
         """Serve queued requests after a change of the endpoint list."""
-        self.dispatcher.serve_queues()
+        self.dispatcher.on_endpoints()
         self.update_synced()
 
     def on_fleet_snapshot(self, snapshot: Snapshot) -> None:
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -11,7 +11,7 @@
 
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
-from quetzaldyke.gateway.dispatcher import Dispatcher, Reservation
+from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.event_stream import StreamError, event_data
 from quetzaldyke.gateway.exchange import (
     Exchange,
@@ -22,6 +22,7 @@
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.gateway.retries import is_not_run
 from quetzaldyke.parts.backoff import BackoffOptions, max_backoff_s
 from quetzaldyke.platform import names
@@ -85,6 +86,8 @@
             body = await self.read_body()
             if body is None or self.job.stopped or self.exchange.failure:
                 return
+            if self.context.dispatcher.endpoints.is_draining(self.endpoint_id):
+                return
             await self.send_item(body)
         except ExchangeError as exc:
             self.handle_interruption(exc)
@@ -123,6 +126,7 @@
         self.context.client.active.add(self.exchange)
         self.extend_stall_deadline()
         head = await self.exchange.read_head()
+        self.context.dispatcher.drains.note_head(endpoint, head)
         now_s = self.context.dispatcher.clock.now()
         limits.note_answer(
             endpoint,
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -13,7 +13,6 @@
 
 from quetzaldyke.gateway import responses
 from quetzaldyke.gateway.attempt import Attempt
-from quetzaldyke.gateway.dispatcher import Refusal, Reservation
 from quetzaldyke.gateway.exchange import Exchange
 from quetzaldyke.gateway.incomplete_response import IncompleteResponseError
 from quetzaldyke.gateway.online_request import (
@@ -23,6 +22,7 @@
     Progress,
     RelayContext,
 )
+from quetzaldyke.gateway.reservation import Refusal, Reservation
 from quetzaldyke.gateway.retries import (
     STATUS_BAD_GATEWAY,
     STATUS_UNAVAILABLE,
--- a/src/quetzaldyke/gateway/stalls.py
+++ b/src/quetzaldyke/gateway/stalls.py
@@ -10,10 +10,10 @@
 
 from typing import Final
 
-from quetzaldyke.gateway.dispatcher import Reservation
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.gateway.online_request import OnlineRequest
+from quetzaldyke.gateway.reservation import Reservation
 
 FIRST_EVENT_SHARE: Final = 0.5
 NEXT_EVENT_SHARE: Final = 0.6
--- a/src/quetzaldyke/gateway/wait_queue.py
+++ b/src/quetzaldyke/gateway/wait_queue.py
@@ -171,6 +171,14 @@
                 request.refuse()
         self.requests = [one for one in self.requests if not one.cancelled]
 
+    def refuse_all(self) -> None:
+        """Refuse all requests."""
+        for request in self.requests:
+            if not request.cancelled:
+                request.cancelled = True
+                request.refuse()
+        self.requests.clear()
+
     def refuse_hopeless(self, expected_s: Callable[[int], float]) -> None:
         """Refuse the requests that can't wait as long as is expected.
 
--- a/src/quetzaldyke/platform/names.py
+++ b/src/quetzaldyke/platform/names.py
@@ -22,6 +22,8 @@
 LOAD: Final = b'server-load'
 # Requests per second that the endpoint takes from all entries together.
 LIMIT: Final = b'server-limit'
+# Present, with the value 1, on all responses of an endpoint that is draining.
+DRAINING: Final = b'server-leaving'
 # Milliseconds that a read of a job may wait for new results.
 WAIT: Final = b'wait-ms'
 RETRY_AFTER: Final = b'retry-after'
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -17,12 +17,13 @@
 from result import Ok
 
 from gateway_kit import FakeTime, make_dispatcher, make_endpoint
-from quetzaldyke.gateway.dispatcher import Dispatcher, Reservation
+from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.gossip_messages import decode, encode
 from quetzaldyke.gateway.limit_exchange import LimitExchange
 from quetzaldyke.gateway.limit_messages import LimitMessage
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.model import Endpoint
+from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.gateway.wait_queue import QueuedRequest
 from quetzaldyke.process.metrics import Metrics
 
