Notify all entries once of an endpoint that states that it drains

What operators would see: with the store away, each entry of a large fleet sent a leaving endpoint one more request before it knew.

Cause: a statement in an answer stayed with the entry that got the answer.

Change: an own datagram, `draining`, names lifetimes of endpoints. An entry that learns of one from an answer sends it to all peers that it hears, three times at the ticks of 0.1 s; whoever hears of it before its own turn sends nothing. A peer that is heard for the first time, or again after a silence, gets the statements about registered endpoints from three of the entries. Entries of earlier versions drop the unknown kind of datagram; a further field of the load report would have made them drop the whole report. Malformed updates are dropped. `endpoint_draining` and `drain_unreadable` are logged once for each lifetime, `endpoint_drains_total` and `draining_endpoints` count.

--- a/src/quetzaldyke/gateway/endpoints.py
+++ b/src/quetzaldyke/gateway/endpoints.py
@@ -137,6 +137,17 @@
         tracked = self.by_id.get(endpoint_id)
         return tracked is not None and tracked.draining
 
+    def count_draining(self) -> int:
+        """Return the number of registered endpoints that drain."""
+        return sum(one.draining for one in self.by_id.values())
+
+    def stated_lifetimes(self) -> list[str]:
+        """Return the registered lifetimes that have stated that they drain."""
+        if not self.drains.seen_s:
+            return []
+        registered = (one.endpoint.lifetime for one in self.by_id.values())
+        return [one for one in registered if one in self.drains.seen_s]
+
     def drop_ended_drains(self, now_s: float) -> None:
         """Drop statements about lifetimes that ended long ago."""
         if self.drains.seen_s:
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -251,12 +251,14 @@
         )
         self.jobs.on_members = self.on_members
         self.limits.permits.on_granted = self.on_permits
+        self.messages.drains.connect(self.metrics, log_event)
         timers = self.timers
         timers.on_failure = log_timer_failure
         timers.subscribe('watchdog', WATCHDOG_INTERVAL_S, self.cancel_timed_out)
         timers.subscribe('lines', QUEUE_INTERVAL_S, self.dispatcher.tick)
         timers.subscribe('gossip', GOSSIP_INTERVAL_S, self.gossip_tick)
         timers.subscribe('limits', GOSSIP_INTERVAL_S, self.limits.tick)
+        timers.subscribe('drains', GOSSIP_INTERVAL_S, self.messages.drains.tick)
         timers.subscribe('lease', RENEWAL_INTERVAL_S, self.registration.renew)
         timers.subscribe('cleaning', CLEANUP_INTERVAL_S, self.clean_up)
         timers.subscribe(
@@ -391,6 +393,7 @@
             log_event('endpoints_gone', endpoints=','.join(gone))
         self.policy.grants.drop_absent(self.endpoint_table.by_id)
         self.limits.clean_up()
+        self.messages.drains.clean_up()
         if self.caller_server is not None:
             self.ingress.time_out_callers(self.caller_server)
         await self.writer.report_dropped()
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -12,6 +12,10 @@
 import msgpack
 
 from quetzaldyke.gateway.crashes import CrashReport, ReportedCrash
+from quetzaldyke.gateway.drain_exchange import (
+    DrainUpdate,
+    decode_drain_update,
+)
 from quetzaldyke.gateway.limit_messages import (
     LimitMessage,
     decode_limit_message,
@@ -23,7 +27,6 @@
 from quetzaldyke.parts.crash_causes import Trait
 from quetzaldyke.parts.transactions import WatchedChange
 
-
 # Raised for content of another form; an infinite number is no integer.
 MALFORMED_CONTENT: Final = (
     ValueError,
@@ -76,6 +79,7 @@
     | JobEnded
     | CrashReport
     | WatchUpdate
+    | DrainUpdate
     | LimitMessage
 )
 
@@ -95,6 +99,8 @@
             return encode_crash_report(message)
         case WatchUpdate():
             return encode_watch_update(message)
+        case DrainUpdate(sender, lifetimes):
+            return bytes(msgpack.packb(['draining', sender, lifetimes]))
         case _:
             return encode_limit_message(message)
 
@@ -166,6 +172,8 @@
             return decode_watch_update(sender, content)
         case 'load':
             return decode_load_report(sender, content)
+        case 'draining':
+            return decode_drain_update(sender, content)
     return decode_limit_message(kind, sender, content)
 
 
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.crashes import CrashReport, CrashTracker
 from quetzaldyke.gateway.dispatcher import Dispatcher
+from quetzaldyke.gateway.drain_exchange import DrainExchange, DrainUpdate
 from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.gossip_messages import (
     GossipMessage,
@@ -38,6 +39,16 @@
     now: Callable[[], float]
     # None until jobs are run.
     runner: BatchRunner | None = None
+    drains: DrainExchange = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Build the exchange of what endpoints state about draining."""
+        self.drains = DrainExchange(
+            self.own_id,
+            self.dispatcher.drains,
+            lambda: self.dispatcher.loads.peers,
+            self.gossip.send,
+        )
 
     def apply(self, message: GossipMessage) -> None:
         """Apply a message of a peer."""
@@ -53,6 +64,8 @@
                 self.crashes.merge(message)
             case WatchUpdate():
                 self.sharing.on_update(message)
+            case DrainUpdate():
+                self.drains.apply(message)
             case _:
                 self.limits.apply(message)
 
