--- a/src/quetzaldyke/standins/platform_endpoint.py
+++ b/src/quetzaldyke/standins/platform_endpoint.py
@@ -69,6 +69,9 @@
     draining: bool = False
     # Text of the limit that each response names; empty to name none.
     limit: str = ''
+    # States in each response that this endpoint drains. With `draining` the
+    # registration says so too.
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +168,8 @@
             ),
         )
         headers = {'Attempt-Id': request_id, 'Response-Signature': 'proof'}
+        if self.faults.leaving:
+            headers['Server-Leaving'] = '1'
         if self.faults.limit:
             headers['Server-Limit'] = self.faults.limit
         if self.faults.fail:
