--- a/tests/test_endpoint_drain.py
+++ b/tests/test_endpoint_drain.py
@@ -17,6 +17,7 @@
     make_route,
     set_running,
 )
+from limit_fleet import LimitFleet
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.endpoint_drain import (
     MAX_UNREGISTERED,
@@ -300,3 +301,20 @@
     with mock.patch.object(HttpClient, 'start', side_effect=sent) as start:
         await run.run()
     start.assert_not_called()
+
+
+# Guards against permits for a leaving endpoint that are asked for and used,
+# because limits are kept apart from the list of endpoints.
+def test_limited_endpoint_that_drains_gets_no_permits_used() -> None:
+    """Guards against requests that a permit lets through."""
+    fleet = LimitFleet.of(2, 1)
+    simulated = fleet.endpoints['e0']
+    simulated.limit = lambda now_s: 4.0
+    fleet.add_demand(20.0, 8.0)
+    fleet.run(3.0)
+    assert simulated.got_s
+    for entry in fleet.entries.values():
+        entry.batch = 20
+        entry.dispatcher.drains.note_head(simulated.endpoint, head_with(b'1'))
+    fleet.run(8.0)
+    assert max(simulated.got_s) <= 3.0
