Forward an endpoint's statement that it is draining

An entry removed the header from the answers that it passed on, so that nobody outside could compare what an entry knows with what it sends. It is the endpoint's header, like the limit that it names, and callers get it as it came. The test that held the opposite is replaced by one that holds this.

--- a/src/quetzaldyke/gateway/forwarded_headers.py
+++ b/src/quetzaldyke/gateway/forwarded_headers.py
@@ -29,12 +29,9 @@
         b'content-length',
     ),
 )
-# The load report and the statement that the endpoint is draining are for the
-# gateway only: a caller could take the latter for the gateway's own. The
-# content length is computed again from the body.
-INTERNAL_HEADERS: Final = frozenset(
-    (names.LOAD, names.DRAINING, b'content-length')
-)
+# The load report is for the gateway only; the content length is computed
+# again from the body.
+INTERNAL_HEADERS: Final = frozenset((names.LOAD, b'content-length'))
 
 
 # Forwarded even if they are listed as those of one connection: without them an
--- a/tests/test_endpoint_drain.py
+++ b/tests/test_endpoint_drain.py
@@ -121,11 +121,11 @@
         assert not harness.dispatcher.endpoints.is_draining('a')
 
 
-async def test_statement_is_not_forwarded() -> None:
-    """Guards against a caller that takes the statement for the entry's own."""
+async def test_statement_is_forwarded() -> None:
+    """Guards against hiding the statement from whoever checks its effect."""
     async with drain_harness(AnsweringEndpoint('a', lines=LEAVING)) as harness:
         received = await harness.request()
-        assert b'server-leaving' not in dict(received.headers)
+        assert dict(received.headers)[b'server-leaving'] == b'1'
 
 
 # Guards against a log line and a message for each answer of an endpoint that
