Read callers' numbers within bounds

Seen: a caller's Deadline-Ms, Last-Event-Id or Wait-Ms of 400 digits raised OverflowError and one of 5,000 digits ValueError, so the caller got a broken answer where an odd header should be harmless; a read of results after position 10**19 could not be encoded. In the other program a timeout, a Content-Length or a limit of 5,000 digits, and version=nan or limit=inf of an operator, were answered with status 500.

Cause: int() after isdigit() or isdecimal(); both accept any number of digits, and isdecimal() those of all scripts.

Change: parts/decimals.py reads ASCII digits and cuts a number to a maximum. Parameters of operators have to be finite.

--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -28,6 +28,7 @@
 from quetzaldyke.gateway.relay import relay
 from quetzaldyke.gateway.responses import send_refusal, send_response
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
+from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.platform import names
 from quetzaldyke.platform.prompts import decode_prompt_parts
 from quetzaldyke.process.metrics import Metrics
@@ -63,12 +64,11 @@
         return None
 
     def number(self, name: bytes) -> int | None:
-        """Return a header as an integer.
+        """Return a header as an integer, cut to the largest one in use.
 
         Returns None if it is missing or is not a decimal number.
         """
-        text = self.header(name)
-        return int(text) if text is not None and text.isdigit() else None
+        return parse_decimal(self.header(name))
 
 
 class AsgiCaller:
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -17,6 +17,7 @@
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.gateway.new_job import NewJob, make_job
 from quetzaldyke.gateway.responses import send_refusal, send_response
+from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.platform import names
 from quetzaldyke.platform.jobs import (
@@ -264,5 +265,4 @@
 
 def query_number(query: bytes, name: str) -> int:
     """Return a numeric parameter, 0 when it is missing or no number."""
-    text = query_text(query, name)
-    return int(text) if text.isdecimal() else 0
+    return parse_decimal(query_text(query, name)) or 0
--- a/src/quetzaldyke/process/batches_http.py
+++ b/src/quetzaldyke/process/batches_http.py
@@ -19,6 +19,7 @@
 from quetzaldyke.durable.errors import JobError
 from quetzaldyke.durable.records import FileRecord
 from quetzaldyke.durable.service import JobRequest, JobService, JobStatus
+from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.process.callers_middleware import read_body
 from quetzaldyke.request.outcome import Refusal
 
@@ -140,7 +141,8 @@
     >>> parse_limit('5'), parse_limit('many'), parse_limit('9999')
     (5, 100, 100)
     """
-    return min(int(text), LIST_LIMIT) if text.isdecimal() else LIST_LIMIT
+    limit = parse_decimal(text, LIST_LIMIT)
+    return LIST_LIMIT if limit is None else limit
 
 
 async def upload_file(
@@ -154,8 +156,8 @@
     Rejects a request without a Content-Length, one over the size limit, and a
     form without the file or with another purpose.
     """
-    content_length = request.headers.get('content-length', '')
-    if not content_length.isdecimal():
+    content_length = parse_decimal(request.headers.get('content-length'))
+    if content_length is None:
         return error_response(
             JobError(
                 LENGTH_REQUIRED,
@@ -163,7 +165,7 @@
                 "the Content-Length header is missing or isn't a number",
             ),
         )
-    if int(content_length) > max_file_bytes:
+    if content_length > max_file_bytes:
         message = f'the upload is larger than {max_file_bytes} bytes'
         return error_response(JobError(errors.TOO_LARGE, 'too_large', message))
     async with request.form(max_files=1, max_fields=4) as form:
--- a/src/quetzaldyke/process/callers_http.py
+++ b/src/quetzaldyke/process/callers_http.py
@@ -18,6 +18,7 @@
 from starlette.routing import BaseRoute, Route
 from starlette.types import ASGIApp, Scope
 
+from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.process.answers_http import (
     AnswerFormat,
@@ -128,10 +129,11 @@
     """Return the caller's timeout or the default; a refusal if invalid."""
     if text is None:
         return Ok(default_ms)
-    if not text.isdecimal() or not 0 < int(text) <= MAX_TIMEOUT_MS:
+    number = parse_decimal(text, MAX_TIMEOUT_MS + 1) or 0
+    if not 0 < number <= MAX_TIMEOUT_MS:
         message = f'X-Request-Timeout-Ms must be 1 to {MAX_TIMEOUT_MS}'
         return Err(unprocessable('invalid_timeout', message))
-    return Ok(int(text))
+    return Ok(number)
 
 
 def read_options(
@@ -141,10 +143,8 @@
 ) -> Result[CallOptions, Refusal]:
     """Return the options in a request's headers; a refusal if invalid."""
     default_ms = int(context.settings.request_timeout_s * MS_IN_S)
-    timeout = read_timeout_ms(
-        http.headers.get('x-request-timeout-ms'),
-        default_ms,
-    )
+    stated = http.headers.get('x-request-timeout-ms')
+    timeout = read_timeout_ms(stated, default_ms)
     if isinstance(timeout, Err):
         return timeout
     flag = http.headers.get('x-idempotent', '').lower()
--- a/src/quetzaldyke/process/callers_middleware.py
+++ b/src/quetzaldyke/process/callers_middleware.py
@@ -15,6 +15,7 @@
 from starlette.datastructures import Headers
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
+from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.process.answers_http import send_refusal
 from quetzaldyke.request.limits import Limits
 from quetzaldyke.request.model import new_request_id
@@ -209,8 +210,8 @@
     limit_bytes: int,
 ) -> Result[bytes, Refusal]:
     """Return a body, or a refusal if it is too large or incomplete."""
-    declared = headers.get('content-length', '')
-    if declared.isdecimal() and int(declared) > limit_bytes:
+    declared = parse_decimal(headers.get('content-length', '')) or 0
+    if declared > limit_bytes:
         return Err(body_too_large(limit_bytes))
     body = bytearray()
     more = True
--- a/src/quetzaldyke/process/operators_http.py
+++ b/src/quetzaldyke/process/operators_http.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hmac
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, Final, Protocol
@@ -172,11 +173,12 @@
 def number_parameter(
     request: Request, name: str, default: float
 ) -> float | None:
-    """Return a query parameter as a number; None if it is not a number."""
+    """Return a query parameter as a number; None if it is not finite."""
     try:
-        return float(request.query_params.get(name, default))
+        number = float(request.query_params.get(name, default))
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 async def get_metrics(context: OperatorsContext, request: Request) -> Response:
