Refuse jobs whose items break a request's head or the job's record

Seen: an item's path or headers with a line break went into the head of the request to an endpoint. A path could end that request and begin another on the same connection, whose answer then comes after the item's: one way to a foreign answer. Characters that no head can carry failed each run of the item, and a token count of 4,000 digits raised in the encoder of the job's record, so that the caller got a broken answer.

Cause: an item's texts were taken as any text, its tokens as any integer.

Change: ids and paths are visible ASCII, header names are tokens, header values have no control characters but tabs and fit latin-1, and tokens are 0 to 10**9. The job is answered 400, and the reason is short.

--- a/src/quetzaldyke/platform/jobs.py
+++ b/src/quetzaldyke/platform/jobs.py
@@ -4,11 +4,21 @@
 
 import base64
 from dataclasses import dataclass
+from typing import Annotated, Final
 
 import orjson
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
+from quetzaldyke.platform.validation import describe_invalid
+
+# Far above any prompt and output; sums of many still fit 64 bits.
+MAX_TOKENS: Final = 1_000_000_000
+# Texts of items go into the heads of requests to endpoints, where a line break
+# would begin another header or another request.
+HeaderName = Annotated[str, Field(pattern=r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+\z")]
+HeaderText = Annotated[str, Field(pattern=r'^[\t -~\x80-\xff]*\z')]
+
 
 @dataclass(frozen=True, slots=True)
 class SubmittedItem:
@@ -36,11 +46,11 @@
 
     model_config = ConfigDict(extra='ignore')
 
-    id: str
-    path: str
-    headers: dict[str, str] = {}
+    id: Annotated[str, Field(pattern=r'^[!-~]{1,200}\z')]
+    path: Annotated[str, Field(pattern=r'^/[!-~]{0,8000}\z')]
+    headers: dict[HeaderName, HeaderText] = {}
     body: str = ''
-    tokens: int = 0
+    tokens: Annotated[int, Field(ge=0, le=MAX_TOKENS)] = 0
 
 
 class Submission(BaseModel):
@@ -56,8 +66,8 @@
     try:
         rows = Submission.model_validate(orjson.loads(raw)).items
         return Ok([to_submitted_item(row) for row in rows])
-    except (ValidationError, ValueError) as exc:
-        return Err(str(exc))
+    except (ValidationError, ValueError, RecursionError) as exc:
+        return Err(describe_invalid(exc))
 
 
 def to_submitted_item(row: ItemRecord) -> SubmittedItem:
