Refuse configurations with undefined numbers and cut their times

Seen: a time of 'NaN', 'Infinity' or 1e308 ms and a weight whose sum is infinite were accepted; choosing a service by such weights raises for each request, and the times reach timers and headers. A version of 4,000 digits, sent as a text, was applied and kept all later versions out.

Cause: the model took any float and integer, and texts of them.

Change: numbers have to be finite and to fit 64 bits; times are cut to 1e9 in their unit, because a refused configuration costs more than a cut time. The reason in the log line is short.

--- a/src/quetzaldyke/platform/records.py
+++ b/src/quetzaldyke/platform/records.py
@@ -9,7 +9,13 @@
 from typing import Annotated, Final, Literal
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 from result import Err, Ok, Result
 
 from quetzaldyke.gateway.model import (
@@ -35,6 +41,20 @@
 # Names and ids go into headers and log lines: visible ASCII characters only.
 Name = Annotated[str, Field(pattern=r'^[!-~]{1,200}\z')]
 
+# Timers, headers and 64-bit fields of messages take the numbers of a
+# configuration. A time above `MAX_TIME`, 11 days in ms, means no limit.
+MAX_TIME: Final = 1e9
+MAX_NUMBER: Final = 0x7FFF_FFFF_FFFF_FFFF
+# The sum of a route's weights has to be finite.
+MAX_WEIGHT: Final = 1e12
+# A time in the unit of its field, cut to `MAX_TIME`.
+Time = Annotated[
+    float,
+    Field(allow_inf_nan=False),
+    AfterValidator(lambda time: min(time, MAX_TIME)),
+]
+Number = Annotated[int, Field(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 
 class PlatformRecord(BaseModel):
     """Base class of all records; ignores fields of later versions."""
@@ -46,7 +66,7 @@
     """A service of a route and its weight in the traffic split."""
 
     service: str
-    weight: float
+    weight: Annotated[float, Field(le=MAX_WEIGHT, allow_inf_nan=False)]
 
 
 class RouteRecord(PlatformRecord):
@@ -56,21 +76,21 @@
     host: str
     prefix: str
     kind: Literal['idempotent', 'non_idempotent', 'stream', 'batch']
-    timeout_ms: float = Field(alias='timeout-ms')
-    goal_ms: float = Field(default=0, alias='goal-ms')
-    priority: int = 0
-    max_attempts: int = Field(default=1, alias='max-attempts')
+    timeout_ms: Time = Field(alias='timeout-ms')
+    goal_ms: Time = Field(default=0, alias='goal-ms')
+    priority: Number = 0
+    max_attempts: Number = Field(default=1, alias='max-attempts')
     resumable: bool = False
-    gap_target_ms: float = Field(default=0, alias='gap-target-ms')
+    gap_target_ms: Time = Field(default=0, alias='gap-target-ms')
     service: str = ''
     backends: list[BackendRecord] = []
-    completion_target_ms: float = Field(
+    completion_target_ms: Time = Field(
         default=0,
         alias='completion-target-ms',
     )
-    max_wait_s: float = Field(default=0, alias='max-wait-s')
+    max_wait_s: Time = Field(default=0, alias='max-wait-s')
     # Limit on the tokens of unfinished items; 0 means no limit.
-    cap: int = 0
+    cap: Number = 0
 
 
 class ServiceRecord(PlatformRecord):
@@ -78,23 +98,23 @@
 
     name: str
     health_path: str = Field(default='/health', alias='health-path')
-    max_conns: int = Field(default=100, alias='max-conns')
+    max_conns: Number = Field(default=100, alias='max-conns')
     engine: dict[str, object] | None = None
 
 
 class LimitsRecord(PlatformRecord):
     """Size and time limits on callers' requests."""
 
-    max_header_bytes: int = Field(default=16_384, alias='max-header-bytes')
-    max_body_bytes: int = Field(default=4_194_304, alias='max-body-bytes')
-    header_timeout_ms: float = Field(default=3000, alias='header-timeout-ms')
-    idle_timeout_ms: float = Field(default=15_000, alias='idle-timeout-ms')
+    max_header_bytes: Number = Field(default=16_384, alias='max-header-bytes')
+    max_body_bytes: Number = Field(default=4_194_304, alias='max-body-bytes')
+    header_timeout_ms: Time = Field(default=3000, alias='header-timeout-ms')
+    idle_timeout_ms: Time = Field(default=15_000, alias='idle-timeout-ms')
 
 
 class ConfigRecord(PlatformRecord):
     """The operator's configuration."""
 
-    version: int
+    version: Number
     routes: list[RouteRecord]
     services: list[ServiceRecord]
     limits: LimitsRecord = LimitsRecord()
@@ -115,11 +135,11 @@
 
 
 def decode_configuration(raw: bytes) -> Result[Configuration, str]:
-    """Decode the operator's configuration; fail with the reason."""
+    """Decode the operator's configuration; fail with a short reason."""
     try:
         record = ConfigRecord.model_validate(orjson.loads(raw))
-    except (ValidationError, ValueError) as exc:
-        return Err(str(exc))
+    except (ValidationError, ValueError, RecursionError) as exc:
+        return Err(describe_invalid(exc))
     limits = record.limits
     return Ok(
         Configuration(
