Don't reuse a connection that its peer has just ended

A request could be lost on a kept connection and then count as possibly run: a caller got 502, and its endpoint was suspected of a crash.

Cause: the event loop reports the peer's end first and the close in a later iteration. In between the connection looked usable, and what was written to it was dropped without notice.

Evidence: the new test fails on the old code. How often this happens in a fleet was not measured.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -106,8 +106,10 @@
         """Complete a body that ends with the connection; let it close.
 
         Only the peer's own end is reported here, not a reset and not a close
-        by this process.
+        by this process. The connection takes no request any more, though
+        `connection_lost` is called only in a later iteration of the loop.
         """
+        self.closed = True
         exchange = self.exchange
         if exchange is not None and exchange.head and not self.framed:
             exchange.finish()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from unittest import mock
@@ -295,3 +296,18 @@
         'named': False,
         'uses': 2,
     }
+
+
+async def test_connection_that_its_peer_has_ended_is_not_reused() -> None:
+    """Guards against requests that are lost and count as possibly run.
+
+    The event loop reports the end and, in a later iteration, the close.
+    """
+    client = HttpClient()
+    pool = client.pool('127.0.0.1', 1)
+    connection = Connection(pool.add_idle)
+    connection.connection_made(mock.Mock())
+    pool.add_idle(connection)
+    connection.idle_since_s = time.monotonic()
+    connection.eof_received()
+    assert pool.take(9.0, b'') is None
