Repeat an uncertain registration under the same lease

An entry could be taken for lost while it ran: its member record vanished, its jobs were run by others too, and its peers sent it nothing, until it started again.

Cause: after a write of the record without an answer, the entry wrote it again under a new lease. The store may apply the first write seconds later. The record then hangs on the first lease, which nobody renews, while the renewals of the second succeed.

Change: the lease is kept and the write repeated under it, so a late copy changes nothing. Only a lease that has ended is replaced.

Not seen in a fleet.

--- a/src/quetzaldyke/gateway/membership.py
+++ b/src/quetzaldyke/gateway/membership.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from result import Err
+from result import Err, Ok
 
 from quetzaldyke.gateway.job_records import MEMBER_PREFIX, Member
 from quetzaldyke.gateway.job_table import JobTable, JobView
@@ -41,6 +41,8 @@
     store: TransactionalStore
     member: Member
     lease_id: int = 0
+    # Whether the record was certainly written under the lease.
+    written: bool = False
     ended: bool = False
 
     @property
@@ -57,7 +59,9 @@
             return
         if self.lease_id:
             answer = await self.store.renew_lease(self.lease_id)
-            if not isinstance(answer, Err):
+            if isinstance(answer, Ok):
+                if not self.written:
+                    await self.register()
                 return
             if answer.err_value.kind != 'no_lease':
                 return
@@ -66,21 +70,28 @@
         await self.register()
 
     async def register(self) -> None:
-        """Obtain a lease and write the member record under it.
+        """Write the member record under the lease; obtain one if needed.
 
-        The entry stays unregistered if either call fails.
+        The entry stays unregistered if either call fails. A write without an
+        answer may be applied later, so it is repeated under the same lease:
+        under another, the late one would leave the record to a lease that is
+        not renewed.
         """
-        granted = await self.store.grant_lease(LEASE_TTL_S)
-        if isinstance(granted, Err):
-            return
-        lease_id = granted.ok_value.lease_id
+        self.written = False
+        if not self.lease_id:
+            granted = await self.store.grant_lease(LEASE_TTL_S)
+            if isinstance(granted, Err):
+                return
+            self.lease_id = granted.ok_value.lease_id
         written = await self.store.transact(
-            Transaction({}, (Put(self.key, self.member.pack(), lease_id),)),
+            Transaction(
+                {}, (Put(self.key, self.member.pack(), self.lease_id),)
+            ),
         )
         if isinstance(written, Err):
             return
-        self.lease_id = lease_id
-        log_event('registered', lease=lease_id, revision=written.ok_value)
+        self.written = True
+        log_event('registered', lease=self.lease_id, revision=written.ok_value)
 
     async def end(self) -> None:
         """Revoke the lease, so that other entries take over at once."""
