Resume reading before a connection is kept

A request on a kept connection could get no answer until its timeout, and its endpoint was then ejected as stalled, although the endpoint had answered.

Cause: reading is paused while a reader lags behind a large answer. If the rest of the answer arrived with the bytes that caused the pause and its reader left, as a caller that disconnects does, nothing resumed it, and the connection went to the pool. On such a connection neither answers nor the peer's end nor bytes that belong to no request are seen.

Evidence: the new test, with an answer one byte above the limit, times out on the old code (asyncio and uvloop). Not measured in a fleet.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -252,6 +252,8 @@
             transport.abort() if unsent else transport.close()
             self.closed = True
             return
+        # The reader of the answer may have left without reading it all.
+        self.resume_reading()
         self.idle_since_s = time.monotonic()
         self.on_idle(self)
 
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from quetzaldyke.gateway.client_connection import MAX_UNREAD_BYTES
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
 from raw_endpoint import RawEndpoint, raw_endpoint
@@ -85,3 +86,28 @@
         with pytest.raises(ExchangeError) as raised:
             await fetch(endpoint)
     assert raised.value.failure is Failure.MALFORMED
+
+
+async def test_connection_of_an_answer_that_nobody_reads_is_usable() -> None:
+    """Guards against a kept connection on which reading stays paused.
+
+    Its next request would get no answer, and its end would go unnoticed.
+    """
+    body = b'x' * (MAX_UNREAD_BYTES + 1)
+    large = HEAD + b'Content-Length: %d\r\n\r\n' % len(body) + body
+    small = HEAD.replace(b'r1', b'r2') + b'Content-Length: 2\r\n\r\nok'
+    async with raw_endpoint(
+        lambda _, request: small if request else large
+    ) as endpoint:
+        client = HttpClient()
+        request = encode_request(b'GET', b'/', [(b'host', b'h')], b'')
+        first = Exchange(b'x-id', b'r1')
+        await client.start('127.0.0.1', endpoint.port, request, first)
+        async with asyncio.timeout(5):
+            while not first.complete:
+                await asyncio.sleep(0.001)
+            first.cancel()
+            second = Exchange(b'x-id', b'r2')
+            await client.start('127.0.0.1', endpoint.port, request, second)
+            assert await second.read_body() == b'ok'
+    assert client.connections_opened == 1
