Refuse malformed bytes of a caller behind the answers that are due

A caller that sent malformed bytes behind a request found the head of a 400 in the middle of its stream, or got the 400 as the answer to the request that was running, and its connection was closed.

Cause: uvicorn writes the error as soon as its parser fails, whatever is being answered. Now an answer that is under way, and those to requests that wait on the connection, come first; then the malformed bytes get the 400. A request whose own body is malformed gets it at once, or is cut if its answer has begun.

--- a/src/quetzaldyke/connection/caller_connection.py
+++ b/src/quetzaldyke/connection/caller_connection.py
@@ -45,6 +45,8 @@
         self.head_bytes = 0
         # Received for a request since the last byte of its body.
         self.bytes_after_body = 0
+        # Why the bytes behind the current request are refused; empty if not.
+        self.refusal = ''
 
     def data_received(self, data: bytes) -> None:
         """Parse data; close the connection if a head or trailer has no end."""
@@ -59,6 +61,19 @@
         if self.is_receiving() and self.bytes_after_body > MAX_HEAD_BYTES:
             self.refuse_trailers()
 
+    def send_400_response(self, msg: str) -> None:  # noqa: WPS114
+        """Refuse malformed bytes, but not while an earlier answer is sent.
+
+        The error would stand in that answer, or be taken for it.
+        """
+        if self.pipeline or (self.is_serving() and not self.is_receiving()):
+            self.refusal = msg
+            self.flow.pause_reading()
+        elif self.is_receiving() and self.cycle.response_started:
+            self.transport.close()
+        else:
+            super().send_400_response(msg)
+
     def refuse_trailers(self) -> None:
         """Close the connection of a request that has endless trailers."""
         if not self.cycle.response_started:
@@ -94,9 +109,11 @@
         super().on_headers_complete()
 
     def on_response_complete(self) -> None:
-        """Start the idle timeout at the end of a response."""
+        """Start the idle timeout, or refuse what follows the request."""
         self.last_active_s = self.loop.time()
         super().on_response_complete()
+        if self.refusal:
+            self.send_400_response(self.refusal)
 
     def is_serving(self) -> bool:
         """Tell whether a request is being read or answered."""
