Don't time out a second request's body during the first one's answer

A caller that had sent a request and a part of a second one could find a 408 in the middle of the first one's answer, and its connection closed.

Cause: the timeout of a body looked at the last request on the connection, which waits unread while an earlier one is answered.

Evidence: test_answer_is_not_cut_for_a_slow_second_body fails on the old code.

--- a/src/quetzaldyke/connection/caller_connection.py
+++ b/src/quetzaldyke/connection/caller_connection.py
@@ -66,7 +66,7 @@
 
         The error would stand in that answer, or be taken for it.
         """
-        if self.pipeline or (self.is_serving() and not self.is_receiving()):
+        if self.is_answering():
             self.refusal = msg
             self.flow.pause_reading()
         elif self.is_receiving() and self.cycle.response_started:
@@ -123,6 +123,15 @@
         """Tell whether the body or trailers of a request are being read."""
         return self.is_serving() and self.cycle.more_body
 
+    def is_answering(self) -> bool:
+        """Tell whether a request is being answered that was read completely.
+
+        Other requests of the connection then wait, read only in part.
+        """
+        return bool(self.pipeline) or (
+            self.is_serving() and not self.cycle.more_body
+        )
+
     def expired_timeout(
         self,
         header_timeout_s: float,
@@ -130,7 +139,7 @@
         now_s: float,
     ) -> TimeoutKind | None:
         """Return the kind of timeout that has expired, or None."""
-        if self.is_serving() and not self.cycle.more_body:
+        if self.is_answering():
             return None
         if self.head_started_s is not None:
             expired = now_s - self.head_started_s > header_timeout_s
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -167,6 +167,18 @@
     assert ended == {}
 
 
+async def test_answer_is_not_cut_for_a_slow_second_body() -> None:
+    """Guards against an error in an answer for the next request's body.
+
+    The server doesn't read that body before the first request is answered.
+    """
+    app = SlowApp()
+    app.may_answer = anyio.Event()
+    sent = HEAD + b'abcd' + HEAD + b'ab'
+    ended, _ = await exchange(sent, IDLE_TIMEOUT_S + 1, app)
+    assert ended == {}
+
+
 async def test_idle_time_counts_from_the_end_of_an_answer() -> None:
     """Guards against closing a connection right after a long answer."""
     app = SlowApp()
