--- a/src/quetzaldyke/connection/http_connection.py
+++ b/src/quetzaldyke/connection/http_connection.py
@@ -7,12 +7,19 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
 import httpcore
 
 from quetzaldyke.connection.tcp_backend import connect
 
+# Share of the idle timeout that the other end states for which a connection is
+# reused; a request sent just at its end would be cut with an unknown outcome.
+KEEP_ALIVE_SHARE: Final = 0.6
+KEEP_ALIVE_TIMEOUT: Final = re.compile(
+    rb'(?:^|,)\s*timeout=([0-9]{1,6})\s*(?:$|,)', re.IGNORECASE
+)
 FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
 
 
@@ -46,8 +53,20 @@
         if named >= FRAMING_HEADERS:
             await self.aclose()
             raise httpcore.RemoteProtocolError('both a length and chunks')
+        self.shorten_expiry(response)
         return response
 
+    def shorten_expiry(self, response: httpcore.Response) -> None:
+        """Apply the idle timeout that an answer states, if it is shorter."""
+        for name, value in response.headers:
+            found = KEEP_ALIVE_TIMEOUT.search(value)
+            if name.lower() == b'keep-alive' and found:
+                stated_s = KEEP_ALIVE_SHARE * int(found.group(1))
+                own_s = self._keepalive_expiry
+                self._keepalive_expiry = (
+                    stated_s if own_s is None else min(own_s, stated_s)
+                )
+
 
 async def open_connection(
     address: str,
--- a/tests/test_reused_connections.py
+++ b/tests/test_reused_connections.py
@@ -189,5 +189,44 @@
     assert outcome.err_value.ran == 'unknown'
 
 
+@pytest.mark.parametrize(
+    ('stated', 'connections'),
+    [
+        (b'timeout=0', 2),
+        (b'max=9, Timeout=0', 2),
+        (b'timeout=60', 1),
+        (b'timeout=', 1),
+        (b'timeout=-1', 1),
+        (b'xtimeout=0', 1),
+    ],
+)
+async def test_connection_is_not_reused_after_its_stated_timeout(
+    stated: bytes, connections: int
+) -> None:
+    """Guards against a request on a connection that the endpoint closes."""
+    opened: list[int] = []
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: %b\r\n\r\n'
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        opened.append(1)
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(answer % stated)
+        writer.close()
+
+    listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+    async with listener:
+        port = listener.sockets[0].getsockname()[1]
+        ask = ask_endpoint(f'127.0.0.1:{port}')
+        with anyio.fail_after(LIMIT_S):
+            for _ in range(2):
+                await ask()
+                await anyio.sleep(0.01)
+    assert len(opened) == connections
+
+
 async def ignore(_: object) -> None:
     """Drop a part of an answer."""
