Search for the causes of crashes once for each new report

Operators see: an entry that hears of a lost failure domain spends seconds of processor time on crash reports, and answers nobody meanwhile.

Cause: each merged report searched twice (once for its crash, once for its empty list of trials), repetitions too, and each search counted all known crashes again for all traits with three crashes or more.

Change: a search runs only when evidence has changed that matters, so a repetition runs none, and a datagram of several reports one. Scores are kept as crashes are added (parts/crash_tally.py); whether a score is sufficient is assessed only for traits that changed, or whose period a new crash falls in; counting stops once it is settled; the greedy choice scores a trait again only when its last score is the highest one. TraitEvidence and Quarantine move to parts/crash_evidence.py.

Evidence: tests/plain_quarantine.py computes verdicts anew from everything; random histories agree at each step, with the code before this change (one run, first test) and after. Trials with a removed recount of contested traits and with a wrong greedy choice both fail test_causes_that_compete_are_chosen_alike. test_work_grows_linearly_with_lost_endpoints, test_repeated_report_changes_nothing and test_datagram_of_several_reports_looks_once fail on the code before (1.09 and 3.98 million calls for 50 and 100 endpoints; 82 searches for a datagram).

A loss spread over seconds still grows with the square, as each search reads the crashes of all traits with sufficient evidence.

With more than the maximum of traits, a datagram of several crashes drops the oldest traits by the verdicts from before the datagram.

--- a/src/quetzaldyke/gateway/crashes.py
+++ b/src/quetzaldyke/gateway/crashes.py
@@ -17,7 +17,8 @@
 
 from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.parts.crash_causes import Crash, Trait
-from quetzaldyke.parts.crash_quarantine import CrashQuarantine, Quarantine
+from quetzaldyke.parts.crash_evidence import Quarantine
+from quetzaldyke.parts.crash_quarantine import CrashQuarantine
 
 CONTENT_DIGEST_BYTES: Final = 8
 # Least specific first: parts of the prompt in order, then the whole content.
@@ -166,8 +167,8 @@
         """Apply a report of this entry or of another one."""
         before = self.quarantine.quarantined
         now_s = self.now()
-        for crash in report.crashes:
-            self.quarantine.record(
+        crashes = [
+            (
                 crash.traits,
                 Crash(
                     crash.lifetime,
@@ -177,8 +178,9 @@
                     crash.service,
                 ),
             )
-        self.quarantine.merge_cleared(report.cleared, now_s)
-        self.quarantine.note_trial(report.tried, now_s)
+            for crash in report.crashes
+        ]
+        self.quarantine.merge(crashes, report.cleared, report.tried, now_s)
         self.log_changes(before)
 
     def confirm(
--- a/src/quetzaldyke/parts/crash_causes.py
+++ b/src/quetzaldyke/parts/crash_causes.py
@@ -10,7 +10,9 @@
 
 from __future__ import annotations
 
+import heapq
 import math
+import operator
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
@@ -22,6 +24,8 @@
 # Score of a crash during a response that had made progress. Most of the
 # requests in flight at a crash are in this state.
 LATE_SCORE: Final = 0.5
+# Sorts crashes by time; a function in C, as each search calls it often.
+seen_s: Final = operator.attrgetter('seen_s')
 # Endpoints that end within this time, under requests that ran at the same time,
 # are taken to share a cause such as the loss of a rack, and count as one crash.
 SAME_CAUSE_S: Final = 0.03
@@ -65,9 +69,31 @@
     >>> crash_score([Crash('a', False, 1.0), Crash('b', True, 2.0)])
     1.0
     """
-    early = [crash for crash in crashes if not crash.late]
-    late = [crash for crash in crashes if crash.late]
-    return max(float(count_causes(early)), LATE_SCORE * count_causes(late))
+    early = CauseCount()
+    late = CauseCount()
+    for crash in sorted(crashes, key=seen_s):
+        (late if crash.late else early).add(crash)
+    return combined_score(early.count, late.count)
+
+
+def combined_score(early: int, late: int) -> float:
+    """Return the score of some numbers of early and late causes."""
+    return max(float(early), LATE_SCORE * late)
+
+
+@dataclass(slots=True)
+class CauseCount:
+    """The number of causes of crashes that are added in order of time."""
+
+    count: int = 0
+    group_start_s: float = -math.inf
+
+    def add(self, crash: Crash) -> None:
+        """Count a crash that was not seen before any added one."""
+        sent_after = crash.seen_s - crash.age_s > self.group_start_s
+        if sent_after or crash.seen_s - self.group_start_s > SAME_CAUSE_S:
+            self.count += 1
+            self.group_start_s = crash.seen_s
 
 
 def count_causes(crashes: Iterable[Crash]) -> int:
@@ -81,14 +107,10 @@
     >>> count_causes([Crash('a', False, 1.0), Crash('b', False, 1.01, 0.005)])
     2
     """
-    count = 0
-    group_start_s = -math.inf
-    for crash in sorted(crashes, key=lambda one: one.seen_s):
-        sent_after = crash.seen_s - crash.age_s > group_start_s
-        if sent_after or crash.seen_s - group_start_s > SAME_CAUSE_S:
-            count += 1
-            group_start_s = crash.seen_s
-    return count
+    causes = CauseCount()
+    for crash in sorted(crashes, key=seen_s):
+        causes.add(crash)
+    return causes.count
 
 
 def hold_s(score: float) -> float:
@@ -131,12 +153,14 @@
     specificity: Mapping[str, int],
     all_crashes: Collection[Crash] = (),
     confirmed: Collection[str] = (),
+    scores: Mapping[str, float] | None = None,
 ) -> list[str]:
     """Return the fewest traits that explain the crashes, greedily.
 
     A crash that a cause explains says nothing against the other traits of
     the requests that were in flight. Traits that were confirmed to be causes
-    need no more evidence while endpoints crash for other reasons.
+    need no more evidence while endpoints crash for other reasons. `scores`
+    are those of each trait's crashes, if the caller knows them.
 
     >>> crashes = [Crash(name, False, number) for number, name in
     ...            enumerate('abcd')]
@@ -144,27 +168,57 @@
     >>> find_causes(by_trait, {'prompt': 1, 'part': 2, 'body': 3})
     ['part']
     """
-    unexplained = {
-        key: list(crashes)
+    known = scores or {
+        key: crash_score(crashes) for key, crashes in crashes_by_trait.items()
+    }
+    sufficient = [
+        key
         for key, crashes in crashes_by_trait.items()
-        if crash_score(crashes) >= QUARANTINE_SCORE
+        if known[key] >= QUARANTINE_SCORE
         and (
-            key in confirmed
-            or crash_score(crashes) >= needed_score(crashes, all_crashes)
+            key in confirmed or known[key] >= needed_score(crashes, all_crashes)
         )
-    }
+    ]
+    sufficient.sort(key=lambda key: (specificity[key], key), reverse=True)
+    return choose_causes(
+        {key: crashes_by_trait[key] for key in sufficient}, known
+    )
+
+
+def choose_causes(
+    unexplained: dict[str, Collection[Crash]], scores: Mapping[str, float]
+) -> list[str]:
+    """Return causes in the order of how much each explains beyond the others.
+
+    Of equal traits the first one comes first. Explaining crashes lowers the
+    scores of traits and never raises one, because a part of the crashes that
+    count as one does so too. So a trait is scored again only when its last
+    score is the highest one.
+    """
+    ranked = [(-scores[key], rank, key) for rank, key in enumerate(unexplained)]
+    heapq.heapify(ranked)
     causes: list[str] = []
-    while unexplained:
-        score, _, best = max(
-            (crash_score(crashes), specificity[key], key)
-            for key, crashes in unexplained.items()
-        )
-        if score < QUARANTINE_SCORE:
-            break
-        causes.append(best)
-        explained = {crash.lifetime for crash in unexplained.pop(best)}
-        for key, crashes in unexplained.items():
-            unexplained[key] = [
-                crash for crash in crashes if crash.lifetime not in explained
-            ]
+    explained: set[str] = set()
+    while ranked:
+        score, rank, key = heapq.heappop(ranked)
+        crashes = unexplained[key]
+        rest = [crash for crash in crashes if crash.lifetime not in explained]
+        if len(rest) < len(crashes):
+            unexplained[key] = rest
+            score = -rest_score(rest)
+        if -score < QUARANTINE_SCORE:
+            continue
+        if ranked and (score, rank, key) > ranked[0]:
+            heapq.heappush(ranked, (score, rank, key))
+            continue
+        causes.append(key)
+        explained.update(crash.lifetime for crash in rest)
     return causes
+
+
+def rest_score(crashes: Collection[Crash]) -> float:
+    """Return the score of unexplained crashes, or 0 if they are too few.
+
+    Each crash adds one at most, so too few need not be counted.
+    """
+    return crash_score(crashes) if len(crashes) >= QUARANTINE_SCORE else 0.0
--- a/src/quetzaldyke/parts/crash_quarantine.py
+++ b/src/quetzaldyke/parts/crash_quarantine.py
@@ -17,6 +17,10 @@
 crash. After it one request with the trait is let through as a trial, so that a
 trait that was quarantined for crashes with another cause comes back into use.
 
+The causes are looked for again only when evidence has changed that matters:
+a trait with enough crashes has one more or less, or an endpoint crashed of
+which no crash was known. Repeated reports change nothing.
+
 Processes exchange what they see. Crashes are identified by the lifetime of
 the endpoint, so processes that saw the same crash count it once. Ages are
 measured from when this process learned of a crash, not by wall clocks.
@@ -25,19 +29,25 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Collection, Iterable, Mapping
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
 from quetzaldyke.parts.crash_causes import (
+    MIXED_SCORE,
     QUARANTINE_SCORE,
     SAME_CAUSE_S,
     Crash,
     Trait,
-    crash_score,
     find_causes,
-    hold_s,
 )
+from quetzaldyke.parts.crash_evidence import (
+    Quarantine,
+    TraitEvidence,
+    make_quarantine,
+)
+from quetzaldyke.parts.crash_tally import CrashTimeline
 
 # Evidence is kept for this long after the last crash, trial or hold.
 RETENTION_S: Final = 600.0
@@ -45,76 +55,6 @@
 MAX_TRAITS: Final = 5_000
 
 
-@dataclass(slots=True)
-class TraitEvidence:
-    """Crashes of endpoints that had requests with one trait in flight."""
-
-    specificity: int = 0
-    crashes: dict[str, Crash] = field(default_factory=dict)
-    # When each lifetime's crash turned out to be due to something else.
-    cleared_s: dict[str, float] = field(default_factory=dict)
-    tried_s: float = 0.0
-    # Whether another process has found the trait to be a cause.
-    confirmed: bool = False
-
-    def uncleared(self) -> list[Crash]:
-        """Return the crashes that count."""
-        return [
-            crash
-            for lifetime, crash in self.crashes.items()
-            if lifetime not in self.cleared_s
-        ]
-
-    def add(self, crash: Crash) -> None:
-        """Add a crash, unless that lifetime's crash is known already.
-
-        A late one shows that the trait is not the cause of the early ones.
-        """
-        known = self.crashes.get(crash.lifetime)
-        if crash.late and (known is None or not known.late):
-            self.clear_early(crash.seen_s)
-            self.crashes[crash.lifetime] = crash
-        self.crashes.setdefault(crash.lifetime, crash)
-
-    def clear_early(self, now_s: float) -> list[str]:
-        """Clear the crashes before which there had been no progress.
-
-        Returns the lifetimes.
-        """
-        lifetimes = [one.lifetime for one in self.uncleared() if not one.late]
-        self.clear(lifetimes, now_s)
-        return lifetimes
-
-    def clear(self, lifetimes: Iterable[str], now_s: float) -> None:
-        """Clear the crashes of some lifetimes."""
-        for lifetime in lifetimes:
-            self.cleared_s.setdefault(lifetime, now_s)
-        self.confirmed = self.confirmed and bool(self.uncleared())
-
-    def drop_before(self, time_s: float) -> None:
-        """Drop what was seen before a time."""
-        self.crashes = {
-            lifetime: crash
-            for lifetime, crash in self.crashes.items()
-            if crash.seen_s >= time_s
-        }
-        self.cleared_s = {
-            lifetime: cleared_s
-            for lifetime, cleared_s in self.cleared_s.items()
-            if cleared_s >= time_s or lifetime in self.crashes
-        }
-
-
-@dataclass(frozen=True, slots=True)
-class Quarantine:
-    """A quarantined trait: the score of its crashes, when to try it."""
-
-    key: str
-    score: float
-    lifetimes: tuple[str, ...]
-    retry_at_s: float
-
-
 @dataclass(slots=True)
 class CrashQuarantine:
     """Evidence by trait, and the traits that are quarantined.
@@ -131,25 +71,70 @@
     []
     """
 
-    evidence: dict[str, TraitEvidence] = field(default_factory=dict)
+    # Ordered by the time at which each trait was first seen.
+    evidence: OrderedDict[str, TraitEvidence] = field(
+        default_factory=OrderedDict
+    )
     # The first report of the crash of each lifetime.
     crashes: dict[str, Crash] = field(default_factory=dict)
-    # Traits with enough crashes to be quarantined unless they are cleared.
+    timeline: CrashTimeline = field(default_factory=CrashTimeline)
+    # Traits with enough crashes to be quarantined by their number.
     candidates: set[str] = field(default_factory=set)
+    # Candidates whose score is high enough for the other crashes meanwhile.
+    sufficient: set[str] = field(default_factory=set)
+    # Candidates for which the other crashes meanwhile matter.
+    contested: set[str] = field(default_factory=set)
+    # Candidates that have changed, and new crashes, since the last search.
+    changed: set[str] = field(default_factory=set)
+    added: list[Crash] = field(default_factory=list)
     quarantined: dict[str, Quarantine] = field(default_factory=dict)
 
     def record(self, traits: Iterable[Trait], crash: Crash) -> None:
         """Record that an endpoint crashed with a request in flight."""
-        self.crashes.setdefault(crash.lifetime, crash)
-        for trait in traits:
-            known = self.evidence.setdefault(trait.key, TraitEvidence())
-            known.specificity = trait.specificity
-            known.add(crash)
-            if len(known.crashes) >= QUARANTINE_SCORE:
-                self.candidates.add(trait.key)
-        self.drop_oldest()
+        self.add_crashes([(traits, crash)])
+        self.refresh()
+
+    def merge(
+        self,
+        crashes: Iterable[tuple[Iterable[Trait], Crash]],
+        cleared: Mapping[str, list[str]],
+        tried: Iterable[str],
+        now_s: float,
+    ) -> None:
+        """Apply what another process has seen, with one search at most."""
+        self.add_crashes(crashes)
+        self.add_cleared(cleared, now_s)
+        self.add_trials(tried, now_s)
         self.refresh()
 
+    def add_crashes(
+        self, crashes: Iterable[tuple[Iterable[Trait], Crash]]
+    ) -> None:
+        """Record crashes, each with the traits of a request in flight."""
+        for traits, crash in crashes:
+            if crash.lifetime not in self.crashes:
+                self.crashes[crash.lifetime] = crash
+                self.timeline.add(crash)
+                self.added.append(crash)
+            for trait in traits:
+                self.add_evidence(trait, crash)
+            self.drop_oldest()
+
+    def add_evidence(self, trait: Trait, crash: Crash) -> None:
+        """Record that a request with a trait was in flight at a crash."""
+        known = self.evidence.setdefault(trait.key, TraitEvidence())
+        new = known.add(crash) or known.specificity != trait.specificity
+        known.specificity = trait.specificity
+        if new:
+            self.note_change(trait.key)
+
+    def note_change(self, key: str) -> None:
+        """Note that the evidence against a trait has changed."""
+        known = self.evidence.get(key)
+        enough = known is not None and len(known.counted) >= QUARANTINE_SCORE
+        if enough or key in self.candidates:
+            self.changed.add(key)
+
     def confirm(
         self, trait: Trait, crashes: Iterable[tuple[str, bool]], now_s: float
     ) -> None:
@@ -159,11 +144,16 @@
         found to have different causes, so they are dated apart.
         """
         self.evidence.setdefault(trait.key, TraitEvidence()).confirmed = True
-        seen_s = now_s
+        self.note_change(trait.key)
         late_first = sorted(crashes, key=lambda crash: not crash[1])
-        for lifetime, late in late_first:
-            self.record([trait], Crash(lifetime, late, seen_s))
-            seen_s -= 2 * SAME_CAUSE_S
+        self.add_crashes(
+            (
+                [trait],
+                Crash(lifetime, late, now_s - 2 * SAME_CAUSE_S * place),
+            )
+            for place, (lifetime, late) in enumerate(late_first)
+        )
+        self.refresh()
 
     def clear(self, keys: Iterable[str], now_s: float) -> dict[str, list[str]]:
         """Clear traits of all crashes, as a request with them was served.
@@ -199,19 +189,31 @@
         Returns the entries that are not empty.
         """
         found = {key: ids for key, ids in cleared.items() if ids}
-        for key, lifetimes in found.items():
-            known = self.evidence.setdefault(key, TraitEvidence())
-            known.clear(lifetimes, now_s)
-        if not self.candidates.isdisjoint(found):
-            self.refresh()
+        self.add_cleared(found, now_s)
+        self.refresh()
         return found
 
+    def add_cleared(
+        self, cleared: Mapping[str, list[str]], now_s: float
+    ) -> None:
+        """Clear traits of crashes; without a search."""
+        for key, lifetimes in cleared.items():
+            if lifetimes:
+                known = self.evidence.setdefault(key, TraitEvidence())
+                known.clear(lifetimes, now_s)
+                self.note_change(key)
+
     def note_trial(self, keys: Iterable[str], now_s: float) -> None:
         """Start the hold time of some traits anew, as one of them is tried."""
+        self.add_trials(keys, now_s)
+        self.refresh()
+
+    def add_trials(self, keys: Iterable[str], now_s: float) -> None:
+        """Note that some traits are tried; without a search."""
         for key in keys:
             if key in self.evidence:
                 self.evidence[key].tried_s = now_s
-        self.refresh()
+                self.note_change(key)
 
     def quarantine_of(self, keys: Iterable[str]) -> Quarantine | None:
         """Return the quarantine of the traits that is held longest, or None."""
@@ -221,26 +223,57 @@
         return max(found, key=lambda one: one.retry_at_s, default=None)
 
     def refresh(self) -> None:
-        """Find out anew which traits are quarantined."""
-        crashes = {
-            key: self.evidence[key].uncleared() for key in self.candidates
-        }
-        self.candidates = {
-            key
-            for key, found in crashes.items()
-            if len(found) >= QUARANTINE_SCORE
-        }
+        """Find out anew which traits are quarantined, if any may differ."""
+        if not self.changed and not self.added:
+            return
+        for crash in self.added:
+            self.changed.update(
+                key
+                for key in self.contested - self.changed
+                if self.evidence[key].tally.is_beside(crash)
+            )
+        before = self.changed & self.sufficient
+        for key in self.changed:
+            self.assess(key)
+        if self.added or before or not self.changed.isdisjoint(self.sufficient):
+            self.search()
+        self.changed.clear()
+        self.added.clear()
+
+    def search(self) -> None:
+        """Choose among the traits whose evidence is sufficient."""
+        found = {key: self.evidence[key] for key in self.sufficient}
         causes = find_causes(
-            {key: crashes[key] for key in self.candidates},
-            {key: self.evidence[key].specificity for key in self.candidates},
-            self.crashes.values(),
-            {key for key in self.candidates if self.evidence[key].confirmed},
+            {key: known.counted.values() for key, known in found.items()},
+            {key: known.specificity for key, known in found.items()},
+            confirmed=self.sufficient,
+            scores={key: known.tally.score() for key, known in found.items()},
         )
         self.quarantined = {
-            key: make_quarantine(key, crashes[key], self.evidence[key].tried_s)
+            key: make_quarantine(key, found[key])
+            if key in self.changed or key not in self.quarantined
+            else self.quarantined[key]
             for key in causes
         }
 
+    def assess(self, key: str) -> None:
+        """Tell anew whether the evidence against a trait is sufficient."""
+        for keys in (self.candidates, self.sufficient, self.contested):
+            keys.discard(key)
+        known = self.evidence.get(key)
+        if known is None or len(known.counted) < QUARANTINE_SCORE:
+            return
+        self.candidates.add(key)
+        score = known.tally.score()
+        if score < QUARANTINE_SCORE:
+            return
+        needed = QUARANTINE_SCORE
+        if score < MIXED_SCORE and not known.confirmed:
+            self.contested.add(key)
+            needed = self.timeline.needed_score(known.tally)
+        if score >= needed:
+            self.sufficient.add(key)
+
     def drop_expired(self, now_s: float) -> None:
         """Drop evidence that is past its retention.
 
@@ -262,7 +295,8 @@
             for lifetime, crash in self.crashes.items()
             if crash.seen_s >= oldest_s
         }
-        self.candidates.intersection_update(self.evidence)
+        self.timeline = CrashTimeline.of(self.crashes.values())
+        self.changed |= self.candidates
         self.refresh()
 
     def drop_oldest(self) -> None:
@@ -273,18 +307,4 @@
         )
         for key in list(itertools.islice(droppable, excess)):
             del self.evidence[key]
-            self.candidates.discard(key)
-
-
-def make_quarantine(
-    key: str, crashes: Collection[Crash], tried_s: float
-) -> Quarantine:
-    """Return the quarantine of a trait for some crashes."""
-    score = crash_score(crashes)
-    last_s = max(crash.seen_s for crash in crashes)
-    return Quarantine(
-        key,
-        score,
-        tuple(sorted(crash.lifetime for crash in crashes)),
-        max(last_s, tried_s) + hold_s(score),
-    )
+            self.note_change(key)
