Start an item over whose only missing part can't be shown to be complete

An item whose run broke off behind its last event was resumed for ever where engines' answers end with their connections: the resumption is answered by an empty stream, which may be the end or a crash before the first event, so the run counted as broken and the next one asked for the same nothing.

Now such an item drops its events and the next run asks for all of them; its end can then be told. It costs one run, only after an empty answer without length or chunks.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -58,6 +58,11 @@
         self.interruptions += 1
         self.interrupted_at_event = self.events_done
 
+    def start_over(self) -> None:
+        """Drop the events received so far: the next run begins at the first."""
+        self.splitter = EventSplitter()
+        self.outputs.clear()
+
     @property
     def events_done(self) -> int:
         """Return the number of the last event, 0 before the first."""
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -187,9 +187,7 @@
                 progress.outputs.extend(event_data(events))
         if progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
-        self.exchange.check_events(
-            progress.events_done - self.events_before, self.events_before
-        )
+        self.check_events()
         self.context.dispatcher.endpoints.note_success(self.endpoint_id)
         if not self.events_before:
             self.context.estimator.record_run(
@@ -197,6 +195,23 @@
             )
         self.context.finish_item(self.job, progress, True)
 
+    def check_events(self) -> None:
+        """Check that the run that has ended can be complete.
+
+        Raises `ExchangeError` if not. A resumed run without events, length and
+        chunks may be complete, but no answer to a further resumption could
+        show it; the item then starts over.
+        """
+        progress = self.progress
+        try:
+            self.exchange.check_events(
+                progress.events_done - self.events_before, self.events_before
+            )
+        except ExchangeError:
+            if self.events_before:
+                progress.start_over()
+            raise
+
     async def read_chunk(self) -> bytes:
         """Return the next bytes, which are empty at the end of the response."""
         chunk = await self.exchange.read_chunk()
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -206,6 +206,27 @@
     assert harness.run.progress.outputs == [b'a', b'b']
 
 
+# Guards against an item that is resumed for ever after its last event, because
+# an empty answer that ends with its connection never shows that it is whole.
+async def test_item_starts_over_after_an_empty_resumption() -> None:
+    """The next run asks for all events, whose end can be told."""
+    async with unframed_endpoint(UNFRAMED) as endpoint:
+        harness = RunHarness.at(endpoint.port)
+        progress = harness.run.progress
+        progress.splitter.feed(FIRST_EVENT + SECOND_EVENT)
+        progress.outputs = [b'a', b'b']
+        harness.run.events_before = 2
+        async with anyio.create_task_group() as group:
+            group.start_soon(harness.run.run)
+            with anyio.fail_after(5):
+                while harness.run.exchange.head is None:
+                    await anyio.sleep(0.001)
+            endpoint.close()
+    assert harness.results == []
+    assert (progress.events_done, progress.outputs) == (0, [])
+    assert progress.interruptions == 1
+
+
 # Guards against an online answer that this process gave up, and that its
 # reader then takes for whole.
 @pytest.mark.parametrize('failure', [Failure.CANCELLED, Failure.STALLED])
