Dial no malformed address

Seen: a peer address without a number for its port raised ValueError in the task that dials, which ends the process; a port above 65535 is cut on uvloop.

Cause: dial() took the port with int() and caught OSError only.

Change: dial() parses the address and reports no connection. Further cases of odd rows of the instance list, which are read row by row, are in the same test file.

Evidence: 4 of the 6 cases of test_peer_with_an_odd_address_is_not_dialled fail on the code before; all pass now. The cases of the list passed before this change.

--- a/src/quetzaldyke/connection/links.py
+++ b/src/quetzaldyke/connection/links.py
@@ -19,6 +19,7 @@
     SocketStream,
     TaskStatus,
 )
+from result import Err
 
 from quetzaldyke.connection.frames import FrameError
 from quetzaldyke.connection.messages import (
@@ -34,6 +35,7 @@
     PeerSession,
     open_session,
 )
+from quetzaldyke.parts.addresses import parse_address
 from quetzaldyke.parts.hlc import MS_IN_S, HybridClock, Stamp
 
 # Heartbeats that one process sends per second over all its connections. A
@@ -205,10 +207,13 @@
 
     Returns False if no connection could be established.
     """
-    host, _, port = address.rpartition(':')
+    parsed = parse_address(address)
+    if isinstance(parsed, Err):
+        return False
+    host, port = parsed.ok_value
     try:
-        stream = await anyio.connect_tcp(host.strip('[]'), int(port))
-    except OSError:
+        stream = await anyio.connect_tcp(host, port)
+    except (OSError, ValueError):
         return False
     set_socket_options(stream)
     await handle_stream(stream, options, dialer=True)
