Go on without a configuration value or hint that can't be read

Seen: an entry whose configuration key holds an unreadable value ended, and ended again at each start: the error left the first read and the watch, which run in the process's task group. A hint that is no number made each poll fail, so that a new version came by watches and peers only.

Cause: Head.unpack, Envelope.unpack and int() raised outside of any guard.

Change: read() reports an envelope that can't be read as `unknown`; ConfigSync logs config_unreadable and goes on; an odd hint leads to a read of the value. parse_version returns None for an odd hint; tests/patch_store.py asserts that it is not None before it compares as before.

--- a/src/quetzaldyke/parts/kv.py
+++ b/src/quetzaldyke/parts/kv.py
@@ -179,7 +179,10 @@
     record = answer.ok_value
     if record is None:
         return Ok(Stored(b'', ABSENT))
-    envelope = Envelope.unpack(record.value)
+    try:
+        envelope = Envelope.unpack(record.value)
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        return Err(KvError('unknown', f'malformed value: {type(exc).__name__}'))
     return Ok(Stored(envelope.payload, record.revision))
 
 
--- a/src/quetzaldyke/version/config_sync.py
+++ b/src/quetzaldyke/version/config_sync.py
@@ -47,6 +47,7 @@
 # Starts a watch at the current revision: the service's protocol takes the
 # next revision, for which 0 means the current one.
 FROM_NOW: Final = -1
+MAX_LOGGED_CHARS: Final = 200
 
 
 @dataclass(slots=True)
@@ -172,7 +173,7 @@
             return
         stored = answer.ok_value
         self.last_revision = max(self.last_revision, stored.revision)
-        self.on_head(Head.unpack(stored.payload))
+        self.apply(lambda: Head.unpack(stored.payload))
 
     def is_watcher(self) -> bool:
         """Tell whether this entry is a watcher of its failure domain."""
@@ -212,7 +213,22 @@
         entry = change.record
         self.last_revision = max(self.last_revision, entry.revision)
         if entry.key == CONFIG_KEY and not change.deleted:
-            self.on_head(Head.unpack(Envelope.unpack(entry.value).payload))
+            self.apply(
+                lambda: Head.unpack(Envelope.unpack(entry.value).payload)
+            )
+
+    def apply(self, unpack: Callable[[], Head]) -> None:
+        """Adopt a stored value; one that can't be read is only logged.
+
+        Its error would end the task group of the whole process, and again
+        after each restart.
+        """
+        try:
+            self.on_head(unpack())
+        except Exception as exc:
+            self.log_event(
+                'config_unreadable', reason=repr(exc)[:MAX_LOGGED_CHARS]
+            )
 
 
 def watchers_of(fleet: Fleet, failure_domain: str) -> list[str]:
--- a/src/quetzaldyke/version/version_hint.py
+++ b/src/quetzaldyke/version/version_hint.py
@@ -14,6 +14,7 @@
 
 from result import Err, Result
 
+from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.parts.kv import (
     ABSENT,
     KeyValueStore,
@@ -34,13 +35,13 @@
 FULL_READ_POLLS: Final = 15
 
 
-def parse_version(payload: bytes) -> int:
-    """Return the version in a stored hint; 0 if it is empty.
+def parse_version(payload: bytes) -> int | None:
+    """Return the version in a stored hint; 0 if it is empty, None if odd.
 
-    >>> parse_version(b''), parse_version(b'12')
-    (0, 12)
+    >>> parse_version(b''), parse_version(b'12'), parse_version(b'x')
+    (0, 12, None)
     """
-    return int(payload or b'0')
+    return parse_decimal(payload or b'0')
 
 
 async def write_version_hint(
@@ -53,7 +54,7 @@
     """
 
     def change(payload: bytes) -> bytes:
-        return str(max(version, parse_version(payload))).encode()
+        return str(max(version, parse_version(payload) or 0)).encode()
 
     for _ in range(MAX_TRIES):
         outcome: Result[Stored, KvError | Refused[None]] = await swap(
@@ -97,7 +98,9 @@
         if stored.revision != self.seen_revision:
             self.seen_revision = stored.revision
             self.reads_left = READS_PER_HINT_CHANGE
-        if parse_version(stored.payload) <= version or not self.reads_left:
+        hinted = parse_version(stored.payload)
+        known = hinted is not None and hinted <= version
+        if known or not self.reads_left:
             return False
         self.reads_left -= 1
         return True
--- a/tests/patch_store.py
+++ b/tests/patch_store.py
@@ -86,7 +86,9 @@
         last = self.heads[-1].version if self.heads else 0
         assert head.version == last + 1
         hint = Envelope.unpack(self.records[VERSION_HINT_KEY].value).payload
-        assert parse_version(hint) >= head.version
+        hinted = parse_version(hint)
+        assert hinted is not None
+        assert hinted >= head.version
         self.heads.append(head)
 
     def accepted_ids(self) -> list[str]:
