Report malformed answers of the key-value service as errors

Seen: an answer of the service in another form, such as a list in place of an object or a missing revision, raised KeyError, AttributeError or ValueError out of each call, and a malformed line of a watch ended the task that follows it.

Cause: only the JSON of an answer was decoded under a guard, not its fields.

Change: the fields of each answer are decoded under one, and a malformed answer is `unknown`. A malformed line ends the watch, after which the keys are read again.

--- a/src/quetzaldyke/connection/kv_http.py
+++ b/src/quetzaldyke/connection/kv_http.py
@@ -9,10 +9,10 @@
 
 import base64
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from types import TracebackType
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import httpcore
 from result import Err, Ok, Result
@@ -37,6 +37,18 @@
 NOT_FOUND_STATUS: Final = 404
 BAD_REQUEST_STATUS: Final = 400
 MAX_BYTE: Final = 255
+MAX_REASON_CHARS: Final = 200
+# Raised for content of another form.
+MALFORMED_ERRORS: Final = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    RecursionError,
+)
+# End a watch, after which the caller reads the keys again.
+WATCH_ERRORS: Final = (*TRANSPORT_ERRORS, *MALFORMED_ERRORS)
+T = TypeVar('T')
 Body = dict[str, Any]
 
 
@@ -71,6 +83,25 @@
     return b'\0'
 
 
+def decode(body: Body, parse: Callable[[Body], T]) -> Result[T, KvError]:
+    """Return what a response says; `unknown` if it is malformed."""
+    try:
+        return Ok(parse(body))
+    except MALFORMED_ERRORS as exc:
+        reason = f'malformed response: {exc!r}'
+        return Err(KvError('unknown', reason[:MAX_REASON_CHARS]))
+
+
+def parse_records(body: Body) -> list[Record]:
+    """Return the records of a range."""
+    return [parse_record(one) for one in body.get('kvs') or ()]
+
+
+def parse_first(body: Body) -> Record | None:
+    """Return the first record of a range, or None if it is empty."""
+    return next(iter(parse_records(body)), None)
+
+
 def parse_record(kv: Body) -> Record:
     """Return the record of a key-value pair in a response."""
     return Record(
@@ -129,16 +160,14 @@
         )
         if isinstance(response_body, Err):
             return response_body
-        kvs = response_body.ok_value.get('kvs') or []
-        return Ok(parse_record(kvs[0]) if kvs else None)
+        return decode(response_body.ok_value, parse_first)
 
     async def list_prefix(self, prefix: str) -> Result[list[Record], KvError]:
         """Return the records of all keys with the prefix."""
         response_body = await self.call('kv/range', range_body(prefix))
         if isinstance(response_body, Err):
             return response_body
-        kvs = response_body.ok_value.get('kvs') or []
-        return Ok([parse_record(one) for one in kvs])
+        return decode(response_body.ok_value, parse_records)
 
     async def put_if(
         self,
@@ -194,22 +223,30 @@
             return response_body
         if not response_body.ok_value.get('succeeded', False):
             return Err(KvError('conflict', f'{key}: not at {revision}'))
-        return Ok(int(response_body.ok_value['header']['revision']))
+        return decode(
+            response_body.ok_value,
+            lambda answer: int(answer['header']['revision']),
+        )
 
     async def grant_lease(self, ttl_s: int) -> Result[int, KvError]:
         """Create a lease and return its id."""
         response_body = await self.call(
             'lease/grant', {'TTL': str(ttl_s), 'ID': '0'}
         )
-        return response_body.map(lambda body: int(body['ID']))
+        return response_body.and_then(
+            lambda body: decode(body, lambda answer: int(answer['ID'])),
+        )
 
     async def keep_alive(self, lease_id: int) -> Result[bool, KvError]:
         """Renew a lease; returns False if it has expired."""
         response_body = await self.call(
             'lease/keepalive', {'ID': str(lease_id)}
         )
-        return response_body.map(
-            lambda body: int(body.get('result', {}).get('TTL', 0)) > 0,
+        return response_body.and_then(
+            lambda body: decode(
+                body,
+                lambda answer: int(answer.get('result', {}).get('TTL', 0)) > 0,
+            ),
         )
 
     async def revoke(self, lease_id: int) -> Result[None, KvError]:
@@ -229,7 +266,7 @@
     ) -> AsyncIterator[Change]:
         """Yield changes after a revision until the connection breaks.
 
-        Also ends if requested changes were compacted. The caller then reads
+        Also ends at a malformed line, or if requested changes were compacted. The caller then reads
         the keys again and starts a new watch from that revision.
         """
         create = {
@@ -250,7 +287,7 @@
                         return
                     for event in result.get('events') or ():
                         yield parse_change(event)
-        except TRANSPORT_ERRORS:
+        except WATCH_ERRORS:
             return
 
     async def call(self, path: str, body: Body) -> Result[Body, KvError]:
@@ -291,9 +328,12 @@
     """
     if response.status == OK_STATUS:
         try:
-            return Ok(json.loads(response.content))
-        except ValueError as exc:
-            return Err(KvError('unknown', repr(exc)))
+            answer = json.loads(response.content)
+        except (ValueError, RecursionError) as exc:
+            return Err(KvError('unknown', repr(exc)[:MAX_REASON_CHARS]))
+        if not isinstance(answer, dict):
+            return Err(KvError('unknown', 'response is no JSON object'))
+        return Ok(answer)
     text = response.content.decode(errors='replace')
     if response.status == NOT_FOUND_STATUS:
         return Err(KvError('conflict', text))
