--- a/tests/test_engine_without_end.py
+++ b/tests/test_engine_without_end.py
@@ -102,19 +102,13 @@
     assert endless.sent_bytes < PIECES * PIECE_BYTES
 
 
-async def test_control_answer_without_end_is_cut_off() -> None:
+@pytest.mark.parametrize('client_kind', [EngineClient, ServiceClient])
+async def test_health_answer_without_end_is_cut_off(
+    client_kind: type[EngineClient | ServiceClient],
+) -> None:
     """Guards against a health answer that uses up the memory."""
     async with engine(b'x' * PIECE_BYTES) as endless:
-        client = EngineClient(ConnectionPool(endless.address))
-        assert await client.health() == 'down'
-        await endless.closed.wait()
-    assert endless.sent_bytes < PIECES * PIECE_BYTES
-
-
-async def test_health_of_a_service_without_end_is_cut_off() -> None:
-    """Guards against a health answer that uses up the memory."""
-    async with engine(b'x' * PIECE_BYTES) as endless:
-        client = ServiceClient(ConnectionPool(endless.address))
+        client = client_kind(ConnectionPool(endless.address))
         assert await client.health() == 'down'
         await endless.closed.wait()
     assert endless.sent_bytes < PIECES * PIECE_BYTES
