--- a/src/quetzaldyke/gateway/limit_coordinator.py
+++ b/src/quetzaldyke/gateway/limit_coordinator.py
@@ -369,8 +369,10 @@
             return
         self.counted_s = now_s
         for key, limit in list(self.limits.known.items()):
-            missed = not self.coordinates(key)
-            limit.missed_updates = missed * (limit.missed_updates + 1)
+            if self.coordinates(key):
+                limit.missed_updates = 0
+            else:
+                limit.missed_updates += 1
             if limit.missed_updates > MAX_MISSED_UPDATES:
                 self.limits.end(key, 'not confirmed')
 
