Reserve blocks of ports, so that two runs share none

Developers see: two runs of the tests or benchmarks on one machine start children on the same port; one child fails to listen, or a test talks to the other run's process.

Cause: a port was probed as free and released before its child listened, and the first one was computed from the process id: 37 apart for neighbouring ids, and in the tests the same for ids that differ by 200.

Tests were changed in imports only.

--- a/src/quetzaldyke/commands/process_fleet.py
+++ b/src/quetzaldyke/commands/process_fleet.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import os
-import socket
 import sys
 import tempfile
 from collections.abc import Mapping
@@ -22,6 +21,7 @@
 from anyio.abc import Process
 
 from quetzaldyke.commands.caller import Caller
+from quetzaldyke.commands.port_blocks import HOST, free_port
 from quetzaldyke.commands.task_fleet import (
     FLEET_SECRET,
     OPERATOR_KEY,
@@ -30,15 +30,12 @@
     setup_patch,
 )
 
-HOST: Final = '127.0.0.1'
 START_TIMEOUT_S: Final = 30.0
 STOP_TIMEOUT_S: Final = 8.0
 POLL_INTERVAL_S: Final = 0.05
 OK_STATUS: Final = 200
 # Length of the tail of standard error that an exit report includes.
 MAX_ERROR_CHARS: Final = 2_000
-# The start depends on the process id, so that concurrent runs seldom collide.
-CANDIDATE_PORTS: Final = iter(range(10_000 + os.getpid() * 37 % 15_000, 32_000))
 CLOCK_TICKS_PER_S: Final = os.sysconf('SC_CLK_TCK')
 # Index of utime in /proc/PID/stat, counted after the command name; stime
 # follows it.
@@ -106,23 +103,6 @@
         return [each for each in self.members.values() if each.role == role]
 
 
-def free_port() -> int:
-    """Return a free port that this process has not handed out before.
-
-    Ports are below the ephemeral range, so that an outgoing connection
-    can't occupy one before the process it is meant for listens. Raises
-    RuntimeError when no port is left.
-    """
-    for port in CANDIDATE_PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-    raise RuntimeError('no free port is left')
-
-
 def free_address() -> str:
     """Return a loopback address with a free port."""
     return f'{HOST}:{free_port()}'
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import base64
-import itertools
 import os
 import signal
-import socket
 import sys
 import time
 from contextlib import AsyncExitStack
@@ -20,29 +18,19 @@
 from anyio.abc import Process
 
 import quetzaldyke
+from quetzaldyke.commands.port_blocks import HOST, free_port
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
 from quetzaldyke.standins.platform_endpoint import CRASH_STATUS
 from soak_proxy import Proxy
 from unframed_proxy import UnframedProxy
 
-HOST: Final = '127.0.0.1'
 SOURCE: Final = str(Path(quetzaldyke.__file__).parents[1])
 START_TIMEOUT_S: Final = 20.0
 POLL_INTERVAL_S: Final = 0.05
 GRACE_S: Final = 5.0
 STREAM_HOST: Final = 'stream.example'
 
-# Each test process uses its own block of ports, because several may run at
-# the same time. The blocks are below the ports of outgoing connections.
-FIRST_PORT: Final = 10_000
-PORT_BLOCKS: Final = 200
-BLOCK_PORTS: Final = 100
-FIRST_OWN_PORT: Final = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
-NEXT_PORTS: Final = itertools.cycle(
-    range(FIRST_OWN_PORT, FIRST_OWN_PORT + BLOCK_PORTS),
-)
-
 SETTINGS: Final = """node = "{name}"
 role = "entry"
 ip = "127.0.0.1"
@@ -60,22 +48,6 @@
 """
 
 
-def free_port() -> int:
-    """Return a port of this process's block that nothing listens on.
-
-    Raises `RuntimeError` if all ports of the block are in use.
-    """
-    for port in itertools.islice(NEXT_PORTS, BLOCK_PORTS):
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-    raise RuntimeError('all ports of the block are in use')
-
-
 @dataclass(slots=True)
 class FleetProcess:
     """A process of the fleet, with its command and log file."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,7 +23,8 @@
 import anyio
 import orjson
 
-from gateway_fleet import HOST, STREAM_HOST, GatewayFleet
+from gateway_fleet import STREAM_HOST, GatewayFleet
+from quetzaldyke.commands.port_blocks import HOST
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError
 from quetzaldyke.gateway.http_client import encode_request
 from soak_faults import CRASHING_PART, FAULT_KINDS, choose_process, restart
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from gateway_fleet import HOST, SOURCE, free_port
+from gateway_fleet import SOURCE
+from quetzaldyke.commands.port_blocks import HOST, free_port
 from quetzaldyke.connection.listener import listen
 
 # Modules whose import takes tens of milliseconds on a small instance.
