Don't send a request that was given up during the connect

An item that was preempted, or whose job had ended, while its connection was opened still reached the endpoint, which may begin to run it before the connection is closed.

Cause: a failure that is recorded before the exchange has a connection was looked at only after the send. The request is not sent now, and the connection is kept for another.

Evidence: the new test fails on the old code (asyncio and uvloop).

--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -16,7 +16,7 @@
     Connection,
 )
 from quetzaldyke.gateway.connecting import open_connection
-from quetzaldyke.gateway.exchange import Exchange
+from quetzaldyke.gateway.exchange import Exchange, ExchangeError
 
 # Below the one second after which TCP retransmits a lost SYN.
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -122,12 +122,17 @@
     ) -> None:
         """Send a request on a pooled or new connection.
 
-        Raises `ExchangeError` NOT_CONNECTED if it was not sent.
+        Raises `ExchangeError` if it was not sent: NOT_CONNECTED, or how the
+        exchange was given up.
         """
         pool = self.pool(host, port)
         connection = pool.take(max_idle_s, exchange.expected_echo)
         if connection is None:
             connection = await self.connect(pool)
+        if exchange.failure is not None:
+            # It was given up while the connection was opened.
+            connection.release()
+            raise ExchangeError(exchange.failure, exchange.detail)
         connection.send(exchange, request)
 
     def cancel_timed_out(self, now_s: float) -> None:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -22,10 +22,15 @@
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
 from quetzaldyke.gateway.client_connection import Connection
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
-from quetzaldyke.gateway.http_client import HttpClient, encode_request
+from quetzaldyke.gateway.http_client import (
+    ConnectionPool,
+    HttpClient,
+    encode_request,
+)
 from quetzaldyke.gateway.item_run import ItemRun, RunContext
 from quetzaldyke.gateway.job_records import ItemRecord, JobRecord
 from quetzaldyke.gateway.preemption import Preemption
+from raw_endpoint import raw_endpoint
 
 pytestmark = pytest.mark.anyio
 
@@ -299,3 +304,29 @@
     connection.data_received(UNFRAMED + FIRST_EVENT)
     assert exchange.head is not None
     return connection, exchange
+
+
+async def test_request_given_up_before_it_is_sent_is_not_sent() -> None:
+    """Guards against runs of items that were preempted during the connect."""
+    client = HttpClient()
+    exchange = Exchange(b'attempt-id', b'i1')
+    async with raw_endpoint(lambda *_: UNFRAMED) as endpoint:
+        pool = client.pool('127.0.0.1', endpoint.port)
+        connect = client.connect
+
+        async def cancelled_connect(
+            known: ConnectionPool, timeout_s: float = 1.0
+        ) -> Connection:
+            exchange.cancel()
+            return await connect(known, timeout_s)
+
+        with (
+            mock.patch.object(
+                HttpClient, 'connect', new=staticmethod(cancelled_connect)
+            ),
+            pytest.raises(ExchangeError) as raised,
+        ):
+            await client.start('127.0.0.1', endpoint.port, b'', exchange)
+        assert raised.value.failure is Failure.CANCELLED
+        assert exchange.connection is None
+        assert pool.idle
