Send each header that a run of an item sets once

An endpoint could take the end of an item's request elsewhere, run the rest as another request and answer twice; or return another id, so that no answer of the item counted.

Cause: the headers of an item were sent as they were submitted. Its own Content-Length, Transfer-Encoding, Attempt-Id, Host or Last-Event-Id stood beside that of the run.

Change: headers of one connection and those that the run sets are dropped from the item's, by the rule that holds for online requests.

--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -19,6 +19,7 @@
     Failure,
     ResponseHead,
 )
+from quetzaldyke.gateway.forwarded_headers import request_headers
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
@@ -45,6 +46,8 @@
 RUN_TIMEOUT_MS: Final = 60_000
 MAX_CONNECTION_IDLE_S: Final = 4.0
 LOGGED_BODY_CHARS: Final = 80
+# Set by the run; a value that was submitted with the item is dropped.
+ADDED_HEADERS: Final = frozenset((b'host', names.ATTEMPT_ID))
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,10 +155,15 @@
     def encode(self, body: bytes) -> bytes:
         """Return the request, which resumes after the last event received."""
         record = self.progress.record
-        headers = [
+        submitted = [
             (name.lower().encode('latin-1'), text.encode('latin-1'))
             for name, text in record.headers
         ]
+        headers = [
+            header
+            for header in request_headers(submitted)
+            if header[0] not in ADDED_HEADERS
+        ]
         headers.extend(
             (
                 (b'host', self.job.record.host.encode('latin-1')),
