Let only streams be idempotent because they can be resumed

A request of a route that is not idempotent could run twice, if the route had the field of a resumable stream: it was retried after a failure, although only a stream can go on after its last event.

Evidence: test_only_streams_can_be_resumed fails on the old code. No configuration with such a route was seen.

--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -61,7 +61,8 @@
     @property
     def idempotent(self) -> bool:
         """Return whether a request may be executed more than once."""
-        return self.kind == 'idempotent' or self.resumable
+        resumable = self.kind == 'stream' and self.resumable
+        return self.kind == 'idempotent' or resumable
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -404,3 +404,15 @@
     now_s = harness.time.now_s
     assert harness.dispatcher.endpoints.paused('lm', now_s)
     assert not harness.dispatcher.endpoints.paused('lm', now_s + 1.6)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'idempotent'),
+    [('idempotent', True), ('stream', True), ('non_idempotent', False)],
+)
+def test_only_streams_can_be_resumed(kind: RouteKind, idempotent: bool) -> None:
+    """Guards against a second run of a request that is not idempotent.
+
+    A route of another kind may have the field of a resumable stream.
+    """
+    assert make_route(kind, resumable=True).idempotent is idempotent
