Keep trailers out of the headers of an answer

A trailer that arrived with the head counted as a header: it could state a limit, a pause or that the endpoint drains, and reached the caller as a header. The head shared the list that trailers are appended to; it has its own now.

Evidence: test_trailer_is_no_header fails on the old code.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -150,7 +150,8 @@
         status = self.parser.get_status_code()
         if exchange is None or self.response_complete:
             return
-        head = ResponseHead(status, self.headers)
+        # A copy: trailers are no headers of the response.
+        head = ResponseHead(status, list(self.headers))
         if status < FIRST_FINAL_STATUS:
             self.skipping_response = True
             return
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -311,3 +311,17 @@
     connection.idle_since_s = time.monotonic()
     connection.eof_received()
     assert pool.take(9.0, b'') is None
+
+
+# Guards against a trailer that counts as a header: it could state a limit, a
+# pause or a request's id, or reach the caller.
+async def test_trailer_is_no_header() -> None:
+    """A trailer in the same segment as the head is not part of it."""
+    exchange = Exchange(b'x-id', b'r1')
+    request = encode_request(b'GET', b'/', [(b'host', b'h')], b'')
+    answer = CHUNKED + b'2\r\nok\r\n0\r\nServer-Limit: 1\r\n\r\n'
+    async with endpoint(answer) as port:
+        await HttpClient().start('127.0.0.1', port, request, exchange)
+        head = await exchange.read_head()
+        assert await exchange.read_body() == b'ok'
+    assert head.get(b'server-limit') is None
