Accept a header line of an event without a space after its colon

The line that tells a change of version is a name, a colon and a number. The check of event lines that is new in this work demanded a space, so that an endpoint that sends none would have had its streams broken. The new case of test_sound_events_are_accepted fails on the code before.

--- a/src/quetzaldyke/connection/kv_http.py
+++ b/src/quetzaldyke/connection/kv_http.py
@@ -266,8 +266,9 @@
     ) -> AsyncIterator[Change]:
         """Yield changes after a revision until the connection breaks.
 
-        Also ends at a malformed line, or if requested changes were compacted. The caller then reads
-        the keys again and starts a new watch from that revision.
+        Also ends at a malformed line, or if requested changes were compacted.
+        The caller then reads the keys again and starts a new watch from that
+        revision.
         """
         create = {
             **range_body(prefix),
--- a/src/quetzaldyke/gateway/event_stream.py
+++ b/src/quetzaldyke/gateway/event_stream.py
@@ -22,7 +22,7 @@
 # return of a response head is excluded.
 LINE: Final = re.compile(
     rb'(?P<i>id:.*)|(?P<d>data(?::.*)?)|(?P<o>(?:event|retry)(?::.*)?)|(?::.*)?'
-    rb'|(?P<h>[a-z][a-z0-9-]*:[ ][^\r]*)'
+    rb'|(?P<h>[a-z][a-z0-9-]*:[^\r]*)'
 )
 # An event with data or headers has one id.
 EVENT_SHAPE: Final = re.compile('o*|h*[od]*i[od]*')
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -109,6 +109,7 @@
         b'data: b\nid: 2\n\n',
         b'data: b\ndata: c\nid: 2\n\n',
         b'weight-versions: 3\nid: 2\ndata: b\n\n',
+        b'weight-versions:3\nid: 2\ndata: b\n\n',
         b': still here\n\nid: 2\ndata: b\n\n',
         b':\n\n\nid: 2\ndata: b\n\n',
         b'retry: 100\n\nid: 2\nevent: token\ndata: b: c\n\n',
