--- a/review/bed/replica.py
+++ b/review/bed/replica.py
@@ -20,6 +20,17 @@
     return '\n'.join(event_data(item, n, size) for n in range(1, events + 1))
 
 
+def wanted_of(body):
+    """Return what a body asks for; a short stream if it names nothing."""
+    try:
+        wanted = json.loads(body)
+    except ValueError:
+        wanted = None
+    if isinstance(wanted, dict) and 'events' in wanted:
+        return wanted
+    return {'events': 3, 'size': 70, 'event-ms': 5}
+
+
 class Replica:
     """One replica, registered in the store under its id."""
 
@@ -38,6 +49,8 @@
         self.born = int(time.time() * 1000)
         # Rows of [item, first event, start, end, whether it was whole].
         self.runs = []
+        # Rows of [id, method, target, body] of all requests that ran.
+        self.seen = []
         self.server = None
         self.channels = set()
 
@@ -102,7 +115,8 @@
 
     async def run(self, item, request, reader, writer):
         """Stream the events behind `Last-Event-Id`; stop if the caller leaves."""
-        wanted = json.loads(request.body)
+        wanted = wanted_of(request.body)
+        self.seen.append((item, request.method, request.target, request.body))
         first = int(request.get('last-event-id', '0')) + 1
         row = [item, first, time.time(), 0.0, False]
         self.runs.append(row)
