Write a job's results and bodies in values that the store takes

Cause: all results of a job that wait were put into one value. What waits has no bound, the store refuses the value for its size, and the same value, grown by what had finished since, was written again. Evidence: the store's record of the case shows refusals of 1,561,347 to 3,252,875 bytes until the end, at last each 0.25 s.

Change: the largest value comes from the settings, `TransactionLimits` says what the store can never take, and the adapter doesn't make such a call. `job_parts` cuts results and bodies into parts of half a value; a part that the store still refuses is halved. The same class on related paths: a body above a value, a job's record or a caller's id that is too large were refused as "unavailable" for ever, after six writes each time; a state that could outgrow its value is refused at acceptance with 413; one partial output above the bound kept all others from being saved. A failed write of results waits 0.7 s before the next one.

It works because no write depends on how much has become ready, and a refusal for size is never answered with the same write.

The stand-in of the store and the fake of the tests now refuse what the platform's store refuses.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -89,6 +89,8 @@
     finished: list[FinishedItem] = field(default_factory=list)
     finished_since_s: float = 0.0
     appending: bool = False
+    # Whether the last write of results failed; the next one waits then.
+    append_failed: bool = False
     stopped: bool = False
     saving: bool = False
     saved_s: float = 0.0
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -10,7 +10,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from result import Err, Ok
+from result import Ok
 
 from quetzaldyke.gateway.active_job import (
     ActiveJob,
@@ -26,7 +26,6 @@
 )
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.exchange import Exchange
-from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.item_run import ItemRun, RunContext
 from quetzaldyke.gateway.job_records import JobRecord, Member, PartialOutput
@@ -35,18 +34,13 @@
 from quetzaldyke.gateway.model import Endpoint, Route
 from quetzaldyke.gateway.preemption import Preemption
 from quetzaldyke.gateway.reservation import Reservation
+from quetzaldyke.gateway.result_writer import ResultWriter
 from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
 # Changes within this time share one scheduling pass.
 SCHEDULE_DELAY_S: Final = 0.004
-# Time between saves: a lost entry costs at most this much of its runs' work.
-PARTIALS_INTERVAL_S: Final = 2.0
-# Partial outputs are saved only if they have changed by this many events.
-MIN_NEW_EVENTS: Final = 30
-# Results wait this long for others of their job, to share one write.
-RESULT_DELAY_S: Final = 0.7
 
 
 @dataclass(slots=True)
@@ -69,6 +63,7 @@
     timer: asyncio.TimerHandle | None = None
     estimator: RunTimeEstimator = field(default_factory=RunTimeEstimator)
     preemption: Preemption = field(init=False)
+    results: ResultWriter = field(init=False)
     run_context: RunContext = field(init=False)
 
     def __post_init__(self) -> None:
@@ -79,6 +74,9 @@
             self.dispatcher.loads,
             self.dispatcher.endpoints,
         )
+        self.results = ResultWriter(
+            self.store, self.dispatcher.clock, self.group, self.jobs
+        )
         self.run_context = RunContext(
             self.dispatcher,
             self.client,
@@ -272,44 +270,7 @@
         now_s = self.dispatcher.clock.now()
         for job in list(self.jobs.values()):
             self.fail_expired(job)
-            self.save_partials_if_due(job, now_s)
-            if not job.finished or job.appending:
-                continue
-            waited_s = now_s - job.finished_since_s
-            all_finished = all(item.finished for item in job.items.values())
-            if all_finished or waited_s >= RESULT_DELAY_S:
-                job.appending = True
-                self.group.start_soon(run_guarded, self.append_results, job)
-
-    def save_partials_if_due(self, job: ActiveJob, now_s: float) -> None:
-        """Save partial outputs if the interval and enough events passed."""
-        if job.saving or now_s - job.saved_s < PARTIALS_INTERVAL_S:
-            return
-        partials = job.partials()
-        events = sum(partial.last_event for partial in partials)
-        if abs(events - job.saved_events) < MIN_NEW_EVENTS:
-            return
-        job.saving = True
-        job.saved_s = now_s
-        job.saved_events = events
-        self.group.start_soon(run_guarded, self.save_partials, job, partials)
-
-    async def save_partials(
-        self,
-        job: ActiveJob,
-        partials: list[PartialOutput],
-    ) -> None:
-        """Write partial outputs to the store; logs a failure."""
-        try:
-            saved = await self.store.save_partials(job.record.job_id, partials)
-        finally:
-            job.saving = False
-        if isinstance(saved, Err):
-            log_event(
-                'partials_not_saved',
-                job=job.record.job_id,
-                reason=str(saved.err_value),
-            )
+            self.results.write_due(job, now_s)
 
     async def hand_over_all(self, successors: Sequence[Member]) -> None:
         """Stop scheduling and hand all jobs over to other entries."""
@@ -331,7 +292,7 @@
             await anyio.sleep(SCHEDULE_DELAY_S)
         if job.finished:
             job.appending = True
-            await self.append_results(job)
+            await self.results.append(job)
         if not job.items or not successors:
             return
         chosen = first_for([peer.owner_id for peer in successors], job_id)
@@ -352,40 +313,3 @@
         for progress in job.items.values():
             if not progress.finished and not progress.running:
                 self.finish_item(job, progress, False)
-
-    async def append_results(self, job: ActiveJob) -> None:
-        """Append finished items to the results in the store; `tick` retries."""
-        results = list(job.finished)
-        try:
-            appended = await self.store.append_results(
-                job.record.job_id,
-                [(row.item, row.completed, row.output) for row in results],
-                {
-                    progress.item: progress.failures
-                    for progress in job.items.values()
-                    if progress.failures and not progress.finished
-                },
-            )
-        finally:
-            job.appending = False
-        if isinstance(appended, Err):
-            log_event(
-                'results_not_listed',
-                job=job.record.job_id,
-                results=len(results),
-                reason=str(appended.err_value),
-            )
-            job.finished_since_s = self.dispatcher.clock.now()
-            return
-        del job.finished[: len(results)]
-        for row in results:
-            job.items.pop(row.item, None)
-        job.finished_since_s = self.dispatcher.clock.now()
-        log_event(
-            'results_listed',
-            job=job.record.job_id,
-            results=len(results),
-            left=len(job.items),
-        )
-        if not job.items:
-            self.jobs.pop(job.record.job_id, None)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -121,6 +121,7 @@
             installation.store_address,
             client,
             lambda call, answered: entry.record_call(call, answered=answered),
+            installation.store_limits,
         )
         endpoint_table = EndpointTable()
         loads = LoadTable()
@@ -133,7 +134,13 @@
             is_engine=lambda service: entry.configurations.is_engine(service),
         )
         jobs = JobTable()
-        job_store = JobStore(store, jobs, owner_id, installation.instance)
+        job_store = JobStore(
+            store,
+            jobs,
+            owner_id,
+            installation.instance,
+            limits=installation.store_limits,
+        )
         metrics = Metrics()
         limits = LimitExchange.from_parts(
             owner_id,
--- a/src/quetzaldyke/gateway/history.py
+++ b/src/quetzaldyke/gateway/history.py
@@ -148,6 +148,7 @@
         'store_down': 'the store does not answer',
         'unavailable': 'the store did not accept the write',
         'over_quota': 'too many tokens are queued already',
+        'too_large': 'the store can never keep a job of this size',
         'unknown': 'it is not known whether the store applied the write',
     }
     reason = fields.get('reason', '')
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 import anyio
-from result import Err
+from result import Err, Ok, Result
 
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
@@ -21,11 +21,13 @@
 )
 from quetzaldyke.gateway.forwarded_headers import request_headers
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
+from quetzaldyke.gateway.job_parts import read_item_body
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.gateway.retries import is_not_run
 from quetzaldyke.parts.backoff import BackoffOptions, max_backoff_s
+from quetzaldyke.parts.kv import KvError
 from quetzaldyke.platform import names
 from quetzaldyke.platform.limits import decode_limit, decode_retry_after
 
@@ -101,18 +103,23 @@
 
     async def read_body(self) -> bytes | None:
         """Return the body of the item; None, after a pause, if unreadable."""
-        record = self.progress.record
-        part = self.job.bodies.get(record.body_part)
-        if part is None:
-            answer = await self.context.store.read_body_part(
-                self.job.record.job_id,
-                record.body_part,
-            )
-            if isinstance(answer, Err):
-                await anyio.sleep(ITEM_RETRY_DELAY_S)
-                return None
-            part = self.job.bodies[record.body_part] = answer.ok_value
-        return part[record.body_start : record.body_start + record.body_size]
+        body = await read_item_body(self.progress.record, self.read_body_part)
+        if isinstance(body, Err):
+            await anyio.sleep(ITEM_RETRY_DELAY_S)
+            return None
+        return body.ok_value
+
+    async def read_body_part(self, part: int) -> Result[bytes, KvError]:
+        """Return a part of the job's bodies, from the store if needed."""
+        known = self.job.bodies.get(part)
+        if known is not None:
+            return Ok(known)
+        answer = await self.context.store.read_body_part(
+            self.job.record.job_id, part
+        )
+        if isinstance(answer, Ok):
+            self.job.bodies[part] = answer.ok_value
+        return answer
 
     async def send_item(self, body: bytes) -> None:
         """Send the item and handle the response."""
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -31,6 +31,7 @@
 STATUS_ACCEPTED: Final = 202
 STATUS_BAD_REQUEST: Final = 400
 STATUS_NOT_FOUND: Final = 404
+STATUS_TOO_LARGE: Final = 413
 STATUS_TOO_MANY_REQUESTS: Final = 429
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
@@ -85,8 +86,9 @@
     ) -> None:
         """Accept a job; one that is submitted again is accepted only once.
 
-        Answers 400 to an invalid submission, 429 over the quota, 503 without
-        a store and 502 if the job may have been accepted.
+        Answers 400 to an invalid submission, 413 to one that the store can't
+        keep, 429 over the quota, 503 without a store and 502 if the job may
+        have been accepted.
         """
         raw_id = request.header(names.ATTEMPT_ID)
         decoded = decode_submission(request.body)
@@ -101,7 +103,9 @@
             log_event('job_refused', job=job_id, reason='store_down')
             await send_refusal(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_AFTER)
             return
-        job = make_job(job_id, route, decoded.ok_value)
+        job = make_job(
+            job_id, route, decoded.ok_value, self.store.sizes.part_bytes
+        )
         accepted = await self.store.accept(job, route)
         if isinstance(accepted, Ok):
             log_event(
@@ -124,6 +128,8 @@
         )
         if failure == 'unknown':
             await send_response(caller, STATUS_BAD_GATEWAY)
+        elif failure == 'too_large':
+            await send_response(caller, STATUS_TOO_LARGE)
         elif failure == 'over_quota':
             await send_refusal(
                 caller, STATUS_TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER
@@ -224,13 +230,11 @@
         if item is None:
             await send_response(caller, STATUS_NOT_FOUND)
             return
-        part = await self.store.read_body_part(job_id, item.body_part)
-        if isinstance(part, Err):
-            await self.refuse_unavailable(job_id, part.err_value, caller)
+        body = await self.store.read_body(job_id, item)
+        if isinstance(body, Err):
+            await self.refuse_unavailable(job_id, body.err_value, caller)
             return
-        end = item.body_start + item.body_size
-        body = part.ok_value[item.body_start : end]
-        await send_response(caller, STATUS_OK, body)
+        await send_response(caller, STATUS_OK, body.ok_value)
 
     async def end_job(self, job_id: str, caller: AsgiCaller) -> None:
         """End a job and notify the peers."""
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemRecord:
-    """One item of a job; its body is a slice of the part `body_part`."""
+    """One item of a job; its body begins in the part `body_part`."""
 
     item_id: str
     path: str
@@ -94,6 +94,8 @@
     # Unix time of its acceptance.
     accepted_ms: int
     items: tuple[ItemRecord, ...]
+    # Number of the parts that hold the bodies.
+    body_parts: int = 1
 
     @classmethod
     def unpack(cls, raw: bytes) -> JobRecord:
@@ -101,7 +103,7 @@
 
         Raises `ValueError` or `TypeError` if it is malformed.
         """
-        job_id, route, host, accepted_ms, rows = msgpack.unpackb(raw)
+        job_id, route, host, accepted_ms, rows, *added = msgpack.unpackb(raw)
         items = tuple(
             ItemRecord(
                 text_of(item_id),
@@ -117,6 +119,7 @@
             text_of(host),
             integer_of(accepted_ms),
             items,
+            integer_of(added[0]) if added else last_body_part(items) + 1,
         )
 
     def pack(self) -> bytes:
@@ -133,10 +136,22 @@
             ]
             for item in self.items
         ]
-        row = [self.job_id, self.route, self.host, self.accepted_ms, rows]
+        row = [
+            self.job_id,
+            self.route,
+            self.host,
+            self.accepted_ms,
+            rows,
+            self.body_parts,
+        ]
         return bytes(msgpack.packb(row))
 
 
+def last_body_part(items: tuple[ItemRecord, ...]) -> int:
+    """Return the part in which the last body begins."""
+    return items[-1].body_part if items else 0
+
+
 @dataclass(frozen=True, slots=True)
 class ResultRecord:
     """A result; its output is a row of the result part `part`."""
@@ -231,6 +246,18 @@
     output: bytes
 
 
+def largest_state(job: JobRecord, owner_id: str, instance: str) -> JobState:
+    """Return a state as large as that of the job can become."""
+    items = range(len(job.items))
+    return JobState(
+        owner_id,
+        instance,
+        len(items),
+        tuple(ResultRecord(item, False, len(items)) for item in items),
+        dict.fromkeys(items, len(items)),
+    )
+
+
 def pack_partials(partials: list[PartialOutput]) -> bytes:
     """Encode the partial outputs of a job.
 
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -13,12 +13,24 @@
 import anyio
 from result import Err, Ok, Result
 
+from quetzaldyke.gateway.job_acceptance import (
+    acceptance_transaction,
+    check_quota,
+    excess_of,
+)
+from quetzaldyke.gateway.job_parts import (
+    Outcome,
+    PartSizes,
+    leading_outcomes,
+    read_item_body,
+    trim_partials,
+)
 from quetzaldyke.gateway.job_records import (
     END_PREFIX,
     JOB_PREFIX,
     PARTIAL_PREFIX,
-    QUOTA_PREFIX,
     STATE_PREFIX,
+    ItemRecord,
     JobState,
     Member,
     PartialOutput,
@@ -31,18 +43,17 @@
 )
 from quetzaldyke.gateway.job_table import JobTable, JobView
 from quetzaldyke.gateway.model import Route
-from quetzaldyke.gateway.new_job import NewJob, trim_partials
+from quetzaldyke.gateway.new_job import NewJob
 from quetzaldyke.gateway.part_cache import PartCache
-from quetzaldyke.parts.kv import ABSENT, ErrorKind, KvError
+from quetzaldyke.parts.kv import ErrorKind, KvError
 from quetzaldyke.parts.transactions import (
+    DEFAULT_LIMITS,
     Put,
     Transaction,
     TransactionalStore,
+    TransactionLimits,
 )
 
-# Below this share of the limit, jobs that other entries accept concurrently
-# can't exceed it, so acceptances are not serialized on the quota key.
-UNSERIALIZED_QUOTA_SHARE: Final = 0.5
 # Keys deleted in one transaction.
 MAX_DELETES_PER_TRANSACTION: Final = 32
 MAX_ACCEPT_ATTEMPTS: Final = 6
@@ -50,7 +61,7 @@
 NOT_APPLIED_ERRORS: Final = frozenset(('unavailable', 'conflict', 'too_large'))
 UPDATE_WAIT_S: Final = 0.4
 
-AcceptFailure = Literal['over_quota', 'unavailable', 'unknown']
+AcceptFailure = Literal['over_quota', 'too_large', 'unavailable', 'unknown']
 
 
 @dataclass(slots=True)
@@ -62,6 +73,17 @@
     owner_id: str
     instance: str
     cache: PartCache = field(default_factory=PartCache)
+    limits: TransactionLimits = DEFAULT_LIMITS
+
+    @property
+    def sizes(self) -> PartSizes:
+        """Return the sizes of the parts in which bodies and outputs are kept."""
+        return PartSizes(self.limits.value_bytes)
+
+    @property
+    def new_state(self) -> JobState:
+        """Return the state of a job that this entry has just accepted."""
+        return JobState(self.owner_id, self.instance)
 
     async def accept(
         self,
@@ -71,17 +93,25 @@
         """Accept a job; a job that is already accepted is not written again.
 
         Fails with `unknown` if the job may have been accepted, and with
-        another error only if it was certainly not.
+        another error only if it was certainly not; `too_large` is for ever.
         """
+        if excess_of(job, route, self.new_state, self.limits):
+            return Err('too_large')
+        return await self.write_job(job, route)
+
+    async def write_job(
+        self, job: NewJob, route: Route
+    ) -> Result[None, AcceptFailure]:
+        """Write a job that the store can keep; errors as in `accept`."""
         uncertain = False
         for _ in range(MAX_ACCEPT_ATTEMPTS):
             if self.table.is_known(job.record.job_id):
                 return Ok(None)
-            fits, condition = self.check_quota(job, route)
-            if not fits and not uncertain:
+            quota = check_quota(self.table, job, route)
+            if not quota.fits and not uncertain:
                 return Err('over_quota')
             written = await self.store.transact(
-                self.acceptance_transaction(job, route, condition),
+                acceptance_transaction(job, route, self.new_state, quota),
             )
             if isinstance(written, Ok):
                 return Ok(None)
@@ -106,51 +136,6 @@
             await self.wait_for_update()
         return False
 
-    def check_quota(
-        self,
-        job: NewJob,
-        route: Route,
-    ) -> tuple[bool, int | None]:
-        """Return whether a job fits into the quota of its route.
-
-        The second value is the revision that the quota key must still have
-        when the job is written; None if any revision will do.
-        """
-        limit = route.batch.max_waiting_tokens if route.batch else 0
-        if not limit:
-            return True, None
-        waiting = self.table.waiting_tokens(route.name) + job.tokens
-        if waiting > limit:
-            return False, None
-        if waiting <= limit * UNSERIALIZED_QUOTA_SHARE:
-            return True, None
-        return True, self.table.quota_revisions.get(route.name, ABSENT)
-
-    def acceptance_transaction(
-        self,
-        job: NewJob,
-        route: Route,
-        quota_revision: int | None,
-    ) -> Transaction:
-        """Return the transaction that writes a job, its state and bodies."""
-        job_id = job.record.job_id
-        conditions = {f'{JOB_PREFIX}{job_id}': ABSENT}
-        quota_key = f'{QUOTA_PREFIX}{route.name}'
-        if quota_revision is not None:
-            conditions[quota_key] = quota_revision
-        state = JobState(self.owner_id, self.instance)
-        puts = [
-            Put(f'{JOB_PREFIX}{job_id}', job.record.pack()),
-            Put(f'{STATE_PREFIX}{job_id}', state.pack()),
-        ]
-        if route.batch is not None and route.batch.max_waiting_tokens:
-            puts.append(Put(quota_key, job_id.encode()))
-        puts.extend(
-            Put(body_key(job_id, part), body)
-            for part, body in job.bodies.items()
-        )
-        return Transaction(conditions, tuple(puts))
-
     async def wait_for_update(self) -> None:
         """Wait up to `UPDATE_WAIT_S` for the watch to deliver changes."""
         with anyio.move_on_after(UPDATE_WAIT_S):
@@ -198,14 +183,33 @@
     async def append_results(
         self,
         job_id: str,
-        outcomes: list[tuple[int, bool, bytes]],
+        outcomes: list[Outcome],
         failures: dict[int, int],
-    ) -> Result[None, KvError]:
-        """Append results to a job that this entry owns.
+    ) -> Result[int, KvError]:
+        """Append the first results of some to a job that this entry owns.
 
-        Items that already have a result are skipped. Fails with `conflict` if
-        another entry owns the job or its state has changed.
+        Returns how many of them the job now has, at least one: as many as fit
+        into one value. Fails with `conflict` if another entry owns the job or
+        its state has changed, and with `too_large` if the store refuses even
+        the first for its size.
         """
+        leading = leading_outcomes(outcomes, self.sizes.part_bytes)
+        while True:
+            written = await self.append_part(job_id, leading, failures)
+            if isinstance(written, Ok):
+                return Ok(len(leading))
+            refused = written.err_value.kind == 'too_large'
+            if not refused or len(leading) == 1:
+                return written
+            leading = leading[: len(leading) // 2]
+
+    async def append_part(
+        self,
+        job_id: str,
+        outcomes: list[Outcome],
+        failures: dict[int, int],
+    ) -> Result[None, KvError]:
+        """Append results as one part; items that have a result are skipped."""
         view = self.table.view(job_id)
         state = view.state
         if state is None or state.owner_id != self.owner_id:
@@ -254,7 +258,7 @@
             job_id,
             successor.owner_id,
             successor.instance,
-            trim_partials(partials),
+            trim_partials(partials, self.sizes.part_bytes),
         )
 
     async def set_owner(
@@ -304,15 +308,11 @@
         """
         view = self.table.view(job_id)
         key = f'{STATE_PREFIX}{job_id}'
+        kept = trim_partials(partials, self.sizes.part_bytes)
         written = await self.store.transact(
             Transaction(
                 {key: view.state_revision},
-                (
-                    Put(
-                        f'{PARTIAL_PREFIX}{job_id}',
-                        pack_partials(trim_partials(partials)),
-                    ),
-                ),
+                (Put(f'{PARTIAL_PREFIX}{job_id}', pack_partials(kept)),),
             ),
         )
         return written if isinstance(written, Err) else Ok(None)
@@ -331,9 +331,7 @@
         """
         view = self.table.view(job_id)
         parts = view.state.part_count if view.state else 0
-        bodies = 1
-        if view.record is not None and view.record.items:
-            bodies += view.record.items[-1].body_part
+        bodies = view.record.body_parts if view.record else 1
         keys = [result_key(job_id, part) for part in range(parts)]
         keys.extend(body_key(job_id, part) for part in range(bodies))
         keys.append(f'{PARTIAL_PREFIX}{job_id}')
@@ -374,6 +372,14 @@
         """Return one part of a job's bodies; errors as in `read_part`."""
         return await self.read_part(body_key(job_id, part))
 
+    async def read_body(
+        self, job_id: str, item: ItemRecord
+    ) -> Result[bytes, KvError]:
+        """Return the body of an item; errors as in `read_part`."""
+        return await read_item_body(
+            item, lambda part: self.read_body_part(job_id, part)
+        )
+
     async def read_outputs(
         self,
         job_id: str,
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -10,6 +10,11 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from quetzaldyke.parts.transactions import (
+    DEFAULT_LIMITS,
+    TransactionLimits,
+)
+
 RouteKind = Literal['idempotent', 'non_idempotent', 'stream', 'batch']
 EndpointState = Literal['ready', 'draining']
 
@@ -146,5 +151,6 @@
     store_address: str
     heartbeat_s: float
     bounds: Bounds
+    store_limits: TransactionLimits = DEFAULT_LIMITS
     callers_address: str = ''
     readiness_address: str = ''
--- a/src/quetzaldyke/gateway/new_job.py
+++ b/src/quetzaldyke/gateway/new_job.py
@@ -6,18 +6,13 @@
 from dataclasses import dataclass
 from typing import Final
 
-from quetzaldyke.gateway.job_records import (
-    ItemRecord,
-    JobRecord,
-    PartialOutput,
-)
+from quetzaldyke.gateway.job_parts import BodyParts, PartSizes
+from quetzaldyke.gateway.job_records import ItemRecord, JobRecord
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.platform.jobs import SubmittedItem
 
 MS_IN_S: Final = 1000
-# Bodies are split and partial outputs trimmed to this size, which is below
-# the store's limit for a value.
-MAX_PART_BYTES: Final = 500_000
+DEFAULT_PART_BYTES: Final = PartSizes().part_bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,34 +24,17 @@
     tokens: int
 
 
-def trim_partials(partials: list[PartialOutput]) -> list[PartialOutput]:
-    """Return the longest partial outputs that fit into one value."""
-    kept = []
-    size = 0
-    longest_first = sorted(partials, key=lambda partial: -len(partial.output))
-    for partial in longest_first:
-        size += len(partial.output)
-        if size > MAX_PART_BYTES:
-            break
-        kept.append(partial)
-    return kept
-
-
 def make_job(
     job_id: str,
     route: Route,
     submitted: list[SubmittedItem],
+    part_bytes: int = DEFAULT_PART_BYTES,
 ) -> NewJob:
     """Return the records of a submitted job, accepted as of now."""
-    bodies: dict[int, bytearray] = {0: bytearray()}
+    bodies = BodyParts(part_bytes)
     items: list[ItemRecord] = []
     for item in submitted:
-        part = len(bodies) - 1
-        if bodies[part] and len(bodies[part]) + len(item.body) > MAX_PART_BYTES:
-            part += 1
-            bodies[part] = bytearray()
-        start = len(bodies[part])
-        bodies[part] += item.body
+        part, start = bodies.add(item.body)
         items.append(
             ItemRecord(
                 item.item_id,
@@ -74,9 +52,10 @@
         route.host,
         int(time.time() * MS_IN_S),
         tuple(items),
+        len(bodies.parts),
     )
     return NewJob(
         record,
-        {part: bytes(body) for part, body in bodies.items()},
+        {part: bytes(body) for part, body in enumerate(bodies.parts)},
         sum(item.tokens for item in submitted),
     )
--- /dev/null
+++ b/src/quetzaldyke/gateway/result_writer.py
@@ -0,0 +1,132 @@
+"""Writes the results and partial outputs of active jobs to the store.
+
+Load pattern: many items finish within moments, or while the store is away.
+Results wait a little for others of their job, so that they share a write, and
+are written in as many parts as the store's largest value requires.
+"""
+
+from __future__ import annotations
+
+from collections.abc import MutableMapping
+from dataclasses import dataclass
+from typing import Final
+
+from anyio.abc import TaskGroup
+from result import Err
+
+from quetzaldyke.gateway.active_job import ActiveJob
+from quetzaldyke.gateway.guarded import run_guarded
+from quetzaldyke.gateway.job_records import PartialOutput
+from quetzaldyke.gateway.job_store import JobStore
+from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.parts.timers import Clock
+
+# Time between saves: a lost entry costs at most this much of its runs' work.
+PARTIALS_INTERVAL_S: Final = 2.0
+# Partial outputs are saved only if they have changed by this many events.
+MIN_NEW_EVENTS: Final = 30
+# Results wait this long for others of their job, to share one write.
+RESULT_DELAY_S: Final = 0.7
+
+
+@dataclass(slots=True)
+class ResultWriter:
+    """Writes what the items of one entry's active jobs have brought."""
+
+    store: JobStore
+    clock: Clock
+    group: TaskGroup
+    # The active jobs; a job without open items is removed.
+    jobs: MutableMapping[str, ActiveJob]
+
+    def write_due(self, job: ActiveJob, now_s: float) -> None:
+        """Start the writes of a job that are due."""
+        self.save_partials_if_due(job, now_s)
+        if not job.finished or job.appending:
+            return
+        waited_s = now_s - job.finished_since_s
+        all_finished = all(item.finished for item in job.items.values())
+        at_once = all_finished and not job.append_failed
+        if at_once or waited_s >= RESULT_DELAY_S:
+            job.appending = True
+            self.group.start_soon(run_guarded, self.append, job)
+
+    def save_partials_if_due(self, job: ActiveJob, now_s: float) -> None:
+        """Save partial outputs if the interval and enough events passed."""
+        if job.saving or now_s - job.saved_s < PARTIALS_INTERVAL_S:
+            return
+        partials = job.partials()
+        events = sum(partial.last_event for partial in partials)
+        if abs(events - job.saved_events) < MIN_NEW_EVENTS:
+            return
+        job.saving = True
+        job.saved_s = now_s
+        job.saved_events = events
+        self.group.start_soon(run_guarded, self.save_partials, job, partials)
+
+    async def save_partials(
+        self,
+        job: ActiveJob,
+        partials: list[PartialOutput],
+    ) -> None:
+        """Write partial outputs to the store; logs a failure."""
+        try:
+            saved = await self.store.save_partials(job.record.job_id, partials)
+        finally:
+            job.saving = False
+        if isinstance(saved, Err):
+            log_event(
+                'partials_not_saved',
+                job=job.record.job_id,
+                reason=str(saved.err_value),
+            )
+
+    async def append(self, job: ActiveJob) -> None:
+        """Append finished items to the results in the store; `tick` retries.
+
+        Writes one part after the other, as the results may be larger together
+        than the store takes at once.
+        """
+        try:
+            while job.finished and await self.append_part(job):
+                pass
+        finally:
+            job.appending = False
+        if not job.items:
+            self.jobs.pop(job.record.job_id, None)
+
+    async def append_part(self, job: ActiveJob) -> bool:
+        """Append the first finished items; return whether they are listed."""
+        results = list(job.finished)
+        appended = await self.store.append_results(
+            job.record.job_id,
+            [(row.item, row.completed, row.output) for row in results],
+            {
+                progress.item: progress.failures
+                for progress in job.items.values()
+                if progress.failures and not progress.finished
+            },
+        )
+        job.finished_since_s = self.clock.now()
+        job.append_failed = isinstance(appended, Err)
+        if isinstance(appended, Err):
+            log_event(
+                'results_not_listed',
+                job=job.record.job_id,
+                results=len(results),
+                bytes=sum(len(row.output) for row in results),
+                reason=str(appended.err_value),
+            )
+            return False
+        listed = results[: appended.ok_value]
+        del job.finished[: len(listed)]
+        for row in listed:
+            job.items.pop(row.item, None)
+        log_event(
+            'results_listed',
+            job=job.record.job_id,
+            results=len(listed),
+            bytes=sum(len(row.output) for row in listed),
+            left=len(job.items),
+        )
+        return True
--- a/src/quetzaldyke/parts/transactions.py
+++ b/src/quetzaldyke/parts/transactions.py
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Final, Protocol
 
 from result import Result
 
 from quetzaldyke.parts.kv import KvError, Record
 
+DEFAULT_VALUE_BYTES: Final = 1_048_576
+MAX_KEY_BYTES: Final = 200
+MAX_ENTRIES: Final = 32
+
 
 @dataclass(frozen=True, slots=True)
 class Put:
@@ -34,6 +38,47 @@
     deletes: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TransactionLimits:
+    """The largest transaction that the service takes.
+
+    The service refuses a larger one each time, so it is not worth a call.
+    """
+
+    value_bytes: int = DEFAULT_VALUE_BYTES
+    key_bytes: int = MAX_KEY_BYTES
+    # Conditions, writes and deletions together.
+    entries: int = MAX_ENTRIES
+
+    def excess(self, transaction: Transaction) -> str:
+        """Return which limit a transaction exceeds; empty if it fits.
+
+        >>> TransactionLimits(value_bytes=3).excess(
+        ...     Transaction(puts=(Put('k', b'four'),))
+        ... )
+        'k: a value of 4 bytes, 3 are allowed'
+        """
+        keys = [put.key for put in transaction.puts]
+        keys.extend(transaction.deletes)
+        entries = len(transaction.conditions) + len(keys)
+        if entries > self.entries:
+            return f'{entries} entries, {self.entries} are allowed'
+        for key in keys:
+            size = len(key.encode())
+            if size > self.key_bytes:
+                return f'a key of {size} bytes, {self.key_bytes} are allowed'
+        for put in transaction.puts:
+            if len(put.value) > self.value_bytes:
+                return (
+                    f'{put.key}: a value of {len(put.value)} bytes, '
+                    f'{self.value_bytes} are allowed'
+                )
+        return ''
+
+
+DEFAULT_LIMITS: Final = TransactionLimits()
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """Records under a prefix, complete up to a revision."""
@@ -96,7 +141,10 @@
         self,
         transaction: Transaction,
     ) -> Result[int, KvError]:
-        """Apply a transaction and return its revision."""
+        """Apply a transaction and return its revision.
+
+        Fails with `too_large` if the service can never take it.
+        """
 
     async def grant_lease(self, ttl_s: float) -> Result[Lease, KvError]:
         """Create a lease and return it."""
--- a/src/quetzaldyke/platform/settings.py
+++ b/src/quetzaldyke/platform/settings.py
@@ -11,6 +11,10 @@
 
 from quetzaldyke.gateway.model import Bounds, Installation
 from quetzaldyke.parts.errors import Errors
+from quetzaldyke.parts.transactions import (
+    DEFAULT_VALUE_BYTES,
+    TransactionLimits,
+)
 from quetzaldyke.platform.names import SETTINGS_VARIABLE
 
 MS_IN_S = 1000
@@ -28,11 +32,14 @@
 
 
 class ProviderTable(BaseModel):
-    """Table `provider`: the address of the platform's store."""
+    """Table `provider`: the platform's store and its largest value."""
 
     model_config = ConfigDict(extra='ignore')
 
     address: str
+    value_bytes: int = Field(
+        default=DEFAULT_VALUE_BYTES, alias='value-bytes', gt=0
+    )
 
 
 class ListenTable(BaseModel):
@@ -96,6 +103,7 @@
         first_peer_port=settings.port_range[0],
         last_peer_port=settings.port_range[1],
         store_address=settings.provider.address,
+        store_limits=TransactionLimits(settings.provider.value_bytes),
         heartbeat_s=settings.heartbeat_ms / MS_IN_S,
         callers_address=settings.listen.front,
         readiness_address=settings.listen.ready,
--- a/src/quetzaldyke/platform/store.py
+++ b/src/quetzaldyke/platform/store.py
@@ -32,9 +32,11 @@
 from quetzaldyke.gateway.store_path import Address, StorePath
 from quetzaldyke.parts.kv import ErrorKind, KvError, Record
 from quetzaldyke.parts.transactions import (
+    DEFAULT_LIMITS,
     Lease,
     Snapshot,
     Transaction,
+    TransactionLimits,
     WatchBatch,
 )
 from quetzaldyke.platform.names import CONFIG_KEY
@@ -71,6 +73,7 @@
     path: StorePath
     # Called after each call with its name and whether the store answered.
     on_result: Callable[[str, bool], None]
+    limits: TransactionLimits = DEFAULT_LIMITS
     # Exchanges without a complete response, by the address they were sent to.
     open_exchanges: dict[Address, set[Exchange]] = field(default_factory=dict)
 
@@ -80,13 +83,14 @@
         address: str,
         client: HttpClient,
         on_result: Callable[[str, bool], None],
+        limits: TransactionLimits = DEFAULT_LIMITS,
     ) -> PlatformStore:
         """Return a client that first calls the store directly.
 
         Raises `ValueError` if the address has no valid port.
         """
         host, _, port = address.rpartition(':')
-        store = cls(client, StorePath((host, int(port))), on_result)
+        store = cls(client, StorePath((host, int(port))), on_result, limits)
         store.path.on_change = store.cancel_other_paths
         return store
 
@@ -188,9 +192,13 @@
     ) -> Result[int, KvError]:
         """Apply a transaction and return its revision.
 
-        Fails with `conflict` if a condition does not hold, and with
-        `no_lease` if a lease does not exist.
+        Fails with `conflict` if a condition does not hold, with `no_lease` if
+        a lease does not exist, and with `too_large`, without a call, if the
+        store can never take it.
         """
+        excess = self.limits.excess(transaction)
+        if excess:
+            return Err(KvError('too_large', excess))
         body = {
             'if-rev': [
                 {'key': key, 'revision': revision}
--- a/src/quetzaldyke/standins/platform_store.py
+++ b/src/quetzaldyke/standins/platform_store.py
@@ -25,6 +25,9 @@
 MS_IN_S: Final = 1000
 HISTORY_EVENTS: Final = 5_000
 LEASE_CHECK_S: Final = 0.1
+VALUE_BYTES: Final = 1_048_576
+KEY_BYTES: Final = 200
+TRANSACTION_ENTRIES: Final = 32
 JSON: Final = 'application/json'
 
 
@@ -93,6 +96,7 @@
     # The history no longer contains changes up to this revision.
     compacted: int = 0
     changed: anyio.Event = field(default_factory=anyio.Event)
+    value_bytes: int = VALUE_BYTES
 
     def put(self, key: str, value: bytes, lease: int) -> int:
         """Write a key at the next revision and return that revision."""
@@ -162,10 +166,13 @@
     def transact(self, call: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Apply a transaction and return the HTTP status and body.
 
-        Returns 412 with the existing keys if a revision differs, and 404 if a
-        lease is unknown; neither changes anything.
+        Returns 413 if it is too large, 412 with the existing keys if a
+        revision differs, and 404 if a lease is unknown; none of these changes
+        anything.
         """
         rows = call.get('if-rev', [])
+        if self.exceeds_limits(call):
+            return 413, {'error': 'too large'}
         if any(self.revision_of(row['key']) != row['revision'] for row in rows):
             known = [row['key'] for row in rows if row['key'] in self.items]
             return 412, {'items': [self.render(key) for key in known]}
@@ -181,6 +188,20 @@
             self.remove(key)
         return 200, {'revision': self.revision}
 
+    def exceeds_limits(self, call: dict[str, Any]) -> bool:
+        """Return whether a transaction is too large for the store."""
+        puts = call.get('puts', [])
+        keys = [put['key'] for put in puts] + call.get('deletes', [])
+        entries = len(call.get('if-rev', [])) + len(keys)
+        return (
+            entries > TRANSACTION_ENTRIES
+            or any(len(key.encode()) > KEY_BYTES for key in keys)
+            or any(
+                len(base64.b64decode(put['value'])) > self.value_bytes
+                for put in puts
+            )
+        )
+
     def revision_of(self, key: str) -> int:
         """Return the revision of a key; 0 if it does not exist."""
         item = self.items.get(key)
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -5,6 +5,7 @@
 import base64
 import random
 from dataclasses import dataclass, field
+from typing import Final
 
 from result import Err, Ok, Result
 
@@ -80,6 +81,14 @@
     )
 
 
+# Kinds of errors by the status with which the store refuses a transaction.
+REFUSALS: Final[dict[int, ErrorKind]] = {
+    404: 'no_lease',
+    412: 'conflict',
+    413: 'too_large',
+}
+
+
 @dataclass(slots=True)
 class FakeTime:
     """A clock whose time is set by tests."""
@@ -177,8 +186,7 @@
             return Err(KvError('unknown'))
         if status == 200:
             return Ok(int(answer['revision']))
-        kind: ErrorKind = 'conflict' if status == 412 else 'no_lease'
-        return Err(KvError(kind))
+        return Err(KvError(REFUSALS[status]))
 
     async def grant_lease(self, ttl_s: float) -> Result[Lease, KvError]:
         """Create a lease."""
