Keep the terms of a job's route with the job

Cause: a job's record held only the name of its route. At each activation its services, attempts and times were looked up in the configuration; without the route activation returned without a line, every 0.5 s. The new owner lives, so nobody took the job over, and only active jobs were checked for their longest wait.

Change: the record holds the terms of its acceptance and the version of the configuration that they are from. A route that exists goes before them. Items are failed early only if both the route and all its services have ended by a configuration at least as new as that of the acceptance. `items_given_up` tells why items were failed.

It works because what was accepted no longer depends on what the operator keeps configured, while an existing route still decides.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -12,9 +12,9 @@
 from quetzaldyke.gateway.job_records import (
     ItemRecord,
     JobRecord,
+    JobTerms,
     PartialOutput,
 )
-from quetzaldyke.gateway.model import Route
 
 MS_IN_S: Final = 1000
 
@@ -83,7 +83,7 @@
     """A job that this entry owns and runs."""
 
     record: JobRecord
-    route: Route
+    terms: JobTerms
     items: dict[int, ItemProgress]
     bodies: dict[int, bytes]
     finished: list[FinishedItem] = field(default_factory=list)
@@ -99,15 +99,13 @@
     @property
     def due_ms(self) -> float:
         """Return the Unix time at which all results are due."""
-        assert self.route.batch is not None
-        target_ms = self.route.batch.completion_target_s * MS_IN_S
+        target_ms = self.terms.completion_target_s * MS_IN_S
         return self.record.accepted_ms + target_ms
 
     @property
     def expires_ms(self) -> float:
         """Return the Unix time from which unfinished items may be failed."""
-        assert self.route.batch is not None
-        return self.record.accepted_ms + self.route.batch.max_wait_s * MS_IN_S
+        return self.record.accepted_ms + self.terms.max_wait_s * MS_IN_S
 
     def candidates(
         self, now_s: float, estimator: RunTimeEstimator
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -30,11 +30,17 @@
 from quetzaldyke.gateway.item_run import ItemRun, RunContext
 from quetzaldyke.gateway.job_records import JobRecord, Member, PartialOutput
 from quetzaldyke.gateway.job_store import JobStore
+from quetzaldyke.gateway.job_terms import (
+    batch_route,
+    can_never_run,
+    current_terms,
+)
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.model import Endpoint, Route
+from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.preemption import Preemption
 from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.gateway.result_writer import ResultWriter
+from quetzaldyke.gateway.route_table import RouteTable
 from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.platform import names
 
@@ -54,7 +60,8 @@
     group: TaskGroup
     # Called when there are new items to start.
     on_pending: Callable[[], None]
-    find_route: Callable[[str], Route | None]
+    # Returns the routes in force; None before a configuration is known.
+    routes: Callable[[], RouteTable | None]
     jobs: dict[str, ActiveJob] = field(default_factory=dict)
     # Set during a graceful shutdown: no more items start.
     stopping: bool = False
@@ -101,9 +108,12 @@
         bodies: dict[int, bytes],
         partials: list[PartialOutput],
     ) -> None:
-        """Run items not in `done`, unless the job is active or has no route."""
-        route = self.find_route(record.route)
-        if route is None or record.job_id in self.jobs:
+        """Run items not in `done`, unless the job is active.
+
+        Does nothing before a configuration is known.
+        """
+        table = self.routes()
+        if table is None or record.job_id in self.jobs:
             return
         items = {
             index: ItemProgress(index, item, failures=failures.get(index, 0))
@@ -114,7 +124,7 @@
             if partial.item in items:
                 items[partial.item].splitter.last_id = partial.last_event
                 items[partial.item].outputs.append(partial.output)
-        job = ActiveJob(record, route, items, bodies)
+        job = ActiveJob(record, current_terms(record, table), items, bodies)
         job.saved_s = self.dispatcher.clock.now()
         self.jobs[record.job_id] = job
         log_event(
@@ -123,6 +133,8 @@
             items=len(items),
             listed=len(done),
             begun=len(partials),
+            route=record.route,
+            route_exists=batch_route(record, table) is not None,
         )
         self.on_pending()
         self.schedule_soon()
@@ -166,7 +178,9 @@
         now_s = self.dispatcher.clock.now()
         by_service: dict[str, list[Candidate]] = {}
         for job in self.jobs.values():
-            service = job.route.services[0].service
+            if not job.terms.services:
+                continue
+            service = job.terms.services[0].service
             by_service.setdefault(service, []).extend(
                 job.candidates(now_s, self.estimator)
             )
@@ -307,9 +321,30 @@
         )
 
     def fail_expired(self, job: ActiveJob) -> None:
-        """Fail the idle items of a job whose maximum wait is over."""
-        if time.time() * MS_IN_S < job.expires_ms:
+        """Fail the idle items of a job whose wait, or whose route, is over."""
+        reason = self.expiry_reason(job)
+        if not reason:
             return
-        for progress in job.items.values():
-            if not progress.finished and not progress.running:
-                self.finish_item(job, progress, False)
+        idle = [
+            progress
+            for progress in job.items.values()
+            if not progress.finished and not progress.running
+        ]
+        for progress in idle:
+            self.finish_item(job, progress, False)
+        if idle:
+            log_event(
+                'items_given_up',
+                job=job.record.job_id,
+                items=len(idle),
+                reason=reason,
+            )
+
+    def expiry_reason(self, job: ActiveJob) -> str:
+        """Return why the items of a job may be failed; empty if they wait."""
+        if time.time() * MS_IN_S >= job.expires_ms:
+            return 'longest_wait_over'
+        table = self.routes()
+        if table is not None and can_never_run(job.record, table):
+            return 'route_ended'
+        return ''
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -160,6 +160,9 @@
                 JobEnded(owner_id, job_id),
             ),
             store_up=lambda: health.up,
+            version=lambda: (
+                entry.ingress.table.version if entry.ingress.table else 0
+            ),
         )
         crashes = CrashTracker(
             owner_id,
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -20,7 +20,7 @@
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.logs import LineWriter, log_event
 from quetzaldyke.gateway.metrics_app import metrics_app
-from quetzaldyke.gateway.model import Installation, Route
+from quetzaldyke.gateway.model import Installation
 from quetzaldyke.gateway.store_tunnel import serve_tunnels
 from quetzaldyke.gateway.watch import PrefixWatcher
 from quetzaldyke.platform import names
@@ -118,11 +118,6 @@
 
 def create_runner(entry: Entry, group: TaskGroup) -> None:
     """Create the batch runner and attach it to the entry."""
-
-    def find_route(name: str) -> Route | None:
-        table = entry.ingress.table
-        return table.by_name.get(name) if table else None
-
     runner = BatchRunner(
         entry.dispatcher,
         entry.client,
@@ -130,7 +125,7 @@
         entry.policy,
         group,
         entry.gossip.note_change,
-        find_route,
+        lambda: entry.ingress.table,
     )
     entry.attach_runner(runner)
 
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -271,7 +271,7 @@
             detail=answer[:LOGGED_BODY_CHARS].decode('latin-1'),
             **self.exchange.describe(),
         )
-        if progress.failures >= self.job.route.max_attempts:
+        if progress.failures >= self.job.terms.max_attempts:
             self.context.finish_item(self.job, progress, False)
 
     def handle_interruption(self, exc: ExchangeError) -> None:
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -53,6 +53,8 @@
     tell_ended: Callable[[str], None]
     # Whether the store answered recently.
     store_up: Callable[[], bool]
+    # Version of the configuration in force here.
+    version: Callable[[], int]
 
     async def handle(
         self,
@@ -104,7 +106,11 @@
             await send_refusal(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_AFTER)
             return
         job = make_job(
-            job_id, route, decoded.ok_value, self.store.sizes.part_bytes
+            job_id,
+            route,
+            decoded.ok_value,
+            self.store.sizes.part_bytes,
+            self.version(),
         )
         accepted = await self.store.accept(job, route)
         if isinstance(accepted, Ok):
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -10,11 +10,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
-from typing import Final
+from typing import Any, Final
 
 import msgpack
 from result import Err
 
+from quetzaldyke.gateway.model import WeightedService
 from quetzaldyke.parts.addresses import is_port, parse_host
 
 FLEET_PREFIX: Final = 'quetzaldyke/fleet/'
@@ -84,6 +85,44 @@
     body_size: int
 
 
+@dataclass(frozen=True, slots=True)
+class JobTerms:
+    """What a job's route says of its items."""
+
+    # Version of the configuration.
+    version: int
+    services: tuple[WeightedService, ...]
+    max_attempts: int
+    # Both from the acceptance on.
+    completion_target_s: float = 0.0
+    max_wait_s: float = 0.0
+
+    @classmethod
+    def from_row(cls, row: list[Any]) -> JobTerms:
+        """Decode stored terms; raises `ValueError` or `TypeError`."""
+        version, services, max_attempts, target_s, max_wait_s = row
+        return cls(
+            integer_of(version),
+            tuple(
+                WeightedService(text_of(service), float(weight))
+                for service, weight in services
+            ),
+            integer_of(max_attempts),
+            float(target_s),
+            float(max_wait_s),
+        )
+
+    def to_row(self) -> list[Any]:
+        """Return the terms as they are stored."""
+        return [
+            self.version,
+            [[share.service, share.weight] for share in self.services],
+            self.max_attempts,
+            self.completion_target_s,
+            self.max_wait_s,
+        ]
+
+
 @dataclass(frozen=True, slots=True)
 class JobRecord:
     """One accepted job."""
@@ -96,6 +135,8 @@
     items: tuple[ItemRecord, ...]
     # Number of the parts that hold the bodies.
     body_parts: int = 1
+    # The terms of its route at its acceptance; None in earlier releases.
+    terms: JobTerms | None = None
 
     @classmethod
     def unpack(cls, raw: bytes) -> JobRecord:
@@ -120,6 +161,7 @@
             integer_of(accepted_ms),
             items,
             integer_of(added[0]) if added else last_body_part(items) + 1,
+            JobTerms.from_row(added[1]) if added and added[1] else None,
         )
 
     def pack(self) -> bytes:
@@ -143,6 +185,7 @@
             self.accepted_ms,
             rows,
             self.body_parts,
+            self.terms.to_row() if self.terms else None,
         ]
         return bytes(msgpack.packb(row))
 
--- a/src/quetzaldyke/gateway/new_job.py
+++ b/src/quetzaldyke/gateway/new_job.py
@@ -8,6 +8,7 @@
 
 from quetzaldyke.gateway.job_parts import BodyParts, PartSizes
 from quetzaldyke.gateway.job_records import ItemRecord, JobRecord
+from quetzaldyke.gateway.job_terms import terms_of_route
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.platform.jobs import SubmittedItem
 
@@ -29,8 +30,12 @@
     route: Route,
     submitted: list[SubmittedItem],
     part_bytes: int = DEFAULT_PART_BYTES,
+    version: int = 0,
 ) -> NewJob:
-    """Return the records of a submitted job, accepted as of now."""
+    """Return the records of a submitted job, accepted as of now.
+
+    `version` is that of the configuration that the route is from.
+    """
     bodies = BodyParts(part_bytes)
     items: list[ItemRecord] = []
     for item in submitted:
@@ -53,6 +58,7 @@
         int(time.time() * MS_IN_S),
         tuple(items),
         len(bodies.parts),
+        terms_of_route(route, version),
     )
     return NewJob(
         record,
--- a/src/quetzaldyke/gateway/route_table.py
+++ b/src/quetzaldyke/gateway/route_table.py
@@ -16,6 +16,8 @@
     # Longest prefix first.
     by_host: dict[str, tuple[Route, ...]]
     by_name: dict[str, Route]
+    # Names of the services that the version configures.
+    services: frozenset[str] = frozenset()
 
     @classmethod
     def from_configuration(cls, configuration: Configuration) -> RouteTable:
@@ -28,7 +30,8 @@
             for host, routes in grouped.items()
         }
         named = {route.name: route for route in configuration.routes}
-        return cls(configuration.version, ordered, named)
+        services = frozenset(configuration.services)
+        return cls(configuration.version, ordered, named, services)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or None."""
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -11,9 +11,10 @@
 
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.endpoints import EndpointTable
-from quetzaldyke.gateway.job_records import FLEET_PREFIX
+from quetzaldyke.gateway.job_records import FLEET_PREFIX, JobTerms
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobTable
+from quetzaldyke.gateway.job_terms import terms_of_route
 from quetzaldyke.gateway.loads import LoadTable, RequestCounts
 from quetzaldyke.gateway.model import (
     BatchRouteOptions,
@@ -24,6 +25,7 @@
     WeightedService,
 )
 from quetzaldyke.gateway.placement import PlacementPolicy
+from quetzaldyke.gateway.route_table import RouteTable
 from quetzaldyke.parts.kv import ErrorKind, KvError, Record
 from quetzaldyke.parts.timers import Clock
 from quetzaldyke.parts.transactions import (
@@ -81,6 +83,21 @@
     )
 
 
+def make_terms() -> JobTerms:
+    """Return the terms of a batch route to the service `lm`."""
+    return terms_of_route(make_route('batch'), version=1)
+
+
+def make_table(*routes: Route, version: int = 1) -> RouteTable:
+    """Return the routes of a configuration with the service `lm`."""
+    return RouteTable(
+        version,
+        {},
+        {route.name: route for route in routes},
+        frozenset(('lm',)),
+    )
+
+
 # Kinds of errors by the status with which the store refuses a transaction.
 REFUSALS: Final[dict[int, ErrorKind]] = {
     404: 'no_lease',
--- a/tests/runner_kit.py
+++ b/tests/runner_kit.py
@@ -3,18 +3,27 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from anyio.abc import TaskGroup
 from result import Ok
 
-from gateway_kit import FakeStore, FakeTime, Node, make_dispatcher, make_route
+from gateway_kit import (
+    FakeStore,
+    FakeTime,
+    Node,
+    make_dispatcher,
+    make_route,
+    make_table,
+)
 from quetzaldyke.gateway.active_job import ActiveJob
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.model import Endpoint, Route
 from quetzaldyke.gateway.new_job import NewJob, make_job
+from quetzaldyke.gateway.route_table import RouteTable
 from quetzaldyke.gateway.slot_grants import SlotGrants
 from quetzaldyke.platform.jobs import SubmittedItem
 
@@ -22,10 +31,10 @@
 def make_runner(
     node: Node,
     group: TaskGroup,
-    routes: dict[str, Route],
+    routes: Callable[[], RouteTable | None],
     *endpoints: Endpoint,
 ) -> BatchRunner:
-    """Return the runner of an entry; `routes` may change later."""
+    """Return the runner of an entry with the routes in force there."""
     dispatcher = make_dispatcher(FakeTime(), *endpoints)
     loads = dispatcher.loads
     owner_id = node.store.owner_id
@@ -36,7 +45,7 @@
         BatchPolicy(loads, SlotGrants(owner_id, loads), random.Random(1)),
         group,
         lambda: None,
-        routes.get,
+        routes,
     )
 
 
@@ -44,11 +53,12 @@
     items: int, *, job_id: str = 'j', route: Route | None = None
 ) -> NewJob:
     """Return a job of some items with short bodies."""
+    route = route or make_route('batch')
     submitted = [
         SubmittedItem(f'{job_id}-{number}', '/p/x', (), 10, b'body')
         for number in range(items)
     ]
-    return make_job(job_id, route or make_route('batch'), submitted)
+    return make_job(job_id, route, submitted, version=1)
 
 
 @dataclass(slots=True)
@@ -69,7 +79,7 @@
         route = make_route('batch')
         assert await node.store.accept(job, route) == Ok(None)
         await node.sync()
-        runner = make_runner(node, group, {route.name: route})
+        runner = make_runner(node, group, lambda: make_table(route))
         runner.activate(job.record, set(), {}, dict(job.bodies), [])
         return cls(node, runner, runner.jobs['j'])
 
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gateway_kit import make_endpoint, make_route, set_running
+from gateway_kit import make_endpoint, make_terms, set_running
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import (
     BatchPolicy,
@@ -32,7 +31,7 @@
     OWNER_GRACE_S,
     Ownership,
 )
-from quetzaldyke.gateway.model import BatchRouteOptions, Endpoint, Route
+from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.preemption import Preemption
 from quetzaldyke.gateway.slot_grants import ROUND_S, SlotGrants
 
@@ -146,12 +145,7 @@
         items[number] = progress
     records = tuple(one.record for one in items.values())
     job = JobRecord(job_id, 'r', 'h', 0, records)
-    return ActiveJob(job, make_batch_route(), items, {})
-
-
-def make_batch_route() -> Route:
-    """Return a batch route."""
-    return replace(make_route('batch'), batch=BatchRouteOptions(18, 60, 0))
+    return ActiveJob(job, make_terms(), items, {})
 
 
 def preempted(job: ActiveJob) -> list[int]:
--- a/tests/test_item_stalls.py
+++ b/tests/test_item_stalls.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_route
+from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_terms
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
 from quetzaldyke.gateway.exchange import (
@@ -51,7 +51,7 @@
             RunTimeEstimator(),
             lambda job, progress, completed: None,
         ),
-        ActiveJob(job, make_route('batch'), {0: progress}, {}),
+        ActiveJob(job, make_terms(), {0: progress}, {}),
         progress,
         dispatcher.acquire_on(endpoint, online=False),
         Exchange(),
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -17,7 +17,7 @@
 import anyio
 import pytest
 
-from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_route
+from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_terms
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
 from quetzaldyke.gateway.client_connection import Connection
@@ -128,7 +128,7 @@
                         completed
                     ),
                 ),
-                ActiveJob(job, make_route('batch'), {0: progress}, {0: b'{}'}),
+                ActiveJob(job, make_terms(), {0: progress}, {0: b'{}'}),
                 progress,
                 dispatcher.acquire_on(endpoint, online=False),
                 progress.exchange,
