Run batch items at all services of a split route

Cause: all items of a route went to its first service, whatever the weights and the others.

Change: `item_services` gives each item one service by weight and id, the same at each owner. Services without an endpoint that takes work are left out. Items that their service can't do in time, as it is small, slow or limited, take slots that the items of another service leave free. An item with events that has to move begins anew, as an output is never joined from two services; saved partial outputs name their service. The same cause on a related path: online requests drew a service by weight without asking whether it has endpoints.

It works because a service is chosen for each item at each pass from what takes work then, and no choice is bound to a position in the route.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -9,6 +9,7 @@
 from quetzaldyke.gateway.batch_schedule import Candidate, RunTimeEstimator
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.exchange import Exchange
+from quetzaldyke.gateway.item_services import Waiting
 from quetzaldyke.gateway.job_records import (
     ItemRecord,
     JobRecord,
@@ -37,6 +38,8 @@
     interrupted_at_event: int = 0
     exchange: Exchange | None = None
     endpoint_id: str = ''
+    # Service that its events have come from; empty if that is not known.
+    service: str = ''
     running: bool = False
     finished: bool = False
 
@@ -58,6 +61,16 @@
         self.interruptions += 1
         self.interrupted_at_event = self.events_done
 
+    def enter_service(self, service: str) -> None:
+        """Note the service of the next run.
+
+        Events of another service are dropped, as an output is never joined
+        from two services.
+        """
+        if self.outputs and self.service not in {'', service}:
+            self.start_over()
+        self.service = service
+
     def start_over(self) -> None:
         """Drop the events received so far: the next run begins at the first."""
         self.splitter = EventSplitter()
@@ -107,22 +120,27 @@
         """Return the Unix time from which unfinished items may be failed."""
         return self.record.accepted_ms + self.terms.max_wait_s * MS_IN_S
 
-    def candidates(
+    def waiting(
         self, now_s: float, estimator: RunTimeEstimator
-    ) -> list[Candidate]:
+    ) -> list[Waiting]:
         """Return the items to start or resume, each marked if it is late.
 
         These are neither running nor finished nor delayed for a retry.
         """
         left_s = self.due_ms / MS_IN_S - time.time()
         return [
-            Candidate(
-                self.record.job_id,
-                progress.item,
-                self.due_ms,
-                progress.events_done,
-                left_s < estimator.remaining_s(progress.events_done),
-                progress.failed_at,
+            Waiting(
+                Candidate(
+                    self.record.job_id,
+                    progress.item,
+                    self.due_ms,
+                    progress.events_done,
+                    left_s < estimator.remaining_s(progress.events_done),
+                    progress.failed_at,
+                ),
+                progress.record.item_id,
+                self.terms.services,
+                progress.service if progress.events_done else '',
             )
             for progress in self.items.values()
             if not progress.running
@@ -137,6 +155,7 @@
                 progress.item,
                 progress.splitter.last_id or 0,
                 b'\n'.join(progress.outputs),
+                progress.service,
             )
             for progress in self.items.values()
             if progress.outputs and not progress.finished
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -17,17 +17,12 @@
     FinishedItem,
     ItemProgress,
 )
-from quetzaldyke.gateway.batch_schedule import (
-    BatchPolicy,
-    Candidate,
-    RunTimeEstimator,
-    assign_endpoints,
-    start_order,
-)
+from quetzaldyke.gateway.batch_schedule import BatchPolicy, RunTimeEstimator
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.exchange import Exchange
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.item_run import ItemRun, RunContext
+from quetzaldyke.gateway.item_starter import ItemStarter
 from quetzaldyke.gateway.job_records import JobRecord, Member, PartialOutput
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_terms import (
@@ -36,7 +31,6 @@
     current_terms,
 )
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.preemption import Preemption
 from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.gateway.result_writer import ResultWriter
@@ -71,6 +65,7 @@
     estimator: RunTimeEstimator = field(default_factory=RunTimeEstimator)
     preemption: Preemption = field(init=False)
     results: ResultWriter = field(init=False)
+    starter: ItemStarter = field(init=False)
     run_context: RunContext = field(init=False)
 
     def __post_init__(self) -> None:
@@ -84,6 +79,13 @@
         self.results = ResultWriter(
             self.store, self.dispatcher.clock, self.group, self.jobs
         )
+        self.starter = ItemStarter(
+            self.dispatcher,
+            self.policy,
+            self.estimator,
+            self.jobs,
+            self.start_run,
+        )
         self.run_context = RunContext(
             self.dispatcher,
             self.client,
@@ -124,6 +126,7 @@
             if partial.item in items:
                 items[partial.item].splitter.last_id = partial.last_event
                 items[partial.item].outputs.append(partial.output)
+                items[partial.item].service = partial.service
         job = ActiveJob(record, current_terms(record, table), items, bodies)
         job.saved_s = self.dispatcher.clock.now()
         self.jobs[record.job_id] = job
@@ -175,56 +178,16 @@
         self.preemption.preempt_overfull()
         if self.stopping or not self.peers_known or not self.jobs:
             return
-        now_s = self.dispatcher.clock.now()
-        by_service: dict[str, list[Candidate]] = {}
-        for job in self.jobs.values():
-            if not job.terms.services:
-                continue
-            service = job.terms.services[0].service
-            by_service.setdefault(service, []).extend(
-                job.candidates(now_s, self.estimator)
-            )
-        for service, candidates in by_service.items():
-            if candidates:
-                self.start_on_free_slots(service, candidates, now_s)
+        self.starter.start_waiting()
 
-    def start_on_free_slots(
+    def start_run(
         self,
-        service: str,
-        candidates: list[Candidate],
-        now_s: float,
+        job: ActiveJob,
+        progress: ItemProgress,
+        reservation: Reservation,
     ) -> None:
-        """Start the most urgent items.
-
-        While online requests are waiting, items only get the permits of
-        limited endpoints that were granted for batch work.
-        """
-        dispatcher = self.dispatcher
-        usable = dispatcher.endpoints.usable_for_batch(service, now_s)
-        slots = dispatcher.permits.batch_places(usable, self.free_slots)
-        if not len(dispatcher.queue(service)):
-            unlimited = dispatcher.permits.unlimited(usable)
-            slots += self.policy.allocate_slots(
-                unlimited, len(candidates), now_s
-            )
-        usable_ids = {endpoint.endpoint_id for endpoint in usable}
-        ordered = start_order(candidates)
-        assigned = assign_endpoints(ordered, slots, usable_ids)
-        for candidate, endpoint in assigned:
-            job = self.jobs[candidate.job_id]
-            progress = job.items[candidate.item]
-            progress.running = True
-            reservation = dispatcher.acquire_on(endpoint, online=False)
-            self.group.start_soon(self.run_item, job, progress, reservation)
-        dispatcher.permits.ask_batch(
-            [one for one in usable if self.free_slots(one) > 0],
-            len(candidates) - len(assigned),
-        )
-
-    def free_slots(self, endpoint: Endpoint) -> int:
-        """Return the slots of an endpoint that no entry uses."""
-        used = self.dispatcher.loads.total(endpoint.endpoint_id)
-        return endpoint.slots - used
+        """Run an item in a task of its own."""
+        self.group.start_soon(self.run_item, job, progress, reservation)
 
     async def run_item(
         self,
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -309,6 +309,7 @@
         if not request_id:
             return None
         now_s = self.context.now()
+        endpoints = self.context.dispatcher.endpoints
         requested_ms = request.number(names.DEADLINE)
         timeout_s = route.timeout_s
         if requested_ms is not None:
@@ -320,7 +321,11 @@
             headers=request.headers,
             body=request.body,
             route=route,
-            service=choose_service(route, self.generator),
+            service=choose_service(
+                route,
+                self.generator,
+                lambda service: bool(endpoints.usable(service, now_s)),
+            ),
             arrived_s=now_s,
             deadline_s=now_s + timeout_s,
             last_event=request.number(names.LAST_EVENT),
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -287,6 +287,8 @@
     # Number of the last complete event.
     last_event: int
     output: bytes
+    # Service of the endpoints that it is from; empty in earlier releases.
+    service: str = ''
 
 
 def largest_state(job: JobRecord, owner_id: str, instance: str) -> JobState:
@@ -305,10 +307,10 @@
     """Encode the partial outputs of a job.
 
     >>> unpack_partials(pack_partials([PartialOutput(2, 7, b'x')]))
-    [PartialOutput(item=2, last_event=7, output=b'x')]
+    [PartialOutput(item=2, last_event=7, output=b'x', service='')]
     """
     rows = [
-        [partial.item, partial.last_event, partial.output]
+        [partial.item, partial.last_event, partial.output, partial.service]
         for partial in partials
     ]
     return bytes(msgpack.packb(rows))
--- a/src/quetzaldyke/gateway/route_table.py
+++ b/src/quetzaldyke/gateway/route_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from quetzaldyke.gateway.model import Configuration, Route
@@ -46,15 +47,26 @@
     return len(route.prefix)
 
 
-def choose_service(route: Route, generator: random.Random) -> str:
+def is_any(service: str) -> bool:
+    """Return true for each service."""
+    return True
+
+
+def choose_service(
+    route: Route,
+    generator: random.Random,
+    is_open: Callable[[str], bool] = is_any,
+) -> str:
     """Choose the service of a request at random by the route's weights.
 
-    Without a positive weight, the first service is returned.
+    Services that are not open, as they have no endpoint that takes work, are
+    left out while another one is. Without a positive weight, the first service is returned.
     """
     if len(route.services) == 1:
         return route.services[0].service
-    weights = [max(0.0, share.weight) for share in route.services]
-    if not any(weights):
+    weighted = [share for share in route.services if share.weight > 0]
+    if not weighted:
         return route.services[0].service
-    drawn = generator.choices(route.services, weights)
+    shares = [share for share in weighted if is_open(share.service)] or weighted
+    drawn = generator.choices(shares, [share.weight for share in shares])
     return drawn[0].service
--- a/src/quetzaldyke/parts/rendezvous.py
+++ b/src/quetzaldyke/parts/rendezvous.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 DIGEST_BYTES: Final = 8
+# Number of different scores.
+SCORES: Final = 1 << (8 * DIGEST_BYTES)
 
 
 def score(member: str, key: str) -> int:
@@ -68,3 +71,22 @@
     start = order.index(own) * len(ring) // len(order)
     wrapped_ring = [*ring, *ring]
     return sorted(wrapped_ring[start : start + size])
+
+
+def weighted_first_for(weights: Mapping[str, float], key: str) -> str | None:
+    """Return the member that a key belongs to; None without members.
+
+    Each member gets its weight's share of the keys. One whose weight is not
+    positive gets none unless all are so; the first in order gets all then.
+
+    >>> weighted_first_for({'a': 0.0, 'b': 2.0}, 'key')
+    'b'
+    """
+    drawn = {
+        member: -math.log((score(member, key) + 1) / SCORES) / weight
+        for member, weight in weights.items()
+        if weight > 0
+    }
+    if drawn:
+        return min(drawn, key=lambda member: (drawn[member], member))
+    return next(iter(weights), None)
--- a/tests/test_item_stalls.py
+++ b/tests/test_item_stalls.py
@@ -110,7 +110,7 @@
         run.handle_interruption(ExchangeError(Failure.BROKEN))
         time.now_s += MAX_RETRY_DELAY_S
         run.progress.running = False
-        assert run.job.candidates(time.now_s, RunTimeEstimator())
+        assert run.job.waiting(time.now_s, RunTimeEstimator())
     assert not results
 
 
