Confirm streams that end without length or chunks

Cause: an answer without length or chunks whose endpoint, or its system after a crash, closes the connection cleanly between two events counted as whole.

Change: an item, or a stream that may be resumed, is asked for once more behind its last event. `answer_ends` decides what the answer proves: an event refutes the end, an empty answer with length or chunks proves it, one without them does if another endpoint agrees, or the only one repeats it. A stream whose end nobody can confirm within a second and its attempts ends as before. Answers with length or chunks are never confirmed, and what may run once is never asked for again.

It works because the close is no longer the only witness of the end.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.gateway.answer_ends import StreamEnds
 from quetzaldyke.gateway.batch_schedule import Candidate, RunTimeEstimator
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.exchange import Exchange
@@ -38,6 +39,8 @@
     interrupted_at_event: int = 0
     exchange: Exchange | None = None
     endpoint_id: str = ''
+    # What answers without length or chunks say of its last event.
+    ends: StreamEnds = field(default_factory=StreamEnds)
     # Service that its events have come from; empty if that is not known.
     service: str = ''
     running: bool = False
@@ -75,6 +78,12 @@
         """Drop the events received so far: the next run begins at the first."""
         self.splitter = EventSplitter()
         self.outputs.clear()
+        self.ends = StreamEnds()
+
+    @property
+    def avoided(self) -> frozenset[str]:
+        """Return the endpoints that other ones are preferred to."""
+        return self.failed_at | self.ends.asked(self.events_done)
 
     @property
     def events_done(self) -> int:
@@ -136,7 +145,7 @@
                     self.due_ms,
                     progress.events_done,
                     left_s < estimator.remaining_s(progress.events_done),
-                    progress.failed_at,
+                    progress.avoided,
                 ),
                 progress.record.item_id,
                 self.terms.services,
--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -315,8 +315,8 @@
         )
         return Outcome(head.status, reason)
 
-    async def forward_stream(self, head: ResponseHead) -> Outcome:
-        """Forward a stream of events to the caller.
+    async def forward_stream(self, head: ResponseHead) -> Outcome | None:
+        """Forward a stream of events; None if its end is to be confirmed.
 
         Raises `ExchangeError` if the stream breaks off, stalls or ends within
         an event.
@@ -336,10 +336,30 @@
             more_events = await self.forward_events(may_resume=may_resume)
         if self.progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'stream ended within an event')
-        self.exchange.check_events(self.progress.event_chunks, events_before)
-        self.note_served()
-        await self.caller.finish()
-        return Outcome(head.status, 'served')
+        whole = self.is_whole(events_before)
+        if whole:
+            self.note_served()
+            await self.caller.finish()
+        return Outcome(head.status, 'served') if whole else None
+
+    def is_whole(self, events_before: int) -> bool:
+        """Return whether the stream that has ended is whole.
+
+        One without length or chunks that may be resumed is confirmed by a
+        further attempt. Raises `ExchangeError` if it has no event and none has
+        stated the end before.
+        """
+        progress = self.progress
+        if not progress.end_stated:
+            self.exchange.check_events(progress.event_chunks, events_before)
+        if self.exchange.framed or not self.request.route.resumable:
+            return True
+        endpoints = self.context.dispatcher.endpoints
+        usable = endpoints.usable(self.request.service, self.context.now())
+        usable_ids = {one.endpoint_id for one in usable}
+        whole = progress.note_end(self.endpoint_id, usable_ids)
+        self.log_attempt('stream_end_stated', f'whole={whole}', 0.0)
+        return whole
 
     def next_event_deadline_s(self, may_resume: bool) -> float:
         """Return the time by which the next whole event must arrive."""
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -47,8 +47,8 @@
     events_done: int
     # Whether it can no longer be done before its job is due.
     late: bool
-    # Endpoints on which it has failed.
-    failed_at: frozenset[str] = frozenset()
+    # Endpoints on which it has failed, or whose answer has to be confirmed.
+    avoided: frozenset[str] = frozenset()
 
 
 def start_order(candidates: Iterable[Candidate]) -> list[Candidate]:
@@ -85,15 +85,15 @@
     """Assign the free slots to the items, in order.
 
     `slots` has one endpoint for each free slot. An item is not assigned to
-    an endpoint on which it has failed while there is a usable endpoint on
-    which it has not, even if that one has no free slot.
+    an endpoint that it avoids while there is a usable endpoint that it does
+    not, even if that one has no free slot.
     """
     remaining = list(slots)
     pairs: list[tuple[Candidate, Endpoint]] = []
     for candidate in candidates:
         if not remaining:
             break
-        avoided = candidate.failed_at
+        avoided = candidate.avoided
         if avoided.issuperset(usable):
             avoided = frozenset()
         found = next(
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -242,6 +242,11 @@
         if has_further_head(body, self.echo_header):
             raise ExchangeError(Failure.MALFORMED, 'body holds a response head')
 
+    @property
+    def framed(self) -> bool:
+        """Return whether the response's end shows in another way than a close."""
+        return self.head is not None and self.head.framed
+
     def check_events(self, events: int, events_before: int) -> None:
         """Check that an event stream that has ended can be complete.
 
@@ -249,8 +254,7 @@
         only its end was missing. The end of a body without length or chunks
         is also that of a crash, so there it must have had an event.
         """
-        framed = self.head is not None and self.head.framed
-        if events or (events_before and framed):
+        if events or (events_before and self.framed):
             return
         raise ExchangeError(Failure.BROKEN, 'stream ended without an event')
 
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -202,16 +202,47 @@
                 progress.outputs.extend(event_data(events))
         if progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
-        self.check_events()
+        whole = self.is_whole()
         self.context.dispatcher.endpoints.note_success(self.endpoint_id)
         if not self.events_before:
             self.context.estimator.record_run(
                 progress.events_done, clock.now() - started_s
             )
-        self.context.finish_item(self.job, progress, True)
+        if whole:
+            self.context.finish_item(self.job, progress, True)
+
+    def is_whole(self) -> bool:
+        """Return whether the run that has ended completes the item.
+
+        An answer without length or chunks is confirmed by another run, which
+        asks for the events behind its last one. Raises `ExchangeError` if a
+        run has brought no event, and none before it has stated the end.
+        """
+        progress = self.progress
+        stated = progress.ends.asked(self.events_before)
+        if not stated:
+            self.check_events()
+        if self.exchange.framed:
+            return True
+        service = self.reservation.endpoint.service
+        dispatcher = self.context.dispatcher
+        usable = dispatcher.endpoints.usable(service, dispatcher.clock.now())
+        progress.ends.add(progress.events_done, self.endpoint_id)
+        whole = progress.ends.agree({one.endpoint_id for one in usable})
+        log_event(
+            'item_end_stated',
+            item=progress.record.item_id,
+            job=self.job.record.job_id,
+            endpoint=self.endpoint_id,
+            events=progress.events_done,
+            events_before=self.events_before,
+            stated_before=','.join(sorted(stated)),
+            whole=whole,
+        )
+        return whole
 
     def check_events(self) -> None:
-        """Check that the run that has ended can be complete.
+        """Check that the run has brought what can be a complete output.
 
         Raises `ExchangeError` if not. A resumed run without events, length and
         chunks may be complete, but no answer to a further resumption could
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from quetzaldyke.gateway.answer_ends import StreamEnds
 from quetzaldyke.gateway.crashes import (
     CrashTracker,
     content_trait,
@@ -87,6 +88,11 @@
     running: int = 0
     # Chunks with whole events received in the latest attempt.
     event_chunks: int = 0
+    # What answers without length or chunks say of the last event.
+    ends: StreamEnds = field(default_factory=StreamEnds)
+    # Whether the stream may have ended there: an answer with events ended
+    # cleanly, and no other one has brought more since.
+    end_stated: bool = False
 
     def begin_send(self, endpoint_id: str, reserved_s: float) -> None:
         """Record the endpoint that the request is sent to next."""
@@ -98,8 +104,20 @@
     def note_events(self, now_s: float) -> None:
         """Record that a chunk with whole events has arrived."""
         self.event_chunks += 1
+        self.end_stated = False
         self.first_event_at_s = self.first_event_at_s or now_s
 
+    def note_end(self, endpoint_id: str, usable: Collection[str]) -> bool:
+        """Record that an answer without length or chunks has ended.
+
+        Returns whether that proves the end of the stream. The next attempt
+        goes to another endpoint.
+        """
+        self.end_stated |= self.event_chunks > 0
+        self.tried_endpoints.add(endpoint_id)
+        self.ends.add(self.splitter.last_id or 0, endpoint_id)
+        return self.ends.agree(usable)
+
 
 @dataclass(frozen=True, slots=True)
 class RelayContext:
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Final
 
 from result import Err, Result
@@ -33,6 +34,10 @@
 MS_IN_S: Final = 1000
 # Retry-After for a request that several endpoints rejected without running.
 REJECTED_RETRY_AFTER: Final = b'0.5'
+# Longest wait for the confirmation that a stream is whole. Its caller has all
+# events by then, and waits for the end alone.
+CONFIRM_TIMEOUT_S: Final = 1.0
+STATUS_OK: Final = 200
 
 
 async def relay(
@@ -66,11 +71,19 @@
             context.dispatcher.release(reservation)
         if outcome is not None:
             return outcome
+        if progress.end_stated:
+            request = confirming(request, context.now())
         final = final_failure(context, request, progress)
         if final is not None:
             return await send_final_response(caller, progress, *final)
 
 
+def confirming(request: OnlineRequest, now_s: float) -> OnlineRequest:
+    """Return the request with the time that the wait for its end may take."""
+    deadline_s = min(request.deadline_s, now_s + CONFIRM_TIMEOUT_S)
+    return replace(request, deadline_s=deadline_s)
+
+
 async def place(
     context: RelayContext,
     request: OnlineRequest,
@@ -171,8 +184,13 @@
 ) -> Outcome:
     """Send an error response to a request that can't be retried.
 
-    Raises `IncompleteResponseError` if a response has already been started.
+    A stream whose end one answer states and none could confirm is ended
+    instead. Raises `IncompleteResponseError` if any other response has been
+    started.
     """
+    if progress.end_stated:
+        await caller.finish()
+        return Outcome(STATUS_OK, 'served')
     if progress.response_started:
         raise IncompleteResponseError(reason)
     if status == STATUS_UNAVAILABLE:
--- a/tests/test_unframed_processes.py
+++ b/tests/test_unframed_processes.py
@@ -104,3 +104,28 @@
             assert b'delimited_by=close' in log
 
     anyio.run(run)
+
+
+# Guards against batch results and streams with part of their text, where
+# engines close connections cleanly between two events.
+def test_items_cut_between_events_are_whole(tmp_path: Path) -> None:
+    """Each item and each stream that was cut has all its events."""
+
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            fleet = GatewayFleet(tmp_path, stack, unframed=True, cut_events=20)
+            await fleet.start(2, engines=2, services=0, events=60)
+            items = await submit_job(fleet, 'job1')
+            answers = await send_streams(fleet)
+            results = await read_results(fleet, 'job1')
+            assert sum(proxy.cuts for proxy in fleet.unframed_proxies) > 3
+            for request_id, (status, body) in answers.items():
+                if status == 200:
+                    assert body == b''.join(
+                        event_of(request_id, number) for number in range(1, 61)
+                    )
+            assert results == {
+                item: expected_output(item, 60) for item in items
+            }
+
+    anyio.run(run)
