Reject a head that holds the status line of another answer

Callers could see: a success for a request that had failed. A part of the head of a late second answer, on a kept connection, came before the answer to the next request; with the cut behind `HTTP/1.1 200 ` that request's 500 was delivered as a 200 with the id, the proof and the body of the 500.

Cause: for HTTP the next status line is the rest of the reason phrase or of the header that was cut, so the copy's status and headers were joined with the next answer's id.

Change: a head whose reason phrase or headers hold a status line is malformed.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -16,6 +16,7 @@
 from quetzaldyke.gateway.answer_form import form_fault
 from quetzaldyke.gateway.answer_owner import Owner, owner_of
 from quetzaldyke.gateway.exchange import Exchange, Failure, ResponseHead
+from quetzaldyke.gateway.further_answers import is_torn
 
 # Assumed if the response has no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_S: Final = 4.0
@@ -54,6 +55,8 @@
         self.framed = False
         self.response_complete = False
         self.headers: list[tuple[bytes, bytes]] = []
+        # Text behind the status code.
+        self.reason = b''
         # Bytes received for the current request that are no part of its body.
         self.head_bytes = 0
         # Bytes received since the parser last reported anything.
@@ -126,10 +129,15 @@
     def on_message_begin(self) -> None:
         """Start a response; an extra one ends the connection's reuse."""
         self.headers = []
+        self.reason = b''
         self.head_bytes += LINE_OVERHEAD_BYTES
         if self.response_complete:
             self.reusable = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Store the reason phrase, or a part of it."""
+        self.reason += reason
+
     def on_header(self, name: bytes, content: bytes) -> None:
         """Store a header or trailer of the current response."""
         self.unparsed_bytes = 0
@@ -150,6 +158,9 @@
         status = self.parser.get_status_code()
         if exchange is None or self.response_complete:
             return
+        if is_torn(self.reason, self.headers):
+            self.fail(Failure.MALFORMED, 'head within a head')
+            return
         # A copy: trailers are no headers of the response.
         head = ResponseHead(status, list(self.headers))
         if status < FIRST_FINAL_STATUS:
