Split the simulated store and shorten the entry

The state of the simulated store has a module of its own; a member is built by a class method. No behaviour changes.

--- a/src/quetzaldyke/gateway/configuration_feed.py
+++ b/src/quetzaldyke/gateway/configuration_feed.py
@@ -27,6 +27,11 @@
     configuration: Configuration | None = None
     confirmed_s: float = 0.0
 
+    @property
+    def version(self) -> int:
+        """Return the active version; 0 before the first configuration."""
+        return self.configuration.version if self.configuration else 0
+
     def confirm(self) -> None:
         """Record that the store has sent all changes up to now."""
         self.confirmed_s = self.now()
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -109,12 +109,7 @@
         clock = Clock()
         generator = random.Random()
         owner_id = secrets.token_hex(OWNER_ID_BYTES)
-        member = Member(
-            owner_id,
-            installation.instance,
-            installation.host,
-            installation.first_peer_port,
-        )
+        member = Member.from_installation(installation, owner_id)
         health = StoreHealth()
         client = HttpClient()
         store = PlatformStore.from_address(
@@ -135,11 +130,7 @@
         )
         jobs = JobTable()
         job_store = JobStore(
-            store,
-            jobs,
-            owner_id,
-            installation.instance,
-            limits=installation.store_limits,
+            store, jobs, owner_id, member.instance, limits=store.limits
         )
         metrics = Metrics()
         limits = LimitExchange.from_parts(
@@ -160,9 +151,7 @@
                 JobEnded(owner_id, job_id),
             ),
             store_up=lambda: health.up,
-            version=lambda: (
-                entry.ingress.table.version if entry.ingress.table else 0
-            ),
+            version=lambda: entry.configurations.version,
         )
         crashes = CrashTracker(
             owner_id,
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -15,7 +15,7 @@
 import msgpack
 from result import Err
 
-from quetzaldyke.gateway.model import WeightedService
+from quetzaldyke.gateway.model import Installation, WeightedService
 from quetzaldyke.parts.addresses import is_port, parse_host
 
 FLEET_PREFIX: Final = 'quetzaldyke/fleet/'
@@ -53,6 +53,18 @@
     host: str
     port: int
 
+    @classmethod
+    def from_installation(
+        cls, installation: Installation, owner_id: str
+    ) -> Member:
+        """Return the member that an entry is."""
+        return cls(
+            owner_id,
+            installation.instance,
+            installation.host,
+            installation.first_peer_port,
+        )
+
     @classmethod
     def unpack(cls, raw: bytes) -> Member:
         """Decode a stored member.
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -35,7 +35,7 @@
     WatchBatch,
     WatchedChange,
 )
-from quetzaldyke.standins.platform_store import StoreState
+from quetzaldyke.standins.platform_store_state import StoreState
 
 
 def make_endpoint(
--- a/tests/test_job_parts.py
+++ b/tests/test_job_parts.py
@@ -26,7 +26,7 @@
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.parts.transactions import Put, Transaction, TransactionLimits
 from quetzaldyke.platform.jobs import SubmittedItem
-from quetzaldyke.standins.platform_store import StoreState
+from quetzaldyke.standins.platform_store_state import StoreState
 from runner_kit import RunnerHarness, new_job
 
 pytestmark = pytest.mark.anyio
