Take only what ends before a stopping entry leaves

Cause: a stopping entry took every request and left at a fixed time with whatever was open.

Change: `stop_window` takes a request only if its deadline, or the longest recent request of its route with a margin, ends in time; the others get a 503 at once with the time until the load balancer has taken the entry out. What is still open 0.2 s before the entry leaves gets its final response: 503 if it waited, 502 if it may have run; a begun stream is broken off.

The stop of the product's own interface was not changed.

--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -36,6 +36,8 @@
 SYNC_TIMEOUT_S: Final = 0.1
 # The shutdown ends this long before the SIGKILL at the end of the grace time.
 KILL_MARGIN_S: Final = 0.7
+# Before that, open requests get this long for their final response.
+ANSWER_MARGIN_S: Final = 0.2
 
 
 async def run_entry(
@@ -195,18 +197,29 @@
     """Hand over jobs, stop listening and wait for open requests.
 
     The listener closes after the load balancer had time to remove this
-    entry. Returns shortly before the end of the grace time at the latest.
+    entry. Requests that are still open shortly before the end of the grace
+    time get a final response.
     """
-    deadline_s = entry.clock.now() + entry.installation.bounds.grace_s
-    entry.ingress.closing = True
+    started_s = entry.clock.now()
+    deadline_s = started_s + entry.installation.bounds.grace_s
+    ingress = entry.ingress
+    ingress.closing = True
+    ingress.window.leaves_at_s = deadline_s - KILL_MARGIN_S - ANSWER_MARGIN_S
+    ingress.window.deregistered_at_s = started_s + DEREGISTRATION_DELAY_S
     runner = entry.runner
     assert runner is not None
     group.start_soon(run_guarded, hand_over_and_deregister, entry, runner)
     await anyio.sleep(DEREGISTRATION_DELAY_S)
     stop_listener.set()
-    while entry.clock.now() < deadline_s - KILL_MARGIN_S:
-        if not entry.ingress.open_requests:
-            break
+    await wait_for_requests(entry, ingress.window.leaves_at_s)
+    if ingress.open_requests.count:
+        log_event('requests_ended', requests=ingress.open_requests.end_all())
+        await wait_for_requests(entry, deadline_s - KILL_MARGIN_S)
+
+
+async def wait_for_requests(entry: Entry, until_s: float) -> None:
+    """Wait until no request is open, or until the given time."""
+    while entry.clock.now() < until_s and entry.ingress.open_requests.count:
         await anyio.sleep(WATCHDOG_INTERVAL_S)
 
 
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -22,13 +22,21 @@
 from quetzaldyke.gateway.online_request import (
     Headers,
     OnlineRequest,
+    Outcome,
     Progress,
     RelayContext,
 )
-from quetzaldyke.gateway.relay import relay
+from quetzaldyke.gateway.open_requests import OpenRequests
+from quetzaldyke.gateway.received_request import (
+    AsgiCaller,
+    CallerDisconnectedError,
+    ReceivedRequest,
+    build_request,
+)
+from quetzaldyke.gateway.relay import end_request, relay
 from quetzaldyke.gateway.responses import send_refusal, send_response
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
-from quetzaldyke.parts.decimals import parse_decimal
+from quetzaldyke.gateway.stop_window import StopWindow
 from quetzaldyke.platform import names
 from quetzaldyke.platform.prompts import decode_prompt_parts
 from quetzaldyke.process.metrics import Metrics
@@ -39,73 +47,11 @@
 STATUS_NOT_FOUND: Final = 404
 STATUS_TOO_LARGE: Final = 413
 STATUS_HEADERS_TOO_LARGE: Final = 431
+STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
 CONFIGURATION_RETRY_S: Final = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class ReceivedRequest:
-    """A caller's HTTP request with its whole body."""
-
-    method: bytes
-    # Request target: raw path and query string.
-    target: bytes
-    path: str
-    query: bytes
-    host: str
-    headers: Headers
-    body: bytes
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first header of that name, or None."""
-        for known, content in self.headers:
-            if known == name:
-                return content
-        return None
-
-    def number(self, name: bytes) -> int | None:
-        """Return a header as an integer, cut to the largest one in use.
-
-        Returns None if it is missing or is not a decimal number.
-        """
-        return parse_decimal(self.header(name))
-
-
-class AsgiCaller:
-    """Sends one response to a caller over ASGI."""
-
-    def __init__(self, send: Send, *, closing: bool) -> None:
-        """Wrap an ASGI send; closing ends the connection afterwards."""
-        self.asgi_send = send
-        self.closing = closing
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the status and headers of the response."""
-        if self.closing:
-            headers = [*headers, (b'connection', b'close')]
-        await self.asgi_send(
-            {
-                'type': 'http.response.start',
-                'status': status,
-                'headers': headers,
-            },
-        )
-
-    async def send(self, chunk: bytes) -> None:
-        """Send a chunk of the body."""
-        await self.asgi_send(
-            {'type': 'http.response.body', 'body': chunk, 'more_body': True},
-        )
-
-    async def finish(self) -> None:
-        """End the response body."""
-        await self.asgi_send(
-            {'type': 'http.response.body', 'body': b'', 'more_body': False},
-        )
-
-
-class CallerDisconnectedError(Exception):
-    """The caller disconnected before its request was complete."""
+# Outcome of a request that is ended because the entry leaves.
+LEFT_REASON: Final = 'entry_left'
 
 
 JobHandler = Callable[
@@ -131,7 +77,8 @@
     # Set during a graceful shutdown: every response then closes its
     # connection.
     closing: bool = False
-    open_requests: int = 0
+    open_requests: OpenRequests = field(default_factory=OpenRequests)
+    window: StopWindow = field(default_factory=StopWindow)
 
     def configure(self, configuration: Configuration) -> None:
         """Replace the route table and the caller limits."""
@@ -159,16 +106,14 @@
         send: Send,
     ) -> None:
         """Serve one request; count a caller that disconnects early."""
-        self.open_requests += 1
         caller = AsgiCaller(send, closing=self.closing)
-        try:
-            request = await self.read_request(scope, receive, caller)
-            if request is not None:
-                await self.serve_until_disconnect(request, receive, caller)
-        except CallerDisconnectedError:
-            self.metrics.count('callers_left_early_total')
-        finally:
-            self.open_requests -= 1
+        with self.open_requests.counted():
+            try:
+                request = await self.read_request(scope, receive, caller)
+                if request is not None:
+                    await self.serve_until_disconnect(request, receive, caller)
+            except CallerDisconnectedError:
+                self.metrics.count('callers_left_early_total')
 
     async def serve_until_disconnect(
         self,
@@ -233,7 +178,7 @@
             await self.refuse(caller, request, 'no_configuration')
             return
         route = self.table.find(request.host, request.path)
-        if await self.handle_job(request, route, caller):
+        if await self.serve_job(request, route, caller):
             return
         if route is None:
             if self.is_current():
@@ -245,15 +190,40 @@
         if online is None:
             await self.reject(caller, STATUS_BAD_REQUEST)
             return
+        now_s = self.context.now()
+        if not self.window.fits(route.name, online.deadline_s, now_s):
+            retry_after_s = self.window.retry_after_s(now_s)
+            await self.refuse(caller, request, 'stopping', retry_after_s)
+            return
         await self.relay(online, caller)
 
+    async def serve_job(
+        self,
+        request: ReceivedRequest,
+        route: Route | None,
+        caller: AsgiCaller,
+    ) -> bool:
+        """Serve a request about a job; return whether it was one.
+
+        Answers 502 if the entry leaves before it is served.
+        """
+        with self.open_requests.endable() as scope:
+            return await self.handle_job(request, route, caller)
+        if not caller.started:
+            await send_response(caller, STATUS_BAD_GATEWAY)
+        return scope.cancelled_caught
+
     async def relay(self, online: OnlineRequest, caller: AsgiCaller) -> None:
         """Relay a request to an endpoint; log and count the outcome."""
         kind = online.route.kind
         cancelled = anyio.get_cancelled_exc_class()
         progress = Progress(EventSplitter(online.last_event))
+        outcome = Outcome(0, '')
         try:
-            outcome = await relay(self.context, online, caller, progress)
+            with self.open_requests.endable() as scope:
+                outcome = await relay(self.context, online, caller, progress)
+            if scope.cancelled_caught:
+                outcome = await end_request(caller, progress, LEFT_REASON)
         except IncompleteResponseError as exc:
             self.record(online, kind, 'broken', str(exc), progress)
             raise
@@ -274,6 +244,8 @@
         """Log the outcome of a request and update its metrics."""
         now_s = self.context.now()
         elapsed_ms = (now_s - online.arrived_s) * MS_IN_S
+        if reason == 'served':
+            self.window.note_served(online.route.name, now_s - online.arrived_s)
         self.metrics.count('requests_total', kind=kind, status=status)
         self.metrics.observe_ms('request_ms', elapsed_ms, kind=kind)
         self.context.log_event(
@@ -345,8 +317,9 @@
         caller: AsgiCaller,
         request: ReceivedRequest,
         reason: str,
+        retry_after_s: float = CONFIGURATION_RETRY_S,
     ) -> None:
-        """Refuse a request because the configuration is missing or old."""
+        """Refuse a request that no endpoint has run."""
         request_id = request.header(names.ATTEMPT_ID) or b''
         self.metrics.count('requests_refused_total', reason=reason)
         self.context.log_event(
@@ -354,7 +327,7 @@
             request=request_id.decode('latin-1'),
             reason=reason,
         )
-        retry_after = b'%.2f' % CONFIGURATION_RETRY_S
+        retry_after = b'%.2f' % retry_after_s
         await send_refusal(caller, STATUS_UNAVAILABLE, retry_after)
 
 
@@ -363,24 +336,6 @@
     return int((end_s - start_s) * MS_IN_S) if end_s else ''
 
 
-def build_request(
-    scope: Scope, headers: Headers, body: bytes
-) -> ReceivedRequest:
-    """Build a received request from an ASGI scope, headers and body."""
-    query: bytes = scope['query_string']
-    raw_path: bytes = scope['raw_path']
-    host = next((text for name, text in headers if name == b'host'), b'')
-    return ReceivedRequest(
-        method=scope['method'].encode('latin-1'),
-        target=b'%b?%b' % (raw_path, query) if query else raw_path,
-        path=raw_path.decode('latin-1'),
-        query=query,
-        host=host.decode('latin-1').lower(),
-        headers=headers,
-        body=body,
-    )
-
-
 def readiness_app(unready_reason: Callable[[], str]) -> App:
     """Return an ASGI app for the readiness probe.
 
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -10,12 +10,12 @@
 import anyio
 from result import Err, Ok, Result
 
-from quetzaldyke.gateway.ingress import AsgiCaller, ReceivedRequest
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.gateway.new_job import NewJob, make_job
+from quetzaldyke.gateway.received_request import AsgiCaller, ReceivedRequest
 from quetzaldyke.gateway.responses import send_refusal, send_response
 from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.parts.kv import KvError
--- a/src/quetzaldyke/gateway/metrics_app.py
+++ b/src/quetzaldyke/gateway/metrics_app.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from quetzaldyke.connection.http_server import App, Receive, Scope, Send
-from quetzaldyke.gateway.ingress import AsgiCaller
+from quetzaldyke.gateway.received_request import AsgiCaller
 from quetzaldyke.gateway.responses import send_response
 from quetzaldyke.process.metrics import Metrics
 
--- /dev/null
+++ b/src/quetzaldyke/gateway/received_request.py
@@ -0,0 +1,94 @@
+"""A caller's request as the server received it, and the way to answer it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from quetzaldyke.connection.http_server import Scope, Send
+from quetzaldyke.gateway.online_request import Headers
+from quetzaldyke.parts.decimals import parse_decimal
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A caller's HTTP request with its whole body."""
+
+    method: bytes
+    # Request target: raw path and query string.
+    target: bytes
+    path: str
+    query: bytes
+    host: str
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first header of that name, or None."""
+        for known, content in self.headers:
+            if known == name:
+                return content
+        return None
+
+    def number(self, name: bytes) -> int | None:
+        """Return a header as an integer, cut to the largest one in use.
+
+        Returns None if it is missing or is not a decimal number.
+        """
+        return parse_decimal(self.header(name))
+
+
+class AsgiCaller:
+    """Sends one response to a caller over ASGI."""
+
+    def __init__(self, send: Send, *, closing: bool) -> None:
+        """Wrap an ASGI send; closing ends the connection afterwards."""
+        self.asgi_send = send
+        self.closing = closing
+        self.started = False
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the status and headers of the response."""
+        self.started = True
+        if self.closing:
+            headers = [*headers, (b'connection', b'close')]
+        await self.asgi_send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            },
+        )
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a chunk of the body."""
+        await self.asgi_send(
+            {'type': 'http.response.body', 'body': chunk, 'more_body': True},
+        )
+
+    async def finish(self) -> None:
+        """End the response body."""
+        await self.asgi_send(
+            {'type': 'http.response.body', 'body': b'', 'more_body': False},
+        )
+
+
+class CallerDisconnectedError(Exception):
+    """The caller disconnected before its request was complete."""
+
+
+def build_request(
+    scope: Scope, headers: Headers, body: bytes
+) -> ReceivedRequest:
+    """Build a received request from an ASGI scope, headers and body."""
+    query: bytes = scope['query_string']
+    raw_path: bytes = scope['raw_path']
+    host = next((text for name, text in headers if name == b'host'), b'')
+    return ReceivedRequest(
+        method=scope['method'].encode('latin-1'),
+        target=b'%b?%b' % (raw_path, query) if query else raw_path,
+        path=raw_path.decode('latin-1'),
+        query=query,
+        host=host.decode('latin-1').lower(),
+        headers=headers,
+        body=body,
+    )
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -176,6 +176,21 @@
     return Outcome(STATUS_UNAVAILABLE, refusal.reason)
 
 
+async def end_request(
+    caller: Caller,
+    progress: Progress,
+    reason: str,
+) -> Outcome:
+    """Send the final response to a request whose work was given up.
+
+    The response is 503 only if no endpoint can have run the request. Raises
+    `IncompleteResponseError` if a response has been started.
+    """
+    ran = bool(progress.attempts)
+    status = STATUS_BAD_GATEWAY if ran else STATUS_UNAVAILABLE
+    return await send_final_response(caller, progress, status, reason)
+
+
 async def send_final_response(
     caller: Caller,
     progress: Progress,
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -12,8 +12,8 @@
 from starlette.datastructures import Headers
 from starlette.requests import Request
 
-from quetzaldyke.gateway.ingress import ReceivedRequest
 from quetzaldyke.gateway.job_api import query_number
+from quetzaldyke.gateway.received_request import ReceivedRequest
 from quetzaldyke.parts.decimals import MAX_DECIMAL, parse_decimal
 from quetzaldyke.platform.jobs import encode_results
 from quetzaldyke.process.batches_http import LIST_LIMIT, parse_limit
