Bound the bodies in memory of a process as a whole

Cause: each body had a limit and all together had none; the output of an item had none at all.

Change: `byte_budget` bounds all answers, all outputs of items and all callers' bodies of a process, and gives up the holder of the most bytes when they exceed it, so that a sound answer beside endless ones is delivered. An output larger than can be listed starts over at another endpoint; no new items start while outputs fill their memory. Calls to the store are not counted.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -17,8 +17,11 @@
     JobTerms,
     PartialOutput,
 )
+from quetzaldyke.parts.byte_budget import ByteBudget, Holding
 
 MS_IN_S: Final = 1000
+# Memory that the data of an event takes beyond its bytes.
+EVENT_OVERHEAD_BYTES: Final = 48
 
 
 @dataclass(slots=True)
@@ -29,6 +32,9 @@
     record: ItemRecord
     splitter: EventSplitter = field(default_factory=EventSplitter)
     outputs: list[bytes] = field(default_factory=list)
+    # Bytes of the outputs, and what they count for in memory.
+    output_bytes: int = 0
+    held: Holding | None = None
     failures: int = 0
     # Endpoints on which it failed in runs by this entry.
     failed_at: frozenset[str] = frozenset()
@@ -74,10 +80,48 @@
             self.start_over()
         self.service = service
 
+    def count_bytes(self, budget: ByteBudget) -> None:
+        """Count the outputs against a budget.
+
+        The item that holds the most bytes of all that exceed it starts over.
+        """
+        self.held = budget.hold(self.evict)
+
+    def restore(self, partial: PartialOutput) -> None:
+        """Continue from an output that another owner has saved."""
+        self.splitter.last_id = partial.last_event
+        self.service = partial.service
+        self.add_outputs([partial.output])
+
+    def add_outputs(self, outputs: list[bytes]) -> None:
+        """Add the data of further events."""
+        self.outputs.extend(outputs)
+        added = sum(map(len, outputs)) + len(outputs)
+        self.output_bytes += added
+        if self.held is not None:
+            self.held.grow(added + EVENT_OVERHEAD_BYTES * len(outputs))
+
+    def evict(self) -> None:
+        """Drop the outputs and fail the run, if one is under way."""
+        budget = self.held.budget if self.held is not None else None
+        self.start_over()
+        if budget is not None:
+            self.count_bytes(budget)
+        if self.exchange is not None:
+            self.exchange.evict()
+
+    def release(self) -> None:
+        """Stop counting the outputs."""
+        if self.held is not None:
+            self.held.release()
+
     def start_over(self) -> None:
         """Drop the events received so far: the next run begins at the first."""
         self.splitter = EventSplitter()
         self.outputs.clear()
+        self.output_bytes = 0
+        if self.held is not None:
+            self.held.shrink(self.held.size)
         self.ends = StreamEnds()
 
     @property
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -35,12 +35,15 @@
 from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.gateway.result_writer import ResultWriter
 from quetzaldyke.gateway.route_table import RouteTable
+from quetzaldyke.parts.byte_budget import ByteBudget
 from quetzaldyke.parts.rendezvous import first_for
 from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
 # Changes within this time share one scheduling pass.
 SCHEDULE_DELAY_S: Final = 0.004
+# Bytes of all outputs in memory.
+MAX_OUTPUT_BYTES: Final = 25_165_824
 
 
 @dataclass(slots=True)
@@ -56,6 +59,10 @@
     on_pending: Callable[[], None]
     # Returns the routes in force; None before a configuration is known.
     routes: Callable[[], RouteTable | None]
+    # Outputs of items that are not listed yet.
+    outputs: ByteBudget = field(
+        default_factory=lambda: ByteBudget(MAX_OUTPUT_BYTES)
+    )
     jobs: dict[str, ActiveJob] = field(default_factory=dict)
     # Set during a graceful shutdown: no more items start.
     stopping: bool = False
@@ -85,6 +92,7 @@
             self.estimator,
             self.jobs,
             self.start_run,
+            self.outputs,
         )
         self.run_context = RunContext(
             self.dispatcher,
@@ -92,6 +100,7 @@
             self.store,
             self.estimator,
             self.finish_item,
+            self.store.sizes.output_bytes,
         )
 
     def pending(self) -> int:
@@ -122,11 +131,11 @@
             for index, item in enumerate(record.items)
             if index not in done
         }
+        for progress in items.values():
+            progress.count_bytes(self.outputs)
         for partial in partials:
             if partial.item in items:
-                items[partial.item].splitter.last_id = partial.last_event
-                items[partial.item].outputs.append(partial.output)
-                items[partial.item].service = partial.service
+                items[partial.item].restore(partial)
         job = ActiveJob(record, current_terms(record, table), items, bodies)
         job.saved_s = self.dispatcher.clock.now()
         self.jobs[record.job_id] = job
@@ -149,6 +158,7 @@
             return
         job.stopped = True
         for progress in job.items.values():
+            progress.release()
             if progress.exchange is not None:
                 progress.exchange.cancel()
         log_event(
@@ -197,6 +207,7 @@
     ) -> None:
         """Run an item; logs any exception, so that it can't end the entry."""
         exchange = Exchange(names.ATTEMPT_ID, progress.record.item_id.encode())
+        exchange.count_bytes(self.client.answers)
         progress.endpoint_id = reservation.endpoint.endpoint_id
         progress.exchange = exchange
         run = ItemRun(self.run_context, job, progress, reservation, exchange)
@@ -227,6 +238,9 @@
     ) -> None:
         """Keep the result of an item until it is written to the store."""
         progress.finished = True
+        if progress.held is not None:
+            # The output waits for the store, and can't be given up any more.
+            progress.held.evictable = False
         output = b'\n'.join(progress.outputs) if completed else b''
         if not job.finished:
             job.finished_since_s = self.dispatcher.clock.now()
--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -220,13 +220,11 @@
         if self.skipping_response:
             self.head_bytes += len(body)
             return
-        exchange.chunks.append(body)
-        exchange.unread_bytes += len(body)
+        exchange.add_chunk(body)
         if exchange.unread_bytes > MAX_UNREAD_BYTES and not self.reading_paused:
             assert self.transport is not None
             self.reading_paused = True
             self.transport.pause_reading()
-        exchange.wake()
 
     def on_message_complete(self) -> None:
         """Complete the exchange and release the connection."""
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -10,6 +10,7 @@
 from typing import Final, Literal, Protocol
 
 from quetzaldyke.gateway.further_answers import has_further_head
+from quetzaldyke.parts.byte_budget import ByteBudget, Holding
 
 # Limit on a body that is read as a whole, which keeps a peer that sends
 # without end from using up the memory of an instance.
@@ -141,6 +142,36 @@
     expires_at_s: float = 0.0
     # Called on expiry; returns a later expiry time, or 0 to cancel.
     extend: Callable[[float], float] | None = None
+    # Bytes of the body that this process keeps; None if they aren't counted.
+    held: Holding | None = None
+
+    def count_bytes(self, budget: ByteBudget) -> None:
+        """Count the bytes of the body against a budget until it is cancelled.
+
+        The exchange fails if it holds the most bytes of all that exceed it.
+        """
+        self.held = budget.hold(self.evict)
+
+    def evict(self) -> None:
+        """Give the body up, because all bodies together are too large.
+
+        The connection of a complete answer may carry another one by now.
+        """
+        was_complete = self.complete
+        self.complete = False
+        self.chunks.clear()
+        self.unread_bytes = 0
+        self.fail(Failure.MALFORMED, 'too many bytes of bodies in memory')
+        if self.connection is not None and not was_complete:
+            self.connection.abort()
+
+    def add_chunk(self, chunk: bytes) -> None:
+        """Store the next bytes of the body for the reader."""
+        self.chunks.append(chunk)
+        self.unread_bytes += len(chunk)
+        if self.held is not None:
+            self.held.grow(len(chunk))
+        self.wake()
 
     def describe(self) -> dict[str, object]:
         """Return the log fields on the response and its connection.
@@ -214,6 +245,8 @@
             await self.wait()
         chunk = self.chunks.popleft()
         self.unread_bytes -= len(chunk)
+        if self.held is not None:
+            self.held.shrink(len(chunk))
         if self.connection is not None and not self.unread_bytes:
             self.connection.resume_reading()
         return chunk
@@ -227,6 +260,8 @@
         body = bytearray()
         while chunk := await self.read_chunk():
             body += chunk
+            if self.held is not None:
+                self.held.grow(len(chunk))
             if len(body) > max_bytes:
                 raise ExchangeError(
                     Failure.MALFORMED, f'body exceeds {max_bytes} bytes'
@@ -277,6 +312,8 @@
 
         The failure comes first: the close that follows is no end of the body.
         """
+        if self.held is not None:
+            self.held.release()
         if self.complete:
             return
         self.fail(failure)
--- a/src/quetzaldyke/gateway/http_client.py
+++ b/src/quetzaldyke/gateway/http_client.py
@@ -17,6 +17,7 @@
 )
 from quetzaldyke.gateway.connecting import open_connection
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError
+from quetzaldyke.parts.byte_budget import ByteBudget
 
 # Below the one second after which TCP retransmits a lost SYN.
 CONNECT_TIMEOUT_S: Final = 0.4
@@ -27,6 +28,8 @@
 # it before; a new one is opened then. Few tries of a request reach the same
 # endpoint, and the search must not grow with the pool.
 MAX_SKIPPED_CONNECTIONS: Final = 4
+# Bytes of all endpoints' answers in memory.
+MAX_ANSWER_BYTES: Final = 16_777_216
 
 
 @dataclass(slots=True)
@@ -88,6 +91,10 @@
     pools: dict[tuple[str, int], ConnectionPool] = field(default_factory=dict)
     active: set[Exchange] = field(default_factory=set)
     connections_opened: int = 0
+    # Bodies of endpoints' answers that are read or wait for their reader.
+    answers: ByteBudget = field(
+        default_factory=lambda: ByteBudget(MAX_ANSWER_BYTES)
+    )
 
     def pool(self, host: str, port: int) -> ConnectionPool:
         """Return the pool of an address, creating it if needed."""
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -37,6 +37,7 @@
 from quetzaldyke.gateway.responses import send_refusal, send_response
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
 from quetzaldyke.gateway.stop_window import StopWindow
+from quetzaldyke.parts.byte_budget import ByteBudget, Holding
 from quetzaldyke.platform import names
 from quetzaldyke.platform.prompts import decode_prompt_parts
 from quetzaldyke.process.metrics import Metrics
@@ -50,6 +51,8 @@
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
 CONFIGURATION_RETRY_S: Final = 1.0
+# Bytes of all callers' bodies in memory.
+MAX_BODIES_BYTES: Final = 16_777_216
 # Outcome of a request that is ended because the entry leaves.
 LEFT_REASON: Final = 'entry_left'
 
@@ -79,6 +82,10 @@
     closing: bool = False
     open_requests: OpenRequests = field(default_factory=OpenRequests)
     window: StopWindow = field(default_factory=StopWindow)
+    # Bodies of the requests that are open.
+    bodies: ByteBudget = field(
+        default_factory=lambda: ByteBudget(MAX_BODIES_BYTES)
+    )
 
     def configure(self, configuration: Configuration) -> None:
         """Replace the route table and the caller limits."""
@@ -107,9 +114,12 @@
     ) -> None:
         """Serve one request; count a caller that disconnects early."""
         caller = AsgiCaller(send, closing=self.closing)
-        with self.open_requests.counted():
+        with (
+            self.open_requests.counted(),
+            self.bodies.holding(lambda: None) as held,
+        ):
             try:
-                request = await self.read_request(scope, receive, caller)
+                request = await self.read_request(scope, receive, caller, held)
                 if request is not None:
                     await self.serve_until_disconnect(request, receive, caller)
             except CallerDisconnectedError:
@@ -149,28 +159,48 @@
         scope: Scope,
         receive: Receive,
         caller: AsgiCaller,
+        held: Holding,
     ) -> ReceivedRequest | None:
         """Read a request; reject it and return None if it is too large.
 
-        Raises `CallerDisconnectedError` if the caller leaves meanwhile.
+        It is refused if it holds the most bytes of all bodies that together
+        are too large. Raises `CallerDisconnectedError` if the caller leaves meanwhile.
         """
         headers: Headers = list(scope['headers'])
         size = sum(len(name) + len(content) + 4 for name, content in headers)
         if size > self.limits.max_header_bytes:
             await self.reject(caller, STATUS_HEADERS_TOO_LARGE)
             return None
+        with anyio.CancelScope() as crowded:
+            held.on_evict = crowded.cancel
+            body = await self.read_body(receive, held)
+            if body is None:
+                await self.reject(caller, STATUS_TOO_LARGE)
+                return None
+            held.evictable = False
+            return build_request(scope, headers, body)
+        await self.refuse(
+            caller, build_request(scope, headers, b''), 'bodies_too_large'
+        )
+        return None
+
+    async def read_body(self, receive: Receive, held: Holding) -> bytes | None:
+        """Return the body of a request; None if it is too large.
+
+        Raises `CallerDisconnectedError` if the caller leaves meanwhile.
+        """
         body = bytearray()
         while True:
             message = await receive()
             if message['type'] == 'http.disconnect':
                 raise CallerDisconnectedError
-            body += message.get('body', b'')
+            part = message.get('body', b'')
+            body += part
+            held.grow(len(part))
             if len(body) > self.limits.max_body_bytes:
-                await self.reject(caller, STATUS_TOO_LARGE)
                 return None
             if not message.get('more_body', False):
-                break
-        return build_request(scope, headers, bytes(body))
+                return bytes(body)
 
     async def serve(self, request: ReceivedRequest, caller: AsgiCaller) -> None:
         """Pass a request to the job API or to the route that matches it."""
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -21,7 +21,7 @@
 )
 from quetzaldyke.gateway.forwarded_headers import request_headers
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
-from quetzaldyke.gateway.job_parts import read_item_body
+from quetzaldyke.gateway.job_parts import PartSizes, read_item_body
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.reservation import Reservation
@@ -48,6 +48,7 @@
 RUN_TIMEOUT_MS: Final = 60_000
 MAX_CONNECTION_IDLE_S: Final = 4.0
 LOGGED_BODY_CHARS: Final = 80
+DEFAULT_OUTPUT_BYTES: Final = PartSizes().output_bytes
 # Set by the run; a value that was submitted with the item is dropped.
 ADDED_HEADERS: Final = frozenset((b'host', names.ATTEMPT_ID))
 
@@ -62,6 +63,8 @@
     estimator: RunTimeEstimator
     # Receives the result of an item: job, item, whether it completed.
     finish_item: Callable[[ActiveJob, ItemProgress, bool], None]
+    # Largest output of an item that can be listed.
+    max_output_bytes: int = DEFAULT_OUTPUT_BYTES
 
 
 @dataclass(slots=True)
@@ -199,7 +202,8 @@
             events = progress.splitter.feed(chunk)
             if events:
                 self.extend_stall_deadline()
-                progress.outputs.extend(event_data(events))
+                progress.add_outputs(event_data(events))
+                self.check_size()
         if progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
         whole = self.is_whole()
@@ -211,6 +215,18 @@
         if whole:
             self.context.finish_item(self.job, progress, True)
 
+    def check_size(self) -> None:
+        """Start over if the output is larger than can be listed.
+
+        Raises `ExchangeError` then: the endpoint sends without end.
+        """
+        progress = self.progress
+        if progress.output_bytes <= self.context.max_output_bytes:
+            return
+        progress.failed_at |= {self.endpoint_id}
+        progress.start_over()
+        raise ExchangeError(Failure.MALFORMED, 'output is too large to list')
+
     def is_whole(self) -> bool:
         """Return whether the run that has ended completes the item.
 
--- a/src/quetzaldyke/gateway/item_starter.py
+++ b/src/quetzaldyke/gateway/item_starter.py
@@ -31,8 +31,12 @@
 from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.reservation import Reservation
 from quetzaldyke.gateway.service_capacity import service_capacity
+from quetzaldyke.parts.byte_budget import ByteBudget
 
 MS_IN_S: Final = 1000
+# No new items start while outputs take more than this share of their memory;
+# begun ones go on, as only their end frees it.
+START_SHARE: Final = 0.75
 
 
 @dataclass(slots=True)
@@ -45,14 +49,19 @@
     jobs: Mapping[str, ActiveJob]
     # Runs an item on the slot that was reserved for it.
     start_run: Callable[[ActiveJob, ItemProgress, Reservation], None]
+    # Outputs of items that are not listed yet.
+    outputs: ByteBudget
 
     def start_waiting(self) -> None:
         """Start what the services of the items have room for."""
         now_s = self.dispatcher.clock.now()
+        # Outputs wait for the store, or endpoints send without end.
+        crowded = self.outputs.used > START_SHARE * self.outputs.limit_bytes
         waiting = [
             item
             for job in self.jobs.values()
             for item in job.waiting(now_s, self.estimator)
+            if item.begun_at or not crowded
         ]
         slots = self.service_slots(now_s)
         left = {
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -58,6 +58,7 @@
             return await refuse(caller, progress, placed.err_value)
         reservation = placed.ok_value
         exchange = Exchange(names.ATTEMPT_ID, request.request_id)
+        exchange.count_bytes(context.client.answers)
         progress.begin_send(
             reservation.endpoint.endpoint_id, reservation.reserved_s
         )
--- a/src/quetzaldyke/gateway/result_writer.py
+++ b/src/quetzaldyke/gateway/result_writer.py
@@ -121,7 +121,9 @@
         listed = results[: appended.ok_value]
         del job.finished[: len(listed)]
         for row in listed:
-            job.items.pop(row.item, None)
+            progress = job.items.pop(row.item, None)
+            if progress is not None:
+                progress.release()
         log_event(
             'results_listed',
             job=job.record.job_id,
