Take back a result that the store can never keep

A result whose output alone is refused for its size would have kept all other results of its job from being listed, as it was written first each time. It is taken back, does not run again, and is failed when its wait is over.

Tests: test_result_that_never_fits_blocks_no_other, test_dropped_job_holds_no_memory (both fail without the change: the first never lists, the second counts 149 bytes for ever).

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from dataclasses import dataclass, field
 from typing import Final
@@ -111,9 +112,20 @@
             self.exchange.evict()
 
     def release(self) -> None:
-        """Stop counting the outputs."""
+        """Stop counting the outputs, also those that still arrive."""
         if self.held is not None:
             self.held.release()
+            self.held = None
+
+    def withhold(self) -> None:
+        """Take a result back that the store can never keep.
+
+        The item does not run again, as it would bring the same, and is failed
+        when its wait is over.
+        """
+        self.start_over()
+        self.finished = False
+        self.not_before_s = math.inf
 
     def start_over(self) -> None:
         """Drop the events received so far: the next run begins at the first."""
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -314,6 +314,7 @@
         """
         if self.held is not None:
             self.held.release()
+            self.held = None
         if self.complete:
             return
         self.fail(failure)
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -164,7 +164,8 @@
         """Read a request; reject it and return None if it is too large.
 
         It is refused if it holds the most bytes of all bodies that together
-        are too large. Raises `CallerDisconnectedError` if the caller leaves meanwhile.
+        are too large. Raises `CallerDisconnectedError` if the caller leaves
+        meanwhile.
         """
         headers: Headers = list(scope['headers'])
         size = sum(len(name) + len(content) + 4 for name, content in headers)
--- a/src/quetzaldyke/gateway/result_writer.py
+++ b/src/quetzaldyke/gateway/result_writer.py
@@ -19,6 +19,7 @@
 from quetzaldyke.gateway.job_records import PartialOutput
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.parts.kv import KvError
 from quetzaldyke.parts.timers import Clock
 
 # Time between saves: a lost entry costs at most this much of its runs' work.
@@ -117,7 +118,7 @@
                 bytes=sum(len(row.output) for row in results),
                 reason=str(appended.err_value),
             )
-            return False
+            return self.withhold_first(job, appended.err_value)
         listed = results[: appended.ok_value]
         del job.finished[: len(listed)]
         for row in listed:
@@ -132,3 +133,21 @@
             left=len(job.items),
         )
         return True
+
+    def withhold_first(self, job: ActiveJob, error: KvError) -> bool:
+        """Take the first result back if its output alone is too large.
+
+        Returns whether it was, so that the others can be written.
+        """
+        first = job.finished[0]
+        if error.kind != 'too_large' or not first.output:
+            return False
+        del job.finished[0]
+        job.items[first.item].withhold()
+        log_event(
+            'result_too_large',
+            job=job.record.job_id,
+            item=job.items[first.item].record.item_id,
+            bytes=len(first.output),
+        )
+        return True
--- a/tests/test_job_parts.py
+++ b/tests/test_job_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
 import msgpack
 import pytest
@@ -67,6 +69,27 @@
         group.cancel_scope.cancel()
 
 
+async def test_result_that_never_fits_blocks_no_other() -> None:
+    """Guards against one result that keeps a whole job from being listed.
+
+    It is failed when its wait is over, and does not run again before.
+    """
+    store = FakeStore(StoreState(value_bytes=VALUE_BYTES))
+    async with anyio.create_task_group() as group:
+        harness = await RunnerHarness.with_job(store, group, 3)
+        for item, size in enumerate((20_000, 10, 10)):
+            harness.finish(item, b'x' * size)
+        await harness.runner.results.append(harness.job)
+        assert sorted(await harness.listed()) == [1, 2]
+        job = harness.runner.jobs['j']
+        assert not job.waiting(1e9, harness.runner.estimator)
+        job.terms = replace(job.terms, max_wait_s=-1e9)
+        harness.runner.fail_expired(job)
+        await harness.runner.results.append(job)
+        assert await harness.listed() == {0: b'', 1: b'x' * 10, 2: b'x' * 10}
+        group.cancel_scope.cancel()
+
+
 async def test_results_continue_after_a_part_that_failed() -> None:
     """Guards against lost results when the store goes away between parts."""
     outputs = {item: bytes([item]) * 300_000 for item in range(5)}
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -184,6 +184,19 @@
     assert budget.used == 10 + 1 + 48
 
 
+async def test_dropped_job_holds_no_memory() -> None:
+    """Guards against bytes of cancelled runs that count for ever."""
+    async with anyio.create_task_group() as group:
+        harness = await RunnerHarness.with_job(FakeStore(), group, 2)
+        progress = harness.job.items[0]
+        progress.add_outputs([b'x' * 100])
+        harness.runner.deactivate('j', 'ended')
+        progress.add_outputs([b'x' * 100])
+        assert harness.runner.outputs.used == 0
+        assert not harness.runner.outputs.holdings
+        group.cancel_scope.cancel()
+
+
 async def test_no_item_starts_while_results_fill_the_memory() -> None:
     """Guards against results that wait for the store without a bound."""
     async with anyio.create_task_group() as group:
