Forget the durations of removed routes

The durations that decide what a stopping entry takes were kept for each name of a route that ever was, so that they grew with each change of the routes. A new configuration now drops the names that it lacks. Test: test_durations_of_removed_routes_are_forgotten (new with the function).

--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -91,6 +91,7 @@
         """Replace the route table and the caller limits."""
         self.table = RouteTable.from_configuration(configuration)
         self.limits = configuration.limits
+        self.window.keep_routes(self.table.by_name)
 
     def time_out_callers(self, server: HttpServer) -> None:
         """Close, count and log connections that exceed a caller timeout."""
--- a/src/quetzaldyke/gateway/stop_window.py
+++ b/src/quetzaldyke/gateway/stop_window.py
@@ -10,6 +10,7 @@
 
 import math
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -51,6 +52,11 @@
             self.durations_s[route] = known
         known.append(duration_s)
 
+    def keep_routes(self, routes: Collection[str]) -> None:
+        """Forget the routes that a new configuration lacks."""
+        for route in self.durations_s.keys() - set(routes):
+            del self.durations_s[route]
+
     def fits(self, route: str, deadline_s: float, now_s: float) -> bool:
         """Return whether a request ends before the entry leaves.
 
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -167,6 +167,15 @@
         assert fits
 
 
+def test_durations_of_removed_routes_are_forgotten() -> None:
+    """Guards against memory that grows with each route that ever was."""
+    window = StopWindow()
+    for route in ('old', 'kept'):
+        window.note_served(route, 1.0)
+    window.keep_routes({'kept', 'new'})
+    assert list(window.durations_s) == ['kept']
+
+
 # Guards against streams that are taken late in the grace time and cut when the
 # process leaves.
 def test_late_streams_are_whole_or_refused(tmp_path: Path) -> None:
