--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -94,14 +94,18 @@
     async with stopping_entry(route, b'') as (ingress, caller):
         ingress.open_requests.end_all()
         await read_to_end_or_answer(caller)
-        await anyio.sleep(0.05)
+        dispatcher = ingress.context.dispatcher
+        loads = dispatcher.loads
+        with anyio.fail_after(5):
+            while any(running.online for running in loads.own.values()):
+                await anyio.sleep(0.001)
         for endpoint_id in ('e1', 'e2'):
-            set_running(ingress.context.dispatcher.loads, endpoint_id, 4, 0)
+            set_running(loads, endpoint_id, 4 + dispatcher.max_queued('lm'), 0)
         await caller.send(
             REQUEST.replace(b'Deadline-Ms: 800', b'Deadline-Ms: 4000')
         )
         with anyio.fail_after(5):
-            while not ingress.open_requests.scopes:
+            while not dispatcher.waiting():
                 await anyio.sleep(0.001)
         ingress.open_requests.end_all()
         received = await read_to_end_or_answer(caller)
