Tell whose request it is from its API key

Cause: the gateway knew no organisations: keys were passed on to endpoints, unknown ones were served and jobs belonged to nobody. Change: the configuration's organisations and keys are decoded, each request is identified by its own key, an unknown one gets 401 from an entry that knows the current version, and the organisation's name goes with requests and batch items in place of the key. Nothing changes without organisations in the configuration.

--- /dev/null
+++ b/src/quetzaldyke/gateway/authentication.py
@@ -0,0 +1,79 @@
+"""Decides whose request it is, from its API key and the configuration.
+
+Failure pattern: keys are added and withdrawn while connections, streams and
+jobs live on, and an entry may know an older version than its callers. Each
+request is therefore decided by itself. An unknown key is rejected only by an
+entry that knows the current version; any other refuses the request for now.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from quetzaldyke.gateway.model import Organisation, Route
+from quetzaldyke.gateway.online_request import Headers
+from quetzaldyke.gateway.route_table import RouteTable
+from quetzaldyke.parts.api_keys import bearer_key
+from quetzaldyke.platform import names
+
+# Never forwarded where requests need a key: an endpoint must not learn it, and
+# takes the name of the organisation from the entry alone.
+IDENTITY_HEADERS = frozenset((names.AUTHORIZATION, names.ORGANISATION))
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Whose request it is.
+
+    `organisation` is None where requests need no key: if none is configured,
+    or on a public route.
+    """
+
+    organisation: Organisation | None = None
+    # Whether any organisations are configured.
+    enforced: bool = False
+
+    @property
+    def name(self) -> str:
+        """Return the organisation's name; empty if there is none."""
+        return self.organisation.name if self.organisation else ''
+
+    def apply_to(self, headers: Headers) -> Headers:
+        """Return the headers of a request, with what states its identity.
+
+        Headers are left as they are where no organisations are configured.
+        """
+        if not self.enforced:
+            return headers
+        kept = [pair for pair in headers if pair[0] not in IDENTITY_HEADERS]
+        if self.organisation is not None:
+            kept.append((names.ORGANISATION, self.name.encode()))
+        return kept
+
+
+ANONYMOUS = Identity()
+
+
+def identify(
+    headers: Headers, route: Route | None, table: RouteTable
+) -> Result[Identity, str]:
+    """Return whose request it is, or fail if its key is missing or unknown.
+
+    The failure is the reason for the log; it holds no part of the key.
+    """
+    directory = table.directory
+    if directory is None:
+        return Ok(ANONYMOUS)
+    if route is not None and route.public:
+        return Ok(Identity(enforced=True))
+    key = bearer_key(
+        content for name, content in headers if name == names.AUTHORIZATION
+    )
+    if key is None:
+        return Err('no_key')
+    organisation = directory.find(key)
+    if organisation is None:
+        return Err('unknown_key')
+    return Ok(Identity(organisation, enforced=True))
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -19,7 +19,7 @@
 from quetzaldyke.gateway.endpoint_permits import EndpointPermits
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.loads import LoadTable, RequestCounts
-from quetzaldyke.gateway.model import Endpoint, Route
+from quetzaldyke.gateway.model import Endpoint, Organisation, Route
 from quetzaldyke.gateway.placement import (
     QUEUED_PER_ENGINE,
     QUEUED_PER_SERVICE,
@@ -37,6 +37,7 @@
     WaitQueue,
     max_queue_time_s,
     may_wait,
+    priority_of,
     retry_after_s,
 )
 from quetzaldyke.parts.timers import Clock
@@ -154,6 +155,7 @@
         deadline_s: float,
         excluded: Collection[str],
         *,
+        organisation: Organisation | None = None,
         already_sent: bool = False,
     ) -> Result[Reservation, Refusal]:
         """Reserve capacity for an online request, waiting if necessary.
@@ -182,7 +184,12 @@
         if not may_wait(expected_s, route.target_s, left_s, full_s):
             return Err(self.refusal('no_slot_in_time', service, left_s))
         return await self.wait_in_queue(
-            service, route, deadline_s, excluded, full_s
+            service,
+            route,
+            deadline_s,
+            excluded,
+            full_s,
+            priority_of(route, organisation),
         )
 
     def refusal(self, reason: str, service: str, left_s: float) -> Refusal:
@@ -276,6 +283,7 @@
         deadline_s: float,
         excluded: Collection[str],
         full_s: float,
+        priority: int,
     ) -> Result[Reservation, Refusal]:
         """Wait in the queue until capacity is free or the wait limit passes.
 
@@ -307,7 +315,7 @@
             MAX_WAIT_SHARE * (deadline_s - now_s),
         )
         request = QueuedRequest(
-            route.priority,
+            priority,
             now_s + route.target_s - FIRST_EVENT_LATENCY_S,
             now_s + longest_s,
             try_start,
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -18,9 +18,10 @@
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.entry_wiring import connect_parts
 from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.gossip_messages import JobEnded, LoadReport
-from quetzaldyke.gateway.guarded import call_guarded, log_timer_failure
+from quetzaldyke.gateway.guarded import call_guarded
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.ingress import Ingress
 from quetzaldyke.gateway.job_api import JobApi
@@ -31,14 +32,9 @@
 from quetzaldyke.gateway.limit_exchange import LimitExchange
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.logs import LineWriter, log_event
-from quetzaldyke.gateway.membership import (
-    RENEWAL_INTERVAL_S,
-    Ownership,
-    Registration,
-)
+from quetzaldyke.gateway.membership import Registration
 from quetzaldyke.gateway.model import Configuration, Installation
 from quetzaldyke.gateway.online_request import RelayContext
-from quetzaldyke.gateway.outages import follow_outages
 from quetzaldyke.gateway.peer_messages import PeerMessages
 from quetzaldyke.gateway.placement import PlacementPolicy
 from quetzaldyke.gateway.shared_watch import WatchSharing
@@ -50,13 +46,6 @@
 from quetzaldyke.process.metrics import Metrics
 
 OWNER_ID_BYTES: Final = 6
-WATCHDOG_INTERVAL_S: Final = 0.05
-QUEUE_INTERVAL_S: Final = 0.05
-BATCH_INTERVAL_S: Final = 0.1
-OWNERSHIP_INTERVAL_S: Final = 0.5
-EXPIRY_INTERVAL_S: Final = 10.0
-CLEANUP_INTERVAL_S: Final = 1.0
-GOSSIP_INTERVAL_S: Final = 0.1
 # Members that have not reported this long after the start are not waited for.
 JOIN_WAIT_S: Final = 2.0
 
@@ -237,33 +226,9 @@
             ),
             started_s=clock.now(),
         )
-        entry.register_callbacks()
+        connect_parts(entry)
         return entry
 
-    def register_callbacks(self) -> None:
-        """Register the callbacks between components and the timers."""
-        self.dispatcher.on_change = self.on_load_change
-        self.dispatcher.preempt_batch = self.messages.preempt_batch
-        self.dispatcher.count_entries = lambda: max(1, len(self.jobs.members))
-        follow_outages(
-            self.health, self.endpoint_table, self.store.path, self.clock.now
-        )
-        self.jobs.on_members = self.on_members
-        self.limits.permits.on_granted = self.on_permits
-        self.messages.drains.connect(self.metrics, log_event)
-        timers = self.timers
-        timers.on_failure = log_timer_failure
-        timers.subscribe('watchdog', WATCHDOG_INTERVAL_S, self.cancel_timed_out)
-        timers.subscribe('lines', QUEUE_INTERVAL_S, self.dispatcher.tick)
-        timers.subscribe('gossip', GOSSIP_INTERVAL_S, self.gossip_tick)
-        timers.subscribe('limits', GOSSIP_INTERVAL_S, self.limits.tick)
-        timers.subscribe('drains', GOSSIP_INTERVAL_S, self.messages.drains.tick)
-        timers.subscribe('lease', RENEWAL_INTERVAL_S, self.registration.renew)
-        timers.subscribe('cleaning', CLEANUP_INTERVAL_S, self.clean_up)
-        timers.subscribe(
-            'crash records', GOSSIP_INTERVAL_S, self.crash_records.write
-        )
-
     def record_call(self, call: str, *, answered: bool) -> None:
         """Count a call to the store and update the store's health."""
         outcome = 'answered' if answered else 'failed'
@@ -327,26 +292,6 @@
         if self.runner is not None:
             self.runner.schedule_soon()
 
-    def attach_runner(self, runner: BatchRunner) -> None:
-        """Start scheduling batch jobs on a runner."""
-        self.runner = runner
-        self.messages.runner = runner
-        self.owner = JobOwner(
-            runner,
-            self.jobs,
-            self.job_store,
-            Ownership.of(self.jobs, self.member),
-            self.health,
-            self.clock.now,
-            alive=lambda: self.loads.peers,
-            retention_s=self.installation.bounds.job_retention_s,
-        )
-        self.jobs.on_job = self.owner.on_job
-        timers = self.timers
-        timers.subscribe('batch', BATCH_INTERVAL_S, self.batch_tick)
-        timers.subscribe('owners', OWNERSHIP_INTERVAL_S, self.owner.reconcile)
-        timers.subscribe('jobs', EXPIRY_INTERVAL_S, self.owner.delete_expired)
-
     async def cancel_timed_out(self) -> None:
         """Cancel the exchanges that have timed out."""
         self.client.cancel_timed_out(self.clock.now())
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -14,13 +14,14 @@
 from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.http_server import HttpOptions, serve_http
 from quetzaldyke.gateway.batch_runner import BatchRunner
-from quetzaldyke.gateway.entry import WATCHDOG_INTERVAL_S, Entry
+from quetzaldyke.gateway.entry import Entry
+from quetzaldyke.gateway.entry_wiring import WATCHDOG_INTERVAL_S, attach_runner
 from quetzaldyke.gateway.guarded import run_guarded
-from quetzaldyke.gateway.ingress import readiness_app
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.logs import LineWriter, log_event
 from quetzaldyke.gateway.metrics_app import metrics_app
 from quetzaldyke.gateway.model import Installation
+from quetzaldyke.gateway.readiness import readiness_app
 from quetzaldyke.gateway.store_tunnel import serve_tunnels
 from quetzaldyke.gateway.watch import PrefixWatcher
 from quetzaldyke.platform import names
@@ -129,7 +130,7 @@
         entry.gossip.note_change,
         lambda: entry.ingress.table,
     )
-    entry.attach_runner(runner)
+    attach_runner(entry, runner)
 
 
 async def start_gossip(entry: Entry, stack: AsyncExitStack) -> None:
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -8,14 +8,15 @@
 from typing import Final
 
 import anyio
+from result import Err
 
 from quetzaldyke.connection.http_server import (
-    App,
     HttpServer,
     Receive,
     Scope,
     Send,
 )
+from quetzaldyke.gateway.authentication import Identity, identify
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.incomplete_response import IncompleteResponseError
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Route
@@ -32,6 +33,7 @@
     CallerDisconnectedError,
     ReceivedRequest,
     build_request,
+    read_body,
 )
 from quetzaldyke.gateway.relay import end_request, relay
 from quetzaldyke.gateway.responses import send_refusal, send_response
@@ -43,8 +45,8 @@
 from quetzaldyke.process.metrics import Metrics
 
 MS_IN_S: Final = 1000
-STATUS_OK: Final = 200
 STATUS_BAD_REQUEST: Final = 400
+STATUS_UNAUTHORIZED: Final = 401
 STATUS_NOT_FOUND: Final = 404
 STATUS_TOO_LARGE: Final = 413
 STATUS_HEADERS_TOO_LARGE: Final = 431
@@ -58,7 +60,7 @@
 
 
 JobHandler = Callable[
-    [ReceivedRequest, Route | None, AsgiCaller],
+    [ReceivedRequest, Route | None, Identity, AsgiCaller],
     Awaitable[bool],
 ]
 
@@ -175,7 +177,7 @@
             return None
         with anyio.CancelScope() as crowded:
             held.on_evict = crowded.cancel
-            body = await self.read_body(receive, held)
+            body = await read_body(receive, held, self.limits.max_body_bytes)
             if body is None:
                 await self.reject(caller, STATUS_TOO_LARGE)
                 return None
@@ -186,39 +188,23 @@
         )
         return None
 
-    async def read_body(self, receive: Receive, held: Holding) -> bytes | None:
-        """Return the body of a request; None if it is too large.
-
-        Raises `CallerDisconnectedError` if the caller leaves meanwhile.
-        """
-        body = bytearray()
-        while True:
-            message = await receive()
-            if message['type'] == 'http.disconnect':
-                raise CallerDisconnectedError
-            part = message.get('body', b'')
-            body += part
-            held.grow(len(part))
-            if len(body) > self.limits.max_body_bytes:
-                return None
-            if not message.get('more_body', False):
-                return bytes(body)
-
     async def serve(self, request: ReceivedRequest, caller: AsgiCaller) -> None:
         """Pass a request to the job API or to the route that matches it."""
         if self.table is None:
             await self.refuse(caller, request, 'no_configuration')
             return
         route = self.table.find(request.host, request.path)
-        if await self.serve_job(request, route, caller):
+        identified = identify(request.headers, route, self.table)
+        if isinstance(identified, Err):
+            await self.reject_unknown(caller, request, STATUS_UNAUTHORIZED)
+            return
+        identity = identified.ok_value
+        if await self.serve_job(request, route, identity, caller):
             return
         if route is None:
-            if self.is_current():
-                await self.reject(caller, STATUS_NOT_FOUND)
-            else:
-                await self.refuse(caller, request, 'configuration_too_old')
+            await self.reject_unknown(caller, request, STATUS_NOT_FOUND)
             return
-        online = self.to_online_request(request, route)
+        online = self.to_online_request(request, route, identity)
         if online is None:
             await self.reject(caller, STATUS_BAD_REQUEST)
             return
@@ -229,10 +215,23 @@
             return
         await self.relay(online, caller)
 
+    async def reject_unknown(
+        self, caller: AsgiCaller, request: ReceivedRequest, status: int
+    ) -> None:
+        """Reject a request whose route or key is not configured.
+
+        An entry that may not know the current version refuses it for now.
+        """
+        if self.is_current():
+            await self.reject(caller, status)
+        else:
+            await self.refuse(caller, request, 'configuration_too_old')
+
     async def serve_job(
         self,
         request: ReceivedRequest,
         route: Route | None,
+        identity: Identity,
         caller: AsgiCaller,
     ) -> bool:
         """Serve a request about a job; return whether it was one.
@@ -240,7 +239,7 @@
         Answers 502 if the entry leaves before it is served.
         """
         with self.open_requests.endable() as scope:
-            return await self.handle_job(request, route, caller)
+            return await self.handle_job(request, route, identity, caller)
         if not caller.started:
             await send_response(caller, STATUS_BAD_GATEWAY)
         return scope.cancelled_caught
@@ -284,6 +283,7 @@
             'request_served' if reason == 'served' else 'request_failed',
             request=online.request_id.decode('latin-1'),
             route=online.route.name,
+            organisation=online.organisation_name,
             kind=kind,
             status=status,
             reason=reason,
@@ -304,6 +304,7 @@
         self,
         request: ReceivedRequest,
         route: Route,
+        identity: Identity,
     ) -> OnlineRequest | None:
         """Return the request to relay, or None if it has no attempt id.
 
@@ -322,9 +323,10 @@
             request_id=request_id,
             method=request.method,
             target=request.target,
-            headers=request.headers,
+            headers=identity.apply_to(request.headers),
             body=request.body,
             route=route,
+            organisation=identity.organisation,
             service=choose_service(
                 route,
                 self.generator,
@@ -366,17 +368,3 @@
 def span_ms(start_s: float, end_s: float) -> int | str:
     """Return a time span in ms, or an empty string if it has no end."""
     return int((end_s - start_s) * MS_IN_S) if end_s else ''
-
-
-def readiness_app(unready_reason: Callable[[], str]) -> App:
-    """Return an ASGI app for the readiness probe.
-
-    It responds 200 if the reason is empty and 503 with the reason if not.
-    """
-
-    async def app(scope: Scope, receive: Receive, send: Send) -> None:
-        reason = unready_reason().encode()
-        status = STATUS_UNAVAILABLE if reason else STATUS_OK
-        await send_response(AsgiCaller(send, closing=False), status, reason)
-
-    return app
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
+from quetzaldyke.gateway.authentication import IDENTITY_HEADERS
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.event_stream import StreamError, event_data
@@ -83,6 +84,13 @@
         """Note how far the item has come."""
         self.events_before = self.progress.events_done
 
+    @property
+    def added_headers(self) -> frozenset[bytes]:
+        """Return the headers that a submitted item can't set."""
+        if self.job.record.organisation:
+            return ADDED_HEADERS | IDENTITY_HEADERS
+        return ADDED_HEADERS
+
     @property
     def endpoint_id(self) -> str:
         """Return the id of the endpoint."""
@@ -172,8 +180,11 @@
         headers = [
             header
             for header in request_headers(submitted)
-            if header[0] not in ADDED_HEADERS
+            if header[0] not in self.added_headers
         ]
+        if self.job.record.organisation:
+            organisation = self.job.record.organisation.encode()
+            headers.append((names.ORGANISATION, organisation))
         headers.extend(
             (
                 (b'host', self.job.record.host.encode('latin-1')),
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -10,6 +10,7 @@
 import anyio
 from result import Err, Ok, Result
 
+from quetzaldyke.gateway.authentication import Identity
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.gateway.logs import log_event
@@ -60,23 +61,28 @@
         self,
         request: ReceivedRequest,
         route: Route | None,
+        identity: Identity,
         caller: AsgiCaller,
     ) -> bool:
-        """Serve a request about a job; False if it is about anything else."""
+        """Serve a request about a job; False if it is about anything else.
+
+        A job belongs to the organisation that submitted it; for any other one
+        there is no such job.
+        """
         path = request.path
         if path.startswith(names.JOB_PATH):
             job_id = path.removeprefix(names.JOB_PATH)
             if request.method == b'DELETE':
-                await self.end_job(job_id, caller)
+                await self.end_job(job_id, identity, caller)
             else:
-                await self.read_results(job_id, request, caller)
+                await self.read_results(job_id, request, identity, caller)
             return True
         if path.startswith(names.ITEM_PATH):
             job_id = path.removeprefix(names.ITEM_PATH)
-            await self.read_body(job_id, request, caller)
+            await self.read_body(job_id, request, identity, caller)
             return True
         if route is not None and route.kind == 'batch':
-            await self.submit(request, route, caller)
+            await self.submit(request, route, identity, caller)
             return True
         return False
 
@@ -84,13 +90,14 @@
         self,
         request: ReceivedRequest,
         route: Route,
+        identity: Identity,
         caller: AsgiCaller,
     ) -> None:
         """Accept a job; one that is submitted again is accepted only once.
 
-        Answers 400 to an invalid submission, 413 to one that the store can't
-        keep, 429 over the quota, 503 without a store and 502 if the job may
-        have been accepted.
+        Answers 400 to an invalid submission or the id of a job of another
+        organisation, 413 to a job that the store can't keep, 429 over the
+        quota, 503 without a store and 502 if the job may have been accepted.
         """
         raw_id = request.header(names.ATTEMPT_ID)
         decoded = decode_submission(request.body)
@@ -99,7 +106,9 @@
             return
         job_id = raw_id.decode('latin-1')
         if self.store.table.is_known(job_id):
-            await send_response(caller, STATUS_ACCEPTED)
+            owned = self.belongs_to(self.store.table.view(job_id), identity)
+            status = STATUS_ACCEPTED if owned else STATUS_BAD_REQUEST
+            await send_response(caller, status)
             return
         if not self.store_up():
             log_event('job_refused', job=job_id, reason='store_down')
@@ -111,6 +120,7 @@
             decoded.ok_value,
             self.store.sizes.part_bytes,
             self.version(),
+            identity.name,
         )
         accepted = await self.store.accept(job, route)
         if isinstance(accepted, Ok):
@@ -143,16 +153,28 @@
         else:
             await send_refusal(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_AFTER)
 
-    async def find_job(self, job_id: str, caller: AsgiCaller) -> JobView | None:
+    def belongs_to(self, view: JobView, identity: Identity) -> bool:
+        """Return whether a known job is one of an organisation."""
+        record = view.record
+        return record is not None and record.organisation == identity.name
+
+    async def find_job(
+        self, job_id: str, identity: Identity, caller: AsgiCaller
+    ) -> JobView | None:
         """Return a job; None after answering 404 or 503."""
         found = await self.store.find(job_id)
         if isinstance(found, Err):
             await self.refuse_unavailable(job_id, found.err_value, caller)
             return None
-        if found.ok_value is None or not found.ok_value.known:
+        view = found.ok_value
+        if (
+            view is None
+            or not view.known
+            or not self.belongs_to(view, identity)
+        ):
             await send_response(caller, STATUS_NOT_FOUND)
             return None
-        return found.ok_value
+        return view
 
     async def refuse_unavailable(
         self,
@@ -168,6 +190,7 @@
         self,
         job_id: str,
         request: ReceivedRequest,
+        identity: Identity,
         caller: AsgiCaller,
     ) -> None:
         """Answer with the results from a position on.
@@ -175,7 +198,7 @@
         If the request asks to wait, the first of them may take up to
         `MAX_LONG_POLL_S`.
         """
-        view = await self.find_job(job_id, caller)
+        view = await self.find_job(job_id, identity, caller)
         if view is None:
             return
         after = query_number(request.query, 'after')
@@ -217,10 +240,11 @@
         self,
         job_id: str,
         request: ReceivedRequest,
+        identity: Identity,
         caller: AsgiCaller,
     ) -> None:
         """Answer with the body of one item."""
-        view = await self.find_job(job_id, caller)
+        view = await self.find_job(job_id, identity, caller)
         if view is None:
             return
         assert view.record is not None
@@ -242,8 +266,12 @@
             return
         await send_response(caller, STATUS_OK, body.ok_value)
 
-    async def end_job(self, job_id: str, caller: AsgiCaller) -> None:
+    async def end_job(
+        self, job_id: str, identity: Identity, caller: AsgiCaller
+    ) -> None:
         """End a job and notify the peers."""
+        if await self.find_job(job_id, identity, caller) is None:
+            return
         ended = await self.store.end(job_id)
         if isinstance(ended, Err):
             await self.refuse_unavailable(job_id, ended.err_value, caller)
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -149,6 +149,8 @@
     body_parts: int = 1
     # The terms of its route at its acceptance; None in earlier releases.
     terms: JobTerms | None = None
+    # Name of the organisation that it belongs to; empty if there is none.
+    organisation: str = ''
 
     @classmethod
     def unpack(cls, raw: bytes) -> JobRecord:
@@ -174,6 +176,7 @@
             items,
             integer_of(added[0]) if added else last_body_part(items) + 1,
             JobTerms.from_row(added[1]) if added and added[1] else None,
+            text_of(added[2]) if len(added) > 2 else '',
         )
 
     def pack(self) -> bytes:
@@ -198,6 +201,7 @@
             rows,
             self.body_parts,
             self.terms.to_row() if self.terms else None,
+            self.organisation,
         ]
         return bytes(msgpack.packb(row))
 
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from quetzaldyke.parts.api_keys import KeyDirectory
 from quetzaldyke.parts.transactions import (
     DEFAULT_LIMITS,
     TransactionLimits,
@@ -62,6 +63,8 @@
     max_gap_s: float
     services: tuple[WeightedService, ...]
     batch: BatchRouteOptions | None = None
+    # Whether requests need no API key although others do.
+    public: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -81,6 +84,20 @@
     is_engine: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """A customer that callers belong to, and its limits over all entries."""
+
+    name: str
+    # Goes before the priority of the route, 0 being the most urgent; None
+    # leaves it to the route.
+    priority: int | None = None
+    # Requests per second, and how many more may come at once; a rate of 0
+    # means no limit.
+    rate: float = 0.0
+    burst: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
     """Size and time limits on callers' requests."""
@@ -99,6 +116,9 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    # None if the operator configures no organisations: requests then need no
+    # API key.
+    directory: KeyDirectory[Organisation] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +156,15 @@
     cancel_s: float
     # How long a job and its results can be read after its acceptance.
     job_retention_s: float
+    # In each span of this length, an organisation's requests at endpoints may
+    # exceed its limit by this share and by this number.
+    rate_window_s: float = 5.0
+    rate_overshoot: float = 0.1
+    rate_slack: float = 20.0
+    # Whether keys are refused while nothing confirms that they still hold, and
+    # how long after the last confirmation.
+    strict_revocation: bool = False
+    revocation_s: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/quetzaldyke/gateway/new_job.py
+++ b/src/quetzaldyke/gateway/new_job.py
@@ -31,10 +31,12 @@
     submitted: list[SubmittedItem],
     part_bytes: int = DEFAULT_PART_BYTES,
     version: int = 0,
+    organisation: str = '',
 ) -> NewJob:
     """Return the records of a submitted job, accepted as of now.
 
-    `version` is that of the configuration that the route is from.
+    `version` is that of the configuration that the route is from, and
+    `organisation` the name of the one that submits the job.
     """
     bodies = BodyParts(part_bytes)
     items: list[ItemRecord] = []
@@ -59,6 +61,7 @@
         tuple(items),
         len(bodies.parts),
         terms_of_route(route, version),
+        organisation,
     )
     return NewJob(
         record,
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -15,7 +15,7 @@
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.http_client import HttpClient
-from quetzaldyke.gateway.model import Route
+from quetzaldyke.gateway.model import Organisation, Route
 from quetzaldyke.parts.crash_causes import Trait
 
 Headers = list[tuple[bytes, bytes]]
@@ -48,11 +48,18 @@
     arrived_s: float
     deadline_s: float
     last_event: int | None
+    # None where requests need no API key.
+    organisation: Organisation | None = None
     # Ids of the parts of the prompt in order; requests share parts.
     prompt_parts: tuple[str, ...] = ()
     # Cached, because hashing covers the whole body.
     cached_traits: tuple[Trait, ...] = ()
 
+    @property
+    def organisation_name(self) -> str:
+        """Return the name of the organisation; empty if there is none."""
+        return self.organisation.name if self.organisation else ''
+
     def traits(self) -> tuple[Trait, ...]:
         """Return what it can share with other requests that crash endpoints.
 
--- a/src/quetzaldyke/gateway/received_request.py
+++ b/src/quetzaldyke/gateway/received_request.py
@@ -4,8 +4,9 @@
 
 from dataclasses import dataclass
 
-from quetzaldyke.connection.http_server import Scope, Send
+from quetzaldyke.connection.http_server import Receive, Scope, Send
 from quetzaldyke.gateway.online_request import Headers
+from quetzaldyke.parts.byte_budget import Holding
 from quetzaldyke.parts.decimals import parse_decimal
 
 
@@ -92,3 +93,25 @@
         headers=headers,
         body=body,
     )
+
+
+async def read_body(
+    receive: Receive, held: Holding, max_bytes: int
+) -> bytes | None:
+    """Return the body of a request; None if it is too large.
+
+    Counts its bytes in `held`. Raises `CallerDisconnectedError` if the caller
+    leaves meanwhile.
+    """
+    body = bytearray()
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerDisconnectedError
+        part = message.get('body', b'')
+        body += part
+        held.grow(len(part))
+        if len(body) > max_bytes:
+            return None
+        if not message.get('more_body', False):
+            return bytes(body)
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -104,6 +104,7 @@
         request.route,
         request.deadline_s,
         progress.tried_endpoints,
+        organisation=request.organisation,
         already_sent=progress.sends > 0,
     )
     if isinstance(acquired, Err):
--- a/src/quetzaldyke/gateway/route_table.py
+++ b/src/quetzaldyke/gateway/route_table.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from quetzaldyke.gateway.model import Configuration, Route
+from quetzaldyke.gateway.model import Configuration, Organisation, Route
+from quetzaldyke.parts.api_keys import KeyDirectory
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +20,8 @@
     by_name: dict[str, Route]
     # Names of the services that the version configures.
     services: frozenset[str] = frozenset()
+    # None if requests need no API key.
+    directory: KeyDirectory[Organisation] | None = None
 
     @classmethod
     def from_configuration(cls, configuration: Configuration) -> RouteTable:
@@ -32,7 +35,13 @@
         }
         named = {route.name: route for route in configuration.routes}
         services = frozenset(configuration.services)
-        return cls(configuration.version, ordered, named, services)
+        return cls(
+            configuration.version,
+            ordered,
+            named,
+            services,
+            configuration.directory,
+        )
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or None."""
@@ -60,7 +69,8 @@
     """Choose the service of a request at random by the route's weights.
 
     Services that are not open, as they have no endpoint that takes work, are
-    left out while another one is. Without a positive weight, the first service is returned.
+    left out while another one is. Without a positive weight, the first service
+    is returned.
     """
     if len(route.services) == 1:
         return route.services[0].service
--- a/src/quetzaldyke/gateway/wait_queue.py
+++ b/src/quetzaldyke/gateway/wait_queue.py
@@ -19,6 +19,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.gateway.model import Organisation, Route
+
 # Time from the start of a request at an endpoint to its first event.
 FIRST_EVENT_LATENCY_S: Final = 0.1
 # Weight of the latest sample in the moving average of slot hold times.
@@ -245,3 +247,13 @@
     """
     limit_s = max(MIN_RETRY_AFTER_S, RETRY_AFTER_SHARE * left_s)
     return min(retry_at_s - now_s, limit_s)
+
+
+def priority_of(route: Route, organisation: Organisation | None) -> int:
+    """Return the priority of a request; 0 is the most urgent.
+
+    That of its organisation goes before that of its route.
+    """
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return organisation.priority
--- a/src/quetzaldyke/platform/names.py
+++ b/src/quetzaldyke/platform/names.py
@@ -24,6 +24,10 @@
 LIMIT: Final = b'server-limit'
 # Present, with the value 1, on all responses of an endpoint that is draining.
 DRAINING: Final = b'server-leaving'
+# API key of a caller, in the form of a bearer token.
+AUTHORIZATION: Final = b'authorization'
+# Name of the organisation whose request it is, set for the endpoint.
+ORGANISATION: Final = b'tenant'
 # Milliseconds that a read of a job may wait for new results.
 WAIT: Final = b'wait-ms'
 RETRY_AFTER: Final = b'retry-after'
--- a/src/quetzaldyke/platform/records.py
+++ b/src/quetzaldyke/platform/records.py
@@ -23,11 +23,13 @@
     CallerLimits,
     Configuration,
     Endpoint,
+    Organisation,
     Route,
     Service,
     WeightedService,
 )
 from quetzaldyke.parts.addresses import parse_address
+from quetzaldyke.parts.api_keys import BEARER, MAX_KEY_BYTES, KeyDirectory
 from quetzaldyke.platform.names import ENDPOINT_PREFIX
 from quetzaldyke.platform.validation import describe_invalid
 
@@ -54,6 +56,16 @@
     AfterValidator(lambda time: min(time, MAX_TIME)),
 ]
 Number = Annotated[int, Field(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+# A rate above `MAX_RATE` requests per second means no more than that one.
+MAX_RATE: Final = 1e9
+Rate = Annotated[
+    float,
+    Field(ge=0, allow_inf_nan=False),
+    AfterValidator(lambda rate: min(rate, MAX_RATE)),
+]
+ApiKey = Annotated[
+    str, Field(pattern=r'^[!-~]+\z', max_length=MAX_KEY_BYTES - len(BEARER))
+]
 
 
 class PlatformRecord(BaseModel):
@@ -91,6 +103,7 @@
     max_wait_s: Time = Field(default=0, alias='max-wait-s')
     # Limit on the tokens of unfinished items; 0 means no limit.
     cap: Number = 0
+    public: bool = False
 
 
 class ServiceRecord(PlatformRecord):
@@ -111,6 +124,17 @@
     idle_timeout_ms: Time = Field(default=15_000, alias='idle-timeout-ms')
 
 
+class OrganisationRecord(PlatformRecord):
+    """An organisation, its API keys and its limits."""
+
+    name: Name
+    api_keys: list[ApiKey] = Field(default=[], alias='api-keys')
+    priority: Number | None = None
+    # Requests per second over all entries; 0 means no limit.
+    rate_per_s: Rate = Field(default=0, alias='rate-per-s')
+    burst: Rate = 0
+
+
 class ConfigRecord(PlatformRecord):
     """The operator's configuration."""
 
@@ -118,6 +142,8 @@
     routes: list[RouteRecord]
     services: list[ServiceRecord]
     limits: LimitsRecord = LimitsRecord()
+    # None if requests need no API key.
+    tenants: list[OrganisationRecord] | None = None
 
 
 class EndpointRecord(PlatformRecord):
@@ -140,22 +166,50 @@
         record = ConfigRecord.model_validate(orjson.loads(raw))
     except (ValidationError, ValueError, RecursionError) as exc:
         return Err(describe_invalid(exc))
+    return to_directory(record.tenants).map(
+        lambda directory: to_configuration(record, directory)
+    )
+
+
+def to_configuration(
+    record: ConfigRecord, directory: KeyDirectory[Organisation] | None
+) -> Configuration:
+    """Convert a configuration record, with times in seconds."""
     limits = record.limits
-    return Ok(
-        Configuration(
-            version=record.version,
-            routes=tuple(to_route(route) for route in record.routes),
-            services={
-                service.name: to_service(service) for service in record.services
-            },
-            limits=CallerLimits(
-                max_header_bytes=limits.max_header_bytes,
-                max_body_bytes=limits.max_body_bytes,
-                header_timeout_s=limits.header_timeout_ms / MS_IN_S,
-                idle_timeout_s=limits.idle_timeout_ms / MS_IN_S,
-            ),
+    return Configuration(
+        version=record.version,
+        routes=tuple(to_route(route) for route in record.routes),
+        services={
+            service.name: to_service(service) for service in record.services
+        },
+        limits=CallerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / MS_IN_S,
+            idle_timeout_s=limits.idle_timeout_ms / MS_IN_S,
         ),
+        directory=directory,
+    )
+
+
+def to_directory(
+    records: list[OrganisationRecord] | None,
+) -> Result[KeyDirectory[Organisation] | None, str]:
+    """Return the organisations by key; fail if two hold the same key."""
+    if records is None:
+        return Ok(None)
+    organisations = {
+        record.name: Organisation(
+            record.name, record.priority, record.rate_per_s, record.burst
+        )
+        for record in records
+    }
+    keys = (
+        (record.name, key.encode())
+        for record in records
+        for key in record.api_keys
     )
+    return KeyDirectory.from_keys(organisations, keys)
 
 
 def to_route(record: RouteRecord) -> Route:
@@ -177,6 +231,7 @@
         max_gap_s=record.gap_target_ms / MS_IN_S,
         services=tuple(shares) or (WeightedService(record.service, 1),),
         batch=to_batch_options(record),
+        public=record.public,
     )
 
 
--- a/src/quetzaldyke/platform/settings.py
+++ b/src/quetzaldyke/platform/settings.py
@@ -29,6 +29,11 @@
     grace_s: float = Field(alias='grace-s', gt=0)
     cancel_ms: float = Field(default=3000, alias='cancel-ms', gt=0)
     status_ttl_s: float = Field(default=120, alias='status-ttl-s', gt=0)
+    quota_window_s: float = Field(default=5, alias='quota-window-s', gt=0)
+    quota_overshoot: float = Field(default=0.1, alias='quota-overshoot', ge=0)
+    quota_slack: float = Field(default=20, alias='quota-slack', ge=0)
+    strict_revoke: bool = Field(default=False, alias='strict-revoke')
+    revoke_ms: float = Field(default=5000, alias='revoke-ms', gt=0)
 
 
 class ProviderTable(BaseModel):
@@ -112,5 +117,10 @@
             grace_s=bounds.grace_s,
             cancel_s=bounds.cancel_ms / MS_IN_S,
             job_retention_s=bounds.status_ttl_s,
+            rate_window_s=bounds.quota_window_s,
+            rate_overshoot=bounds.quota_overshoot,
+            rate_slack=bounds.quota_slack,
+            strict_revocation=bounds.strict_revoke,
+            revocation_s=bounds.revoke_ms / MS_IN_S,
         ),
     )
