Give each organisation a quota of its own on a batch route

Cause: the waiting tokens of a route were counted over all organisations, so that one could use up the room of all. Acceptances were ordered only above half of the limit, which jobs that are large for a quota pass in one step at several entries. Keys of routes and jobs with a slash in the name were not followed. Change: tokens and the quota key are those of an organisation on a route; jobs above a fiftieth of the limit are always ordered. Names behind a key's prefix may contain slashes, and long ones are digests. Without an organisation the key is the one of earlier releases. Result: tests/test_organisation_quotas.py; four entries that know nothing of each other accept one of four jobs of 40 of 100 tokens.

--- a/src/quetzaldyke/gateway/job_acceptance.py
+++ b/src/quetzaldyke/gateway/job_acceptance.py
@@ -1,8 +1,10 @@
 """Decides whether a submitted job may be accepted, and what is written then.
 
 Load pattern: callers submit many jobs at several entries at once, up to the
-quota of a route, and send each again until it is accepted. A job that the
-store can never keep has to be told apart from one that it can't keep now.
+quota that each organisation has on a route, and send each again until it is
+accepted. One organisation that fills its quota delays no acceptance of another.
+A job that the store can never keep has to be told apart from one that it can't
+keep now.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
     JobState,
     body_key,
     largest_state,
+    quota_name,
 )
 from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.model import Route
@@ -27,11 +30,15 @@
 # Below this share of the limit, jobs that other entries accept concurrently
 # can't exceed it, so acceptances are not serialized on the quota key.
 UNSERIALIZED_QUOTA_SHARE: Final = 0.5
+# This holds only for small jobs: it takes 30 of them, accepted within
+# one delay of the watch, to fill the other half. Larger ones, of which a few
+# fill a quota, are always serialized.
+UNSERIALIZED_JOB_SHARE: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
 class QuotaCheck:
-    """Whether a job fits into the quota of its route."""
+    """Whether a job fits into its organisation's quota on its route."""
 
     fits: bool
     # Revision that the quota key must still have when the job is written; None
@@ -40,17 +47,23 @@
 
 
 def check_quota(table: JobTable, job: NewJob, route: Route) -> QuotaCheck:
-    """Check a job against the tokens that wait on its route."""
+    """Check a job against what its organisation has waiting on the route."""
     limit = route.batch.max_waiting_tokens if route.batch else 0
     if not limit:
         return QuotaCheck(fits=True)
-    waiting = table.waiting_tokens(route.name) + job.tokens
+    organisation = job.record.organisation
+    waiting = table.waiting_tokens(route.name, organisation) + job.tokens
     if waiting > limit:
         return QuotaCheck(fits=False)
-    if waiting <= limit * UNSERIALIZED_QUOTA_SHARE:
+    if (
+        waiting <= limit * UNSERIALIZED_QUOTA_SHARE
+        and job.tokens <= limit * UNSERIALIZED_JOB_SHARE
+    ):
         return QuotaCheck(fits=True)
-    revision = table.quota_revisions.get(route.name, ABSENT)
-    return QuotaCheck(fits=True, revision=revision)
+    name = quota_name(route.name, organisation)
+    return QuotaCheck(
+        fits=True, revision=table.quota_revisions.get(name, ABSENT)
+    )
 
 
 def acceptance_transaction(
@@ -62,7 +75,8 @@
     """Return the transaction that writes a job, its state and bodies."""
     job_id = job.record.job_id
     conditions = {f'{JOB_PREFIX}{job_id}': ABSENT}
-    quota_key = f'{QUOTA_PREFIX}{route.name}'
+    name = quota_name(route.name, job.record.organisation)
+    quota_key = f'{QUOTA_PREFIX}{name}'
     if quota.revision is not None:
         conditions[quota_key] = quota.revision
     puts = [
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -128,6 +128,7 @@
                 'job_accepted',
                 job=job_id,
                 route=route.name,
+                organisation=identity.name,
                 items=len(job.record.items),
                 tokens=job.tokens,
             )
@@ -139,8 +140,9 @@
             'job_refused',
             job=job_id,
             reason=failure,
+            organisation=identity.name,
             tokens=job.tokens,
-            waiting=self.store.table.waiting_tokens(route.name),
+            waiting=self.store.table.waiting_tokens(route.name, identity.name),
         )
         if failure == 'unknown':
             await send_response(caller, STATUS_BAD_GATEWAY)
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
@@ -28,6 +29,8 @@
 PARTIAL_PREFIX: Final = 'quetzaldyke/partial/'
 BODY_PREFIX: Final = 'quetzaldyke/body/'
 RESULT_PREFIX: Final = 'quetzaldyke/result/'
+# A digest has as many bytes.
+MAX_QUOTA_BYTES: Final = 64
 
 
 def text_of(content: object) -> str:
@@ -337,6 +340,23 @@
     return [PartialOutput(*row) for row in msgpack.unpackb(raw)]
 
 
+def quota_name(route: str, organisation: str) -> str:
+    """Return the last part of the key that serializes acceptances.
+
+    There is one for each route and organisation. Without an organisation it is
+    the name of the route, as in earlier releases; a digest takes its place
+    where a name could be too long for a key or contain a slash.
+
+    >>> quota_name('r', ''), quota_name('a/b', '') == quota_name('a', 'b')
+    ('r', False)
+    """
+    size = len(route.encode())
+    if not organisation and '/' not in route and size < MAX_QUOTA_BYTES:
+        return route
+    pair = msgpack.packb([route, organisation])
+    return hashlib.sha256(pair).hexdigest()
+
+
 def body_key(job_id: str, part: int) -> str:
     """Return the key of one part of a job's bodies."""
     return f'{BODY_PREFIX}{job_id}/{part}'
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -10,6 +10,7 @@
 from quetzaldyke.gateway import job_records
 from quetzaldyke.gateway.guarded import call_guarded, describe_fault
 from quetzaldyke.gateway.job_records import (
+    FLEET_PREFIX,
     JOB_PREFIX,
     MEMBER_PREFIX,
     JobRecord,
@@ -68,6 +69,7 @@
 
     jobs: dict[str, JobView] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
+    # By the names that `job_records.quota_name` gives.
     quota_revisions: dict[str, int] = field(default_factory=dict)
     revision: int = 0
     # Set and replaced with each snapshot or set of changes.
@@ -123,9 +125,12 @@
             )
 
     def apply_key(self, key: str, revision: int, value: bytes | None) -> None:
-        """Apply one key, whose value is None after its deletion."""
-        prefix, _, name = key.rpartition('/')
-        match f'{prefix}/':
+        """Apply one key, whose value is None after its deletion.
+
+        The name behind the prefix may be an id of a caller, with slashes.
+        """
+        kind, _, name = key.removeprefix(FLEET_PREFIX).partition('/')
+        match f'{FLEET_PREFIX}{kind}/':
             case job_records.MEMBER_PREFIX:
                 self.apply_member(name, value)
             case job_records.JOB_PREFIX:
@@ -203,10 +208,16 @@
         view.notify()
         self.on_job(job_id)
 
-    def waiting_tokens(self, route: str) -> int:
-        """Return the tokens of all items of a route without a result."""
+    def waiting_tokens(self, route: str, organisation: str = '') -> int:
+        """Return the tokens of an organisation's items without a result.
+
+        Counts one route, and only jobs of callers without an organisation if
+        none is given.
+        """
         return sum(
             view.waiting_tokens()
             for view in self.jobs.values()
-            if view.record is not None and view.record.route == route
+            if view.record is not None
+            and view.record.route == route
+            and view.record.organisation == organisation
         )
--- /dev/null
+++ b/tests/test_organisation_quotas.py
@@ -0,0 +1,117 @@
+"""Tests of the quota that each organisation has on a batch route."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Final
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from gateway_kit import FakeStore, Node, make_route
+from quetzaldyke.gateway.job_records import QUOTA_PREFIX, quota_name
+from quetzaldyke.gateway.model import Route
+from quetzaldyke.gateway.new_job import NewJob, make_job
+from quetzaldyke.platform.jobs import SubmittedItem
+
+pytestmark = pytest.mark.anyio
+ROUTE: Final = make_route('batch', cap=100)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on the backend that the processes use."""
+    return 'asyncio'
+
+
+def make_job_of(
+    organisation: str, job_id: str, tokens: int, route: Route = ROUTE
+) -> NewJob:
+    """Return a job of one item."""
+    item = SubmittedItem(f'{job_id}-0', '/p/x', (), tokens, b'body')
+    return make_job(job_id, route, [item], organisation=organisation)
+
+
+async def test_each_organisation_fills_its_own_quota() -> None:
+    """Guards against one organisation that uses up the quota of all."""
+    node = Node.of(FakeStore(), 'a')
+    answers = []
+    for number, organisation in enumerate(('depot', 'depot', 'hotel', '')):
+        job = make_job_of(organisation, f'j{number}', 60)
+        answers.append(await node.store.accept(job, ROUTE))
+        await node.sync()
+    assert answers == [Ok(None), Err('over_quota'), Ok(None), Ok(None)]
+    assert node.table.waiting_tokens('r', 'depot') == 60
+
+
+async def test_quota_of_an_organisation_holds_over_entries() -> None:
+    """Guards against stale entries that fill a quota several times.
+
+    Jobs that are large for the quota are ordered from the first one on.
+    """
+    store = FakeStore()
+    nodes = [Node.of(store, name) for name in 'abcd']
+    for node in nodes:
+        await node.sync()
+    accepted = [
+        await node.store.accept(make_job_of('depot', f'j{number}', 40), ROUTE)
+        for number, node in enumerate(nodes)
+    ]
+    assert accepted[0] == Ok(None)
+    assert all(isinstance(answer, Err) for answer in accepted[1:])
+
+
+async def test_full_quota_delays_no_other_organisation() -> None:
+    """Guards against acceptances that conflict across organisations."""
+    store = FakeStore()
+    stale = Node.of(store, 'a')
+    await stale.sync()
+    other = Node.of(store, 'b')
+    first = make_job_of('hotel', 'j1', 90)
+    assert await other.store.accept(first, ROUTE) == Ok(None)
+    writes = store.writes
+    second = make_job_of('depot', 'j2', 90)
+    assert await stale.store.accept(second, ROUTE) == Ok(None)
+    assert store.writes == writes + 1
+
+
+@pytest.mark.parametrize('name', ['a/b', 'a/', '/', 'r' * 300, '…' * 63])
+async def test_quota_of_a_route_with_an_odd_name_is_followed(name: str) -> None:
+    """Guards against a quota whose changes no entry sees.
+
+    Acceptances near it would conflict for ever.
+    """
+    route = replace(ROUTE, name=name)
+    store = FakeStore()
+    nodes = [Node.of(store, 'a'), Node.of(store, 'b')]
+    for number, node in enumerate(nodes):
+        job = make_job_of('', f'j{number}', 40, route)
+        await node.sync()
+        assert await node.store.accept(job, route) == Ok(None)
+
+
+async def test_job_with_a_slash_in_its_id_is_seen_by_other_entries() -> None:
+    """Guards against an accepted job that only its own entry knows."""
+    store = FakeStore()
+    node = Node.of(store, 'a')
+    job = make_job_of('depot', 'x/job/y', 10)
+    assert await node.store.accept(job, ROUTE) == Ok(None)
+    other = Node.of(store, 'b')
+    await other.sync()
+    assert other.table.is_known('x/job/y')
+
+
+NAMES: Final = st.text(st.sampled_from('ab/é'), max_size=4)
+
+
+@given(NAMES, NAMES, NAMES, NAMES)
+def test_no_two_quotas_share_a_key(
+    route: str, organisation: str, other_route: str, other: str
+) -> None:
+    """Guards against quotas of two organisations that are taken for one."""
+    same = (route, organisation) == (other_route, other)
+    first = quota_name(route, organisation)
+    assert (first == quota_name(other_route, other)) == same
+    assert len(f'{QUOTA_PREFIX}{first}'.encode()) <= 200
