Wait for a version that may hold an unknown key before a 401

Cause: a key that overtook its version got a 401 at once, which callers don't repeat, also from an entry that had not heard from the store for up to 4 s. A caller that listed the organisation's header in Connection made its request nobody's. Lost history of the store counted as a confirmation. Items could name another organisation or hold a key in the store, jobs were unreadable after changes between with and without organisations, a public route could hide whose job was asked for, and a job of another organisation could be answered 202. Two organisations of one name make a version unreadable, like a shared key. 401s are logged as request_unauthorized with the reason, a routine line, and counted.

--- a/src/quetzaldyke/gateway/authentication.py
+++ b/src/quetzaldyke/gateway/authentication.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -17,6 +18,7 @@
 from quetzaldyke.gateway.route_table import RouteTable
 from quetzaldyke.parts.api_keys import bearer_key
 from quetzaldyke.platform import names
+from quetzaldyke.platform.jobs import SubmittedItem
 
 # Never forwarded where requests need a key: an endpoint must not learn it, and
 # takes the name of the organisation from the entry alone.
@@ -52,25 +54,63 @@
             kept.append((names.ORGANISATION, self.name.encode()))
         return kept
 
+    def apply_to_items(
+        self, items: Iterable[SubmittedItem]
+    ) -> list[SubmittedItem]:
+        """Return the items of a job without headers that state an identity.
+
+        They are stored with the job, and a key must not be.
+        """
+        if not self.enforced:
+            return list(items)
+        return [
+            replace(
+                item,
+                headers=tuple(
+                    (name, text)
+                    for name, text in item.headers
+                    if name.lower().encode() not in IDENTITY_HEADERS
+                ),
+            )
+            for item in items
+        ]
+
+    def may_access(self, owner: str) -> bool:
+        """Return whether the jobs of an organisation exist for this one.
+
+        `owner` is empty for jobs that were submitted without a key, which
+        whoever knows their id may use. The same holds for all jobs where
+        requests need no key.
+        """
+        return not self.enforced or not owner or owner == self.name
+
 
 ANONYMOUS = Identity()
 
 
 def identify(
-    headers: Headers, route: Route | None, table: RouteTable
+    headers: Headers,
+    route: Route | None,
+    table: RouteTable,
+    *,
+    key_optional: bool = False,
 ) -> Result[Identity, str]:
     """Return whose request it is, or fail if its key is missing or unknown.
 
-    The failure is the reason for the log; it holds no part of the key.
+    A request may come without any credentials if `key_optional` is set. The
+    failure is the reason for the log; it holds no part of the key.
     """
     directory = table.directory
     if directory is None:
         return Ok(ANONYMOUS)
     if route is not None and route.public:
         return Ok(Identity(enforced=True))
-    key = bearer_key(
+    credentials = [
         content for name, content in headers if name == names.AUTHORIZATION
-    )
+    ]
+    if key_optional and not credentials:
+        return Ok(Identity(enforced=True))
+    key = bearer_key(credentials)
     if key is None:
         return Err('no_key')
     organisation = directory.find(key)
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -101,8 +101,14 @@
             self.estimator,
             self.finish_item,
             self.store.sizes.output_bytes,
+            self.needs_keys,
         )
 
+    def needs_keys(self) -> bool:
+        """Return whether requests need a key by the version in force."""
+        table = self.routes()
+        return table is not None and table.directory is not None
+
     def pending(self) -> int:
         """Return how many items could start if there were free slots."""
         return sum(
--- a/src/quetzaldyke/gateway/configuration_feed.py
+++ b/src/quetzaldyke/gateway/configuration_feed.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
+import anyio
 from result import Err
 
 from quetzaldyke.gateway.logs import log_event
@@ -26,6 +27,8 @@
     on_configuration: Callable[[Configuration], None]
     configuration: Configuration | None = None
     confirmed_s: float = 0.0
+    # Set and replaced with each new version.
+    changed: anyio.Event = field(default_factory=anyio.Event)
 
     @property
     def version(self) -> int:
@@ -36,9 +39,13 @@
         """Record that the store has sent all changes up to now."""
         self.confirmed_s = self.now()
 
+    def age_s(self) -> float:
+        """Return the time since the configuration was last confirmed."""
+        return self.now() - self.confirmed_s
+
     def is_current(self) -> bool:
         """Return whether the configuration was confirmed recently enough."""
-        return self.now() - self.confirmed_s < CONFIG_MAX_AGE_S
+        return self.age_s() < CONFIG_MAX_AGE_S
 
     def is_engine(self, service: str) -> bool:
         """Return whether a known service's endpoints are model engines."""
@@ -76,6 +83,8 @@
             return
         self.configuration = configuration
         self.on_configuration(configuration)
+        self.changed.set()
+        self.changed = anyio.Event()
         log_event(
             'config_applied',
             version=configuration.version,
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -29,6 +29,7 @@
 from quetzaldyke.gateway.job_records import Member
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobTable
+from quetzaldyke.gateway.key_check import KeyCheck
 from quetzaldyke.gateway.limit_exchange import LimitExchange
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.logs import LineWriter, log_event
@@ -148,6 +149,10 @@
             lambda report: entry.gossip.broadcast(report),
             log_event,
         )
+        configurations = ConfigurationFeed(
+            clock.now,
+            lambda configuration: entry.on_configuration(configuration),
+        )
         ingress = Ingress(
             RelayContext(
                 dispatcher,
@@ -159,7 +164,10 @@
             metrics,
             generator,
             api.handle,
-            is_current=lambda: entry.configurations.is_current(),
+            is_current=configurations.is_current,
+            keys=KeyCheck.from_bounds(
+                installation.bounds, configurations, metrics
+            ),
         )
         gossip = Gossip(
             owner_id,
@@ -200,10 +208,7 @@
             ingress=ingress,
             api=api,
             policy=BatchPolicy(loads, SlotGrants(owner_id, loads), generator),
-            configurations=ConfigurationFeed(
-                clock.now,
-                lambda configuration: entry.on_configuration(configuration),
-            ),
+            configurations=configurations,
             endpoints=EndpointFeed(
                 endpoint_table,
                 clock.now,
--- a/src/quetzaldyke/gateway/forwarded_headers.py
+++ b/src/quetzaldyke/gateway/forwarded_headers.py
@@ -35,9 +35,15 @@
 
 
 # Forwarded even if they are listed as those of one connection: without them an
-# answer proves nothing, and a request has no id.
+# answer proves nothing, and a request has no id or is nobody's.
 END_TO_END_HEADERS: Final = frozenset(
-    (b'host', b'content-type', names.ATTEMPT_ID, names.SIGNATURE)
+    (
+        b'host',
+        b'content-type',
+        names.ATTEMPT_ID,
+        names.SIGNATURE,
+        names.ORGANISATION,
+    )
 )
 
 
--- a/src/quetzaldyke/gateway/history.py
+++ b/src/quetzaldyke/gateway/history.py
@@ -21,6 +21,8 @@
     'crashes_endpoints': 'requests like it crashed several endpoints',
     'no_configuration': 'the entry had no configuration yet',
     'configuration_too_old': 'the configuration may be out of date',
+    'keys_unconfirmed': 'the store has not confirmed for too long that keys hold',
+    'too_many_unknown_keys': 'too many requests with unknown keys waited',
 }
 
 
@@ -82,6 +84,19 @@
     return f'{process} refused it: {REFUSAL_REASONS.get(reason, reason)}'
 
 
+def describe_unauthorized(fields: Fields, process: str) -> str:
+    """Describe a request that was rejected for its API key."""
+    reasons = {
+        'no_key': 'it brought no API key, or no single one',
+        'unknown_key': 'no organisation holds its API key',
+    }
+    reason = fields.get('reason', '')
+    return (
+        f'{process} rejected it with 401: {reasons.get(reason, reason)} by '
+        f'version {fields.get("config")} of the configuration'
+    )
+
+
 def describe_attempt_failed(fields: Fields, process: str) -> str:
     """Describe a failed attempt at an endpoint."""
     ejected = fields.get('ejected_s', '0.0')
@@ -169,6 +184,7 @@
     'request_not_placed': describe_not_placed,
     'request_refused': describe_refused,
     'request_suspected': describe_suspected,
+    'request_unauthorized': describe_unauthorized,
     'attempt_failed': describe_attempt_failed,
     'item_failed': describe_item_failed,
     'item_interrupted': describe_item_interrupted,
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -16,9 +16,10 @@
     Scope,
     Send,
 )
-from quetzaldyke.gateway.authentication import Identity, identify
+from quetzaldyke.gateway.authentication import Identity
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.incomplete_response import IncompleteResponseError
+from quetzaldyke.gateway.key_check import Denial, KeyCheck
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Route
 from quetzaldyke.gateway.online_request import (
     Headers,
@@ -77,6 +78,7 @@
     # Whether the configuration was confirmed recently enough to answer an
     # unknown route with 404.
     is_current: Callable[[], bool]
+    keys: KeyCheck
     table: RouteTable | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     # Set during a graceful shutdown: every response then closes its
@@ -89,6 +91,11 @@
         default_factory=lambda: ByteBudget(MAX_BODIES_BYTES)
     )
 
+    @property
+    def version(self) -> int:
+        """Return the version of the routes in force; 0 without any."""
+        return self.table.version if self.table else 0
+
     def configure(self, configuration: Configuration) -> None:
         """Replace the route table and the caller limits."""
         self.table = RouteTable.from_configuration(configuration)
@@ -190,19 +197,16 @@
 
     async def serve(self, request: ReceivedRequest, caller: AsgiCaller) -> None:
         """Pass a request to the job API or to the route that matches it."""
-        if self.table is None:
-            await self.refuse(caller, request, 'no_configuration')
-            return
-        route = self.table.find(request.host, request.path)
-        identified = identify(request.headers, route, self.table)
-        if isinstance(identified, Err):
-            await self.reject_unknown(caller, request, STATUS_UNAUTHORIZED)
+        admitted = await self.keys.admit(request, lambda: self.table)
+        if isinstance(admitted, Err):
+            await self.deny(caller, request, admitted.err_value)
             return
-        identity = identified.ok_value
+        route = admitted.ok_value.route
+        identity = admitted.ok_value.identity
         if await self.serve_job(request, route, identity, caller):
             return
         if route is None:
-            await self.reject_unknown(caller, request, STATUS_NOT_FOUND)
+            await self.reject_unknown_route(caller, request)
             return
         online = self.to_online_request(request, route, identity)
         if online is None:
@@ -215,15 +219,33 @@
             return
         await self.relay(online, caller)
 
-    async def reject_unknown(
-        self, caller: AsgiCaller, request: ReceivedRequest, status: int
+    async def deny(
+        self, caller: AsgiCaller, request: ReceivedRequest, denial: Denial
+    ) -> None:
+        """Reject a request with an unknown key, or refuse it for now."""
+        if not denial.unauthorized:
+            await self.refuse(caller, request, denial.reason)
+            return
+        status = STATUS_UNAUTHORIZED
+        self.metrics.count('requests_rejected_total', status=str(status))
+        self.context.log_event(
+            'request_unauthorized',
+            request=id_of(request),
+            route=denial.route,
+            reason=denial.reason,
+            config=self.version,
+        )
+        await send_response(caller, status, headers=[names.AUTHENTICATE])
+
+    async def reject_unknown_route(
+        self, caller: AsgiCaller, request: ReceivedRequest
     ) -> None:
-        """Reject a request whose route or key is not configured.
+        """Reject a request whose route is not configured.
 
         An entry that may not know the current version refuses it for now.
         """
         if self.is_current():
-            await self.reject(caller, status)
+            await self.reject(caller, STATUS_NOT_FOUND)
         else:
             await self.refuse(caller, request, 'configuration_too_old')
 
@@ -297,7 +319,7 @@
             attempts=progress.attempts,
             last_event=progress.splitter.last_id,
             parts=','.join(online.prompt_parts),
-            config=self.table.version if self.table else 0,
+            config=self.version,
         )
 
     def to_online_request(
@@ -354,17 +376,22 @@
         retry_after_s: float = CONFIGURATION_RETRY_S,
     ) -> None:
         """Refuse a request that no endpoint has run."""
-        request_id = request.header(names.ATTEMPT_ID) or b''
         self.metrics.count('requests_refused_total', reason=reason)
         self.context.log_event(
             'request_refused',
-            request=request_id.decode('latin-1'),
+            request=id_of(request),
             reason=reason,
+            config=self.version,
         )
         retry_after = b'%.2f' % retry_after_s
         await send_refusal(caller, STATUS_UNAVAILABLE, retry_after)
 
 
+def id_of(request: ReceivedRequest) -> str:
+    """Return the attempt id of a request for the log; empty if none."""
+    return (request.header(names.ATTEMPT_ID) or b'').decode('latin-1')
+
+
 def span_ms(start_s: float, end_s: float) -> int | str:
     """Return a time span in ms, or an empty string if it has no end."""
     return int((end_s - start_s) * MS_IN_S) if end_s else ''
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -66,6 +66,8 @@
     finish_item: Callable[[ActiveJob, ItemProgress, bool], None]
     # Largest output of an item that can be listed.
     max_output_bytes: int = DEFAULT_OUTPUT_BYTES
+    # Whether requests need a key by the configuration in force.
+    needs_keys: Callable[[], bool] = bool
 
 
 @dataclass(slots=True)
@@ -87,7 +89,7 @@
     @property
     def added_headers(self) -> frozenset[bytes]:
         """Return the headers that a submitted item can't set."""
-        if self.job.record.organisation:
+        if self.job.record.organisation or self.context.needs_keys():
             return ADDED_HEADERS | IDENTITY_HEADERS
         return ADDED_HEADERS
 
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -117,12 +117,18 @@
         job = make_job(
             job_id,
             route,
-            decoded.ok_value,
+            identity.apply_to_items(decoded.ok_value),
             self.store.sizes.part_bytes,
             self.version(),
             identity.name,
         )
         accepted = await self.store.accept(job, route)
+        if self.store.table.is_known(job_id) and not self.belongs_to(
+            self.store.table.view(job_id), identity
+        ):
+            # Another organisation was first while this one was writing.
+            await send_response(caller, STATUS_BAD_REQUEST)
+            return
         if isinstance(accepted, Ok):
             log_event(
                 'job_accepted',
@@ -156,9 +162,9 @@
             await send_refusal(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_AFTER)
 
     def belongs_to(self, view: JobView, identity: Identity) -> bool:
-        """Return whether a known job is one of an organisation."""
+        """Return whether a known job exists for a caller."""
         record = view.record
-        return record is not None and record.organisation == identity.name
+        return record is not None and identity.may_access(record.organisation)
 
     async def find_job(
         self, job_id: str, identity: Identity, caller: AsgiCaller
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -34,6 +34,7 @@
         'results_listed',
         'callers_timed_out',
         'crashes_cleared',
+        'request_unauthorized',
     ),
 )
 
--- a/src/quetzaldyke/gateway/route_table.py
+++ b/src/quetzaldyke/gateway/route_table.py
@@ -50,6 +50,13 @@
                 return route
         return None
 
+    def has_public_jobs(self, host: str) -> bool:
+        """Return whether jobs may be submitted to a host without a key."""
+        return any(
+            route.public and route.kind == 'batch'
+            for route in self.by_host.get(host, ())
+        )
+
 
 def prefix_length(route: Route) -> int:
     """Return the length of a route's path prefix."""
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -64,7 +64,8 @@
             wait_s = CATCH_UP_WAIT_S if followed else self.wait_s
             if await self.poll(wait_s):
                 self.failures = 0
-                self.on_success()
+                if self.revision is not None:
+                    self.on_success()
                 await anyio.sleep(self.poll_delay_s())
                 continue
             self.failures += 1
@@ -89,8 +90,8 @@
     async def poll(self, wait_s: float = WATCH_WAIT_S) -> bool:
         """Make one call to the store; return whether it succeeded.
 
-        If the store has compacted the needed history, the next call loads a
-        new snapshot.
+        If the store has compacted the needed history, nothing is confirmed
+        and the next call loads a new snapshot.
         """
         if self.revision is None:
             return await self.load_snapshot()
--- a/src/quetzaldyke/platform/names.py
+++ b/src/quetzaldyke/platform/names.py
@@ -35,6 +35,9 @@
 JOB_PATH: Final = '/quetzaldyke/lots/'
 ITEM_PATH: Final = '/quetzaldyke/items/'
 
+# Challenge of a response that asks for a key.
+AUTHENTICATE: Final = (b'www-authenticate', b'Bearer')
+
 CONFIG_KEY: Final = 'op/config'
 OPERATOR_PREFIX: Final = 'op/'
 RETIRE_PREFIX: Final = 'op/retire/'
--- a/src/quetzaldyke/platform/records.py
+++ b/src/quetzaldyke/platform/records.py
@@ -195,7 +195,11 @@
 def to_directory(
     records: list[OrganisationRecord] | None,
 ) -> Result[KeyDirectory[Organisation] | None, str]:
-    """Return the organisations by key; fail if two hold the same key."""
+    """Return the organisations by key.
+
+    Fails if two hold the same key or bear the same name: whose request it is
+    and which limits apply would depend on their order.
+    """
     if records is None:
         return Ok(None)
     organisations = {
@@ -204,6 +208,8 @@
         )
         for record in records
     }
+    if len(organisations) < len(records):
+        return Err('two organisations bear the same name')
     keys = (
         (record.name, key.encode())
         for record in records
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from unittest import mock
 
 import orjson
+import pytest
 from gateway_kit import make_route, make_table
 from result import Err, Ok
 
-from quetzaldyke.gateway.authentication import ANONYMOUS, identify
+from key_rig import encode_record
+from quetzaldyke.gateway import configuration_feed
+from quetzaldyke.gateway.authentication import ANONYMOUS, Identity, identify
+from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
 from quetzaldyke.gateway.model import Configuration, Organisation
 from quetzaldyke.gateway.online_request import Headers
 from quetzaldyke.gateway.route_table import RouteTable
 from quetzaldyke.parts.api_keys import KeyDirectory
-from quetzaldyke.platform.records import decode_configuration
+from quetzaldyke.parts.transactions import WatchedChange
+from quetzaldyke.platform.jobs import SubmittedItem
+from quetzaldyke.platform.records import MAX_RATE, decode_configuration
 
 DEPOT = Organisation('depot', priority=1, rate=10.0, burst=20.0)
 
@@ -114,6 +121,63 @@
     assert directory.find(b'k2') == DEPOT
 
 
+@pytest.mark.parametrize(
+    'rows',
+    [
+        [{'name': 'depot'}, {'name': 'depot'}],
+        [{'name': 'depot', 'rate-per-s': -1}],
+        [{'name': 'depot', 'burst': 'secret-key'}],
+        [{'name': 'depot', 'api-keys': 'secret-key'}],
+        [{'name': 'depot', 'api-keys': ['secret-key\n']}],
+        [{'name': 'depot', 'api-keys': ['sécret-key', '']}],
+        [{'name': 'depot', 'api-keys': ['secret-key' * 200]}],
+        [{'name': 'depot\r\nx: y', 'api-keys': ['secret-key']}],
+        [{'api-keys': ['secret-key']}, None],
+        {'depot': ['secret-key']},
+    ],
+)
+def test_odd_organisations_leave_the_version_before(rows: object) -> None:
+    """Guards against odd organisations in force, and a key in the log line."""
+    good = [{'name': 'depot', 'api-keys': ['first']}]
+    changes = [
+        WatchedChange('op/config', 1, encode_record(1, good)),
+        WatchedChange('op/config', 2, encode_record(2, rows)),
+    ]
+    feed = ConfigurationFeed(lambda: 0.0, lambda _: None)
+    with mock.patch.object(configuration_feed, 'log_event') as log_event:
+        feed.on_changes(changes, 2)
+    assert feed.version == 1
+    (applied, unreadable) = log_event.call_args_list
+    assert unreadable.args == ('config_unreadable',)
+    assert 'secret' not in str(unreadable.kwargs)
+
+
+def test_huge_limits_of_an_organisation_stay_usable() -> None:
+    """Guards against rates that overflow what counts them."""
+    row = {'name': 'depot', 'api-keys': ['k'], 'rate-per-s': 1e300}
+    directory = decode([row | {'burst': 1e60}]).directory
+    assert directory is not None
+    depot = directory.find(b'k')
+    assert depot is not None
+    assert depot.rate == depot.burst == MAX_RATE
+
+
+def test_key_listed_twice_by_its_organisation_is_one_key() -> None:
+    """Guards against a version that is refused for a harmless repetition."""
+    directory = decode([{'name': 'depot', 'api-keys': ['k', 'k']}]).directory
+    assert directory is not None
+    assert directory.find(b'k') == Organisation('depot')
+
+
+def test_items_of_a_job_state_no_identity() -> None:
+    """Guards against a key in the store, or an item that names an owner."""
+    headers = (('AUTHORIZATION', 'Bearer k'), ('Tenant', 'x'), ('Model', 'm'))
+    item = SubmittedItem('i', '/p', headers, 1, b'')
+    cleaned = Identity(DEPOT, enforced=True).apply_to_items([item])
+    assert cleaned == [replace(item, headers=(('Model', 'm'),))]
+    assert ANONYMOUS.apply_to_items([item]) == [item]
+
+
 def test_key_of_two_organisations_is_refused() -> None:
     """Guards against one organisation that acts as another."""
     rows = [{'name': name, 'api-keys': ['k']} for name in ('depot', 'hotel')]
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -23,12 +23,14 @@
     HttpServer,
     serve_http,
 )
+from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
 from quetzaldyke.gateway.crashes import CrashTracker
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.exchange import Exchange
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.ingress import Ingress
 from quetzaldyke.gateway.item_run import ItemRun
+from quetzaldyke.gateway.key_check import KeyCheck
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Route
 from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.process.metrics import Metrics
@@ -122,8 +124,14 @@
         now.read,
         lambda *args, **fields: None,
     )
+    metrics = Metrics()
     ingress = Ingress(
-        context, Metrics(), random.Random(1), no_job, lambda: True
+        context,
+        metrics,
+        random.Random(1),
+        no_job,
+        lambda: True,
+        KeyCheck(ConfigurationFeed(now.read, lambda _: None), metrics),
     )
     ingress.configure(Configuration(1, (route,), {}, CallerLimits()))
     return ingress
--- a/tests/test_gateway_history.py
+++ b/tests/test_gateway_history.py
@@ -16,6 +16,8 @@
     't=1790382709.490 process=entry-1 event=request_failed request=ab12 '
     'route=r kind=stream status=503 reason=no_slot_in_time elapsed_ms=0 '
     'sends=0 attempts=0\n'
+    't=1790382709.495 process=entry-1 event=request_unauthorized request=ef56 '
+    'route=r reason=unknown_key config=7\n'
     't=1790382709.500 process=entry-1 event=request_served request=other '
     'endpoint=i-1 elapsed_ms=3 reason=served\n'
 )
@@ -90,3 +92,15 @@
 def test_foreign_lines_are_ignored(line: str) -> None:
     """Guards against a crash on lines that no gateway process wrote."""
     assert parse_line(line) is None
+
+
+def test_rejected_key_is_explained(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a 401 without a word on which version decided it."""
+    lines = explain_lines('ef56', tmp_path, capsys)
+    assert any(
+        'entry-1 rejected it with 401: no organisation holds its API key by '
+        'version 7 of the configuration' in line
+        for line in lines
+    )
