Tell organisations apart by the same code in both entries

Cause: the product's own entry had a second index of keys and a second reading of bearer tokens, which took the first of several. Change: both use parts/api_keys.py. Several credentials in one request are no key, a key is compared as the bytes that were sent, and one above 1 KB is unknown without being hashed. Result: tests/test_authentication.py, and the tests of the product's entry that use keys (test_entry_requests, test_entry_once, test_admission, test_commands) pass.

--- a/src/quetzaldyke/process/callers_middleware.py
+++ b/src/quetzaldyke/process/callers_middleware.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import hmac
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from typing import Final
 
@@ -15,6 +15,7 @@
 from starlette.datastructures import Headers
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
+from quetzaldyke.parts.api_keys import KeyDirectory, bearer_key
 from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.process.answers_http import send_refusal
 from quetzaldyke.request.limits import Limits
@@ -28,11 +29,11 @@
     Refusal,
 )
 from quetzaldyke.request.router import ConfigurationHolder
-from quetzaldyke.version.configuration import Configuration, hash_key
+from quetzaldyke.version.configuration import Configuration
 
 IDEMPOTENCY_HEADER: Final = 'idempotency-key'
 RETRY_AFTER_MS: Final = 1000
-BEARER: Final = 'bearer '
+AUTHORIZATION: Final = b'authorization'
 # A request counts towards its organisation's concurrency limit while its
 # body arrives, so the time for that is limited.
 BODY_TIMEOUT_S: Final = 30.0
@@ -40,34 +41,30 @@
 
 @dataclass(slots=True)
 class KeyIndex:
-    """Index of organisations by key hash, rebuilt for each configuration."""
+    """Finds organisations by key in the current configuration."""
 
     holder: ConfigurationHolder
     indexed_configuration: Configuration | None = None
-    names_by_hash: dict[str, str] = field(default_factory=dict)
+    directory: KeyDirectory[str] = field(default_factory=KeyDirectory)
 
     @property
     def has_organisations(self) -> bool:
         """Tell whether the current configuration lists any organisation."""
         return bool(self.holder.current.organisations)
 
-    def find_organisation(self, key: str) -> str | None:
-        """Return the organisation with this bearer key; None if unknown."""
+    def find_organisation(self, credentials: Iterable[bytes]) -> str | None:
+        """Return the organisation whose key a request shows; None if unknown.
+
+        `credentials` are the values of its authorization headers.
+        """
+        key = bearer_key(credentials)
+        if key is None:
+            return None
         current = self.holder.current
         if current is not self.indexed_configuration:
             self.indexed_configuration = current
-            self.names_by_hash = {
-                organisation.key_sha256: name
-                for name, organisation in current.organisations.items()
-            }
-        digest = hash_key(key)
-        name = self.names_by_hash.get(digest)
-        if name is None:
-            return None
-        # The lookup already compared the digests; the time of this last
-        # comparison does not depend on the key.
-        expected = current.organisations[name].key_sha256
-        return name if hmac.compare_digest(expected, digest) else None
+            self.directory = current.key_directory()
+        return self.directory.find(key)
 
 
 @dataclass(slots=True)
@@ -111,7 +108,11 @@
     ) -> None:
         """Run the route, or refuse an unknown key or a reached limit."""
         request_id = new_request_id()
-        name = self.keys.find_organisation(bearer_key(scope))
+        name = self.keys.find_organisation(
+            content
+            for header, content in scope['headers']
+            if header == AUTHORIZATION
+        )
         if name is None:
             refusal = (
                 unauthorized() if self.keys.has_organisations else not_ready()
@@ -150,14 +151,6 @@
         return send_message
 
 
-def bearer_key(scope: Scope) -> str:
-    """Return the bearer key of a request; empty if there is none."""
-    text = Headers(scope=scope).get('authorization', '')
-    if not text.lower().startswith(BEARER):
-        return ''
-    return text[len(BEARER) :].strip()
-
-
 def mark_possible_resend(refusal: Refusal, scope: Scope) -> Refusal:
     """Return the refusal with `ran` unknown if the request may be a resend.
 
--- a/src/quetzaldyke/version/configuration.py
+++ b/src/quetzaldyke/version/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import zlib
 from typing import Annotated, Final, Literal
@@ -11,6 +10,7 @@
 from pydantic import ValidationError as ModelError
 from result import Err, Ok, Result
 
+from quetzaldyke.parts import api_keys
 from quetzaldyke.parts.errors import Errors
 
 NAME_PATTERN: Final = '^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$'
@@ -87,13 +87,23 @@
                     raise ValueError(f'lending names unknown pool {name!r}')
         return self
 
+    def key_directory(self) -> api_keys.KeyDirectory[str]:
+        """Return the names of the organisations by their keys."""
+        return api_keys.KeyDirectory(
+            {name: name for name in self.organisations},
+            {
+                bytes.fromhex(organisation.key_sha256): name
+                for name, organisation in self.organisations.items()
+            },
+        )
+
 
 EMPTY: Final = Configuration()
 
 
 def hash_key(key: str) -> str:
     """Return the hash under which a bearer key is stored."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    return api_keys.hash_key(key.encode()).hex()
 
 
 def pack_document(configuration: Configuration) -> bytes:
--- a/tests/test_authentication.py
+++ b/tests/test_authentication.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from types import SimpleNamespace
 from unittest import mock
 
 import orjson
@@ -21,6 +22,8 @@
 from quetzaldyke.parts.transactions import WatchedChange
 from quetzaldyke.platform.jobs import SubmittedItem
 from quetzaldyke.platform.records import MAX_RATE, decode_configuration
+from quetzaldyke.process.callers_middleware import KeyIndex
+from quetzaldyke.version import configuration as version_configuration
 
 DEPOT = Organisation('depot', priority=1, rate=10.0, burst=20.0)
 
@@ -184,3 +187,26 @@
     record = {'version': 1, 'routes': [], 'services': [], 'tenants': rows}
     decoded = decode_configuration(orjson.dumps(record))
     assert decoded == Err('depot and hotel hold the same key')
+
+
+def test_products_own_entry_tells_keys_apart_in_the_same_way() -> None:
+    """Guards against two decisions on whose request it is.
+
+    A new configuration counts from the next request on.
+    """
+    owners = {
+        name: version_configuration.Organisation(
+            key_sha256=version_configuration.hash_key(f'key-{name}')
+        )
+        for name in ('depot', 'hotel')
+    }
+    current = version_configuration.Configuration(organisations=owners)
+    holder = SimpleNamespace(current=current)
+    keys = KeyIndex(holder)
+    first, second = b'bearer key-depot', b'Bearer  key-hotel '
+    assert keys.find_organisation([first]) == 'depot'
+    assert keys.find_organisation([second]) == 'hotel'
+    for credentials in ([], [first, second], [b'Basic key-depot'], [b'Bearer']):
+        assert keys.find_organisation(credentials) is None
+    holder.current = version_configuration.EMPTY
+    assert keys.find_organisation([first]) is None
