Count the wait for a version as the caller's time

Cause: a request that waited for a version was given its whole time again afterwards. A submission under the id of another organisation's job was answered 400 without a line. Change: the arrival counts from before the check of the key; job_refused with reason=id_taken names the organisation that was refused. Result: tests/test_organisation_requests.py.

--- a/src/quetzaldyke/gateway/history.py
+++ b/src/quetzaldyke/gateway/history.py
@@ -164,6 +164,7 @@
         'unavailable': 'the store did not accept the write',
         'over_quota': 'too many tokens are queued already',
         'too_large': 'the store can never keep a job of this size',
+        'id_taken': 'a job of another organisation has its id',
         'unknown': 'it is not known whether the store applied the write',
     }
     reason = fields.get('reason', '')
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -197,6 +197,7 @@
 
     async def serve(self, request: ReceivedRequest, caller: AsgiCaller) -> None:
         """Pass a request to the job API or to the route that matches it."""
+        arrived_s = self.context.now()
         admitted = await self.keys.admit(request, lambda: self.table)
         if isinstance(admitted, Err):
             await self.deny(caller, request, admitted.err_value)
@@ -208,7 +209,7 @@
         if route is None:
             await self.reject_unknown_route(caller, request)
             return
-        online = self.to_online_request(request, route, identity)
+        online = self.to_online_request(request, route, identity, arrived_s)
         if online is None:
             await self.reject(caller, STATUS_BAD_REQUEST)
             return
@@ -327,6 +328,7 @@
         request: ReceivedRequest,
         route: Route,
         identity: Identity,
+        arrived_s: float,
     ) -> OnlineRequest | None:
         """Return the request to relay, or None if it has no attempt id.
 
@@ -335,7 +337,6 @@
         request_id = request.header(names.ATTEMPT_ID)
         if not request_id:
             return None
-        now_s = self.context.now()
         endpoints = self.context.dispatcher.endpoints
         requested_ms = request.number(names.DEADLINE)
         timeout_s = route.timeout_s
@@ -352,10 +353,10 @@
             service=choose_service(
                 route,
                 self.generator,
-                lambda service: bool(endpoints.usable(service, now_s)),
+                lambda service: bool(endpoints.usable(service, arrived_s)),
             ),
-            arrived_s=now_s,
-            deadline_s=now_s + timeout_s,
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + timeout_s,
             last_event=request.number(names.LAST_EVENT),
             prompt_parts=decode_prompt_parts(
                 request.header(names.PROMPT_PARTS)
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -106,9 +106,7 @@
             return
         job_id = raw_id.decode('latin-1')
         if self.store.table.is_known(job_id):
-            owned = self.belongs_to(self.store.table.view(job_id), identity)
-            status = STATUS_ACCEPTED if owned else STATUS_BAD_REQUEST
-            await send_response(caller, status)
+            await self.answer_known(job_id, identity, caller)
             return
         if not self.store_up():
             log_event('job_refused', job=job_id, reason='store_down')
@@ -123,11 +121,9 @@
             identity.name,
         )
         accepted = await self.store.accept(job, route)
-        if self.store.table.is_known(job_id) and not self.belongs_to(
-            self.store.table.view(job_id), identity
-        ):
+        if self.is_foreign(job_id, identity):
             # Another organisation was first while this one was writing.
-            await send_response(caller, STATUS_BAD_REQUEST)
+            await self.answer_known(job_id, identity, caller)
             return
         if isinstance(accepted, Ok):
             log_event(
@@ -161,6 +157,27 @@
         else:
             await send_refusal(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_AFTER)
 
+    def is_foreign(self, job_id: str, identity: Identity) -> bool:
+        """Return whether an id is known as that of another's job."""
+        return self.store.table.is_known(job_id) and not self.belongs_to(
+            self.store.table.view(job_id), identity
+        )
+
+    async def answer_known(
+        self, job_id: str, identity: Identity, caller: AsgiCaller
+    ) -> None:
+        """Answer the submission of a job that was accepted before."""
+        if not self.is_foreign(job_id, identity):
+            await send_response(caller, STATUS_ACCEPTED)
+            return
+        log_event(
+            'job_refused',
+            job=job_id,
+            reason='id_taken',
+            organisation=identity.name,
+        )
+        await send_response(caller, STATUS_BAD_REQUEST)
+
     def belongs_to(self, view: JobView, identity: Identity) -> bool:
         """Return whether a known job exists for a caller."""
         record = view.record
--- a/tests/test_organisation_requests.py
+++ b/tests/test_organisation_requests.py
@@ -295,3 +295,28 @@
         assert not rig.node.table.is_known('r1')
         assert await rig.status(b'POST /p/batch/', 'key-3', JOB) == 400
         assert await rig.status(b'POST /p/batch/', 'key-2', JOB) == 202
+
+
+async def test_wait_for_a_version_counts_as_its_callers_time() -> None:
+    """Guards against an endpoint that gets more time than its caller has."""
+    async with entry() as rig:
+        rig.configure(make_configuration(KEYS))
+
+        async def add_key() -> None:
+            while not rig.ingress.keys.waiting:
+                await anyio.sleep(0)
+            await anyio.sleep(0.05)
+            rig.configure(make_configuration({'new': 'depot'}, version=2))
+            rig.ingress.keys.feed.changed.set()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(add_key)
+            served = await rig.call(
+                b'POST /p/x',
+                b'Authorization: Bearer new',
+                b'Deadline-Ms: 2000',
+            )
+    assert served.startswith(b'HTTP/1.1 200 ')
+    sent = rig.endpoint.requests[0].lower()
+    left = sent.partition(b'deadline-ms: ')[2].partition(b'\r')[0]
+    assert int(left) <= 2_000 - 50
