Let changes of endpoints and members accumulate at a common start

Cause: while no watchers are chosen, and on the prefix of the endpoints at all times, a watch is called again at once. Change: at least 0.15 s between two calls for members and jobs, 0.1 s for endpoints. What must be known at once is in the endpoints' answers.

--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -35,6 +35,9 @@
 # Longest wait for the configuration and the endpoints before callers are
 # accepted.
 SYNC_TIMEOUT_S: Final = 0.1
+# Changes of endpoints accumulate for this long. Many start at once, and what
+# must be known at once is in their answers.
+ENDPOINT_POLL_DELAY_S: Final = 0.1
 # The shutdown ends this long before the SIGKILL at the end of the grace time.
 KILL_MARGIN_S: Final = 0.7
 # Before that, open requests get this long for their final response.
@@ -157,6 +160,7 @@
             names.ENDPOINT_PREFIX,
             entry.endpoints.on_snapshot,
             entry.endpoints.on_changes,
+            poll_delay_s=lambda: ENDPOINT_POLL_DELAY_S,
         ),
         PrefixWatcher(
             entry.store,
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -38,6 +38,9 @@
 MAX_CHANGES_BYTES: Final = 32_768
 POLL_DELAY_PER_WATCHER_S: Final = 0.06
 MAX_POLL_DELAY_S: Final = 0.65
+# Holds before the watchers are chosen, too: when all entries start at once,
+# each registration would else wake every one of them to call again.
+MIN_POLL_DELAY_S: Final = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +140,7 @@
         stay bounded.
         """
         delay_s = POLL_DELAY_PER_WATCHER_S * len(self.watchers)
-        return min(MAX_POLL_DELAY_S, delay_s)
+        return min(MAX_POLL_DELAY_S, max(MIN_POLL_DELAY_S, delay_s))
 
     def publish(self, prefix: str, after: int, batch: WatchBatch) -> None:
         """Send what this entry has read to its followers."""
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -17,7 +17,9 @@
 from quetzaldyke.gateway.shared_watch import (
     MAX_CHANGES_BYTES,
     MAX_CONFIRMATION_AGE_S,
+    MAX_POLL_DELAY_S,
     MAX_SILENCE_S,
+    MIN_POLL_DELAY_S,
     SOURCES_PER_FOLLOWER,
     WatchUpdate,
     limit_changes,
@@ -331,3 +333,16 @@
 def member_record(number: int) -> bytes:
     """Return the stored record of a member."""
     return Member(f'm{number}', f'i{number}', '10.0.0.1', 7000).pack()
+
+
+def test_entries_that_start_together_let_changes_accumulate() -> None:
+    """Guards against a call of every entry for each one that registers.
+
+    No watchers are chosen yet when all entries start at once.
+    """
+    fleet = SimulatedFleet.of_size(1)
+    sharing = fleet.make_entry('new').sharing
+    assert not sharing.watchers
+    assert sharing.poll_delay_s() >= MIN_POLL_DELAY_S
+    sharing.set_members([f'e{number}' for number in range(300)])
+    assert MIN_POLL_DELAY_S < sharing.poll_delay_s() <= MAX_POLL_DELAY_S
