Decide by demand and room when requests leave their failure domain

Cause: a fixed penalty for endpoints in other domains moves requests away while the own domain is half empty, and ignores what the traffic costs. Change: with QUETZALDYKE_KEEP_LOCAL each entry derives for each service the share of its domain's demand that exceeds the room there, less the price of traffic, and spreads it over the nearest domains with room. Free batch slots go to entries of the endpoint's domain first, and peers in other domains get load reports every 0.25 s. Off by default.

--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -159,7 +159,7 @@
             endpoint_id = endpoint.endpoint_id
             free = endpoint.slots - self.loads.total(endpoint_id)
             if free <= 0 or not self.grants.may_fill(
-                endpoint_id, own_pending, now_s
+                endpoint_id, own_pending, now_s, endpoint.failure_domain
             ):
                 continue
             for number in range(free):
--- /dev/null
+++ b/src/quetzaldyke/gateway/domain_shares.py
@@ -0,0 +1,282 @@
+"""Decides how much of a failure domain's demand other domains serve.
+
+Load pattern: demand and endpoints are uneven over the failure domains, half a
+domain drains or is lost, and bursts come to one domain alone. Traffic between
+domains is slower and has a price, yet a request that waits for a slot in its
+own domain waits far longer than it would travel.
+
+Each entry derives a share from what all entries of its domain have under way,
+wherever it is served, and from the room in every domain. The demand does not
+depend on the share, so that the share does not swing: it rises at once with
+the demand that exceeds the room of the own domain, and falls slowly. Only room
+that the other domains don't need is used, the nearest first, and what this
+domain already uses there counts as its own.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.gateway.loads import LoadTable
+from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.model import Endpoint, Installation, TrafficOptions
+
+# Time in which a share falls to a third after the demand has fallen. Bursts
+# come seconds apart, and each would else begin in a domain that is full.
+FALL_S: Final = 1.0
+# Travel between two failure domains of a region, there and back.
+REMOTE_DELAY_S: Final = 0.003
+# A share below this is taken as none.
+MIN_SHARE: Final = 0.01
+
+
+def comfortable_load(slots: float) -> float:
+    """Return the most requests that rarely wait for one of some slots.
+
+    The number of requests under way varies by about its square root, and that
+    much room is left free.
+
+    >>> comfortable_load(6), round(comfortable_load(40))
+    (4.0, 34)
+    """
+    root = (math.sqrt(1 + 4 * slots) - 1) / 2
+    return root * root
+
+
+@dataclass(slots=True)
+class DomainLoad:
+    """Slots and online requests of one failure domain, for one service."""
+
+    slots: float = 0.0
+    # Requests at its endpoints, from all entries, and those of them that are
+    # from the entries of the own domain.
+    served: int = 0
+    served_for_own: int = 0
+
+    @property
+    def room(self) -> float:
+        """Return how many requests of the own domain it can serve."""
+        others = self.served - self.served_for_own
+        return max(0.0, comfortable_load(self.slots) - others)
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """The share of the own demand to serve elsewhere, and where."""
+
+    share: float = 0.0
+    # Room of the domains that may serve it.
+    room: Mapping[str, float] = field(default_factory=dict)
+
+
+def nearest_with_room(
+    loads: Mapping[str, DomainLoad],
+    own: str,
+    regions: Mapping[str, str],
+    needed: float,
+) -> dict[str, float]:
+    """Return the room of other domains: those of the own region if enough."""
+    rooms = {
+        domain: load.room
+        for domain, load in loads.items()
+        if domain != own and load.room > 0
+    }
+    own_region = regions.get(own)
+    near = {
+        domain: room
+        for domain, room in rooms.items()
+        if regions.get(domain) == own_region
+    }
+    return near if sum(near.values()) >= needed else rooms
+
+
+def spread_of(
+    demand: float,
+    loads: Mapping[str, DomainLoad],
+    own: str,
+    regions: Mapping[str, str],
+    accepted_wait: float,
+) -> Spread:
+    """Return how to spread the demand of the own domain.
+
+    `accepted_wait` is the wait that is accepted rather than leave the domain,
+    as a share of the time for which a request holds a slot.
+    """
+    here = loads.get(own, DomainLoad())
+    capacity = here.room + here.slots * accepted_wait
+    excess = demand - capacity
+    if excess <= 0 or demand <= 0:
+        return Spread()
+    rooms = nearest_with_room(loads, own, regions, excess)
+    moved = min(excess, sum(rooms.values())) if here.slots else demand
+    return Spread(moved / demand, rooms)
+
+
+@dataclass(slots=True)
+class ServiceSpread:
+    """How one service's requests are spread, as of the last update."""
+
+    spread: Spread = Spread()
+    updated_s: float = 0.0
+    # Requests that should have left the domain and have not, as a fraction.
+    credit: float = 0.0
+
+    def update(self, target: Spread, now_s: float) -> None:
+        """Follow a higher share at once, and a lower one slowly."""
+        elapsed_s = max(0.0, now_s - self.updated_s)
+        self.updated_s = now_s
+        fallen = self.spread.share * math.exp(-elapsed_s / FALL_S)
+        share = max(target.share, fallen)
+        if share < MIN_SHARE:
+            self.spread = Spread()
+            self.credit = 0.0
+            return
+        self.spread = Spread(share, target.room or self.spread.room)
+
+    def leaves(self) -> bool:
+        """Return whether the next request leaves; evenly over the requests."""
+        self.credit += self.spread.share
+        if self.credit < 1:
+            return False
+        self.credit -= 1
+        return True
+
+
+@dataclass(slots=True)
+class DomainShares:
+    """The spread of each service's requests over the failure domains."""
+
+    own_domain: str
+    regions: Mapping[str, str]
+    options: TrafficOptions
+    loads: LoadTable
+    generator: random.Random
+    # Returns the failure domain of a peer; empty if it is not known.
+    domain_of_peer: Callable[[str], str] = lambda peer: ''
+    services: dict[str, ServiceSpread] = field(default_factory=dict)
+    # Online requests of the own domain's entries by endpoint.
+    own_use: Counter[str] = field(default_factory=Counter)
+
+    @classmethod
+    def from_installation(
+        cls,
+        installation: Installation,
+        loads: LoadTable,
+        generator: random.Random,
+    ) -> DomainShares | None:
+        """Return the shares of an entry; None if its settings ask for none."""
+        if not installation.traffic.keep_local:
+            return None
+        return cls(
+            installation.failure_domain,
+            installation.regions,
+            installation.traffic,
+            loads,
+            generator,
+        )
+
+    def update(
+        self,
+        service: str,
+        usable: Iterable[Endpoint],
+        waiting: int,
+        hold_s: float,
+        now_s: float,
+    ) -> Spread:
+        """Update the spread of a service; return it.
+
+        `waiting` are the requests that wait for a slot at this entry, and
+        `hold_s` is the time for which a request holds one. `count_own_use`
+        comes before the update of one or more services.
+        """
+        endpoints = list(usable)
+        loads = self.domain_loads(endpoints)
+        demand = waiting + sum(one.served_for_own for one in loads.values())
+        wait_s = REMOTE_DELAY_S + self.options.price_s
+        target = spread_of(
+            demand,
+            loads,
+            self.own_domain,
+            self.regions,
+            wait_s / max(hold_s, wait_s),
+        )
+        known = self.services.setdefault(service, ServiceSpread())
+        left_before = known.spread.share > 0
+        known.update(target, now_s)
+        if left_before != (known.spread.share > 0):
+            log_event(
+                'domain_share',
+                service=service,
+                share=round(known.spread.share, 2),
+                demand=demand,
+                domains=','.join(known.spread.room),
+            )
+        return known.spread
+
+    def domain_loads(
+        self, endpoints: Iterable[Endpoint]
+    ) -> dict[str, DomainLoad]:
+        """Return the load of each failure domain with endpoints."""
+        loads: dict[str, DomainLoad] = {}
+        for endpoint in endpoints:
+            load = loads.setdefault(endpoint.failure_domain, DomainLoad())
+            load.slots += endpoint.slots
+            load.served += self.loads.online(endpoint.endpoint_id)
+            load.served_for_own += self.own_use[endpoint.endpoint_id]
+        return loads
+
+    def count_own_use(self) -> None:
+        """Count the online requests of the entries in the own domain."""
+        self.own_use.clear()
+        reports = [
+            report.counts
+            for peer, report in self.loads.peers.items()
+            if self.domain_of_peer(peer) == self.own_domain
+        ]
+        for counts in (self.loads.own, *reports):
+            for endpoint_id, one in counts.items():
+                self.own_use[endpoint_id] += one.online
+
+    def share_of(self, service: str) -> float:
+        """Return the share of a service's requests that leave the domain."""
+        known = self.services.get(service)
+        return known.spread.share if known is not None else 0.0
+
+    def next_domain(self, service: str) -> str:
+        """Return the domain that the next request of a service should go to.
+
+        Empty if it should stay.
+        """
+        known = self.services.get(service)
+        if known is None or not known.spread.share or not known.leaves():
+            return ''
+        rooms = known.spread.room
+        if not rooms:
+            return ''
+        return self.generator.choices(list(rooms), list(rooms.values()))[0]
+
+
+def grouped(
+    endpoints: Iterable[Endpoint], own: str, next_domain: str
+) -> list[list[Endpoint]]:
+    """Return endpoints in the order in which their domains are asked.
+
+    The domain that a request should go to comes first if there is one, then
+    the own one, then all others.
+    """
+    first: list[Endpoint] = []
+    near: list[Endpoint] = []
+    others: list[Endpoint] = []
+    for endpoint in endpoints:
+        if endpoint.failure_domain == next_domain:
+            first.append(endpoint)
+        elif endpoint.failure_domain == own:
+            near.append(endpoint)
+        else:
+            others.append(endpoint)
+    return [group for group in (first, near, others) if group]
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final
 
 import anyio
@@ -16,6 +17,7 @@
 from quetzaldyke.gateway.crash_records import CrashRecords
 from quetzaldyke.gateway.crashes import CrashTracker
 from quetzaldyke.gateway.dispatcher import Dispatcher
+from quetzaldyke.gateway.domain_shares import DomainShares
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.entry_wiring import connect_parts
@@ -112,7 +114,12 @@
         dispatcher = Dispatcher(
             endpoint_table,
             loads,
-            PlacementPolicy(installation.failure_domain, generator, loads),
+            PlacementPolicy(
+                installation.failure_domain,
+                generator,
+                loads,
+                DomainShares.from_installation(installation, loads, generator),
+            ),
             clock,
             generator,
             is_engine=lambda service: entry.configurations.is_engine(service),
@@ -284,7 +291,11 @@
         if not self.health.up:
             return
         self.sharing.set_members(self.jobs.members)
-        self.gossip.set_members(self.jobs.members.values())
+        traffic = self.installation.traffic
+        self.gossip.set_members(
+            self.jobs.members.values(),
+            self.member.failure_domain if traffic.keep_local else '',
+        )
 
     def on_permits(self) -> None:
         """Start what waits for permits."""
@@ -326,6 +337,25 @@
         self.gossip.keep_senders(self.loads.peers)
         self.limits.set_members(self.jobs.members, self.loads.peers)
 
+    async def update_domain_shares(self) -> None:
+        """Update how much of each service's demand leaves the domain."""
+        shares = self.dispatcher.policy.shares
+        if shares is None:
+            return
+        now_s = self.clock.now()
+        shares.count_own_use()
+        for service, queue in self.dispatcher.queues.items():
+            if service not in shares.services:
+                read = partial(shares.share_of, service)
+                self.metrics.gauge('domain_share', read, service=service)
+            shares.update(
+                service,
+                self.endpoint_table.usable(service, now_s),
+                len(queue),
+                queue.mean_hold_s,
+                now_s,
+            )
+
     async def clean_up(self) -> None:
         """Remove expired state and time out idle callers."""
         self.client.close_expired()
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -33,6 +33,7 @@
     )
     entry.jobs.on_members = entry.on_members
     entry.limits.permits.on_granted = entry.on_permits
+    connect_domains(entry)
     entry.messages.drains.connect(entry.metrics, log_event)
     timers = entry.timers
     timers.on_failure = log_timer_failure
@@ -48,6 +49,23 @@
     )
 
 
+def connect_domains(entry: Entry) -> None:
+    """Tell the components that keep work local where each entry runs."""
+    shares = entry.dispatcher.policy.shares
+    if shares is None:
+        return
+
+    def domain_of_entry(owner_id: str) -> str:
+        member = entry.jobs.members.get(owner_id)
+        return member.failure_domain if member is not None else ''
+
+    shares.domain_of_peer = domain_of_entry
+    entry.timers.subscribe(
+        'domains', GOSSIP_INTERVAL_S, entry.update_domain_shares
+    )
+    entry.policy.grants.domain_of_entry = domain_of_entry
+
+
 def attach_runner(entry: Entry, runner: BatchRunner) -> None:
     """Start scheduling batch jobs on a runner."""
     entry.runner = runner
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -3,7 +3,9 @@
 Slots are taken and released many times a second, far faster than the store
 could propagate. A report holds the complete load of its sender, so the next
 one makes up for a lost datagram. The interval between reports grows with the
-number of peers, so that the traffic of one entry stays bounded.
+number of peers, so that the traffic of one entry stays bounded. Peers that
+rarely send to the same endpoints, those in other failure domains, can be sent
+fewer reports.
 """
 
 from __future__ import annotations
@@ -26,6 +28,8 @@
 # Longest time between two reports: one is sent even if nothing changed, so
 # that peers can tell that this entry is alive.
 HEARTBEAT_S: Final = 0.3
+# Least time between two reports to peers in other failure domains.
+FAR_INTERVAL_S: Final = 0.25
 
 Address = tuple[str, int]
 
@@ -42,8 +46,10 @@
     # member any more, but still serves open connections.
     senders: dict[str, Address] = field(default_factory=dict)
     transport: asyncio.DatagramTransport | None = None
-    changed: bool = False
+    # Peers that get reports at longer intervals.
+    far_peers: frozenset[str] = frozenset()
     last_report_s: float = 0.0
+    last_far_report_s: float = 0.0
     report_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -62,11 +68,20 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore send errors; a peer that has gone is removed by its lease."""
 
-    def set_members(self, members: Iterable[Member]) -> None:
+    def set_members(
+        self, members: Iterable[Member], near_domain: str = ''
+    ) -> None:
         """Replace the peers; those that have left still get reports.
 
         Two that leave at the same moment would otherwise lose each other.
+        Peers outside `near_domain` are far away; none are if it is empty.
         """
+        members = list(members)
+        self.far_peers = frozenset(
+            member.owner_id
+            for member in members
+            if near_domain and member.failure_domain not in {'', near_domain}
+        )
         peers = {
             member.owner_id: (member.host, member.port)
             for member in members
@@ -89,14 +104,27 @@
         self.report_timer = loop.call_later(due_s, self.send_report)
 
     def send_report(self) -> None:
-        """Send this entry's load report to all peers and other senders."""
+        """Send this entry's load report to the peers and other senders.
+
+        Leaves out those that are far away if they got one a moment ago.
+        """
         self.report_timer = None
-        self.last_report_s = asyncio.get_running_loop().time()
-        self.send((*self.peers, *self.senders), self.make_report())
+        now_s = asyncio.get_running_loop().time()
+        self.last_report_s = now_s
+        receivers = {*self.peers, *self.senders}
+        if now_s - self.last_far_report_s >= FAR_INTERVAL_S:
+            self.last_far_report_s = now_s
+        else:
+            receivers -= self.far_peers
+        self.send(receivers, self.make_report())
 
     async def heartbeat(self) -> None:
-        """Send a report if the last one is older than the heartbeat."""
-        if asyncio.get_running_loop().time() - self.last_report_s > HEARTBEAT_S:
+        """Send a report if the last one to any peer is too old."""
+        now_s = asyncio.get_running_loop().time()
+        if (
+            now_s - min(self.last_report_s, self.last_far_report_s)
+            > HEARTBEAT_S
+        ):
             self.send_report()
 
     def broadcast(self, message: GossipMessage) -> None:
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -52,6 +52,8 @@
     instance: str
     host: str
     port: int
+    # Empty in earlier releases.
+    failure_domain: str = ''
 
     @classmethod
     def from_installation(
@@ -63,6 +65,7 @@
             installation.instance,
             installation.host,
             installation.first_peer_port,
+            installation.failure_domain,
         )
 
     @classmethod
@@ -72,15 +75,22 @@
         Raises `ValueError` or `TypeError` if it is malformed, also if nothing
         can be sent to its address: datagrams go to all members in turn.
         """
-        owner_id, instance, host, port = msgpack.unpackb(raw)
+        owner_id, instance, host, port, *added = msgpack.unpackb(raw)
         reachable = parse_host(text_of(host))
         if isinstance(reachable, Err) or not is_port(port):
             raise ValueError('member without a usable address')
-        return cls(text_of(owner_id), text_of(instance), host, port)
+        domain = text_of(added[0]) if added else ''
+        return cls(text_of(owner_id), text_of(instance), host, port, domain)
 
     def pack(self) -> bytes:
         """Encode for storage."""
-        row = [self.owner_id, self.instance, self.host, self.port]
+        row = [
+            self.owner_id,
+            self.instance,
+            self.host,
+            self.port,
+            self.failure_domain,
+        ]
         return bytes(msgpack.packb(row))
 
 
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import Literal
 
 from quetzaldyke.parts.api_keys import KeyDirectory
@@ -167,6 +168,17 @@
     revocation_s: float = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class TrafficOptions:
+    """What the operators state of traffic between failure domains."""
+
+    # Whether requests stay in their failure domain while it has room.
+    keep_local: bool = False
+    # How much longer a request may take rather than leave its domain, which
+    # states the price of traffic; 0 means that it has none.
+    price_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Installation:
     """Settings of one process, read from the settings file at its start."""
@@ -183,3 +195,6 @@
     store_limits: TransactionLimits = DEFAULT_LIMITS
     callers_address: str = ''
     readiness_address: str = ''
+    # Region of each failure domain; traffic within a region is faster.
+    regions: Mapping[str, str] = field(default_factory=dict)
+    traffic: TrafficOptions = TrafficOptions()
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -5,6 +5,9 @@
 preemptible batch work, or a position in an endpoint's own short queue. Among
 these, endpoints that have not asked for a pause are preferred, then those in
 this entry's failure domain. Otherwise the request has to wait at the entry.
+
+Where requests stay in their failure domain while it has room, the slots of the
+domain that `domain_shares.py` names come first, whether free or preemptible.
 """
 
 from __future__ import annotations
@@ -14,6 +17,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from quetzaldyke.gateway.domain_shares import DomainShares, grouped
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint
 
@@ -50,6 +54,8 @@
     failure_domain: str
     generator: random.Random
     loads: LoadTable
+    # None if endpoints of all failure domains are compared.
+    shares: DomainShares | None = None
 
     def choose(
         self,
@@ -64,6 +70,34 @@
         """
         if not candidates:
             return None
+        for group in self.groups(candidates):
+            placement = self.choose_slot(group, paused)
+            if placement is not None:
+                return placement
+        fitting = [
+            one
+            for one in candidates
+            if self.loads.online(one.endpoint_id) < one.slots + max_queued
+        ]
+        if not fitting:
+            return None
+        preferred = without(paused, fitting)
+        best = min(preferred, key=self.online_utilisation)
+        return Placement(best, preempt_batch=False)
+
+    def groups(
+        self, candidates: Sequence[Endpoint]
+    ) -> Sequence[Sequence[Endpoint]]:
+        """Return the endpoints by failure domain, the preferred one first."""
+        if self.shares is None:
+            return (candidates,)
+        domain = self.shares.next_domain(candidates[0].service)
+        return grouped(candidates, self.failure_domain, domain)
+
+    def choose_slot(
+        self, candidates: Sequence[Endpoint], paused: Collection[str]
+    ) -> Placement | None:
+        """Return a placement on a free or preemptible slot, or None."""
         free = [
             one
             for one in candidates
@@ -74,17 +108,16 @@
             return Placement(
                 min(preferred, key=self.utilisation), preempt_batch=False
             )
-        for queue_limit, preempts in ((0, True), (max_queued, False)):
-            fitting = [
-                one
-                for one in candidates
-                if self.loads.online(one.endpoint_id) < one.slots + queue_limit
-            ]
-            if fitting:
-                preferred = without(paused, fitting)
-                best = min(preferred, key=self.online_utilisation)
-                return Placement(best, preempts)
-        return None
+        held = [
+            one
+            for one in candidates
+            if self.loads.online(one.endpoint_id) < one.slots
+        ]
+        if not held:
+            return None
+        preferred = without(paused, held)
+        best = min(preferred, key=self.online_utilisation)
+        return Placement(best, preempt_batch=True)
 
     def utilisation(self, endpoint: Endpoint) -> float:
         """Return the share of slots in use plus the locality penalty."""
--- a/src/quetzaldyke/gateway/programs.py
+++ b/src/quetzaldyke/gateway/programs.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import importlib
+import os
 import socket
 import sys
+from dataclasses import replace
 from functools import partial
 from typing import Final
 
@@ -17,6 +19,7 @@
 
 from quetzaldyke.gateway.logs import start_logs
 from quetzaldyke.gateway.model import Installation
+from quetzaldyke.gateway.traffic_settings import read_traffic_options
 from quetzaldyke.platform.settings import load_installation, settings_path
 
 SETTINGS_ERROR_STATUS: Final = 2
@@ -28,10 +31,13 @@
     Prints all errors and exits with status 2 if they are invalid.
     """
     loaded = load_installation(settings_path())
-    if isinstance(loaded, Err):
-        sys.stderr.write(f'{loaded.err_value.render()}\n')
+    traffic = read_traffic_options(os.environ)
+    for read in (loaded, traffic):
+        if isinstance(read, Err):
+            sys.stderr.write(f'{read.err_value.render()}\n')
+    if isinstance(loaded, Err) or isinstance(traffic, Err):
         sys.exit(SETTINGS_ERROR_STATUS)
-    return loaded.ok_value
+    return replace(loaded.ok_value, traffic=traffic.ok_value)
 
 
 def run_entry_program(listener: socket.socket, metrics_port: int) -> None:
--- a/src/quetzaldyke/gateway/slot_grants.py
+++ b/src/quetzaldyke/gateway/slot_grants.py
@@ -7,14 +7,15 @@
 
 All entries know the same counts, so they choose the same entry without
 communication: by rendezvous hashing, weighted with the items that each could
-start. The choice is made anew whenever the batch runs on the endpoint change,
+start. Where work stays in its failure domain, the entries of the endpoint's
+domain go first while they have items. The choice is made anew whenever the batch runs on the endpoint change,
 and after a pause, in case the chosen entry can't use the slots.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -54,6 +55,9 @@
 
     own_id: str
     loads: LoadTable
+    # Returns the failure domain of an entry; empty if it is not known. None if
+    # all entries are taken alike.
+    domain_of_entry: Callable[[str], str] | None = None
     # Number of batch runs on each endpoint, and when it last changed.
     batch_runs: dict[str, tuple[int, float]] = field(default_factory=dict)
 
@@ -63,17 +67,32 @@
             if endpoint_id not in endpoint_ids:
                 del self.batch_runs[endpoint_id]
 
+    def near_weights(
+        self, weights: dict[str, int], failure_domain: str
+    ) -> dict[str, int]:
+        """Return the weights of a domain's entries if any has items."""
+        if self.domain_of_entry is None:
+            return weights
+        near = {
+            entry: weight
+            for entry, weight in weights.items()
+            if weight and self.domain_of_entry(entry) == failure_domain
+        }
+        return near or weights
+
     def may_fill(
         self,
         endpoint_id: str,
         own_pending: int,
         now_s: float,
+        failure_domain: str = '',
     ) -> bool:
         """Return whether this entry fills the free slots of an endpoint."""
         weights = self.loads.pending_by_peer()
         if not weights:
             return own_pending > 0
         weights[self.own_id] = own_pending
+        weights = self.near_weights(weights, failure_domain)
         running = self.loads.batch(endpoint_id)
         known, since_s = self.batch_runs.get(endpoint_id, (-1, now_s))
         if known != running:
--- a/src/quetzaldyke/platform/settings.py
+++ b/src/quetzaldyke/platform/settings.py
@@ -68,6 +68,7 @@
     port_range: tuple[int, int] = Field(alias='port-range')
     heartbeat_ms: float = Field(default=1000, alias='heartbeat-ms', gt=0)
     listen: ListenTable = ListenTable()
+    zones: dict[str, str] = {}
     bounds: BoundsTable
     provider: ProviderTable
 
@@ -112,6 +113,7 @@
         heartbeat_s=settings.heartbeat_ms / MS_IN_S,
         callers_address=settings.listen.front,
         readiness_address=settings.listen.ready,
+        regions=settings.zones,
         bounds=Bounds(
             drain_s=bounds.drain_ms / MS_IN_S,
             grace_s=bounds.grace_s,
