Leave the peaks of online demand free of batch work

Cause: batch runs of some seconds start on every slot of each low of online demand and are cut in each high; with work kept in its failure domain more are cut, as requests no longer go elsewhere instead. Change: with QUETZALDYKE_RESERVE_PEAKS the recent peak of each domain's demand stays free of batch runs; items that would be late, or that end at that endpoint before the next peak is expected, may use those slots too. The pace of each endpoint is learned from its runs. With QUETZALDYKE_KEEP_CONNECTIONS entries prefer endpoints in an order of their own, evenly spread, and reuse idle connections for requests that may run once while the endpoint shows that it lives. Both are off by default.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from quetzaldyke.gateway.connection_reuse import max_idle_s
 from quetzaldyke.gateway.crashes import PROGRESS_CHUNKS
 from quetzaldyke.gateway.event_stream import StreamError
 from quetzaldyke.gateway.exchange import (
@@ -46,10 +47,6 @@
 from quetzaldyke.platform.limits import decode_limit, decode_retry_after
 
 MS_IN_S: Final = 1000
-# The peer may have dropped an idle connection without notice. A request that
-# is not idempotent therefore reuses only a connection idle for less than this.
-NON_IDEMPOTENT_MAX_IDLE_S: Final = 0.5
-IDEMPOTENT_MAX_IDLE_S: Final = 4.0
 # An endpoint that sent bytes this recently counts as serving and is not
 # ejected for a broken connection. If it did crash, the next connection fails.
 RECENTLY_SERVING_S: Final = 0.2
@@ -104,13 +101,12 @@
         Raises `ExchangeError` if it can't be sent or no head arrives.
         """
         endpoint = self.reservation.endpoint
-        idempotent = self.request.route.idempotent
         await self.context.client.start(
             endpoint.host,
             endpoint.port,
             self.encode(),
             self.exchange,
-            IDEMPOTENT_MAX_IDLE_S if idempotent else NON_IDEMPOTENT_MAX_IDLE_S,
+            max_idle_s(self.context, self.request.route, endpoint),
         )
         self.progress.attempts += 1
         self.context.dispatcher.permits.limits.note_sent(endpoint, online=True)
--- /dev/null
+++ b/src/quetzaldyke/gateway/batch_reserve.py
@@ -0,0 +1,104 @@
+"""Limits batch work to the slots that online peaks leave free.
+
+Load pattern: see `demand_rhythm.py`. Each endpoint keeps its part of what the
+recent peak of its failure domain takes; batch items start on the others. Two
+kinds of items may use the kept slots as well: one whose run ends before the
+next peak, and one that would be late otherwise. So nothing is left undone on
+slots that stay idle, and a backlog of items lifts the limit by itself.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.gateway.demand_rhythm import DemandRhythm, reserved_share
+from quetzaldyke.gateway.loads import LoadTable
+from quetzaldyke.gateway.model import Endpoint
+
+# Time between two observations of the demand.
+OBSERVATION_S: Final = 0.1
+# An item counts as urgent while it has less than this many times the time that
+# it still takes, as runs are cut and waits are longer than expected.
+URGENT_FACTOR: Final = 2.0
+
+DomainKey = tuple[str, str]
+
+
+@dataclass(slots=True)
+class BatchReserve:
+    """What batch work leaves free, by service and failure domain."""
+
+    loads: LoadTable
+    rhythms: dict[DomainKey, DemandRhythm] = field(default_factory=dict)
+    slots: dict[DomainKey, int] = field(default_factory=dict)
+    observed_s: dict[str, float] = field(default_factory=dict)
+
+    def observe(
+        self, service: str, endpoints: Iterable[Endpoint], now_s: float
+    ) -> None:
+        """Record the online demand of a service, if that is due."""
+        if now_s - self.observed_s.get(service, -math.inf) < OBSERVATION_S:
+            return
+        self.observed_s[service] = now_s
+        demands: dict[DomainKey, int] = {}
+        slots: dict[DomainKey, int] = {}
+        for endpoint in endpoints:
+            key = endpoint.service, endpoint.failure_domain
+            online = self.loads.online(endpoint.endpoint_id)
+            demands[key] = demands.get(key, 0) + online
+            slots[key] = slots.get(key, 0) + endpoint.slots
+        for key, demand in demands.items():
+            self.rhythms.setdefault(key, DemandRhythm()).note(demand, now_s)
+        self.slots.update(slots)
+
+    def limit(self, endpoint: Endpoint) -> int:
+        """Return how many batch runs an endpoint may have beside peaks."""
+        key = endpoint.service, endpoint.failure_domain
+        rhythm = self.rhythms.get(key)
+        if rhythm is None:
+            return endpoint.slots
+        reserved = reserved_share(rhythm.peak, self.slots[key])
+        return math.floor(endpoint.slots * (1 - reserved))
+
+    def rest_of_low_s(self, endpoint: Endpoint, now_s: float) -> float:
+        """Return for how long its kept slots are expected to stay free."""
+        key = endpoint.service, endpoint.failure_domain
+        rhythm = self.rhythms.get(key)
+        return 0.0 if rhythm is None else rhythm.rest_of_low_s(now_s)
+
+    def split(
+        self, slots: Sequence[Endpoint]
+    ) -> tuple[list[Endpoint], list[Endpoint]]:
+        """Split free slots into those beside the peaks and the kept ones.
+
+        `slots` names an endpoint once for each of its free slots.
+        """
+        beside: list[Endpoint] = []
+        kept: list[Endpoint] = []
+        places: dict[str, int] = {}
+        for endpoint in slots:
+            endpoint_id = endpoint.endpoint_id
+            left = places.get(endpoint_id)
+            if left is None:
+                left = self.limit(endpoint) - self.loads.batch(endpoint_id)
+            places[endpoint_id] = left - 1
+            (beside if left > 0 else kept).append(endpoint)
+        return beside, kept
+
+
+def is_urgent(left_s: float, remaining_s: float, wait_s: float) -> bool:
+    """Return whether an item would be late if it waited for its turn.
+
+    `left_s` is the time until it is due, `remaining_s` what its run still
+    takes, and `wait_s` how long the items ahead of it take. One that is late
+    in any case is not urgent.
+
+    >>> is_urgent(9.0, 4.0, 0.5), is_urgent(9.0, 4.0, 4.0), is_urgent(2, 4, 4)
+    (False, True, False)
+    """
+    if left_s < remaining_s:
+        return False
+    return left_s < URGENT_FACTOR * remaining_s + wait_s
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -5,7 +5,8 @@
 slots.
 
 Items start on every free slot that `slot_grants.py` grants to this entry, the
-job that is due first before the others. Under overload, items whose job can no
+job that is due first before the others, unless `batch_reserve.py` keeps a slot
+for the next peak. Under overload, items whose job can no
 longer be done in time go behind those whose job can. `preemption.py` decides
 which runs leave an engine that holds more requests than slots; a preempted
 item resumes later after its last event.
@@ -19,9 +20,10 @@
 
 import random
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.gateway.batch_reserve import BatchReserve
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.slot_grants import SlotGrants
@@ -29,6 +31,10 @@
 # Initial averages, used until the first runs have ended.
 DEFAULT_EVENTS: Final = 100.0
 DEFAULT_EVENT_S: Final = 0.02
+# Runs with fewer events say little of an endpoint's pace.
+MIN_PACE_EVENTS: Final = 8
+# Weight of the latest run in the pace of an endpoint, which may change.
+PACE_WEIGHT: Final = 0.3
 # Weight of the latest run in the exponential moving averages.
 SMOOTHING_FACTOR: Final = 0.1
 # An item that is longer than the average is assumed to need this share of
@@ -118,6 +124,32 @@
 
     events: float = DEFAULT_EVENTS
     event_s: float = DEFAULT_EVENT_S
+    # Time between events at each endpoint, of runs that ended in any way.
+    pace_s: dict[str, float] = field(default_factory=dict)
+
+    def record_pace(
+        self, endpoint_id: str, events: int, duration_s: float
+    ) -> None:
+        """Update the pace of an endpoint with the events of a run there.
+
+        A slow endpoint may take more than twice as long as a fast one.
+        """
+        if events < MIN_PACE_EVENTS:
+            return
+        measured_s = duration_s / events
+        known_s = self.pace_s.get(endpoint_id, measured_s)
+        changed_s = PACE_WEIGHT * (measured_s - known_s)
+        self.pace_s[endpoint_id] = known_s + changed_s
+
+    def remaining_at_s(self, endpoint_id: str, events_done: int) -> float:
+        """Return the estimated time that an item takes at an endpoint."""
+        pace_s = self.pace_s.get(endpoint_id, self.event_s)
+        return self.remaining_s(events_done) * pace_s / self.event_s
+
+    def keep_endpoints(self, endpoint_ids: Collection[str]) -> None:
+        """Drop what is known of all other endpoints."""
+        for endpoint_id in self.pace_s.keys() - set(endpoint_ids):
+            del self.pace_s[endpoint_id]
 
     def record_run(self, events: int, duration_s: float) -> None:
         """Update the averages with an uninterrupted run of a whole item."""
@@ -142,6 +174,8 @@
     loads: LoadTable
     grants: SlotGrants
     generator: random.Random
+    # None if batch work may use every free slot.
+    reserve: BatchReserve | None = None
 
     def allocate_slots(
         self,
--- a/src/quetzaldyke/gateway/domain_shares.py
+++ b/src/quetzaldyke/gateway/domain_shares.py
@@ -24,7 +24,7 @@
 
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.model import Endpoint, Installation, TrafficOptions
+from quetzaldyke.gateway.model import Endpoint, Installation, EntryOptions
 
 # Time in which a share falls to a third after the demand has fallen. Bursts
 # come seconds apart, and each would else begin in a domain that is full.
@@ -153,7 +153,7 @@
 
     own_domain: str
     regions: Mapping[str, str]
-    options: TrafficOptions
+    options: EntryOptions
     loads: LoadTable
     generator: random.Random
     # Returns the failure domain of a peer; empty if it is not known.
@@ -170,12 +170,12 @@
         generator: random.Random,
     ) -> DomainShares | None:
         """Return the shares of an entry; None if its settings ask for none."""
-        if not installation.traffic.keep_local:
+        if not installation.options.keep_local:
             return None
         return cls(
             installation.failure_domain,
             installation.regions,
-            installation.traffic,
+            installation.options,
             loads,
             generator,
         )
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -5,12 +5,12 @@
 import random
 import secrets
 from dataclasses import dataclass, field
-from functools import partial
 from typing import Final
 
 import anyio
 
 from quetzaldyke.connection.http_server import HttpServer
+from quetzaldyke.gateway.batch_reserve import BatchReserve
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
@@ -19,6 +19,7 @@
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.domain_shares import DomainShares
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
+from quetzaldyke.gateway.endpoint_preference import EndpointPreference
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.entry_wiring import connect_parts
 from quetzaldyke.gateway.gossip import Gossip
@@ -39,6 +40,10 @@
 from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.peer_messages import PeerMessages
 from quetzaldyke.gateway.placement import PlacementPolicy
+from quetzaldyke.gateway.placement_upkeep import (
+    observe_demand,
+    update_preference,
+)
 from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.slot_grants import SlotGrants
 from quetzaldyke.gateway.store_health import StoreHealth
@@ -119,6 +124,7 @@
                 generator,
                 loads,
                 DomainShares.from_installation(installation, loads, generator),
+                EndpointPreference.from_installation(installation, owner_id),
             ),
             clock,
             generator,
@@ -206,7 +212,14 @@
             registration=Registration(store, member),
             ingress=ingress,
             api=api,
-            policy=BatchPolicy(loads, SlotGrants(owner_id, loads), generator),
+            policy=BatchPolicy(
+                loads,
+                SlotGrants(owner_id, loads),
+                generator,
+                BatchReserve(loads)
+                if installation.options.reserve_peaks
+                else None,
+            ),
             configurations=ConfigurationFeed(
                 clock.now,
                 lambda configuration: entry.on_configuration(configuration),
@@ -291,10 +304,10 @@
         if not self.health.up:
             return
         self.sharing.set_members(self.jobs.members)
-        traffic = self.installation.traffic
+        keep_local = self.installation.options.keep_local
         self.gossip.set_members(
             self.jobs.members.values(),
-            self.member.failure_domain if traffic.keep_local else '',
+            self.member.failure_domain if keep_local else '',
         )
 
     def on_permits(self) -> None:
@@ -310,6 +323,7 @@
     async def batch_tick(self) -> None:
         """Run the batch runner's periodic work."""
         if self.runner is not None:
+            observe_demand(self)
             self.runner.peers_known = self.peers_known()
             await self.runner.tick()
 
@@ -337,28 +351,10 @@
         self.gossip.keep_senders(self.loads.peers)
         self.limits.set_members(self.jobs.members, self.loads.peers)
 
-    async def update_domain_shares(self) -> None:
-        """Update how much of each service's demand leaves the domain."""
-        shares = self.dispatcher.policy.shares
-        if shares is None:
-            return
-        now_s = self.clock.now()
-        shares.count_own_use()
-        for service, queue in self.dispatcher.queues.items():
-            if service not in shares.services:
-                read = partial(shares.share_of, service)
-                self.metrics.gauge('domain_share', read, service=service)
-            shares.update(
-                service,
-                self.endpoint_table.usable(service, now_s),
-                len(queue),
-                queue.mean_hold_s,
-                now_s,
-            )
-
     async def clean_up(self) -> None:
         """Remove expired state and time out idle callers."""
         self.client.close_expired()
+        update_preference(self)
         self.ingress.context.crashes.drop_expired()
         self.store.path.remove_silent_peers(self.clock.now())
         await self.store.probe_direct()
@@ -366,6 +362,8 @@
         if gone:
             log_event('endpoints_gone', endpoints=','.join(gone))
         self.policy.grants.drop_absent(self.endpoint_table.by_id)
+        if self.runner is not None:
+            self.runner.estimator.keep_endpoints(self.endpoint_table.by_id)
         self.limits.clean_up()
         self.messages.drains.clean_up()
         if self.caller_server is not None:
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 from quetzaldyke.gateway.batch_runner import BatchRunner
@@ -10,6 +11,7 @@
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S, Ownership
 from quetzaldyke.gateway.outages import follow_outages
+from quetzaldyke.gateway.placement_upkeep import update_domain_shares
 
 if TYPE_CHECKING:
     from quetzaldyke.gateway.entry import Entry
@@ -61,7 +63,7 @@
 
     shares.domain_of_peer = domain_of_entry
     entry.timers.subscribe(
-        'domains', GOSSIP_INTERVAL_S, entry.update_domain_shares
+        'domains', GOSSIP_INTERVAL_S, partial(update_domain_shares, entry)
     )
     entry.policy.grants.domain_of_entry = domain_of_entry
 
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -209,12 +209,15 @@
         clock = self.context.dispatcher.clock
         started_s = clock.now()
         self.extend_stall_deadline()
-        while chunk := await self.read_chunk():
-            events = progress.splitter.feed(chunk)
-            if events:
-                self.extend_stall_deadline()
-                progress.add_outputs(event_data(events))
-                self.check_size()
+        try:
+            while chunk := await self.read_chunk():
+                self.add_chunk(chunk)
+        finally:
+            self.context.estimator.record_pace(
+                self.endpoint_id,
+                progress.events_done - self.events_before,
+                clock.now() - started_s,
+            )
         if progress.splitter.partial:
             raise ExchangeError(Failure.BROKEN, 'ended inside an event')
         whole = self.is_whole()
@@ -226,6 +229,14 @@
         if whole:
             self.context.finish_item(self.job, progress, True)
 
+    def add_chunk(self, chunk: bytes) -> None:
+        """Keep the whole events that a chunk completes."""
+        events = self.progress.splitter.feed(chunk)
+        if events:
+            self.extend_stall_deadline()
+            self.progress.add_outputs(event_data(events))
+            self.check_size()
+
     def check_size(self) -> None:
         """Start over if the output is larger than can be listed.
 
--- a/src/quetzaldyke/gateway/item_starter.py
+++ b/src/quetzaldyke/gateway/item_starter.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+import math
 import time
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 from typing import Final
 
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
+from quetzaldyke.gateway.batch_reserve import is_urgent
 from quetzaldyke.gateway.batch_schedule import (
     BatchPolicy,
     Candidate,
@@ -39,6 +41,16 @@
 START_SHARE: Final = 0.75
 
 
+@dataclass(frozen=True, slots=True)
+class OfferedSlots:
+    """Free slots, each named by its endpoint."""
+
+    # For any item.
+    open: list[Endpoint]
+    # Kept for the next peak of online demand, see `batch_reserve.py`.
+    kept: list[Endpoint] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class ItemStarter:
     """Starts the items of one entry's active jobs."""
@@ -109,9 +121,13 @@
             return []
         usable = self.dispatcher.endpoints.usable_for_batch(service, now_s)
         slots = self.offered_slots(service, usable, len(idle), now_s)
-        usable_ids = {endpoint.endpoint_id for endpoint in usable}
         ordered = start_order(idle)
-        assigned = assign_endpoints(ordered, slots, usable_ids)
+        assigned = assign_endpoints(ordered, slots.open, usable_ids(usable))
+        if slots.kept:
+            pressed = self.on_kept_slots(
+                ordered[len(assigned) :], usable, slots.kept
+            )
+            assigned += pressed
         for candidate, endpoint in assigned:
             self.start(candidate, endpoint)
             del idle[candidate]
@@ -126,14 +142,91 @@
         usable: list[Endpoint],
         items: int,
         now_s: float,
-    ) -> list[Endpoint]:
+    ) -> OfferedSlots:
         """Return one endpoint for each item that may start now."""
         permits = self.dispatcher.permits
-        slots = permits.batch_places(usable, self.free_slots)
+        permitted = permits.batch_places(usable, self.free_slots)
         if len(self.dispatcher.queue(service)):
-            return slots
+            return OfferedSlots(permitted)
         unlimited = permits.unlimited(usable)
-        return slots + self.policy.allocate_slots(unlimited, items, now_s)
+        free = self.policy.allocate_slots(unlimited, items, now_s)
+        if self.policy.reserve is None:
+            return OfferedSlots(permitted + free)
+        beside, kept = self.policy.reserve.split(free)
+        return OfferedSlots(permitted + beside, kept)
+
+    def on_kept_slots(
+        self,
+        ordered: Sequence[Candidate],
+        usable: Sequence[Endpoint],
+        kept: Sequence[Endpoint],
+    ) -> list[tuple[Candidate, Endpoint]]:
+        """Assign slots that are kept for online peaks to items.
+
+        `ordered` are the items that found no other slot, in their order.
+        """
+        urgent = self.urgent(ordered, usable)
+        pairs = assign_endpoints(urgent, kept, usable_ids(usable))
+        left = list(kept)
+        for _, endpoint in pairs:
+            left.remove(endpoint)
+        taken = {candidate for candidate, _ in pairs}
+        others = [one for one in ordered if one not in taken]
+        return pairs + self.in_rest_of_low(others, left)
+
+    def urgent(
+        self, ordered: Sequence[Candidate], usable: Sequence[Endpoint]
+    ) -> list[Candidate]:
+        """Return the items that would be late if they waited for their turn."""
+        reserve = self.policy.reserve
+        assert reserve is not None
+        peers = sum(self.policy.loads.peer_pending.values())
+        places = sum(map(reserve.limit, usable)) * len(ordered)
+        turn_s = self.estimator.remaining_s(0) * (len(ordered) + peers)
+        found = []
+        for position, candidate in enumerate(ordered):
+            wait_s = position * turn_s / places if places else math.inf
+            left_s = candidate.due_ms / MS_IN_S - time.time()
+            remaining_s = self.estimator.remaining_s(candidate.events_done)
+            if is_urgent(left_s, remaining_s, wait_s):
+                found.append(candidate)
+        return found
+
+    def in_rest_of_low(
+        self, ordered: Sequence[Candidate], kept: Sequence[Endpoint]
+    ) -> list[tuple[Candidate, Endpoint]]:
+        """Assign slots to items whose runs end before the next peak."""
+        reserve = self.policy.reserve
+        assert reserve is not None
+        now_s = self.dispatcher.clock.now()
+        waiting = list(ordered)
+        pairs = []
+        for endpoint in kept:
+            rest_s = reserve.rest_of_low_s(endpoint, now_s)
+            found = next(
+                (
+                    one
+                    for one in waiting
+                    if self.ends_within(one, endpoint, rest_s)
+                ),
+                None,
+            )
+            if found is not None:
+                waiting.remove(found)
+                pairs.append((found, endpoint))
+        return pairs
+
+    def ends_within(
+        self, candidate: Candidate, endpoint: Endpoint, time_s: float
+    ) -> bool:
+        """Return whether an item is done at an endpoint within some time."""
+        endpoint_id = endpoint.endpoint_id
+        if endpoint_id in candidate.avoided:
+            return False
+        needed_s = self.estimator.remaining_at_s(
+            endpoint_id, candidate.events_done
+        )
+        return needed_s <= time_s
 
     def start(self, candidate: Candidate, endpoint: Endpoint) -> None:
         """Start one item on an endpoint."""
@@ -151,3 +244,8 @@
         """Return the slots of an endpoint that no entry uses."""
         used = self.dispatcher.loads.total(endpoint.endpoint_id)
         return endpoint.slots - used
+
+
+def usable_ids(endpoints: Iterable[Endpoint]) -> set[str]:
+    """Return the ids of some endpoints."""
+    return {endpoint.endpoint_id for endpoint in endpoints}
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -169,14 +169,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TrafficOptions:
-    """What the operators state of traffic between failure domains."""
+class EntryOptions:
+    """What the operators ask of an entry, beside the platform's settings."""
 
     # Whether requests stay in their failure domain while it has room.
     keep_local: bool = False
     # How much longer a request may take rather than leave its domain, which
     # states the price of traffic; 0 means that it has none.
     price_s: float = 0.0
+    # Whether batch work leaves free what online demand takes in its peaks.
+    reserve_peaks: bool = False
+    # Whether requests prefer endpoints to which this entry has connections.
+    keep_connections: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,4 +201,4 @@
     readiness_address: str = ''
     # Region of each failure domain; traffic within a region is faster.
     regions: Mapping[str, str] = field(default_factory=dict)
-    traffic: TrafficOptions = TrafficOptions()
+    options: EntryOptions = EntryOptions()
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -18,6 +18,7 @@
 from typing import Final
 
 from quetzaldyke.gateway.domain_shares import DomainShares, grouped
+from quetzaldyke.gateway.endpoint_preference import EndpointPreference
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint
 
@@ -34,6 +35,8 @@
 JITTER_PER_PEER: Final = 0.05
 MIN_JITTER: Final = 0.25
 MAX_JITTER: Final = 1.5
+# Requests by which an entry's first endpoint may be fuller than its last one.
+PREFERENCE: Final = 2.0
 # Added to the utilisation of endpoints in other failure domains: endpoints in
 # the own domain are preferred while they are less than this share fuller.
 REMOTE_PENALTY: Final = 0.2
@@ -56,6 +59,8 @@
     loads: LoadTable
     # None if endpoints of all failure domains are compared.
     shares: DomainShares | None = None
+    # None if entries differ by chance alone.
+    preference: EndpointPreference | None = None
 
     def choose(
         self,
@@ -130,9 +135,15 @@
         return used + self.locality_penalty(endpoint)
 
     def locality_penalty(self, endpoint: Endpoint) -> float:
-        """Return the penalty for a remote failure domain plus random jitter."""
+        """Return the penalty for a remote failure domain plus a tie-break.
+
+        That is random, or the entry's own order of the endpoints.
+        """
         remote = endpoint.failure_domain != self.failure_domain
         penalty = REMOTE_PENALTY if remote else 0
+        if self.preference is not None:
+            rank = self.preference.rank(endpoint.endpoint_id)
+            return rank * PREFERENCE / endpoint.slots + penalty
         jitter = MIN_JITTER + JITTER_PER_PEER * len(self.loads.peers)
         tie_break = self.generator.random() * min(jitter, MAX_JITTER)
         return tie_break / endpoint.slots + penalty
--- a/src/quetzaldyke/gateway/programs.py
+++ b/src/quetzaldyke/gateway/programs.py
@@ -19,7 +19,7 @@
 
 from quetzaldyke.gateway.logs import start_logs
 from quetzaldyke.gateway.model import Installation
-from quetzaldyke.gateway.traffic_settings import read_traffic_options
+from quetzaldyke.gateway.entry_settings import read_entry_options
 from quetzaldyke.platform.settings import load_installation, settings_path
 
 SETTINGS_ERROR_STATUS: Final = 2
@@ -31,13 +31,13 @@
     Prints all errors and exits with status 2 if they are invalid.
     """
     loaded = load_installation(settings_path())
-    traffic = read_traffic_options(os.environ)
-    for read in (loaded, traffic):
+    options = read_entry_options(os.environ)
+    for read in (loaded, options):
         if isinstance(read, Err):
             sys.stderr.write(f'{read.err_value.render()}\n')
-    if isinstance(loaded, Err) or isinstance(traffic, Err):
+    if isinstance(loaded, Err) or isinstance(options, Err):
         sys.exit(SETTINGS_ERROR_STATUS)
-    return replace(loaded.ok_value, traffic=traffic.ok_value)
+    return replace(loaded.ok_value, options=options.ok_value)
 
 
 def run_entry_program(listener: socket.socket, metrics_port: int) -> None:
--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -20,12 +20,12 @@
     spread_of,
 )
 from quetzaldyke.gateway.loads import LoadTable, RequestCounts
-from quetzaldyke.gateway.model import Endpoint, TrafficOptions
+from quetzaldyke.gateway.model import Endpoint, EntryOptions
 from quetzaldyke.gateway.placement import PlacementPolicy
-from quetzaldyke.gateway.traffic_settings import (
+from quetzaldyke.gateway.entry_settings import (
     KEEP_LOCAL_VARIABLE,
     PRICE_VARIABLE,
-    read_traffic_options,
+    read_entry_options,
 )
 
 REGIONS = {'a': 'south', 'b': 'south', 'c': 'north'}
@@ -59,7 +59,7 @@
     return DomainShares(
         'a',
         REGIONS,
-        TrafficOptions(keep_local=True),
+        EntryOptions(keep_local=True),
         loads,
         random.Random(1),
         domain_of_peer=lambda peer: peer[0],
@@ -220,12 +220,10 @@
 
 def test_settings_are_checked() -> None:
     """Guards against a mistyped setting that is taken for another."""
-    assert read_traffic_options({}).unwrap() == TrafficOptions()
-    read = read_traffic_options({KEEP_LOCAL_VARIABLE: '1', PRICE_VARIABLE: '5'})
-    assert read.unwrap() == TrafficOptions(keep_local=True, price_s=0.005)
-    wrong = read_traffic_options(
-        {PRICE_VARIABLE: '-1', KEEP_LOCAL_VARIABLE: 'x'}
-    )
+    assert read_entry_options({}).unwrap() == EntryOptions()
+    read = read_entry_options({KEEP_LOCAL_VARIABLE: '1', PRICE_VARIABLE: '5'})
+    assert read.unwrap() == EntryOptions(keep_local=True, price_s=0.005)
+    wrong = read_entry_options({PRICE_VARIABLE: '-1', KEEP_LOCAL_VARIABLE: 'x'})
     assert wrong.is_err()
     rendered = wrong.unwrap_err().render()
     assert PRICE_VARIABLE in rendered
--- /dev/null
+++ b/tests/test_endpoint_preference.py
@@ -0,0 +1,99 @@
+"""Tests of the order in which an entry prefers endpoints, and of reuse."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from gateway_kit import make_endpoint
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quetzaldyke.gateway.endpoint_preference import (
+    EndpointPreference,
+    preferences,
+)
+from quetzaldyke.gateway.loads import LoadTable, RequestCounts
+from quetzaldyke.gateway.placement import PlacementPolicy
+
+ENTRIES = [f'entry-{number}' for number in range(6)]
+ENDPOINTS = [f'e{number}' for number in range(12)]
+
+
+def first_endpoints(entry: str, count: int) -> list[str]:
+    """Return the endpoints that an entry prefers."""
+    ranks = preferences(entry, ENTRIES, ENDPOINTS, 'lm/a')
+    return sorted(ranks, key=ranks.__getitem__)[:count]
+
+
+def test_entries_cover_all_endpoints_evenly() -> None:
+    """Guards against endpoints that several entries prefer and none does."""
+    preferred = Counter(
+        endpoint for entry in ENTRIES for endpoint in first_endpoints(entry, 2)
+    )
+    assert preferred == dict.fromkeys(ENDPOINTS, 1)
+
+
+@given(st.integers(1, 12), st.integers(1, 12))
+def test_first_choices_differ_by_one_at_most(entries: int, count: int) -> None:
+    """Guards against fleets of odd sizes that load some endpoints more."""
+    names = ENTRIES[:entries]
+    ids = ENDPOINTS[:count]
+    first = Counter(
+        min(ranks, key=ranks.__getitem__)
+        for ranks in (preferences(one, names, ids, 'k') for one in names)
+    )
+    loads = [first[endpoint] for endpoint in ids]
+    assert max(loads) - min(loads) <= 1
+
+
+def make_policy(entry: str) -> PlacementPolicy:
+    """Return the placement of an entry with an order of its own."""
+    preference = EndpointPreference(entry, 'a')
+    endpoints = [make_endpoint(name, slots=8) for name in ENDPOINTS]
+    preference.update([('lm', endpoints)], ENTRIES)
+    return PlacementPolicy(
+        'a', random.Random(1), LoadTable(), preference=preference
+    )
+
+
+def test_entry_keeps_to_its_endpoints_and_goes_on_under_load() -> None:
+    """Guards against connections to every endpoint for a few requests."""
+    policy = make_policy('entry-3')
+    candidates = [make_endpoint(name, slots=8) for name in ENDPOINTS]
+    chosen = []
+    for _ in range(24):
+        placement = policy.choose(candidates, 1)
+        assert placement is not None
+        endpoint_id = placement.endpoint.endpoint_id
+        chosen.append(endpoint_id)
+        counts = policy.loads.own_counts(endpoint_id)
+        counts.online += 1
+    assert chosen[0] == first_endpoints('entry-3', 1)[0]
+    assert set(chosen[:3]) <= set(first_endpoints('entry-3', 3))
+    assert len(set(chosen)) >= len(ENDPOINTS) / 2
+    assert max(Counter(chosen).values()) <= 4
+
+
+def test_full_endpoint_is_left_for_a_free_one() -> None:
+    """Guards against a preference that outweighs load."""
+    policy = make_policy('entry-0')
+    first = first_endpoints('entry-0', 1)[0]
+    policy.loads.own[first] = RequestCounts(online=3)
+    placement = policy.choose(
+        [make_endpoint(name, slots=8) for name in ENDPOINTS], 1
+    )
+    assert placement is not None
+    assert placement.endpoint.endpoint_id != first
+
+
+def test_endpoint_of_another_domain_has_a_rank() -> None:
+    """Guards against entries that all prefer one endpoint elsewhere."""
+    far = make_endpoint('far', failure_domain='b')
+    ranks = []
+    for entry in ENTRIES:
+        preference = EndpointPreference(entry, 'a')
+        preference.update([('lm', [far])], ENTRIES)
+        ranks.append(preference.rank('far'))
+        assert 0 <= preference.rank('unknown') < 1
+    assert set(ranks) == {0.0}
