Reuse a connection for its keep-alive time while its endpoint lives

Change: where entries keep their connections, one is reused until its keep-alive time while the endpoint sends bytes, and an entry keeps to fewer endpoints in other domains than at home.

--- a/src/quetzaldyke/gateway/connection_reuse.py
+++ b/src/quetzaldyke/gateway/connection_reuse.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 from quetzaldyke.gateway.model import Endpoint, Route
@@ -23,12 +24,16 @@
 ) -> float:
     """Return for how long a connection that is reused may have been idle.
 
-    Bytes of the endpoint on any connection show that its machine lives, and
-    it would then have reset a connection that it closed.
+    The keep-alive time of the connection is a limit besides. Bytes of the
+    endpoint on any connection show that its machine lives, and it would then
+    have reset a connection that it closed. Entries that keep to few endpoints
+    see such bytes often.
     """
     alive_s = context.now() - NON_IDEMPOTENT_MAX_IDLE_S
     endpoints = context.dispatcher.endpoints
     alive = endpoints.sent_since(endpoint.endpoint_id, alive_s)
-    if route.idempotent or alive:
+    if alive and context.dispatcher.policy.preference is not None:
+        return math.inf
+    if route.idempotent:
         return IDEMPOTENT_MAX_IDLE_S
     return NON_IDEMPOTENT_MAX_IDLE_S
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -37,6 +37,8 @@
 MAX_JITTER: Final = 1.5
 # Requests by which an entry's first endpoint may be fuller than its last one.
 PREFERENCE: Final = 2.0
+# The same in other domains, where an entry has few requests and connections.
+REMOTE_PREFERENCE: Final = 4.0
 # Added to the utilisation of endpoints in other failure domains: endpoints in
 # the own domain are preferred while they are less than this share fuller.
 REMOTE_PENALTY: Final = 0.2
@@ -143,7 +145,8 @@
         penalty = REMOTE_PENALTY if remote else 0
         if self.preference is not None:
             rank = self.preference.rank(endpoint.endpoint_id)
-            return rank * PREFERENCE / endpoint.slots + penalty
+            weight = REMOTE_PREFERENCE if remote else PREFERENCE
+            return rank * weight / endpoint.slots + penalty
         jitter = MIN_JITTER + JITTER_PER_PEER * len(self.loads.peers)
         tie_break = self.generator.random() * min(jitter, MAX_JITTER)
         return tie_break / endpoint.slots + penalty
--- a/tests/test_endpoint_preference.py
+++ b/tests/test_endpoint_preference.py
@@ -2,18 +2,32 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 
-from gateway_kit import make_endpoint
+from gateway_kit import (
+    FakeTime,
+    make_dispatcher,
+    make_endpoint,
+    make_route,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 
+from quetzaldyke.gateway.connection_reuse import (
+    IDEMPOTENT_MAX_IDLE_S,
+    NON_IDEMPOTENT_MAX_IDLE_S,
+    max_idle_s,
+)
+from quetzaldyke.gateway.crashes import CrashTracker
 from quetzaldyke.gateway.endpoint_preference import (
     EndpointPreference,
     preferences,
 )
+from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.loads import LoadTable, RequestCounts
+from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.placement import PlacementPolicy
 
 ENTRIES = [f'entry-{number}' for number in range(6)]
@@ -97,3 +111,39 @@
         ranks.append(preference.rank('far'))
         assert 0 <= preference.rank('unknown') < 1
     assert set(ranks) == {0.0}
+
+
+def idle_limit(*, idempotent: bool, alive: bool, keep: bool) -> float:
+    """Return the idle limit at an endpoint that sent bytes or did not."""
+    time = FakeTime()
+    endpoint = make_endpoint('e1')
+    dispatcher = make_dispatcher(time, endpoint)
+    if keep:
+        dispatcher.policy = make_policy('entry-0')
+    if alive:
+        dispatcher.endpoints.note_bytes('e1', time.now_s)
+    context = RelayContext(
+        dispatcher,
+        HttpClient(),
+        CrashTracker('a', time.read, lambda report: None),
+        time.read,
+        lambda event, **fields: None,
+    )
+    route = make_route(resumable=idempotent)
+    return max_idle_s(context, route, endpoint)
+
+
+def test_request_that_may_run_once_needs_a_sign_of_life() -> None:
+    """Guards against a request that is lost with a machine without power."""
+    silent = idle_limit(idempotent=False, alive=False, keep=True)
+    assert silent == NON_IDEMPOTENT_MAX_IDLE_S
+    assert idle_limit(idempotent=False, alive=True, keep=True) == math.inf
+
+
+def test_reuse_is_as_before_unless_connections_are_kept() -> None:
+    """Guards against a change where the settings ask for none."""
+    for alive in (False, True):
+        once = idle_limit(idempotent=False, alive=alive, keep=False)
+        again = idle_limit(idempotent=True, alive=alive, keep=False)
+        assert once == NON_IDEMPOTENT_MAX_IDLE_S
+        assert again == IDEMPOTENT_MAX_IDLE_S
