--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -10,13 +10,16 @@
 import anyio
 
 from quetzaldyke.connection.http_server import HttpServer
+from quetzaldyke.gateway.batch_reserve import BatchReserve
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
 from quetzaldyke.gateway.crash_records import CrashRecords
 from quetzaldyke.gateway.crashes import CrashTracker
 from quetzaldyke.gateway.dispatcher import Dispatcher
+from quetzaldyke.gateway.domain_shares import DomainShares
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
+from quetzaldyke.gateway.endpoint_preference import EndpointPreference
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.entry_wiring import connect_parts
 from quetzaldyke.gateway.gossip import Gossip
@@ -38,6 +41,10 @@
 from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.peer_messages import PeerMessages
 from quetzaldyke.gateway.placement import PlacementPolicy
+from quetzaldyke.gateway.placement_upkeep import (
+    observe_demand,
+    update_preference,
+)
 from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.slot_grants import SlotGrants
 from quetzaldyke.gateway.store_health import StoreHealth
@@ -113,7 +120,13 @@
         dispatcher = Dispatcher(
             endpoint_table,
             loads,
-            PlacementPolicy(installation.failure_domain, generator, loads),
+            PlacementPolicy(
+                installation.failure_domain,
+                generator,
+                loads,
+                DomainShares.from_installation(installation, loads, generator),
+                EndpointPreference.from_installation(installation, owner_id),
+            ),
             clock,
             generator,
             is_engine=lambda service: entry.configurations.is_engine(service),
@@ -207,7 +220,12 @@
             registration=Registration(store, member),
             ingress=ingress,
             api=api,
-            policy=BatchPolicy(loads, SlotGrants(owner_id, loads), generator),
+            policy=BatchPolicy(
+                loads,
+                SlotGrants(owner_id, loads),
+                generator,
+                BatchReserve.from_options(installation.options, loads),
+            ),
             configurations=configurations,
             endpoints=EndpointFeed(
                 endpoint_table,
@@ -289,7 +307,11 @@
         if not self.health.up:
             return
         self.sharing.set_members(self.jobs.members)
-        self.gossip.set_members(self.jobs.members.values())
+        keep_local = self.installation.options.keep_local
+        self.gossip.set_members(
+            self.jobs.members.values(),
+            self.member.failure_domain if keep_local else '',
+        )
 
     def on_permits(self) -> None:
         """Start what waits for permits."""
@@ -304,6 +326,7 @@
     async def batch_tick(self) -> None:
         """Run the batch runner's periodic work."""
         if self.runner is not None:
+            observe_demand(self)
             self.runner.peers_known = self.peers_known()
             await self.runner.tick()
 
@@ -334,6 +357,7 @@
     async def clean_up(self) -> None:
         """Remove expired state and time out idle callers."""
         self.client.close_expired()
+        update_preference(self)
         self.ingress.context.crashes.drop_expired()
         self.store.path.remove_silent_peers(self.clock.now())
         await self.store.probe_direct()
@@ -341,6 +365,8 @@
         if gone:
             log_event('endpoints_gone', endpoints=','.join(gone))
         self.policy.grants.drop_absent(self.endpoint_table.by_id)
+        if self.runner is not None:
+            self.runner.estimator.keep_endpoints(self.endpoint_table.by_id)
         self.limits.clean_up()
         self.messages.drains.clean_up()
         if self.caller_server is not None:
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -5,6 +5,9 @@
 preemptible batch work, or a position in an endpoint's own short queue. Among
 these, endpoints that have not asked for a pause are preferred, then those in
 this entry's failure domain. Otherwise the request has to wait at the entry.
+
+Where requests stay in their failure domain while it has room, the slots of the
+domain that `domain_shares.py` names come first, whether free or preemptible.
 """
 
 from __future__ import annotations
@@ -14,6 +17,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from quetzaldyke.gateway.domain_shares import DomainShares, grouped
+from quetzaldyke.gateway.endpoint_preference import EndpointPreference
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint
 
@@ -30,6 +35,10 @@
 JITTER_PER_PEER: Final = 0.05
 MIN_JITTER: Final = 0.25
 MAX_JITTER: Final = 1.5
+# Requests by which an entry's first endpoint may be fuller than its last one.
+PREFERENCE: Final = 2.0
+# The same in other domains, where an entry has few requests and connections.
+REMOTE_PREFERENCE: Final = 4.0
 # Added to the utilisation of endpoints in other failure domains: endpoints in
 # the own domain are preferred while they are less than this share fuller.
 REMOTE_PENALTY: Final = 0.2
@@ -50,6 +59,10 @@
     failure_domain: str
     generator: random.Random
     loads: LoadTable
+    # None if endpoints of all failure domains are compared.
+    shares: DomainShares | None = None
+    # None if entries differ by chance alone.
+    preference: EndpointPreference | None = None
 
     def choose(
         self,
@@ -64,6 +77,34 @@
         """
         if not candidates:
             return None
+        for group in self.groups(candidates):
+            placement = self.choose_slot(group, paused)
+            if placement is not None:
+                return placement
+        fitting = [
+            one
+            for one in candidates
+            if self.loads.online(one.endpoint_id) < one.slots + max_queued
+        ]
+        if not fitting:
+            return None
+        preferred = without(paused, fitting)
+        best = min(preferred, key=self.online_utilisation)
+        return Placement(best, preempt_batch=False)
+
+    def groups(
+        self, candidates: Sequence[Endpoint]
+    ) -> Sequence[Sequence[Endpoint]]:
+        """Return the endpoints by failure domain, the preferred one first."""
+        if self.shares is None:
+            return (candidates,)
+        domain = self.shares.next_domain(candidates[0].service)
+        return grouped(candidates, self.failure_domain, domain)
+
+    def choose_slot(
+        self, candidates: Sequence[Endpoint], paused: Collection[str]
+    ) -> Placement | None:
+        """Return a placement on a free or preemptible slot, or None."""
         free = [
             one
             for one in candidates
@@ -74,17 +115,16 @@
             return Placement(
                 min(preferred, key=self.utilisation), preempt_batch=False
             )
-        for queue_limit, preempts in ((0, True), (max_queued, False)):
-            fitting = [
-                one
-                for one in candidates
-                if self.loads.online(one.endpoint_id) < one.slots + queue_limit
-            ]
-            if fitting:
-                preferred = without(paused, fitting)
-                best = min(preferred, key=self.online_utilisation)
-                return Placement(best, preempts)
-        return None
+        held = [
+            one
+            for one in candidates
+            if self.loads.online(one.endpoint_id) < one.slots
+        ]
+        if not held:
+            return None
+        preferred = without(paused, held)
+        best = min(preferred, key=self.online_utilisation)
+        return Placement(best, preempt_batch=True)
 
     def utilisation(self, endpoint: Endpoint) -> float:
         """Return the share of slots in use plus the locality penalty."""
@@ -97,9 +137,16 @@
         return used + self.locality_penalty(endpoint)
 
     def locality_penalty(self, endpoint: Endpoint) -> float:
-        """Return the penalty for a remote failure domain plus random jitter."""
+        """Return the penalty for a remote failure domain plus a tie-break.
+
+        That is random, or the entry's own order of the endpoints.
+        """
         remote = endpoint.failure_domain != self.failure_domain
         penalty = REMOTE_PENALTY if remote else 0
+        if self.preference is not None:
+            rank = self.preference.rank(endpoint.endpoint_id)
+            weight = REMOTE_PREFERENCE if remote else PREFERENCE
+            return rank * weight / endpoint.slots + penalty
         jitter = MIN_JITTER + JITTER_PER_PEER * len(self.loads.peers)
         tie_break = self.generator.random() * min(jitter, MAX_JITTER)
         return tie_break / endpoint.slots + penalty
