--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -37,6 +37,7 @@
     read_body,
 )
 from quetzaldyke.gateway.relay import end_request, relay
+from quetzaldyke.gateway.request_outcome import FinalOutcome, record_outcome
 from quetzaldyke.gateway.responses import send_refusal, send_response
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
 from quetzaldyke.gateway.stop_window import StopWindow
@@ -115,6 +116,18 @@
                 limit=reason,
                 connections=count,
             )
+        self.note_declined(server)
+
+    def note_declined(self, server: HttpServer) -> None:
+        """Count and log the heads and offers that connections declined."""
+        refused, offers = server.take_declined()
+        for reason, count in refused.items():
+            self.metrics.count('requests_malformed_total', count, reason=reason)
+            self.context.log_event(
+                'requests_malformed', reason=reason, requests=count
+            )
+        if offers:
+            self.metrics.count('upgrade_offers_total', offers)
 
     async def __call__(
         self,
@@ -197,6 +210,9 @@
 
     async def serve(self, request: ReceivedRequest, caller: AsgiCaller) -> None:
         """Pass a request to the job API or to the route that matches it."""
+        if not request.host:
+            await self.reject(caller, STATUS_BAD_REQUEST)
+            return
         arrived_s = self.context.now()
         admitted = await self.keys.admit(request, lambda: self.table)
         if isinstance(admitted, Err):
@@ -269,7 +285,6 @@
 
     async def relay(self, online: OnlineRequest, caller: AsgiCaller) -> None:
         """Relay a request to an endpoint; log and count the outcome."""
-        kind = online.route.kind
         cancelled = anyio.get_cancelled_exc_class()
         progress = Progress(EventSplitter(online.last_event))
         outcome = Outcome(0, '')
@@ -279,48 +294,32 @@
             if scope.cancelled_caught:
                 outcome = await end_request(caller, progress, LEFT_REASON)
         except IncompleteResponseError as exc:
-            self.record(online, kind, 'broken', str(exc), progress)
+            self.record(online, 'broken', str(exc), progress)
             raise
         except cancelled:
-            self.record(online, kind, 'caller_left', '', progress)
+            self.record(online, 'caller_left', '', progress)
             raise
         status = str(outcome.status)
-        self.record(online, kind, status, outcome.reason, progress)
+        self.record(online, status, outcome.reason, progress)
 
     def record(
         self,
         online: OnlineRequest,
-        kind: str,
         status: str,
         reason: str,
         progress: Progress,
     ) -> None:
         """Log the outcome of a request and update its metrics."""
         now_s = self.context.now()
-        elapsed_ms = (now_s - online.arrived_s) * MS_IN_S
         if reason == 'served':
             self.window.note_served(online.route.name, now_s - online.arrived_s)
-        self.metrics.count('requests_total', kind=kind, status=status)
-        self.metrics.observe_ms('request_ms', elapsed_ms, kind=kind)
-        self.context.log_event(
-            'request_served' if reason == 'served' else 'request_failed',
-            request=online.request_id.decode('latin-1'),
-            route=online.route.name,
-            organisation=online.organisation_name,
-            kind=kind,
-            status=status,
-            reason=reason,
-            elapsed_ms=int(elapsed_ms),
-            placed_ms=span_ms(online.arrived_s, progress.reserved_s),
-            first_ms=span_ms(online.arrived_s, progress.first_event_at_s),
-            deadline_ms=span_ms(online.arrived_s, online.deadline_s),
-            endpoint=progress.endpoint_id,
-            running=progress.running,
-            sends=progress.sends,
-            attempts=progress.attempts,
-            last_event=progress.splitter.last_id,
-            parts=','.join(online.prompt_parts),
-            config=self.version,
+        record_outcome(
+            self.metrics,
+            self.context.log_event,
+            online,
+            FinalOutcome(status, reason, now_s - online.arrived_s),
+            progress,
+            self.version,
         )
 
     def to_online_request(
@@ -330,11 +329,11 @@
         identity: Identity,
         arrived_s: float,
     ) -> OnlineRequest | None:
-        """Return the request to relay, or None if it has no attempt id.
+        """Return the request to relay, or None unless it has one attempt id.
 
         A deadline header can shorten the route's timeout.
         """
-        request_id = request.header(names.ATTEMPT_ID)
+        request_id = request.sole_header(names.ATTEMPT_ID)
         if not request_id:
             return None
         endpoints = self.context.dispatcher.endpoints
@@ -391,8 +390,3 @@
 def id_of(request: ReceivedRequest) -> str:
     """Return the attempt id of a request for the log; empty if none."""
     return (request.header(names.ATTEMPT_ID) or b'').decode('latin-1')
-
-
-def span_ms(start_s: float, end_s: float) -> int | str:
-    """Return a time span in ms, or an empty string if it has no end."""
-    return int((end_s - start_s) * MS_IN_S) if end_s else ''
--- a/tests/test_organisation_requests.py
+++ b/tests/test_organisation_requests.py
@@ -25,7 +25,6 @@
     make_route,
 )
 from key_rig import KeyRig, make_configuration
-from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.http_server import (
     HttpOptions,
     HttpServer,
@@ -138,7 +137,7 @@
 @asynccontextmanager
 async def entry() -> AsyncIterator[EntryRig]:
     """Run an entry whose callers use real connections."""
-    options = HttpOptions('127.0.0.1:0', drain_s=1, protocol=CallerConnection)
+    options = HttpOptions('127.0.0.1:0', drain_s=1)
     async with (
         raw_endpoint(lambda *_: WHOLE, closing=True) as endpoint,
         anyio.create_task_group() as group,
