Move the fading of past use to parts, beside an order among flows

Cause: the fair order among organisations is wanted by the gateway too, and its own side keeps past use in the grants of batch work.

--- a/src/quetzaldyke/process/batch_grants.py
+++ b/src/quetzaldyke/process/batch_grants.py
@@ -16,6 +16,7 @@
 
 from quetzaldyke.connection.messages import BatchDemand, BatchGrant, Submit
 from quetzaldyke.connection.peer import PeerSession
+from quetzaldyke.parts.fair_order import fade_use
 from quetzaldyke.version.configuration import EMPTY, Configuration
 
 GRANT_TTL_S: Final = 2.0
@@ -310,7 +311,4 @@
         if now_s - self.last_decay_s < USE_DECAY_INTERVAL_S:
             return
         self.last_decay_s = now_s
-        for organisation in list(self.recent_use):
-            self.recent_use[organisation] *= USE_DECAY_FACTOR
-            if self.recent_use[organisation] < USE_DECAY_FACTOR:
-                self.recent_use.pop(organisation)
+        fade_use(self.recent_use, USE_DECAY_FACTOR)
