Share the slots fairly among organisations at one entry

Cause: the queue of a service served by priority and arrival, so an organisation that sends many times its usual filled it, and others were refused for its line. Change: among equals the queue starts the organisation with the fewest slots for its weight, by virtual start times where several hold as many. The expected wait counts what is served before a newcomer, and the line of its own organisation once that is beyond its share. An overtaken request that can't be in time any more is refused at once (displaced), one for each newcomer at most. Places beyond the slots are kept from organisations beyond their share while others are active; retry times are spaced by organisation. Without organisations there is one flow, served as before.

--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -11,7 +11,6 @@
 import random
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
-from typing import Final
 
 from result import Err, Ok, Result
 
@@ -26,9 +25,11 @@
     PlacementPolicy,
 )
 from quetzaldyke.gateway.reservation import Refusal, Reservation
-from quetzaldyke.gateway.service_capacity import (
-    ServiceCapacity,
-    service_capacity,
+from quetzaldyke.gateway.service_capacity import ServiceCapacity
+from quetzaldyke.gateway.wait_estimates import (
+    NO_ENDPOINT_RETRY_S,
+    Claim,
+    WaitEstimates,
 )
 from quetzaldyke.gateway.wait_queue import (
     FIRST_EVENT_LATENCY_S,
@@ -38,13 +39,9 @@
     max_queue_time_s,
     may_wait,
     priority_of,
-    retry_after_s,
 )
 from quetzaldyke.parts.timers import Clock
 
-# Retry delay for callers of a service that has no usable endpoint.
-NO_ENDPOINT_RETRY_S: Final = 1.0
-
 
 @dataclass(slots=True)
 class Dispatcher:
@@ -65,20 +62,28 @@
     on_change: Callable[[str], None] = lambda endpoint_id: None
     permits: EndpointPermits = field(default_factory=EndpointPermits)
     queues: dict[str, WaitQueue] = field(default_factory=dict)
+    # Called when a queued request is refused for those that go before it.
+    on_displaced: Callable[[str], None] = lambda service: None
     drains: DrainNotes = field(init=False)
+    estimates: WaitEstimates = field(init=False)
 
     def __post_init__(self) -> None:
-        """Let answers change the endpoint table."""
+        """Let answers change the endpoint table, and estimate waits."""
+        self.estimates = WaitEstimates(
+            self.endpoints,
+            self.loads,
+            self.clock.now,
+            lambda: self.permits,
+            lambda: self.count_entries(),
+            self.queues,
+        )
         self.drains = DrainNotes(
             self.endpoints, self.clock.now, on_change=self.on_endpoints
         )
 
     def queue(self, service: str) -> WaitQueue:
         """Return the wait queue of a service; create it on first use."""
-        known = self.queues.get(service)
-        if known is None:
-            known = self.queues[service] = WaitQueue()
-        return known
+        return self.estimates.queue(service)
 
     def try_acquire(
         self,
@@ -86,11 +91,14 @@
         excluded: Collection[str] = (),
         *,
         avoid_failing: bool = False,
+        flow: str = '',
     ) -> Reservation | None:
         """Reserve capacity for an online request without waiting.
 
         Returns None when no endpoint has capacity. Requests the preemption
-        of a batch run when the chosen slot is held by batch work.
+        of a batch run when the chosen slot is held by batch work. The places
+        beyond the slots are kept from organisations beyond their share, so
+        that others find them.
         """
         now_s = self.clock.now()
         usable = self.endpoints.usable(
@@ -98,22 +106,26 @@
         )
         choice = self.policy.choose(
             self.permits.admitted(usable),
-            self.max_queued(service),
+            self.max_queued(service, flow),
             self.endpoints.paused(service, now_s),
         )
         if choice is None:
             return None
-        reservation = self.acquire_on(choice.endpoint, online=True)
+        reservation = self.acquire_on(choice.endpoint, online=True, flow=flow)
         if choice.preempt_batch:
             self.preempt_batch(choice.endpoint)
         return reservation
 
-    def max_queued(self, service: str) -> int:
+    def max_queued(self, service: str, flow: str = '') -> int:
         """Return the online requests that may queue at one endpoint."""
+        if self.estimates.exceeds_share(service, flow):
+            return 0
         engine = self.is_engine(service)
         return QUEUED_PER_ENGINE if engine else QUEUED_PER_SERVICE
 
-    def acquire_on(self, endpoint: Endpoint, *, online: bool) -> Reservation:
+    def acquire_on(
+        self, endpoint: Endpoint, *, online: bool, flow: str = ''
+    ) -> Reservation:
         """Reserve capacity on a given endpoint, without checking its load.
 
         Uses a permit if the endpoint has a limit.
@@ -122,12 +134,15 @@
         counts = self.loads.own_counts(endpoint.endpoint_id)
         if online:
             counts.online += 1
+            self.estimates.shares.table(endpoint.service).start(flow)
         else:
             counts.batch += 1
         self.on_change(endpoint.endpoint_id)
         queued = self.loads.total(endpoint.endpoint_id) > endpoint.slots
         now_s = self.clock.now()
-        return Reservation(endpoint, online, now_s, queued, permitted)
+        return Reservation(
+            endpoint, online, now_s, queued, permitted, flow=flow
+        )
 
     def release(self, reservation: Reservation) -> None:
         """Release a reservation and start queued requests.
@@ -141,6 +156,7 @@
         service = reservation.endpoint.service
         if reservation.online:
             counts.online -= 1
+            self.estimates.shares.table(service).end(reservation.flow)
             held_s = self.clock.now() - reservation.reserved_s
             self.queue(service).record_hold(held_s)
         else:
@@ -170,75 +186,47 @@
         now_s = self.clock.now()
         if not self.endpoints.usable(service, now_s):
             return Err(Refusal('no_endpoint', NO_ENDPOINT_RETRY_S))
-        if not len(self.queue(service)):
+        claim = Claim(
+            priority_of(route, organisation),
+            organisation.name if organisation else '',
+        )
+        if self.estimates.is_next(service, claim):
             reservation = self.try_acquire(
                 service,
                 excluded,
                 avoid_failing=not route.idempotent,
+                flow=claim.flow,
             )
             if reservation is not None:
+                self.displace_last(service, claim)
                 return Ok(reservation)
         left_s = deadline_s - now_s
-        expected_s = self.expected_wait_s(service)
+        expected_s = self.expected_wait_s(service, claim)
         full_s = math.inf if already_sent else route.timeout_s
         if not may_wait(expected_s, route.target_s, left_s, full_s):
-            return Err(self.refusal('no_slot_in_time', service, left_s))
+            return Err(
+                self.estimates.refusal(
+                    'no_slot_in_time', service, left_s, claim
+                )
+            )
         return await self.wait_in_queue(
             service,
             route,
             deadline_s,
             excluded,
             full_s,
-            priority_of(route, organisation),
-        )
-
-    def refusal(self, reason: str, service: str, left_s: float) -> Refusal:
-        """Return a refusal with a retry time reserved for this caller."""
-        now_s = self.clock.now()
-        capacity = self.capacity(service)
-        queue = self.queue(service)
-        retry_at_s = max(
-            queue.next_retry_s(
-                now_s,
-                capacity.slots / self.count_entries(),
-                limited=capacity.limited,
-            ),
-            now_s + capacity.delay_s,
-        )
-        return Refusal(
-            reason,
-            retry_after_s(retry_at_s, now_s, left_s),
-            self.expected_wait_s(service),
-            len(queue),
-            self.loads.waiting_elsewhere(service),
-            int(capacity.slots),
+            claim,
         )
 
     def capacity(self, service: str) -> ServiceCapacity:
         """Return what the usable endpoints of a service can take."""
-        return service_capacity(
-            self.endpoints.usable(service, self.clock.now()),
-            self.permits,
-            self.queue(service).mean_hold_s,
-        )
+        return self.estimates.capacity(service)
 
-    def expected_wait_s(self, service: str) -> float:
-        """Return the expected wait of one more online request.
-
-        Requests in the endpoints' own queues and at other entries are
-        ahead of it too.
-        """
-        capacity = self.capacity(service)
-        queue = self.queue(service)
-        elsewhere = self.loads.waiting_elsewhere(service)
-        if capacity.limited:
-            ahead = len(queue) + elsewhere
-            return capacity.delay_s + queue.time_for_s(ahead, capacity.slots)
-        queued = sum(
-            max(0, self.loads.online(one.endpoint_id) - one.slots)
-            for one in self.endpoints.usable(service, self.clock.now())
-        )
-        return queue.expected_wait_s(capacity.slots, queued + elsewhere)
+    def expected_wait_s(
+        self, service: str, claim: Claim | None = None
+    ) -> float:
+        """Return the expected wait of one more online request."""
+        return self.estimates.expected_wait_s(service, claim)
 
     def ask_for_permits(self, service: str) -> None:
         """Ask for permits for the queued requests of a service."""
@@ -269,7 +257,8 @@
         queue.refuse_hopeless(
             lambda position: (
                 capacity.delay_s + queue.time_for_s(position, capacity.slots)
-            )
+            ),
+            self.clock.now(),
         )
 
     def waiting(self) -> dict[str, int]:
@@ -283,7 +272,7 @@
         deadline_s: float,
         excluded: Collection[str],
         full_s: float,
-        priority: int,
+        claim: Claim,
     ) -> Result[Reservation, Refusal]:
         """Wait in the queue until capacity is free or the wait limit passes.
 
@@ -300,6 +289,7 @@
                 service,
                 excluded,
                 avoid_failing=not route.idempotent,
+                flow=claim.flow,
             )
             if reservation is not None:
                 outcome.set_result(reservation)
@@ -315,7 +305,7 @@
             MAX_WAIT_SHARE * (deadline_s - now_s),
         )
         request = QueuedRequest(
-            priority,
+            claim.priority,
             now_s + route.target_s - FIRST_EVENT_LATENCY_S,
             now_s + longest_s,
             try_start,
@@ -326,8 +316,10 @@
                 deadline_s - now_s,
                 full_s,
             ),
+            claim.flow,
         )
         self.queue(service).add(request)
+        self.displace_last(service, claim)
         self.ask_for_permits(service)
         try:
             reservation = await outcome
@@ -340,17 +332,21 @@
             raise
         if reservation is not None:
             return Ok(reservation)
-        return Err(self.queue_refusal(request, service, deadline_s))
+        return Err(self.estimates.queue_refusal(request, service, deadline_s))
 
-    def queue_refusal(
-        self, request: QueuedRequest, service: str, deadline_s: float
-    ) -> Refusal:
-        """Return why a queued request is refused now."""
-        now_s = self.clock.now()
-        if not self.endpoints.usable(service, now_s):
-            return Refusal('no_endpoint', NO_ENDPOINT_RETRY_S)
-        reason = request.refusal_reason(now_s)
-        return self.refusal(reason, service, deadline_s - now_s)
+    def displace_last(self, service: str, newcomer: Claim) -> None:
+        """Refuse the last queued request if it can't be served in time now.
+
+        Called when a newcomer has a slot or a place before others.
+        """
+        queue = self.queue(service)
+        if not queue.requests or not self.estimates.is_shared(
+            service, newcomer
+        ):
+            return
+        expected_s = self.estimates.last_wait_s(service)
+        if queue.displace(newcomer.flow, expected_s, self.clock.now()):
+            self.on_displaced(service)
 
     def apply_report(
         self,
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -28,6 +28,9 @@
     entry.dispatcher.on_change = entry.on_load_change
     entry.dispatcher.preempt_batch = entry.messages.preempt_batch
     entry.dispatcher.count_entries = lambda: max(1, len(entry.jobs.members))
+    entry.dispatcher.on_displaced = lambda service: entry.metrics.count(
+        'requests_displaced_total', service=service
+    )
     follow_outages(
         entry.health, entry.endpoint_table, entry.store.path, entry.clock.now
     )
--- a/src/quetzaldyke/gateway/history.py
+++ b/src/quetzaldyke/gateway/history.py
@@ -15,6 +15,7 @@
 Sentence = Callable[[Fields, str], str]
 
 REFUSAL_REASONS: Final = {
+    'displaced': 'requests of organisations that use less went before it',
     'no_slot_in_time': 'no slot is expected in time for its latency objective',
     'waited_too_long': 'no slot became free while it waited',
     'no_endpoint': 'no endpoint of its service is known',
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -142,6 +142,7 @@
     refusal: Refusal,
 ) -> None:
     """Log why no slot was reserved for a request."""
+    name = request.organisation_name
     context.log_event(
         'request_not_placed',
         request=request.request_id.decode('latin-1'),
@@ -152,6 +153,7 @@
         waiting=refusal.waiting,
         waiting_elsewhere=refusal.waiting_elsewhere,
         slots=refusal.slots,
+        **({'organisation': name} if name else {}),
     )
 
 
--- a/src/quetzaldyke/gateway/reservation.py
+++ b/src/quetzaldyke/gateway/reservation.py
@@ -35,3 +35,6 @@
     # Whether the endpoint has a limit and the request has a permit.
     permitted: bool = False
     released: bool = False
+    # Name of the request's organisation; empty if there is none, or for batch
+    # items.
+    flow: str = ''
--- /dev/null
+++ b/src/quetzaldyke/gateway/wait_estimates.py
@@ -0,0 +1,205 @@
+"""Tells how long online requests wait for a slot, and what refused ones get.
+
+Load pattern: more requests come than slots become free, from one organisation
+or from all. A request is told at once whether it can be served in time. What
+counts is what would be served before it: the line of an organisation that asks
+for more than its share is not ahead of another one's request.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+from quetzaldyke.gateway.endpoint_permits import EndpointPermits
+from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.fair_shares import FairShares, RequestRow
+from quetzaldyke.gateway.loads import LoadTable
+from quetzaldyke.gateway.reservation import Refusal
+from quetzaldyke.gateway.service_capacity import (
+    ServiceCapacity,
+    service_capacity,
+)
+from quetzaldyke.gateway.wait_queue import (
+    QueuedRequest,
+    WaitQueue,
+    retry_after_s,
+)
+
+# Retry delay for callers of a service that has no usable endpoint.
+NO_ENDPOINT_RETRY_S: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """What decides on the place of a request in a queue."""
+
+    priority: int = 0
+    # Name of its organisation; empty if there is none.
+    flow: str = ''
+
+
+@dataclass(slots=True)
+class WaitEstimates:
+    """The queues of one entry, and what is known of what they wait for."""
+
+    endpoints: EndpointTable
+    loads: LoadTable
+    now: Callable[[], float]
+    permits: Callable[[], EndpointPermits]
+    # Returns the number of entries that share the endpoints.
+    count_entries: Callable[[], int]
+    queues: dict[str, WaitQueue]
+    shares: FairShares = field(default_factory=FairShares)
+
+    def queue(self, service: str) -> WaitQueue:
+        """Return the wait queue of a service; create it on first use."""
+        known = self.queues.get(service)
+        if known is None:
+            flows = self.shares.table(service)
+            known = self.queues[service] = WaitQueue(flows=flows)
+        return known
+
+    def capacity(self, service: str) -> ServiceCapacity:
+        """Return what the usable endpoints of a service can take."""
+        return service_capacity(
+            self.endpoints.usable(service, self.now()),
+            self.permits(),
+            self.queue(service).mean_hold_s,
+        )
+
+    def waiting_ahead(self, service: str, claim: Claim | None) -> int:
+        """Return how many waiting requests are served before one more.
+
+        Without a claim, and where no organisations use the service, these are
+        all that wait.
+        """
+        queue = self.queue(service)
+        elsewhere = self.loads.waiting_elsewhere(service)
+        if claim is None or not self.is_shared(service, claim):
+            return len(queue) + elsewhere
+        return self.shares.count_ahead(
+            service, queue, elsewhere, claim.priority, claim.flow
+        )
+
+    def is_shared(self, service: str, claim: Claim) -> bool:
+        """Return whether the place of a request depends on organisations."""
+        if claim.flow:
+            return True
+        return self.shares.is_shared(service, self.queue(service))
+
+    def is_next(self, service: str, claim: Claim) -> bool:
+        """Return whether no request in this queue goes before one more."""
+        queue = self.queue(service)
+        if not len(queue):
+            return True
+        if not self.is_shared(service, claim):
+            return False
+        return not self.shares.count_before(
+            service, queue, claim.priority, claim.flow
+        )
+
+    def expected_wait_s(
+        self, service: str, claim: Claim | None = None
+    ) -> float:
+        """Return the expected wait of one more online request.
+
+        Requests in the endpoints' own queues and at other entries are
+        ahead of it too.
+        """
+        capacity = self.capacity(service)
+        queue = self.queue(service)
+        ahead = self.waiting_ahead(service, claim)
+        if capacity.limited:
+            return capacity.delay_s + queue.time_for_s(ahead, capacity.slots)
+        queued = sum(
+            max(0, self.loads.online(one.endpoint_id) - one.slots)
+            for one in self.endpoints.usable(service, self.now())
+        )
+        wait_s = queue.time_for_s(ahead + queued + 1, capacity.slots)
+        if claim is None or not self.exceeds_share(service, claim.flow):
+            return wait_s
+        return max(wait_s, self.own_line_s(service, claim, capacity.slots))
+
+    def own_line_s(self, service: str, claim: Claim, slots: float) -> float:
+        """Return how long the line of an organisation beyond its share takes.
+
+        Others get their part of the starts meanwhile, also with requests that
+        have not come yet.
+        """
+        queue = self.queue(service)
+        own = sum(
+            one.flow == claim.flow and not one.cancelled
+            for one in queue.requests
+        )
+        share = self.shares.table(service).share(claim.flow)
+        return queue.time_for_s(own + 1, slots * share)
+
+    def last_wait_s(self, service: str) -> float:
+        """Return the expected wait of the last queued request."""
+        one_start_s = self.queue(service).time_for_s(
+            1, self.capacity(service).slots
+        )
+        return max(0.0, self.expected_wait_s(service) - one_start_s)
+
+    def refusal(
+        self,
+        reason: str,
+        service: str,
+        left_s: float,
+        claim: Claim | None = None,
+    ) -> Refusal:
+        """Return a refusal with a retry time reserved for this caller."""
+        now_s = self.now()
+        capacity = self.capacity(service)
+        queue = self.queue(service)
+        retry_at_s = max(
+            queue.next_retry_s(
+                now_s,
+                capacity.slots / self.count_entries(),
+                limited=capacity.limited,
+                flow=claim.flow if claim else '',
+            ),
+            now_s + capacity.delay_s,
+        )
+        return Refusal(
+            reason,
+            retry_after_s(retry_at_s, now_s, left_s),
+            self.expected_wait_s(service, claim),
+            len(queue),
+            self.loads.waiting_elsewhere(service),
+            int(capacity.slots),
+        )
+
+    def queue_refusal(
+        self, request: QueuedRequest, service: str, deadline_s: float
+    ) -> Refusal:
+        """Return why a queued request is refused now."""
+        now_s = self.now()
+        if not self.endpoints.usable(service, now_s):
+            return Refusal('no_endpoint', NO_ENDPOINT_RETRY_S)
+        return self.refusal(
+            request.refusal_reason(now_s),
+            service,
+            deadline_s - now_s,
+            Claim(request.priority, request.flow),
+        )
+
+    def exceeds_share(self, service: str, flow: str) -> bool:
+        """Return whether one more slot is beyond an organisation's share."""
+        table = self.shares.table(service)
+        if not flow or not table.has_others(flow):
+            return False
+        return table.exceeds_share(flow, self.capacity(service).slots)
+
+    def rows(self) -> tuple[RequestRow, ...]:
+        """Return what this entry tells its peers of organisations."""
+        entries = self.count_entries()
+        return self.shares.heaviest(
+            row
+            for service, queue in list(self.queues.items())
+            for row in self.shares.rows(
+                service, queue, self.capacity(service).slots, entries
+            )
+        )
--- a/src/quetzaldyke/gateway/wait_queue.py
+++ b/src/quetzaldyke/gateway/wait_queue.py
@@ -9,17 +9,25 @@
 together. A caller that has already retried is queued as long as it can
 afford the wait. Within a priority, requests that can still meet their
 objective are served before those that can't.
+
+It also handles one organisation that sends many times its usual: among equals,
+requests are served in the fair order of `parts/fair_order.py` among
+organisations. A request that this order puts before others may make the line
+too long; then the last of the heaviest organisation is refused at once. Refused
+callers of one organisation don't delay the retries of another one's.
 """
 
 from __future__ import annotations
 
 import itertools
 import math
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
 from quetzaldyke.gateway.model import Organisation, Route
+from quetzaldyke.parts.fair_order import FlowTable
 
 # Time from the start of a request at an endpoint to its first event.
 FIRST_EVENT_LATENCY_S: Final = 0.1
@@ -51,6 +59,9 @@
 QUEUE_TIME_SHARE: Final = 0.75
 # Share of the request's remaining time that it may spend in the queue.
 MAX_WAIT_SHARE: Final = 0.6
+# Retry times of organisations are dropped once they have passed and more than
+# these are kept.
+MIN_KEPT_RETRIES: Final = 64
 
 
 @dataclass(slots=True, eq=False)
@@ -68,16 +79,28 @@
     refuse: Callable[[], None]
     # Returns whether an expected further wait is acceptable.
     can_wait: Callable[[float], bool] = lambda expected_s: True
+    # Name of its organisation; empty if there is none.
+    flow: str = ''
     arrival_number: int = 0
     cancelled: bool = False
+    started: bool = False
+    # Whether it was refused because others went before it.
+    displaced: bool = False
 
     def refusal_reason(self, now_s: float) -> str:
         """Return why the request is refused now."""
+        if self.displaced:
+            return 'displaced'
         if now_s >= self.latest_start_s:
             return 'waited_too_long'
         return 'no_permit_in_time'
 
 
+def arrival_of(request: QueuedRequest) -> int:
+    """Return the arrival number of a request."""
+    return request.arrival_number
+
+
 @dataclass(slots=True)
 class WaitQueue:
     """Requests of one service that wait for a slot.
@@ -90,8 +113,12 @@
         default_factory=itertools.count
     )
     mean_hold_s: float = DEFAULT_HOLD_S
-    # Retry time that was given to the last refused caller.
+    # Retry time that was given to the last refused caller without, and of
+    # each, organisation.
     last_retry_s: float = 0.0
+    retries_s: dict[str, float] = field(default_factory=dict)
+    # Slots that the organisations hold.
+    flows: FlowTable = field(default_factory=FlowTable)
 
     def __len__(self) -> int:
         """Return the number of requests that were not cancelled."""
@@ -101,14 +128,6 @@
         """Add the time for which a request held its slot to the mean."""
         self.mean_hold_s += HOLD_WEIGHT * (hold_s - self.mean_hold_s)
 
-    def expected_wait_s(self, slots: float, elsewhere: int) -> float:
-        """Return the expected wait of one more request.
-
-        `slots` counts all slots of the service, `elsewhere` the requests
-        that wait for them outside this queue.
-        """
-        return self.time_for_s(len(self) + elsewhere + 1, slots)
-
     def time_for_s(self, requests: int, slots: float) -> float:
         """Return the time in which so many requests get a slot."""
         return requests * self.mean_hold_s / max(slots, MIN_SLOTS)
@@ -121,23 +140,44 @@
         )
 
     def next_retry_s(
-        self, now_s: float, own_slots: float, *, limited: bool = False
+        self,
+        now_s: float,
+        own_slots: float,
+        *,
+        limited: bool = False,
+        flow: str = '',
     ) -> float:
         """Allocate the time at which the next refused caller should retry.
 
         `own_slots` is this entry's share of the slots, which is taken as two
         at least unless the requests of all endpoints are limited. Each call
-        returns a later time than the one before.
+        returns a later time than the one before for the same organisation,
+        whose retries are spaced at the rate of its own share.
         """
         least_slots = MIN_SLOTS if limited else 1.0
         for_retries = own_slots * (1 - NEW_REQUESTS_SHARE)
+        if flow:
+            for_retries *= self.flows.share(flow)
         pace_s = self.mean_hold_s / max(for_retries, least_slots)
         earliest_s = now_s + MIN_RETRY_AFTER_S
         latest_s = now_s + MAX_LIMITED_RETRY_S if limited else math.inf
-        self.last_retry_s = min(
-            max(earliest_s, self.last_retry_s + pace_s), latest_s
-        )
-        return self.last_retry_s
+        last_s = self.retries_s.get(flow, 0.0) if flow else self.last_retry_s
+        retry_s = min(max(earliest_s, last_s + pace_s), latest_s)
+        if flow:
+            self.keep_retry(flow, retry_s, now_s)
+        else:
+            self.last_retry_s = retry_s
+        return retry_s
+
+    def keep_retry(self, flow: str, retry_s: float, now_s: float) -> None:
+        """Keep the last retry time of an organisation; drop past ones."""
+        self.retries_s[flow] = retry_s
+        if len(self.retries_s) > MIN_KEPT_RETRIES:
+            self.retries_s = {
+                key: kept_s
+                for key, kept_s in self.retries_s.items()
+                if kept_s > now_s
+            }
 
     def add(self, request: QueuedRequest) -> None:
         """Append a request to the queue."""
@@ -152,6 +192,20 @@
         """
         if not self.requests:
             return
+        for request in self.in_order(now_s):
+            if request.cancelled:
+                continue
+            if not request.try_start():
+                break
+            request.started = True
+        self.requests = [
+            one
+            for one in self.requests
+            if not one.started and not one.cancelled
+        ]
+
+    def in_order(self, now_s: float) -> Iterator[QueuedRequest]:
+        """Return the requests in the order in which they should start."""
         self.requests.sort(
             key=lambda one: (
                 one.priority,
@@ -159,11 +213,72 @@
                 one.arrival_number,
             ),
         )
-        for position, request in enumerate(self.requests):
-            if not request.cancelled and not request.try_start():
-                del self.requests[:position]
-                return
-        self.requests.clear()
+        if self.is_mixed():
+            return self.in_fair_order(now_s)
+        return iter(self.requests)
+
+    def is_mixed(self) -> bool:
+        """Return whether requests of several organisations wait."""
+        first = self.requests[0].flow if self.requests else ''
+        return any(one.flow != first for one in self.requests)
+
+    def in_fair_order(self, now_s: float) -> Iterator[QueuedRequest]:
+        """Yield sorted requests in the fair order among organisations."""
+
+        def rank(one: QueuedRequest) -> tuple[int, bool]:
+            return one.priority, one.latest_on_time_start_s < now_s
+
+        for _, equals in itertools.groupby(self.requests, key=rank):
+            lines: dict[str, list[QueuedRequest]] = {}
+            for one in equals:
+                if not one.cancelled:
+                    lines.setdefault(one.flow, []).append(one)
+            yield from self.flows.in_order(lines, arrival_of)
+
+    def last_in_order(self, now_s: float) -> QueuedRequest | None:
+        """Return the request that is served last; None if the queue is empty.
+
+        It is one of the organisation with the most slots and requests for its
+        weight, among the least urgent requests.
+        """
+        waiting = [one for one in self.requests if not one.cancelled]
+        priority = max((one.priority for one in waiting), default=0)
+        equals = [one for one in waiting if one.priority == priority]
+        if not equals:
+            return None
+        counts = Counter(one.flow for one in equals)
+        heaviest = max(
+            counts,
+            key=lambda flow: (
+                self.flows.level(flow, counts[flow]),
+                self.flows.start_time(flow),
+                flow,
+            ),
+        )
+        return max(
+            (one for one in equals if one.flow == heaviest),
+            key=lambda one: (
+                one.latest_on_time_start_s < now_s,
+                one.arrival_number,
+            ),
+        )
+
+    def displace(self, newcomer: str, expected_s: float, now_s: float) -> bool:
+        """Refuse the last request if a newcomer makes its wait too long.
+
+        `newcomer` is the name of its organisation, which displaces none of its
+        own; `expected_s` is the wait for the whole line. Returns whether a request
+        was refused. At most one leaves for each that comes, so that a wrong
+        estimate can't empty the queue.
+        """
+        last = self.last_in_order(now_s)
+        if last is None or last.flow == newcomer:
+            return False
+        if last.can_wait(expected_s):
+            return False
+        last.cancelled = last.displaced = True
+        last.refuse()
+        return True
 
     def refuse_expired(self, now_s: float) -> None:
         """Refuse the requests whose latest start has passed."""
@@ -181,13 +296,16 @@
                 request.refuse()
         self.requests.clear()
 
-    def refuse_hopeless(self, expected_s: Callable[[int], float]) -> None:
+    def refuse_hopeless(
+        self, expected_s: Callable[[int], float], now_s: float
+    ) -> None:
         """Refuse the requests that can't wait as long as is expected.
 
         `expected_s` returns the wait of the request at a position.
         """
+        mixed = self.is_mixed()
         position = 0
-        for request in self.requests:
+        for request in self.in_order(now_s) if mixed else self.requests:
             if request.cancelled:
                 continue
             if request.can_wait(expected_s(position)):
--- a/src/quetzaldyke/parts/fair_order.py
+++ b/src/quetzaldyke/parts/fair_order.py
@@ -26,6 +26,9 @@
 
 # Virtual times of idle flows are dropped once more than these are kept.
 MIN_KEPT_TIMES: Final = 64
+# Slots that a flow of weight 1 may hold at least before it exceeds its share,
+# also if more flows than slots are active: none of these keeps others out.
+MIN_SHARE: Final = 2.0
 
 ItemT = TypeVar('ItemT')
 
@@ -106,16 +109,34 @@
         """Return the summed weight of all flows that hold slots."""
         return sum(map(self.weight_of, self.running.keys() | self.elsewhere))
 
+    def share(self, flow: str) -> float:
+        """Return the share of the starts that a flow can count on.
+
+        That is what its weight gives it among the flows that hold slots, and
+        more if it holds more: others then leave some of theirs.
+        """
+        active = self.running.keys() | self.elsewhere.keys() | {flow}
+        weights = sum(map(self.weight_of, active))
+        held = sum(self.running.values()) + sum(self.elsewhere.values())
+        return max(
+            self.weight_of(flow) / weights, self.held(flow) / max(held, 1)
+        )
+
+    def has_others(self, flow: str) -> bool:
+        """Return whether flows other than one hold slots."""
+        here = len(self.running) - (flow in self.running)
+        return here > 0 or len(self.elsewhere) > (flow in self.elsewhere)
+
     def exceeds_share(self, flow: str, slots: float) -> bool:
         """Return whether one more slot is beyond a flow's share of `slots`.
 
-        A flow that alone holds slots has no share to exceed.
+        A flow that alone holds slots, or holds few, has no share to exceed.
         """
-        active = self.running.keys() | self.elsewhere.keys()
-        if not active - {flow}:
+        if not self.has_others(flow):
             return False
-        weights = sum(map(self.weight_of, active | {flow}))
-        return self.level(flow) >= slots / weights
+        active = self.running.keys() | self.elsewhere.keys() | {flow}
+        share = slots / sum(map(self.weight_of, active))
+        return self.level(flow) >= max(share, MIN_SHARE)
 
     def in_order(
         self,
