Log the heaviest organisation and count the rows told of organisations

Cause: an operator could not see which organisation fills the slots. Change: organisation_heavy names the heaviest one once in 10 s for each service, and the gauge organisation_rows counts the rows of the last report.

--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -39,6 +39,9 @@
     entry.policy.grants.shares.weight_of = entry.configurations.weight_of
     entry.limits.permits.on_granted = entry.on_permits
     entry.messages.drains.connect(entry.metrics, log_event)
+    entry.metrics.gauge(
+        'organisation_rows', lambda: entry.messages.flows.rows_sent
+    )
     timers = entry.timers
     timers.on_failure = log_timer_failure
     timers.subscribe('watchdog', WATCHDOG_INTERVAL_S, entry.cancel_timed_out)
--- a/src/quetzaldyke/gateway/flow_exchange.py
+++ b/src/quetzaldyke/gateway/flow_exchange.py
@@ -9,17 +9,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.dispatcher import Dispatcher
+from quetzaldyke.gateway.fair_shares import RequestRow
 from quetzaldyke.gateway.flow_messages import FlowReport
 from quetzaldyke.gateway.gossip import Gossip
+from quetzaldyke.gateway.logs import log_event
 
 # Shortest time between two reports: a tenth of the time after which the rows
 # of a silent entry expire.
 MIN_INTERVAL_S: Final = 0.1
+# The heaviest organisation of a service is logged once in this time.
+LOG_INTERVAL_S: Final = 10.0
 
 
 @dataclass(slots=True)
@@ -35,6 +39,8 @@
     last_sent_s: float = 0.0
     # Rows in the last report.
     rows_sent: int = 0
+    # When organisations were logged, by service and name.
+    logged_s: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def make_report(self) -> FlowReport:
         """Return what this entry has to tell."""
@@ -59,6 +65,26 @@
             self.last_sent_s = now_s
             self.rows_sent = rows
             self.gossip.broadcast(report)
+            self.log_heaviest(report.requests, now_s)
+
+    def log_heaviest(self, rows: tuple[RequestRow, ...], now_s: float) -> None:
+        """Log the organisation that asks for most, once in a while."""
+        self.logged_s = {
+            key: logged_s
+            for key, logged_s in self.logged_s.items()
+            if now_s - logged_s < LOG_INTERVAL_S
+        }
+        for row in rows[:1]:
+            key = (row.service, row.organisation)
+            if key not in self.logged_s:
+                self.logged_s[key] = now_s
+                log_event(
+                    'organisation_heavy',
+                    service=row.service,
+                    organisation=row.organisation,
+                    running=row.running,
+                    waiting=row.waiting,
+                )
 
     def apply(self, report: FlowReport) -> None:
         """Apply the report of a peer."""
--- a/tests/test_fair_exchange.py
+++ b/tests/test_fair_exchange.py
@@ -4,7 +4,10 @@
 
 import random
 from collections import Counter
+from types import SimpleNamespace
+from typing import cast
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -12,7 +15,9 @@
 from quetzaldyke.gateway.batch_schedule import Candidate, start_order
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.fair_shares import ACTIVE_S, MAX_ROWS, RequestRow
+from quetzaldyke.gateway.flow_exchange import MIN_INTERVAL_S, FlowExchange
 from quetzaldyke.gateway.flow_messages import FlowReport
+from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.gossip_messages import decode, encode
 from quetzaldyke.gateway.item_order import fair_start_order
 from quetzaldyke.gateway.item_shares import (
@@ -233,3 +238,34 @@
     generator = random.Random(3)
     pending = {f'p{number}': generator.randrange(9) for number in range(9)}
     assert ItemShares().weigh_entries('p0', pending) is pending
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('anyio_backend', ['asyncio'])
+async def test_reports_are_sent_while_there_is_something_to_tell() -> None:
+    """Guards against messages about idle organisations, and rows that stay.
+
+    A report without rows takes the earlier ones back.
+    """
+    time = FakeTime()
+    own = make_dispatcher(time, make_endpoint('e1'))
+    sent: list[FlowReport] = []
+    gossip = cast(
+        'Gossip',
+        SimpleNamespace(interval_s=lambda: 0.005, broadcast=sent.append),
+    )
+    exchange = FlowExchange('own', own, gossip, time.read, lambda: None)
+    await exchange.tick()
+    assert not sent
+    fill(own, requests=5, waiting=3)
+    for _ in range(3):
+        await exchange.tick()
+    assert [len(report.requests) for report in sent] == [1]
+    for reservation in own.loads.own.values():
+        reservation.online = 0
+    own.queue('lm').requests.clear()
+    own.queue('lm').flows.running.clear()
+    for _ in range(3):
+        time.now_s += MIN_INTERVAL_S
+        await exchange.tick()
+    assert [len(report.requests) for report in sent] == [1, 0]
