--- a/src/quetzaldyke/parts/fair_order.py
+++ b/src/quetzaldyke/parts/fair_order.py
@@ -135,10 +135,10 @@
 
         A flow that is alone, or holds few slots, has no share to exceed.
         """
-        if not self.has_others(flow):
+        level = self.level(flow)
+        if level < MIN_SHARE or not self.has_others(flow):
             return False
-        share = slots / self.active_weight(flow)
-        return self.level(flow) >= max(share, MIN_SHARE)
+        return level >= slots / self.active_weight(flow)
 
     def in_order(
         self,
