Give one line of retry times to all but heavy organisations

Cause: with a line for each, callers of many organisations that were refused at once were told to return together, faster than slots become free. Change: only an organisation beyond its share has retry times of its own.

--- a/src/quetzaldyke/gateway/wait_estimates.py
+++ b/src/quetzaldyke/gateway/wait_estimates.py
@@ -173,8 +173,14 @@
         left_s: float,
         claim: Claim | None = None,
     ) -> Refusal:
-        """Return a refusal with a retry time reserved for this caller."""
+        """Return a refusal with a retry time reserved for this caller.
+
+        Callers of an organisation beyond its share get retry times of its own
+        line, all others those of a common one: together they return no faster
+        than slots become free.
+        """
         now_s = self.now()
+        heavy = claim is not None and self.exceeds_share(service, claim.flow)
         capacity = self.capacity(service)
         queue = self.queue(service)
         retry_at_s = max(
@@ -182,7 +188,7 @@
                 now_s,
                 capacity.slots / self.count_entries(),
                 limited=capacity.limited,
-                flow=claim.flow if claim else '',
+                flow=claim.flow if claim and heavy else '',
             ),
             now_s + capacity.delay_s,
         )
--- a/src/quetzaldyke/gateway/wait_queue.py
+++ b/src/quetzaldyke/gateway/wait_queue.py
@@ -113,8 +113,8 @@
         default_factory=itertools.count
     )
     mean_hold_s: float = DEFAULT_HOLD_S
-    # Retry time that was given to the last refused caller without, and of
-    # each, organisation.
+    # Retry time that was given to the last refused caller, and to that of each
+    # organisation beyond its share.
     last_retry_s: float = 0.0
     retries_s: dict[str, float] = field(default_factory=dict)
     # Slots that the organisations hold.
@@ -151,8 +151,9 @@
 
         `own_slots` is this entry's share of the slots, which is taken as two
         at least unless the requests of all endpoints are limited. Each call
-        returns a later time than the one before for the same organisation,
-        whose retries are spaced at the rate of its own share.
+        returns a later time than the one before. `flow` names an organisation
+        whose callers don't put off those of others; theirs are spaced at the
+        rate of its own share.
         """
         least_slots = MIN_SLOTS if limited else 1.0
         for_retries = own_slots * (1 - NEW_REQUESTS_SHARE)
--- a/tests/test_fair_sharing.py
+++ b/tests/test_fair_sharing.py
@@ -19,6 +19,7 @@
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.model import Organisation
 from quetzaldyke.gateway.reservation import Reservation
+from quetzaldyke.gateway.wait_estimates import Claim
 from quetzaldyke.parts.fair_order import FlowTable
 
 pytestmark = pytest.mark.anyio
@@ -206,6 +207,28 @@
         group.cancel_scope.cancel()
 
 
+def test_refused_callers_of_a_heavy_organisation_put_off_no_others() -> None:
+    """Guards against retry times that grow with the refusals of others.
+
+    Callers of many light organisations still don't return together.
+    """
+    time = FakeTime()
+    dispatcher = make_dispatcher(time, make_endpoint('e1'))
+    estimates = dispatcher.estimates
+    for name in ('hot', 'hot', 'hot', 'light'):
+        dispatcher.acquire_on(make_endpoint('e1'), online=True, flow=name)
+
+    def retry_after_s(name: str) -> float:
+        claim = Claim(0, name)
+        return estimates.refusal('r', 'lm', 60.0, claim).retry_after_s
+
+    hot = [retry_after_s('hot') for _ in range(20)]
+    light = [retry_after_s(f'light-{number}') for number in range(20)]
+    assert light[0] < hot[5] < hot[-1]
+    pace_s = dispatcher.queue('lm').mean_hold_s / 2
+    assert light[-1] - light[0] == pytest.approx(19 * pace_s)
+
+
 @given(
     st.dictionaries(st.sampled_from('abcd'), st.integers(0, 6)),
     st.dictionaries(st.sampled_from('abcd'), st.integers(1, 6), min_size=1),
