Test what is told of items by organisation, and how it is applied

Cause: the wiring between the runner's jobs and the shares had no test. Change: a test of a job of an organisation and a peer's report.

--- a/tests/test_fair_exchange.py
+++ b/tests/test_fair_exchange.py
@@ -4,14 +4,16 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import cast
 
+import anyio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gateway_kit import FakeTime, make_dispatcher, make_endpoint
+from gateway_kit import FakeStore, FakeTime, make_dispatcher, make_endpoint
 from quetzaldyke.gateway.batch_schedule import Candidate, start_order
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.fair_shares import ACTIVE_S, MAX_ROWS, RequestRow
@@ -29,6 +31,7 @@
 from quetzaldyke.gateway.slot_grants import weighted_first
 from quetzaldyke.gateway.wait_estimates import Claim
 from quetzaldyke.gateway.wait_queue import QueuedRequest
+from runner_kit import RunnerHarness
 
 LIGHT = Claim(0, 'light')
 HOT = Claim(0, 'hot')
@@ -269,3 +272,28 @@
         time.now_s += MIN_INTERVAL_S
         await exchange.tick()
     assert [len(report.requests) for report in sent] == [1, 0]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('anyio_backend', ['asyncio'])
+async def test_items_are_told_and_applied_by_organisation() -> None:
+    """Guards against shares that miss the jobs of this or another entry."""
+    time = FakeTime()
+    async with anyio.create_task_group() as group:
+        harness = await RunnerHarness.with_job(FakeStore(), group, items=4)
+        runner, job = harness.runner, harness.job
+        job.record = replace(job.record, organisation='own')
+        job.items[0].running = True
+        job.items[1].finished = True
+        waiting = job.waiting(time.now_s, runner.estimator)
+        gossip = cast('Gossip', SimpleNamespace())
+        exchange = FlowExchange(
+            'own', runner.dispatcher, gossip, time.read, lambda: runner
+        )
+        assert exchange.make_report().items == (ItemRow('own', 1, 2),)
+        row = RequestRow('lm', 'other', 0, 3, 0)
+        exchange.apply(FlowReport('p', (row,), (ItemRow('other', 5, 6),)))
+        group.cancel_scope.cancel()
+    assert {one.candidate.organisation for one in waiting} == {'own'}
+    assert runner.starter.shares.elsewhere == {'other': 5}
+    assert runner.dispatcher.queue('lm').flows.held('other') == 3
