--- a/src/quetzaldyke/gateway/fair_shares.py
+++ b/src/quetzaldyke/gateway/fair_shares.py
@@ -119,6 +119,14 @@
             or any(one.flow for one in queue.requests)
         )
 
+    def waiting_elsewhere(self, service: str, flow: str) -> int:
+        """Return how many requests of an organisation wait at peers."""
+        return sum(
+            count
+            for (other, _), count in self.waiting.get(service, {}).items()
+            if other == flow
+        )
+
     def count_ahead(
         self,
         service: str,
--- a/src/quetzaldyke/gateway/wait_estimates.py
+++ b/src/quetzaldyke/gateway/wait_estimates.py
@@ -164,7 +164,8 @@
         )
         held = self.shares.table(service).held(flow)
         share = held / max(online, held, 1)
-        return queue.time_for_s(own + 1, slots * share)
+        told = self.shares.waiting_elsewhere(service, flow)
+        return queue.time_for_s(own + told + 1, slots * share)
 
     def refusal(
         self,
