--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -30,13 +30,21 @@
     entry.dispatcher.on_change = entry.on_load_change
     entry.dispatcher.preempt_batch = entry.messages.preempt_batch
     entry.dispatcher.count_entries = lambda: max(1, len(entry.jobs.members))
+    entry.dispatcher.on_displaced = lambda service: entry.metrics.count(
+        'requests_displaced_total', service=service
+    )
     follow_outages(
         entry.health, entry.endpoint_table, entry.store.path, entry.clock.now
     )
     entry.jobs.on_members = entry.on_members
+    entry.dispatcher.estimates.shares.weight_of = entry.configurations.weight_of
+    entry.policy.grants.shares.weight_of = entry.configurations.weight_of
     entry.limits.permits.on_granted = entry.on_permits
     connect_domains(entry)
     entry.messages.drains.connect(entry.metrics, log_event)
+    entry.metrics.gauge(
+        'organisation_rows', lambda: entry.messages.flows.rows_sent
+    )
     timers = entry.timers
     timers.on_failure = log_timer_failure
     timers.subscribe('watchdog', WATCHDOG_INTERVAL_S, entry.cancel_timed_out)
@@ -44,6 +52,7 @@
     timers.subscribe('gossip', GOSSIP_INTERVAL_S, entry.gossip_tick)
     timers.subscribe('limits', GOSSIP_INTERVAL_S, entry.limits.tick)
     timers.subscribe('drains', GOSSIP_INTERVAL_S, entry.messages.drains.tick)
+    timers.subscribe('flows', GOSSIP_INTERVAL_S, entry.messages.flows.tick)
     timers.subscribe('lease', RENEWAL_INTERVAL_S, entry.registration.renew)
     timers.subscribe('cleaning', CLEANUP_INTERVAL_S, entry.clean_up)
     timers.subscribe(
--- a/src/quetzaldyke/gateway/slot_grants.py
+++ b/src/quetzaldyke/gateway/slot_grants.py
@@ -7,8 +7,9 @@
 
 All entries know the same counts, so they choose the same entry without
 communication: by rendezvous hashing, weighted with the items that each could
-start. Where work stays in its failure domain, the entries of the endpoint's
-domain go first while they have items. The choice is made anew whenever the batch runs on the endpoint change,
+start, or with what their organisations may start. Where work stays in its
+failure domain, the entries of the endpoint's domain go first while they have
+items. The choice is made anew whenever the batch runs on the endpoint change,
 and after a pause, in case the chosen entry can't use the slots.
 """
 
@@ -19,6 +20,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.gateway.item_shares import ItemShares
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.parts.rendezvous import DIGEST_BYTES, score
 
@@ -27,7 +29,7 @@
 SCORE_RANGE: Final = 2 ** (8 * DIGEST_BYTES)
 
 
-def weighted_first(weights: Mapping[str, int], key: str) -> str | None:
+def weighted_first(weights: Mapping[str, float], key: str) -> str | None:
     """Return the member that ranks first for a key; None without weights.
 
     The chance of each member over all keys is in proportion to its weight.
@@ -55,6 +57,7 @@
 
     own_id: str
     loads: LoadTable
+    shares: ItemShares = field(default_factory=ItemShares)
     # Returns the failure domain of an entry; empty if it is not known. None if
     # all entries are taken alike.
     domain_of_entry: Callable[[str], str] | None = None
@@ -68,8 +71,8 @@
                 del self.batch_runs[endpoint_id]
 
     def near_weights(
-        self, weights: dict[str, int], failure_domain: str
-    ) -> dict[str, int]:
+        self, weights: Mapping[str, float], failure_domain: str
+    ) -> Mapping[str, float]:
         """Return the weights of a domain's entries if any has items."""
         if self.domain_of_entry is None:
             return weights
@@ -88,10 +91,11 @@
         failure_domain: str = '',
     ) -> bool:
         """Return whether this entry fills the free slots of an endpoint."""
-        weights = self.loads.pending_by_peer()
-        if not weights:
+        pending = self.loads.pending_by_peer()
+        if not pending:
             return own_pending > 0
-        weights[self.own_id] = own_pending
+        pending[self.own_id] = own_pending
+        weights = self.shares.weigh_entries(self.own_id, pending)
         weights = self.near_weights(weights, failure_domain)
         running = self.loads.batch(endpoint_id)
         known, since_s = self.batch_runs.get(endpoint_id, (-1, now_s))
