Let parser and program agree where a request ends

Cause: at a head that offers another protocol the parser stops, reports the request as complete and leaves its body, which was dropped or run as the next request. Trailers became headers, and heads that the next recipient may read in another way were accepted.

Change: such a head is parsed again without the offer; CONNECT, other transfer codings than chunked, several hosts, targets of another host and fragments get a 400 and a close; trailers are dropped; the target is forwarded as it was received; a connection ends if a caller that waits for its 100 Continue is answered first. All listeners use this connection. Two attempt ids are refused.

--- a/src/quetzaldyke/connection/caller_connection.py
+++ b/src/quetzaldyke/connection/caller_connection.py
@@ -10,7 +10,7 @@
 
 from typing import Any, Final, Literal
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from quetzaldyke.connection.strict_connection import StrictConnection
 
 REQUEST_TIMEOUT_RESPONSE: Final = (
     b'HTTP/1.1 408 Request Timeout\r\n'
@@ -32,7 +32,7 @@
 TimeoutKind = Literal['head', 'body', 'idle']
 
 
-class CallerConnection(HttpToolsProtocol):
+class CallerConnection(StrictConnection):
     """A connection that records the times its timeouts are based on."""
 
     def __init__(self, *args: Any, **keywords: Any) -> None:
@@ -45,8 +45,6 @@
         self.head_bytes = 0
         # Received for a request since the last byte of its body.
         self.bytes_after_body = 0
-        # Why the bytes behind the current request are refused; empty if not.
-        self.refusal = ''
 
     def data_received(self, data: bytes) -> None:
         """Parse data; close the connection if a head or trailer has no end."""
@@ -61,19 +59,6 @@
         if self.is_receiving() and self.bytes_after_body > MAX_HEAD_BYTES:
             self.refuse_trailers()
 
-    def send_400_response(self, msg: str) -> None:  # noqa: WPS114
-        """Refuse malformed bytes, but not while an earlier answer is sent.
-
-        The error would stand in that answer, or be taken for it.
-        """
-        if self.is_answering():
-            self.refusal = msg
-            self.flow.pause_reading()
-        elif self.is_receiving() and self.cycle.response_started:
-            self.transport.close()
-        else:
-            super().send_400_response(msg)
-
     def refuse_trailers(self) -> None:
         """Close the connection of a request that has endless trailers."""
         if not self.cycle.response_started:
@@ -109,28 +94,9 @@
         super().on_headers_complete()
 
     def on_response_complete(self) -> None:
-        """Start the idle timeout, or refuse what follows the request."""
+        """Start the idle timeout."""
         self.last_active_s = self.loop.time()
         super().on_response_complete()
-        if self.refusal:
-            self.send_400_response(self.refusal)
-
-    def is_serving(self) -> bool:
-        """Tell whether a request is being read or answered."""
-        return self.cycle is not None and not self.cycle.response_complete
-
-    def is_receiving(self) -> bool:
-        """Tell whether the body or trailers of a request are being read."""
-        return self.is_serving() and self.cycle.more_body
-
-    def is_answering(self) -> bool:
-        """Tell whether a request is being answered that was read completely.
-
-        Other requests of the connection then wait, read only in part.
-        """
-        return bool(self.pipeline) or (
-            self.is_serving() and not self.cycle.more_body
-        )
 
     def expired_timeout(
         self,
--- a/src/quetzaldyke/connection/http_server.py
+++ b/src/quetzaldyke/connection/http_server.py
@@ -19,7 +19,7 @@
     MutableMapping,
 )
 from dataclasses import dataclass
-from typing import Any, Final, Literal
+from typing import Any, Final
 
 import anyio
 import uvicorn
@@ -27,6 +27,7 @@
 
 from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.listener import BACKLOG, bind
+from quetzaldyke.connection.strict_connection import CountingState
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Scope]]
@@ -50,8 +51,6 @@
     drain_s: int = 60
     # Idle time after which a connection is closed.
     keep_alive_s: int = KEEP_ALIVE_S
-    # Protocol class of the connections, or its name in uvicorn.
-    protocol: type[asyncio.Protocol] | Literal['httptools'] = 'httptools'
 
 
 class EmbeddedServer(uvicorn.Server):
@@ -61,6 +60,8 @@
         """Create an event that is set when connections are accepted."""
         super().__init__(config)
         self.listening = anyio.Event()
+        self.counts = CountingState()
+        self.server_state = self.counts
 
     async def startup(
         self,
@@ -123,6 +124,17 @@
                 ended[reason] += 1
         return ended
 
+    def take_declined(self) -> tuple[Counter[str], int]:
+        """Return what was declined since the last call.
+
+        That are the requests that got a 400, by reason, and the offers of
+        another protocol.
+        """
+        counts = self.server.counts
+        refused, counts.refused_heads = counts.refused_heads, Counter()
+        offers, counts.declined_offers = counts.declined_offers, 0
+        return refused, offers
+
     def abort_connections(self) -> None:
         """Abort all connections and cancel their requests."""
         self.aborted = True
@@ -185,7 +197,7 @@
         uvicorn.Config(
             wrapped_app,
             loop='none',
-            http=options.protocol,
+            http=CallerConnection,
             ws='none',
             lifespan='off',
             log_config=None,
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -11,7 +11,6 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.http_server import HttpOptions, serve_http
 from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.entry import Entry
@@ -96,7 +95,6 @@
                 installation.callers_address,
                 drain_s=max(1, int(installation.bounds.grace_s)),
                 keep_alive_s=KEEP_ALIVE_S,
-                protocol=CallerConnection,
             ),
             stop_listener,
             listener,
--- a/src/quetzaldyke/gateway/forwarded_headers.py
+++ b/src/quetzaldyke/gateway/forwarded_headers.py
@@ -11,6 +11,7 @@
 HOP_BY_HOP_HEADERS: Final = frozenset(
     (
         b'connection',
+        b'http2-settings',
         b'keep-alive',
         b'proxy-connection',
         b'te',
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -108,6 +108,18 @@
                 limit=reason,
                 connections=count,
             )
+        self.note_declined(server)
+
+    def note_declined(self, server: HttpServer) -> None:
+        """Count and log the heads and offers that connections declined."""
+        refused, offers = server.take_declined()
+        for reason, count in refused.items():
+            self.metrics.count('requests_malformed_total', count, reason=reason)
+            self.context.log_event(
+                'requests_malformed', reason=reason, requests=count
+            )
+        if offers:
+            self.metrics.count('upgrade_offers_total', offers)
 
     async def __call__(
         self,
@@ -193,6 +205,9 @@
         if self.table is None:
             await self.refuse(caller, request, 'no_configuration')
             return
+        if not request.host:
+            await self.reject(caller, STATUS_BAD_REQUEST)
+            return
         route = self.table.find(request.host, request.path)
         identified = identify(request.headers, route, self.table)
         if isinstance(identified, Err):
@@ -306,11 +321,11 @@
         route: Route,
         identity: Identity,
     ) -> OnlineRequest | None:
-        """Return the request to relay, or None if it has no attempt id.
+        """Return the request to relay, or None unless it has one attempt id.
 
         A deadline header can shorten the route's timeout.
         """
-        request_id = request.header(names.ATTEMPT_ID)
+        request_id = request.sole_header(names.ATTEMPT_ID)
         if not request_id:
             return None
         now_s = self.context.now()
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -99,7 +99,7 @@
         organisation, 413 to a job that the store can't keep, 429 over the
         quota, 503 without a store and 502 if the job may have been accepted.
         """
-        raw_id = request.header(names.ATTEMPT_ID)
+        raw_id = request.sole_header(names.ATTEMPT_ID)
         decoded = decode_submission(request.body)
         if not raw_id or isinstance(decoded, Err):
             await send_response(caller, STATUS_BAD_REQUEST)
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -33,6 +33,7 @@
         'limit_used',
         'results_listed',
         'callers_timed_out',
+        'requests_malformed',
         'crashes_cleared',
     ),
 )
--- a/src/quetzaldyke/gateway/received_request.py
+++ b/src/quetzaldyke/gateway/received_request.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from quetzaldyke.connection.http_server import Receive, Scope, Send
+from quetzaldyke.connection.strict_connection import request_target
 from quetzaldyke.gateway.online_request import Headers
 from quetzaldyke.parts.byte_budget import Holding
 from quetzaldyke.parts.decimals import parse_decimal
@@ -30,6 +31,14 @@
                 return content
         return None
 
+    def sole_header(self, name: bytes) -> bytes | None:
+        """Return the header of that name, or None unless there is just one.
+
+        Of several, the next recipient may take another one than this entry.
+        """
+        found = [content for known, content in self.headers if known == name]
+        return found[0] if len(found) == 1 else None
+
     def number(self, name: bytes) -> int | None:
         """Return a header as an integer, cut to the largest one in use.
 
@@ -86,7 +95,7 @@
     host = next((text for name, text in headers if name == b'host'), b'')
     return ReceivedRequest(
         method=scope['method'].encode('latin-1'),
-        target=b'%b?%b' % (raw_path, query) if query else raw_path,
+        target=request_target(scope),
         path=raw_path.decode('latin-1'),
         query=query,
         host=host.decode('latin-1').lower(),
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -17,7 +17,6 @@
 from anyio.abc import SocketStream
 
 from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_route
-from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.http_server import (
     HttpOptions,
     HttpServer,
@@ -135,7 +134,7 @@
 ) -> AsyncIterator[tuple[RawEndpoint, SocketStream]]:
     """Run endpoints that give these answers, and an entry with a caller."""
     remaining = list(answers)
-    options = HttpOptions('127.0.0.1:0', drain_s=1, protocol=CallerConnection)
+    options = HttpOptions('127.0.0.1:0', drain_s=1)
     async with (
         raw_endpoint(lambda *_: remaining.pop(0), closing=True) as endpoint,
         anyio.create_task_group() as group,
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -24,12 +24,7 @@
 HEADER_TIMEOUT_S: Final = 3.0
 IDLE_TIMEOUT_S: Final = 15.0
 pytestmark = pytest.mark.anyio
-OPTIONS: Final = HttpOptions(
-    '127.0.0.1:0',
-    drain_s=1,
-    keep_alive_s=3600,
-    protocol=CallerConnection,
-)
+OPTIONS: Final = HttpOptions('127.0.0.1:0', drain_s=1, keep_alive_s=3600)
 HEAD: Final = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n'
 
 
--- a/tests/test_malformed_requests.py
+++ b/tests/test_malformed_requests.py
@@ -7,7 +7,6 @@
 import anyio
 import pytest
 
-from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.http_server import (
     HttpOptions,
     Receive,
@@ -17,9 +16,7 @@
 )
 
 pytestmark = pytest.mark.anyio
-OPTIONS: Final = HttpOptions(
-    '127.0.0.1:0', drain_s=1, keep_alive_s=3600, protocol=CallerConnection
-)
+OPTIONS: Final = HttpOptions('127.0.0.1:0', drain_s=1, keep_alive_s=3600)
 REQUEST: Final = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 CHUNKED: Final = (
     b'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n'
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -15,7 +15,6 @@
 
 from gateway_fleet import GatewayFleet
 from gateway_kit import make_route, set_running
-from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.http_server import (
     HttpOptions,
     HttpServer,
@@ -52,7 +51,7 @@
     route: Route, answer: bytes
 ) -> AsyncIterator[tuple[Ingress, SocketStream]]:
     """Run an entry before an endpoint that answers and stays silent then."""
-    options = HttpOptions('127.0.0.1:0', drain_s=1, protocol=CallerConnection)
+    options = HttpOptions('127.0.0.1:0', drain_s=1)
     async with (
         raw_endpoint(lambda *_: answer or INTERIM) as endpoint,
         anyio.create_task_group() as group,
