Read back jobs and quotas whose names hold slashes

Cause: the key of a record was split at its last slash, so that a job whose id holds one was accepted and never seen again, and the quota of a route whose name holds one counted as absent: only one job of it was ever accepted. Ids in paths were taken as they stand, so an id that has to be encoded there was not found.

Change: the name is all that follows the kind of the record; ids in paths are decoded.

Measured: the five cases of the new test fail without the change and pass with it.

--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 import anyio
 from result import Err, Ok, Result
@@ -71,14 +71,14 @@
         """
         path = request.path
         if path.startswith(names.JOB_PATH):
-            job_id = path.removeprefix(names.JOB_PATH)
+            job_id = decode_id(path.removeprefix(names.JOB_PATH))
             if request.method == b'DELETE':
                 await self.end_job(job_id, identity, caller)
             else:
                 await self.read_results(job_id, request, identity, caller)
             return True
         if path.startswith(names.ITEM_PATH):
-            job_id = path.removeprefix(names.ITEM_PATH)
+            job_id = decode_id(path.removeprefix(names.ITEM_PATH))
             await self.read_body(job_id, request, identity, caller)
             return True
         if route is not None and route.kind == 'batch':
@@ -291,6 +291,15 @@
             await view.changed.wait()
 
 
+def decode_id(text: str) -> str:
+    """Return the id in a path, where callers may have to encode characters.
+
+    >>> decode_id('a%2Fb'), decode_id('a/b')
+    ('a/b', 'a/b')
+    """
+    return unquote(text, 'latin-1')
+
+
 def query_text(query: bytes, name: str) -> str:
     """Return a parameter of a query string, empty when it is missing.
 
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -10,6 +10,7 @@
 from quetzaldyke.gateway import job_records
 from quetzaldyke.gateway.guarded import call_guarded, describe_fault
 from quetzaldyke.gateway.job_records import (
+    FLEET_PREFIX,
     JOB_PREFIX,
     MEMBER_PREFIX,
     JobRecord,
@@ -123,9 +124,13 @@
             )
 
     def apply_key(self, key: str, revision: int, value: bytes | None) -> None:
-        """Apply one key, whose value is None after its deletion."""
-        prefix, _, name = key.rpartition('/')
-        match f'{prefix}/':
+        """Apply one key, whose value is None after its deletion.
+
+        The name behind the prefix may hold slashes: callers choose the ids of
+        jobs, and operators the names of routes.
+        """
+        kind, _, name = key.removeprefix(FLEET_PREFIX).partition('/')
+        match f'{FLEET_PREFIX}{kind}/':
             case job_records.MEMBER_PREFIX:
                 self.apply_member(name, value)
             case job_records.JOB_PREFIX:
--- a/tests/test_gateway_jobs.py
+++ b/tests/test_gateway_jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -47,6 +49,22 @@
     assert await node.store.accept(new_job(), make_route('batch')) == Ok(None)
 
 
+@pytest.mark.parametrize('job_id', ['a/b', '/', 'job/a', 'a/', 'a b%'])
+async def test_job_with_an_odd_id_is_read_back(job_id: str) -> None:
+    """Guards against an accepted job that no entry ever runs."""
+    store = FakeStore()
+    node = Node.of(store, 'a')
+    route = replace(make_route('batch', cap=200), name='r/s')
+    assert await node.store.accept(new_job(job_id), route) == Ok(None)
+    other = Node.of(store, 'b')
+    await other.sync()
+    assert other.table.is_known(job_id)
+    assert list(other.table.quota_revisions) == ['r/s']
+    assert await other.store.accept(new_job('next'), route) == Ok(None)
+    await other.sync()
+    assert other.table.jobs.keys() == {job_id, 'next'}
+
+
 async def test_refused_acceptance_left_nothing() -> None:
     """Guards against a job that is stored although it was refused."""
     store = FakeStore(write_faults=['unavailable'])
