Forward event streams with CR LF line ends

Cause: an event ended only at two line feeds, so a stream with CR LF line ends was held until it was too large or ended, and then failed. In results of items all its events became one text.

Change: the line end of a stream is that of its first line, anew after each resumption. Streams with line feeds are read as before.

--- a/src/quetzaldyke/gateway/event_stream.py
+++ b/src/quetzaldyke/gateway/event_stream.py
@@ -12,7 +12,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-EVENT_END: Final = b'\n\n'
+LF: Final = b'\n'
+CR_LF: Final = b'\r\n'
+EVENT_END: Final = re.compile(rb'\r?\n\r?\n')
 # More digits than an id has; int() refuses numbers of some thousand digits.
 EVENT_ID: Final = re.compile(rb'[ ]?(\d{1,18})')
 DATA_LINE: Final = re.compile(rb'^data:[ ]?(.*)$', re.MULTILINE)
@@ -54,10 +56,13 @@
     # Id of the last whole event; None before the first.
     last_id: int | None = None
     partial: bytes = b''
+    # Line end of the stream; empty before its first one.
+    line_end: bytes = b''
 
     def restart(self) -> None:
         """Drop a partial event before the stream is resumed."""
         self.partial = b''
+        self.line_end = b''
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return all events that are now whole.
@@ -66,22 +71,31 @@
         too large, or there is anything but events.
         """
         buffered = self.partial + chunk if self.partial else chunk
-        end = buffered.rfind(EVENT_END)
+        line_end = self.line_end or self.find_line_end(buffered)
+        event_end = line_end * 2
+        end = buffered.rfind(event_end) if line_end else -1
         if end < 0:
             self.hold(buffered)
             return b''
-        end += len(EVENT_END)
+        end += len(event_end)
         whole = buffered[:end]
         self.hold(buffered[end:])
         last_id = self.last_id
-        for event in whole.removesuffix(EVENT_END).split(EVENT_END):
-            event_id = read_event_id(event)
+        for event in whole.removesuffix(event_end).split(event_end):
+            event_id = read_event_id(event, line_end)
             if event_id is not None:
                 last_id = next_id(last_id, event_id)
         # Only now: a chunk with a wrong event delivers none of its events.
         self.last_id = last_id
         return whole
 
+    def find_line_end(self, buffered: bytes) -> bytes:
+        """Store and return the line end of a stream, from its first line."""
+        first, found, _ = buffered.partition(LF)
+        if found:
+            self.line_end = CR_LF if first.endswith(b'\r') else LF
+        return self.line_end
+
     def hold(self, partial: bytes) -> None:
         """Store the start of an event; raises `StreamError` if too large."""
         if len(partial) > MAX_EVENT_BYTES:
@@ -89,7 +103,7 @@
         self.partial = partial
 
 
-def read_event_id(event: bytes) -> int | None:
+def read_event_id(event: bytes, line_end: bytes = LF) -> int | None:
     r"""Return the id of an event, or None if it has none and no data.
 
     Raises `StreamError` unless it consists of the lines of an event, with one
@@ -103,7 +117,7 @@
     plain = PLAIN_EVENT.fullmatch(event)
     if plain is not None:
         return int(plain.group(1))
-    lines = event.split(b'\n')
+    lines = event.split(line_end)
     kinds = ''.join(line_kind(line) for line in lines)
     if not EVENT_SHAPE.fullmatch(kinds):
         raise StreamError(f'{event[:LOGGED_BYTES]!r} is no event')
@@ -142,7 +156,7 @@
     [b'a', b'b\nc']
     """
     data = []
-    for event in events.split(EVENT_END):
+    for event in EVENT_END.split(events):
         lines = DATA_LINE.findall(event)
         if lines:
             data.append(b'\n'.join(line.rstrip(b'\r') for line in lines))
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -29,6 +29,22 @@
     assert splitter.last_id == 7
 
 
+@given(st.lists(st.integers(0, 2 * len(STREAM)), max_size=12))
+def test_events_with_two_bytes_at_line_ends(cuts: list[int]) -> None:
+    """Guards against streams that are held back to their end, or refused."""
+    stream = STREAM.replace(b'\n', b'\r\n')
+    splitter = EventSplitter()
+    edges = [0, *sorted(cuts), len(stream)]
+    chunks = [stream[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    outputs = [splitter.feed(chunk) for chunk in chunks if chunk]
+    assert b''.join(outputs) == stream
+    assert all(output.endswith(b'\r\n\r\n') for output in outputs if output)
+    assert splitter.last_id == 7
+    assert event_data(stream) == event_data(STREAM)
+    splitter.restart()
+    assert splitter.feed(event_of('r', 8)) == event_of('r', 8)
+
+
 @given(st.integers(0, len(STREAM)))
 def test_resumed_stream_has_every_event_once(cut: int) -> None:
     """Guards against missing or duplicate events after a resumption."""
