Forward the target of a service's request as it was received

Cause: the path for the service was cut from the encoded path, its name from the decoded one, so that an encoded slash sent a request to another path; the last client took the target from a URL, which lost parameters behind a semicolon and the question mark of an empty query. Headers that a caller lists as those of its connection were forwarded.

Change: an encoded service name is not found; the received target is sent as it is; listed headers are dropped.

--- a/src/quetzaldyke/connection/http_endpoint.py
+++ b/src/quetzaldyke/connection/http_endpoint.py
@@ -161,7 +161,12 @@
                 f'http://{self.address}{path}',
                 headers=list(headers),
                 content=body,
-                extensions=timeout_extension(read_s),
+                extensions={
+                    **timeout_extension(read_s),
+                    # Taken from the URL, it would lose parameters behind a
+                    # semicolon and the mark of an empty query.
+                    'target': path.encode(),
+                },
             ) as response:
                 read_head(response.headers)
                 yield response
--- a/src/quetzaldyke/process/callers_http.py
+++ b/src/quetzaldyke/process/callers_http.py
@@ -16,7 +16,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import BaseRoute, Route
-from starlette.types import ASGIApp, Scope
+from starlette.types import ASGIApp
 
 from quetzaldyke.parts.decimals import parse_decimal
 from quetzaldyke.parts.timers import Clock
@@ -34,6 +34,10 @@
     OpenRequests,
     read_body,
 )
+from quetzaldyke.process.forwarded_requests import (
+    forwarded_headers,
+    service_path,
+)
 from quetzaldyke.process.settings import EntrySettings
 from quetzaldyke.request.execute import ExecuteContext, execute_online
 from quetzaldyke.request.fingerprint import fingerprint
@@ -57,32 +61,12 @@
 
 HTTP_INTERNAL_ERROR: Final = 500
 COMPLETIONS_PATH: Final = '/v1/completions'
-SERVICES_PREFIX: Final = '/services/'
 METHODS: Final = ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH')
 IDEMPOTENT_METHODS: Final = frozenset(
     ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'),
 )
 # Longest timeout that a caller may request: one hour.
 MAX_TIMEOUT_MS: Final = 3_600_000
-# Hop-by-hop headers, the caller's credentials, which no endpoint needs, and
-# options for the entry alone.
-UNFORWARDED_HEADERS: Final = frozenset(
-    (
-        'authorization',
-        'connection',
-        'content-length',
-        'expect',
-        'host',
-        'keep-alive',
-        'proxy-authorization',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'x-idempotent',
-        'x-request-timeout-ms',
-    ),
-)
 PLAIN_NAME: Final = re.compile('^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
 
 
@@ -160,15 +144,6 @@
     )
 
 
-def forwarded_headers(http: Request) -> dict[str, str]:
-    """Return the headers that are forwarded to the endpoint."""
-    return {
-        name: content
-        for name, content in http.headers.items()
-        if name not in UNFORWARDED_HEADERS
-    }
-
-
 def pool_of_model(holder: ConfigurationHolder, model: str) -> str | None:
     """Return the engine pool for a caller's `model`; None if there is none.
 
@@ -274,15 +249,6 @@
     )
 
 
-def service_path(scope: Scope) -> str:
-    """Return the encoded path and query for the service, without prefix."""
-    raw = scope['raw_path'].decode('ascii')
-    _, _, _, *rest = raw.split('/', 3)
-    path = f'/{rest[0]}' if rest else '/'
-    query = scope['query_string'].decode('ascii')
-    return f'{path}?{query}' if query else path
-
-
 async def prepare_service(
     context: CallersContext,
     http: Request,
@@ -292,6 +258,9 @@
     service = context.holder.current.pools.get(pool)
     if service is None or service.kind != 'service':
         return Err(not_found(f'there is no service {pool!r}'))
+    path = service_path(http.scope, pool)
+    if path is None:
+        return Err(not_found('the name of the service is encoded'))
     read = await read_body(
         http.receive,
         http.headers,
@@ -302,7 +271,6 @@
     options = read_options(context, http, http.method in IDEMPOTENT_METHODS)
     if isinstance(options, Err):
         return options
-    path = service_path(http.scope)
     return Ok(
         OnlineRequest(
             request_id=http.state.request_id,
--- a/tests/framing_rig.py
+++ b/tests/framing_rig.py
@@ -63,10 +63,12 @@
     hosts = [content for name, content in pairs if name == b'host']
     target = line[2]
     if target.startswith(b'http:'):
-        authority, slash, rest = target[7:].partition(b'/')
+        authority = re.split(rb'[/?]', target[7:])[0]
         if [authority] != hosts:
             raise Malformed(head)
-        target = slash + rest
+        target = target[7 + len(authority) :]
+        if not target.startswith(b'/'):
+            target = b'/' + target if target or line[1] != b'OPTIONS' else b'*'
     if len(hosts) > 1 or not all(map(HOST.fullmatch, hosts)):
         raise Malformed(head)
     if (target == b'*') != (line[1] == b'OPTIONS'):
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -73,6 +73,8 @@
     'path left encoded': head(start='GET /p/%2e%2E/a%2Fb//;c=d HTTP/1.1'),
     'two slashes': head(start='GET //a/p/x HTTP/1.1'),
     'absolute target': sized(start='PUT http://a/p/x? HTTP/1.1'),
+    'absolute target without a path': sized(start='PUT http://a? HTTP/1.1'),
+    'absolute asterisk': head(start='OPTIONS http://a HTTP/1.1'),
     'asterisk': head(start='OPTIONS * HTTP/1.1'),
     'empty header': head('X-E:', 'X-F: ', 'X-G: \t b \t'),
     'header bytes': head('X-B: \x80\xff'),
