Let active jobs follow the routes in force

Cause: the terms of a job were read from its route once, when an entry began to run it.

Change: gateway/job_terms.py computes the terms in force from the job's record and the newest version that its owner knows, and Entry.on_configuration applies them to active jobs at once. A run that reads its body is not sent once the terms no longer name its service.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -173,6 +173,8 @@
     saving: bool = False
     saved_s: float = 0.0
     saved_events: int = 0
+    # Since when its route has ended and no endpoint takes its items.
+    unserved_since_s: float | None = None
 
     @property
     def due_ms(self) -> float:
@@ -185,6 +187,29 @@
         """Return the Unix time from which unfinished items may be failed."""
         return self.record.accepted_ms + self.terms.max_wait_s * MS_IN_S
 
+    def may_run_at(self, service: str) -> bool:
+        """Return whether the terms still name a service."""
+        return any(share.service == service for share in self.terms.services)
+
+    def count_runs_elsewhere(self) -> int:
+        """Return how many runs are at services that the terms don't name."""
+        return sum(
+            progress.running and not self.may_run_at(progress.service)
+            for progress in self.items.values()
+        )
+
+    def note_served(self, *, served: bool, now_s: float) -> float:
+        """Record whether any endpoint takes items; return since how long not.
+
+        Returns 0 if one does.
+        """
+        if served:
+            self.unserved_since_s = None
+            return 0.0
+        if self.unserved_since_s is None:
+            self.unserved_since_s = now_s
+        return now_s - self.unserved_since_s
+
     def waiting(
         self, now_s: float, estimator: RunTimeEstimator
     ) -> list[Waiting]:
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -26,9 +26,12 @@
 from quetzaldyke.gateway.job_records import JobRecord, Member, PartialOutput
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_terms import (
+    UNSERVED_GRACE_S,
     batch_route,
     can_never_run,
     current_terms,
+    is_unserved,
+    same_but_version,
 )
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.preemption import Preemption
@@ -151,6 +154,38 @@
         self.on_pending()
         self.schedule_soon()
 
+    def follow_routes(self) -> int:
+        """Run the active jobs by the routes in force from now on.
+
+        Runs that are under way go on. Returns how many jobs have got other
+        terms.
+        """
+        table = self.routes()
+        if table is None:
+            return 0
+        changed = 0
+        for job in self.jobs.values():
+            before = job.terms
+            job.terms = current_terms(job.record, table, before)
+            if same_but_version(before, job.terms):
+                continue
+            changed += 1
+            log_event(
+                'job_terms_changed',
+                job=job.record.job_id,
+                version=job.terms.version,
+                services=','.join(one.service for one in job.terms.services),
+                services_before=','.join(
+                    one.service for one in before.services
+                ),
+                items=len(job.items),
+                runs_elsewhere=job.count_runs_elsewhere(),
+            )
+        if changed:
+            self.on_pending()
+            self.schedule_soon()
+        return changed
+
     def deactivate(self, job_id: str, reason: str) -> None:
         """Cancel an active job's runs and drop unwritten results; log why."""
         job = self.jobs.pop(job_id, None)
@@ -322,6 +357,25 @@
         if time.time() * MS_IN_S >= job.expires_ms:
             return 'longest_wait_over'
         table = self.routes()
-        if table is not None and can_never_run(job.record, table):
+        if table is None:
+            return ''
+        if can_never_run(job.record, table, job.terms):
             return 'route_ended'
+        if self.unserved_s(job, table) >= UNSERVED_GRACE_S:
+            return 'route_ended_unserved'
         return ''
+
+    def unserved_s(self, job: ActiveJob, table: RouteTable) -> float:
+        """Return for how long no endpoint takes a job of an ended route.
+
+        Before any endpoint is known this proves nothing.
+        """
+        endpoints = self.dispatcher.endpoints
+        now_s = self.dispatcher.clock.now()
+        unserved = bool(endpoints.by_id) and is_unserved(
+            job.record,
+            table,
+            job.terms,
+            lambda service: bool(endpoints.usable(service, now_s)),
+        )
+        return job.note_served(served=not unserved, now_s=now_s)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -248,6 +248,9 @@
     def on_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration."""
         self.ingress.configure(configuration)
+        if self.runner is not None:
+            changed = self.runner.follow_routes()
+            self.metrics.count('job_terms_changed_total', changed)
         self.update_synced()
 
     def on_endpoints(self) -> None:
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -104,6 +104,9 @@
                 return
             if self.context.dispatcher.endpoints.is_draining(self.endpoint_id):
                 return
+            # The route may have moved while the body was read.
+            if not self.job.may_run_at(self.reservation.endpoint.service):
+                return
             await self.send_item(body)
         except ExchangeError as exc:
             self.handle_interruption(exc)
