Count a watch that the store cuts as no failed call

Cause: a watch that the store ends while it waits was a failed call. Each set anew the time since which the store is up, so jobs of a lost entry were never taken over while watches were cut each second.

Change: a watch whose connection ends after at least 0.1 s of waiting is neither answered nor failed, in the store's health and in that of the path. The call after a failed or cut watch does not wait, so that it confirms what the entry knows.

--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -227,6 +227,7 @@
             started_s=clock.now(),
         )
         connect_parts(entry)
+        store.on_cut = entry.record_cut_watch
         return entry
 
     def record_call(self, call: str, *, answered: bool) -> None:
@@ -235,6 +236,10 @@
         self.metrics.count('store_calls_total', call=call, outcome=outcome)
         self.health.note(answered=answered, now_s=self.clock.now())
 
+    def record_cut_watch(self) -> None:
+        """Count a watch that the store ended while it waited."""
+        self.metrics.count('store_calls_total', call='kv-watch', outcome='cut')
+
     def unready_reason(self) -> str:
         """Return why this entry is not ready; empty if it is ready."""
         if self.stopping.is_set():
--- a/src/quetzaldyke/gateway/store_health.py
+++ b/src/quetzaldyke/gateway/store_health.py
@@ -1,4 +1,10 @@
-"""Tracks whether the platform's store answers this process."""
+"""Tracks whether the platform's store answers this process.
+
+Failure pattern: the store ends waiting watches, each after a second or two,
+while it answers all other calls. A watch that was ended while it waited says
+nothing about the store, so it is neither an answered nor a failed call. If the
+store is lost, the next call to it fails.
+"""
 
 from __future__ import annotations
 
@@ -6,8 +12,24 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.gateway.exchange import Failure
+
 # Consecutive failed calls after which the store counts as down.
 DOWN_AFTER_FAILURES: Final = 2
+# A watch whose connection ends sooner did not wait: the store accepts
+# connections and fails.
+MIN_WATCH_S: Final = 0.1
+
+
+def is_cut_watch(failure: Failure, waited_s: float) -> bool:
+    """Return whether a failed watch was ended while it waited.
+
+    >>> is_cut_watch(Failure.BROKEN, 1.0), is_cut_watch(Failure.BROKEN, 0.0)
+    (True, False)
+    >>> is_cut_watch(Failure.STALLED, 2.6)
+    False
+    """
+    return failure is Failure.BROKEN and waited_s >= MIN_WATCH_S
 
 
 @dataclass(slots=True)
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -23,7 +23,9 @@
 # Longest wait of one watch call. A dead connection is detected after this plus
 # the slack of the call's timeout.
 WATCH_WAIT_S: Final = 2.0
-# Wait of the first call after others have watched, whose updates may be old.
+# Wait of the first call after others have watched, whose updates may be old,
+# and after a failed call: its answer confirms that no change was missed, also
+# if the store ends each watch before its wait is over.
 CATCH_UP_WAIT_S: Final = 0.001
 RETRY: Final = BackoffOptions(base_s=0.1, cap_s=0.5)
 
@@ -61,7 +63,8 @@
         """Watch until cancelled, with a backoff after failed calls."""
         while True:
             followed = await self.follow()
-            wait_s = CATCH_UP_WAIT_S if followed else self.wait_s
+            catches_up = followed or self.failures > 0
+            wait_s = CATCH_UP_WAIT_S if catches_up else self.wait_s
             if await self.poll(wait_s):
                 self.failures = 0
                 self.on_success()
--- a/src/quetzaldyke/parts/kv.py
+++ b/src/quetzaldyke/parts/kv.py
@@ -32,6 +32,7 @@
     'too_large',
     'compacted',
     'no_lease',
+    'cut',
 ]
 T = TypeVar('T')
 
@@ -43,7 +44,7 @@
     `unavailable`: certainly not applied. `unknown`: may have been applied.
     `conflict`: the revision differs. `too_large`: the value exceeds the
     limit. `compacted`: the requested history has been removed. `no_lease`:
-    the lease has lapsed.
+    the lease has lapsed. `cut`: a watch was ended while it waited. `cut`: a watch was ended while it waited.
     """
 
     kind: ErrorKind
--- a/src/quetzaldyke/platform/store.py
+++ b/src/quetzaldyke/platform/store.py
@@ -29,6 +29,7 @@
     encode_request,
 )
 from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.store_health import is_cut_watch
 from quetzaldyke.gateway.store_path import Address, StorePath
 from quetzaldyke.parts.kv import ErrorKind, KvError, Record
 from quetzaldyke.parts.transactions import (
@@ -74,6 +75,8 @@
     # Called after each call with its name and whether the store answered.
     on_result: Callable[[str, bool], None]
     limits: TransactionLimits = DEFAULT_LIMITS
+    # Called when a watch was ended while it waited.
+    on_cut: Callable[[], None] = lambda: None
     # Exchanges without a complete response, by the address they were sent to.
     open_exchanges: dict[Address, set[Exchange]] = field(default_factory=dict)
 
@@ -179,6 +182,7 @@
             'GET',
             f'kv-watch?{query}',
             timeout_s=wait_s + WATCH_SLACK_S,
+            waits=True,
         )
         if isinstance(response, Err):
             return response
@@ -252,16 +256,22 @@
         path: str,
         body: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        *,
+        waits: bool = False,
     ) -> Result[StoreResponse, KvError]:
         """Make one call and report whether the store answered it.
 
-        A call that the store rejects counts as not answered.
+        A call that the store rejects counts as not answered. One that `waits`
+        for changes may be cut, which is neither.
         """
         request = self.encode(method, path, body)
         address = self.path.choose(time.monotonic())
-        result = await self.exchange(request, timeout_s, address)
+        result = await self.exchange(request, timeout_s, address, waits=waits)
         if isinstance(result, Err):
-            self.on_result(call_name(path), False)
+            if result.err_value.kind == 'cut':
+                self.on_cut()
+            else:
+                self.on_result(call_name(path), False)
             return result
         self.on_result(call_name(path), True)
         head, raw = result.ok_value
@@ -285,18 +295,17 @@
         request: bytes,
         timeout_s: float,
         address: Address,
+        *,
+        waits: bool = False,
     ) -> Result[tuple[ResponseHead, bytes], KvError]:
         """Send a call to one address and record whether it was answered.
 
-        A cancelled call says nothing about the path and is not recorded.
+        A cancelled or cut call says nothing about the path and is not
+        recorded.
         """
-        result = await self.send(request, timeout_s, address)
-        answered = isinstance(result, Ok)
-        cancelled = (
-            isinstance(result, Err)
-            and result.err_value.detail == Failure.CANCELLED.value
-        )
-        if not cancelled:
+        result = await self.send(request, timeout_s, address, waits=waits)
+        if not (isinstance(result, Err) and proves_nothing(result.err_value)):
+            answered = isinstance(result, Ok)
             self.path.note(address, answered=answered, now_s=time.monotonic())
         return result
 
@@ -305,12 +314,16 @@
         request: bytes,
         timeout_s: float,
         address: Address,
+        *,
+        waits: bool = False,
     ) -> Result[tuple[ResponseHead, bytes], KvError]:
         """Send a request and return the head and body of the response.
 
         Fails with `unavailable` if the request was rejected or never sent,
-        and with `unknown` if the response is missing or incomplete.
+        with `cut` if it was ended while it waited for changes, and with
+        `unknown` if the response is missing or incomplete otherwise.
         """
+        started_s = time.monotonic()
         exchange = Exchange()
         exchanges = self.open_exchanges.setdefault(address, set())
         exchanges.add(exchange)
@@ -320,9 +333,8 @@
                 head = await exchange.read_head()
                 raw = await exchange.read_body()
         except ExchangeError as exc:
-            unsent = exc.failure is Failure.NOT_CONNECTED
-            kind: ErrorKind = 'unavailable' if unsent else 'unknown'
-            return Err(KvError(kind, str(exc)))
+            waited_s = time.monotonic() - started_s if waits else 0.0
+            return Err(KvError(error_kind(exc.failure, waited_s), str(exc)))
         except TimeoutError:
             return Err(KvError('unknown', f'no answer in {timeout_s} s'))
         finally:
@@ -333,6 +345,21 @@
         return Ok((head, raw))
 
 
+def error_kind(failure: Failure, waited_s: float) -> ErrorKind:
+    """Return the kind of error of a call that failed after some time.
+
+    `waited_s` is 0 unless the call waits for changes.
+    """
+    if failure is Failure.NOT_CONNECTED:
+        return 'unavailable'
+    return 'cut' if is_cut_watch(failure, waited_s) else 'unknown'
+
+
+def proves_nothing(error: KvError) -> bool:
+    """Return whether a failed call says nothing about its path."""
+    return error.kind == 'cut' or error.detail == Failure.CANCELLED.value
+
+
 def call_name(path: str) -> str:
     """Return the name of a call without its arguments.
 
