Load less before an entry answers its first request

Cause: after all processes end at once, callers wait for as long as the new ones import.

Change: the gateway's log lines do without eliot and what it brings, the histogram of the metrics and the modules that run batch jobs are imported when they are first used, pydantic doesn't search the installed packages for plugins, and the collector of garbage is off until the import is done. A write to a pipe without a reader counts as a dropped line, as eliot hid that error before.

--- a/src/quetzaldyke/commands/table.py
+++ b/src/quetzaldyke/commands/table.py
@@ -24,6 +24,7 @@
         'demo': 'demo:demo',
         'bench': 'bench:bench',
         'capacity': 'capacity:capacity',
+        'startup': 'startup:startup',
     }
 )
 
--- a/src/quetzaldyke/commands/timeline.py
+++ b/src/quetzaldyke/commands/timeline.py
@@ -13,7 +13,7 @@
 from quetzaldyke.parts.timeline import Event, merge
 from quetzaldyke.process.event_query import event_from_row, matches
 from quetzaldyke.process.explain import TIME_FIELD
-from quetzaldyke.process.logs import render_value
+from quetzaldyke.process.log_lines import render_value
 
 MAX_EVENTS: Final = 2000
 ESCAPES: Final = {'n': '\n', 'r': '\r'}
--- a/src/quetzaldyke/gateway/__main__.py
+++ b/src/quetzaldyke/gateway/__main__.py
@@ -11,7 +11,9 @@
 
 from __future__ import annotations
 
+import gc
 import importlib
+import os
 import socket
 import sys
 from types import ModuleType
@@ -42,7 +44,14 @@
 
 
 def load_programs() -> ModuleType:
-    """Import the modules that take long to load."""
+    """Import the modules that take long to load.
+
+    They stay loaded, so looking for garbage among them only costs time; the
+    programs turn it on again. pydantic would read the metadata of all
+    installed packages in search of plugins, of which there are none.
+    """
+    gc.disable()
+    os.environ.setdefault('PYDANTIC_DISABLE_PLUGINS', '__all__')
     return importlib.import_module('quetzaldyke.gateway.programs')
 
 
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -5,12 +5,11 @@
 import random
 import secrets
 from dataclasses import dataclass, field
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import anyio
 
 from quetzaldyke.connection.http_server import HttpServer
-from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
 from quetzaldyke.gateway.crash_records import CrashRecords
@@ -25,7 +24,6 @@
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.ingress import Ingress
 from quetzaldyke.gateway.job_api import JobApi
-from quetzaldyke.gateway.job_owner import JobOwner
 from quetzaldyke.gateway.job_records import Member
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobTable
@@ -45,6 +43,10 @@
 from quetzaldyke.platform.store import PlatformStore
 from quetzaldyke.process.metrics import Metrics
 
+if TYPE_CHECKING:
+    from quetzaldyke.gateway.batch_runner import BatchRunner
+    from quetzaldyke.gateway.job_owner import JobOwner
+
 OWNER_ID_BYTES: Final = 6
 # Members that have not reported this long after the start are not waited for.
 JOIN_WAIT_S: Final = 2.0
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import signal
 import socket
 from contextlib import AsyncExitStack
@@ -13,9 +14,8 @@
 
 from quetzaldyke.connection.caller_connection import CallerConnection
 from quetzaldyke.connection.http_server import HttpOptions, serve_http
-from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.entry import Entry
-from quetzaldyke.gateway.entry_wiring import WATCHDOG_INTERVAL_S, attach_runner
+from quetzaldyke.gateway.entry_wiring import WATCHDOG_INTERVAL_S
 from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.logs import LineWriter, log_event
@@ -62,7 +62,6 @@
     async with AsyncExitStack() as stack:
         stack.callback(entry.client.close)
         group = await stack.enter_async_context(anyio.create_task_group())
-        create_runner(entry, group)
         await group.start(
             serve_tunnels,
             installation.host,
@@ -102,6 +101,7 @@
             listener,
         )
         log_event('entry_accepting', lacks=entry.unready_reason())
+        begin_batch(entry, group)
         await entry.stopping.wait()
         await shut_down(entry, group, stop_listener)
         group.cancel_scope.cancel()
@@ -119,18 +119,10 @@
         await entry.synced.wait()
 
 
-def create_runner(entry: Entry, group: TaskGroup) -> None:
-    """Create the batch runner and attach it to the entry."""
-    runner = BatchRunner(
-        entry.dispatcher,
-        entry.client,
-        entry.job_store,
-        entry.policy,
-        group,
-        entry.gossip.note_change,
-        lambda: entry.ingress.table,
-    )
-    attach_runner(entry, runner)
+def begin_batch(entry: Entry, group: TaskGroup) -> None:
+    """Begin to run batch jobs, whose modules are imported only now."""
+    module = importlib.import_module('quetzaldyke.gateway.batch_start')
+    module.create_runner(entry, group)
 
 
 async def start_gossip(entry: Entry, stack: AsyncExitStack) -> None:
@@ -207,9 +199,7 @@
     ingress.closing = True
     ingress.window.leaves_at_s = deadline_s - KILL_MARGIN_S - ANSWER_MARGIN_S
     ingress.window.deregistered_at_s = started_s + DEREGISTRATION_DELAY_S
-    runner = entry.runner
-    assert runner is not None
-    group.start_soon(run_guarded, hand_over_and_deregister, entry, runner)
+    group.start_soon(run_guarded, hand_over_and_deregister, entry)
     await anyio.sleep(DEREGISTRATION_DELAY_S)
     stop_listener.set()
     await wait_for_requests(entry, ingress.window.leaves_at_s)
@@ -224,7 +214,7 @@
         await anyio.sleep(WATCHDOG_INTERVAL_S)
 
 
-async def hand_over_and_deregister(entry: Entry, runner: BatchRunner) -> None:
+async def hand_over_and_deregister(entry: Entry) -> None:
     """Hand all jobs over to peers that report, and revoke the lease."""
     if entry.owner is not None:
         entry.owner.stopping = True
@@ -233,5 +223,6 @@
         for member in entry.jobs.members.values()
         if member.owner_id in entry.loads.peers
     ]
-    await runner.hand_over_all(successors)
+    if entry.runner is not None:
+        await entry.runner.hand_over_all(successors)
     await entry.registration.end()
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -1,14 +1,15 @@
-"""Connects the components of an entry: callbacks between them, and timers."""
+"""Connects the components of an entry: callbacks between them, and timers.
+
+Those of batch jobs are connected by `batch_start.py`.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
 
-from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.guarded import log_timer_failure
-from quetzaldyke.gateway.job_owner import JobOwner
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S, Ownership
+from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S
 from quetzaldyke.gateway.outages import follow_outages
 
 if TYPE_CHECKING:
@@ -16,9 +17,6 @@
 
 WATCHDOG_INTERVAL_S: Final = 0.05
 QUEUE_INTERVAL_S: Final = 0.05
-BATCH_INTERVAL_S: Final = 0.1
-OWNERSHIP_INTERVAL_S: Final = 0.5
-EXPIRY_INTERVAL_S: Final = 10.0
 CLEANUP_INTERVAL_S: Final = 1.0
 GOSSIP_INTERVAL_S: Final = 0.1
 
@@ -46,24 +44,3 @@
     timers.subscribe(
         'crash records', GOSSIP_INTERVAL_S, entry.crash_records.write
     )
-
-
-def attach_runner(entry: Entry, runner: BatchRunner) -> None:
-    """Start scheduling batch jobs on a runner."""
-    entry.runner = runner
-    entry.messages.runner = runner
-    entry.owner = JobOwner(
-        runner,
-        entry.jobs,
-        entry.job_store,
-        Ownership.of(entry.jobs, entry.member),
-        entry.health,
-        entry.clock.now,
-        alive=lambda: entry.loads.peers,
-        retention_s=entry.installation.bounds.job_retention_s,
-    )
-    entry.jobs.on_job = entry.owner.on_job
-    timers = entry.timers
-    timers.subscribe('batch', BATCH_INTERVAL_S, entry.batch_tick)
-    timers.subscribe('owners', OWNERSHIP_INTERVAL_S, entry.owner.reconcile)
-    timers.subscribe('jobs', EXPIRY_INTERVAL_S, entry.owner.delete_expired)
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -4,6 +4,9 @@
 requests can't use it up. Dropped lines are counted and the count is logged.
 The descriptor is non-blocking and a line that does not fit is dropped, so a
 reader that stops reading the pipe can't stall requests.
+
+Lines have the form of `process/logs.py` but do without eliot, whose import is
+a tenth of what an entry loads before its first answer.
 """
 
 from __future__ import annotations
@@ -11,14 +14,12 @@
 import logging
 import os
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
-import eliot
-
 from quetzaldyke.gateway.incomplete_response import IncompleteResponseError
-from quetzaldyke.process.logs import render_line
+from quetzaldyke.process.log_lines import render_line
 
 LINES_PER_S: Final = 60.0
 BURST_LINES: Final = 240.0
@@ -37,6 +38,9 @@
     ),
 )
 
+# Receive each event of this process.
+DESTINATIONS: Final[list[Callable[[Mapping[str, object]], None]]] = []
+
 
 @dataclass(slots=True)
 class LineRateLimiter:
@@ -68,7 +72,7 @@
 
 @dataclass(slots=True)
 class LineWriter:
-    """Eliot destination that writes key=value lines to a file descriptor."""
+    """Destination that writes key=value lines to a file descriptor."""
 
     descriptor: int
     process: str
@@ -93,7 +97,8 @@
         data = self.unsent + line
         try:
             written = os.write(self.descriptor, data)
-        except BlockingIOError:
+        except OSError:
+            # The pipe is full, or its reader has gone.
             self.dropped += 1
             return
         # The rest of a partially written line is written before the next one.
@@ -103,7 +108,7 @@
         """Log how many lines were dropped since the last report."""
         dropped, self.dropped = self.dropped, 0
         if dropped:
-            eliot.log_message(message_type='log_lines_dropped', lines=dropped)
+            log_event('log_lines_dropped', lines=dropped)
 
 
 def start_logs(process: str, descriptor: int = 1) -> LineWriter:
@@ -117,7 +122,7 @@
         process,
         LineRateLimiter(updated_s=time.monotonic()),
     )
-    eliot.add_destinations(writer.write)
+    DESTINATIONS.append(writer.write)
     logging.basicConfig(level=logging.ERROR, handlers=[LibraryErrorHandler()])
     return writer
 
@@ -139,4 +144,6 @@
 
 def log_event(name: str, **fields: object) -> None:
     """Log an event with its fields."""
-    eliot.log_message(message_type=name, **fields)
+    message = {'message_type': name, **fields}
+    for write in DESTINATIONS:
+        write(message)
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.crashes import CrashReport, CrashTracker
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.drain_exchange import DrainExchange, DrainUpdate
@@ -23,6 +23,9 @@
 from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
 from quetzaldyke.gateway.store_path import StorePath
 
+if TYPE_CHECKING:
+    from quetzaldyke.gateway.batch_runner import BatchRunner
+
 
 @dataclass(slots=True)
 class PeerMessages:
--- a/src/quetzaldyke/gateway/programs.py
+++ b/src/quetzaldyke/gateway/programs.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import gc
 import importlib
 import socket
 import sys
 from functools import partial
+from types import ModuleType
 from typing import Final
 
 import anyio
@@ -34,11 +36,23 @@
     return loaded.ok_value
 
 
+def load_program(name: str) -> ModuleType:
+    """Import a program; all that is loaded by now is left out of collections.
+
+    It stays for the life of the process, and `gateway/__main__.py` has turned
+    collections off until here.
+    """
+    module = importlib.import_module(name)
+    gc.freeze()
+    gc.enable()
+    return module
+
+
 def run_entry_program(listener: socket.socket, metrics_port: int) -> None:
     """Run an entry; `listener` is the listening socket for its callers."""
     installation = read_installation()
     writer = start_logs(installation.instance)
-    module = importlib.import_module('quetzaldyke.gateway.entry_process')
+    module = load_program('quetzaldyke.gateway.entry_process')
     run = partial(
         module.run_entry, installation, writer, listener, metrics_port
     )
@@ -49,6 +63,6 @@
     """Run the keeper until its graceful shutdown is complete."""
     installation = read_installation()
     start_logs(installation.instance)
-    module = importlib.import_module('quetzaldyke.gateway.keeper')
+    module = load_program('quetzaldyke.gateway.keeper')
     run = partial(module.run_keeper, installation)
     anyio.run(run, backend_options={'use_uvloop': True})
--- a/src/quetzaldyke/process/metrics.py
+++ b/src/quetzaldyke/process/metrics.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import importlib
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-from hdrh.histogram import HdrHistogram
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 LOWEST_US: Final = 1  # us
 HIGHEST_US: Final = 3_600_000_000  # us, one hour
@@ -90,7 +92,7 @@
         series = self.limit_series(self.histograms, series_of(name, labels))
         histogram = self.histograms.get(series)
         if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            histogram = new_histogram()
             self.histograms[series] = histogram
         in_us = int(elapsed_ms * US_IN_MS)
         histogram.record_value(min(max(in_us, LOWEST_US), HIGHEST_US))
@@ -145,6 +147,19 @@
             yield f'{name}_count{text} {histogram.get_total_count()}'
 
 
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram.
+
+    Its module is imported with the first one, as a process observes nothing
+    before it has served a request.
+    """
+    module = importlib.import_module('hdrh.histogram')
+    histogram: HdrHistogram = module.HdrHistogram(
+        LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+    )
+    return histogram
+
+
 def quantile_of(histogram: HdrHistogram, quantile: float) -> float:
     """Return a quantile of a histogram, in ms."""
     in_us: float = histogram.get_value_at_percentile(quantile * PERCENT)
