Serve callers first after a start, and count their time in the backlog

Load pattern: all entries end at once; callers wait in the backlogs while the new processes import, and all jobs have no owner.

Change: callers are accepted at once and wait for the configuration, the endpoints and the records of crashes, for at most 0.6 s after the start and 0.6 of the time that they state; others are refused as not run. The time in the backlog, from the kernel, counts as part of a request's time. The records of crashes are read by themselves and before members and jobs. Batch jobs begin when no online request waits, after 0.3 to 3 s. gateway/restart.py decides without network.

Found meanwhile: an entry that had read the configuration but not the jobs took the quota for unused (before: after a first listing that took over 0.1 s). It now waits for 0.4 s and refuses the job as not run.

--- a/src/quetzaldyke/connection/caller_connection.py
+++ b/src/quetzaldyke/connection/caller_connection.py
@@ -8,6 +8,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
 from typing import Any, Final, Literal
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -29,9 +32,38 @@
 # complete heads.
 MAX_HEAD_BYTES: Final = 262_144
 
+# Key of a request's state: how long the connection of its first request had
+# waited to be accepted, in seconds.
+BACKLOG_STATE: Final = 'backlog_s'
+# Linux's `struct tcp_info`: its first bytes, up to the time in ms since the
+# last data was received.
+TCP_INFO_BYTES: Final = 56
+LAST_RECEIVED_OFFSET: Final = 52
+MS_IN_S: Final = 1000
+
 TimeoutKind = Literal['head', 'body', 'idle']
 
 
+def silence_s(connected: Any) -> float:
+    """Return the time since a socket last received data; 0 if not known.
+
+    Without any data, it is the time since the connection was established.
+    """
+    if connected is None or not hasattr(socket, 'TCP_INFO'):
+        return 0.0
+    try:
+        raw = connected.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+    except OSError:
+        # The caller has gone, or the socket is not one of TCP.
+        return 0.0
+    if len(raw) < TCP_INFO_BYTES:
+        return 0.0
+    silence_ms: int = struct.unpack_from('I', raw, LAST_RECEIVED_OFFSET)[0]
+    return silence_ms / MS_IN_S
+
+
 class CallerConnection(HttpToolsProtocol):
     """A connection that records the times its timeouts are based on."""
 
@@ -47,6 +79,15 @@
         self.bytes_after_body = 0
         # Why the bytes behind the current request are refused; empty if not.
         self.refusal = ''
+        # How long it had waited to be accepted; 0 behind its first request.
+        self.backlog_s = 0.0
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Note how long the connection has waited to be accepted."""
+        super().connection_made(transport)
+        self.backlog_s = silence_s(transport.get_extra_info('socket'))
 
     def data_received(self, data: bytes) -> None:
         """Parse data; close the connection if a head or trailer has no end."""
@@ -97,6 +138,8 @@
         self.head_bytes = 0
         self.bytes_after_body = 0
         super().on_message_begin()
+        self.scope['state'][BACKLOG_STATE] = self.backlog_s
+        self.backlog_s = 0.0
 
     def on_body(self, body: bytes) -> None:
         """Pass on a piece of a body."""
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -8,11 +8,12 @@
 from typing import TYPE_CHECKING, Final
 
 import anyio
+from result import Ok
 
 from quetzaldyke.connection.http_server import HttpServer
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
-from quetzaldyke.gateway.crash_records import CrashRecords
+from quetzaldyke.gateway.crash_records import SUSPECT_PREFIX, CrashRecords
 from quetzaldyke.gateway.crashes import CrashTracker
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
@@ -28,6 +29,7 @@
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.limit_exchange import LimitExchange
+from quetzaldyke.gateway.loading import Loading
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.logs import LineWriter, log_event
 from quetzaldyke.gateway.membership import Registration
@@ -35,6 +37,7 @@
 from quetzaldyke.gateway.online_request import RelayContext
 from quetzaldyke.gateway.peer_messages import PeerMessages
 from quetzaldyke.gateway.placement import PlacementPolicy
+from quetzaldyke.gateway.restart import StartPolicy
 from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.slot_grants import SlotGrants
 from quetzaldyke.gateway.store_health import StoreHealth
@@ -229,6 +232,11 @@
             started_s=clock.now(),
         )
         connect_parts(entry)
+        loading = Loading(
+            StartPolicy(entry.started_s), entry.synced, clock.now, metrics
+        )
+        ingress.wait_until_loaded = loading.wait
+        ingress.backlog_s = loading.backlog_s
         store.on_cut = entry.record_cut_watch
         return entry
 
@@ -265,6 +273,17 @@
         self.dispatcher.on_endpoints()
         self.update_synced()
 
+    async def load_crash_records(self) -> None:
+        """Read what crashes endpoints before the rest of the fleet's keys.
+
+        Callers wait for it, and the jobs of a fleet are many. If the call
+        fails, the watch on all keys brings them.
+        """
+        listed = await self.store.list_prefix(SUSPECT_PREFIX)
+        if isinstance(listed, Ok):
+            self.crash_records.apply_snapshot(listed.ok_value)
+            self.update_synced()
+
     def on_fleet_snapshot(self, snapshot: Snapshot) -> None:
         """Apply a full listing of the fleet's records."""
         call_guarded(self.jobs.apply_snapshot, snapshot)
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -22,19 +22,23 @@
 from quetzaldyke.gateway.metrics_app import metrics_app
 from quetzaldyke.gateway.model import Installation
 from quetzaldyke.gateway.readiness import readiness_app
+from quetzaldyke.gateway.restart import StartPolicy
 from quetzaldyke.gateway.store_tunnel import serve_tunnels
 from quetzaldyke.gateway.watch import PrefixWatcher
 from quetzaldyke.platform import names
 
+MS_IN_S: Final = 1000
 # Time for the load balancer to stop sending requests here: it removes an
 # entry after two failed readiness probes.
 DEREGISTRATION_DELAY_S: Final = 2.6
 # Effectively disables uvicorn's idle timeout: the entry itself enforces the
 # operator's limit on idle connections.
 KEEP_ALIVE_S: Final = 86_400
-# Longest wait for the configuration and the endpoints before callers are
-# accepted.
-SYNC_TIMEOUT_S: Final = 0.1
+# Longest wait for what callers need before the jobs and members are read. The
+# store usually answers within milliseconds.
+FIRST_READS_TIMEOUT_S: Final = 0.1
+# Interval at which a starting entry decides whether batch jobs begin.
+BATCH_CHECK_S: Final = 0.05
 # The shutdown ends this long before the SIGKILL at the end of the grace time.
 KILL_MARGIN_S: Final = 0.7
 # Before that, open requests get this long for their final response.
@@ -49,8 +53,8 @@
 ) -> None:
     """Run an entry until its graceful shutdown is complete.
 
-    `listener` is a listening socket. Connections are accepted once the
-    configuration and the endpoints are known, or after a timeout.
+    `listener` is a listening socket. Connections are accepted at once; callers
+    wait for the configuration and the endpoints as `restart.py` decides.
     """
     entry = Entry.from_installation(installation, writer)
     log_event(
@@ -87,7 +91,6 @@
         group.start_soon(run_guarded, entry.registration.renew)
         group.start_soon(entry.timers.run)
         group.start_soon(watch_signals, entry)
-        await wait_until_synced(entry)
         entry.caller_server = await group.start(
             serve_http,
             entry.ingress,
@@ -101,28 +104,34 @@
             listener,
         )
         log_event('entry_accepting', lacks=entry.unready_reason())
-        begin_batch(entry, group)
+        group.start_soon(begin_batch, entry, group)
         await entry.stopping.wait()
         await shut_down(entry, group, stop_listener)
         group.cancel_scope.cancel()
     log_event('entry_stopped')
 
 
-async def wait_until_synced(entry: Entry) -> None:
-    """Wait until the configuration and the endpoints are known.
+async def begin_batch(entry: Entry, group: TaskGroup) -> None:
+    """Begin to run batch jobs once the first online callers are served.
 
-    Returns after a timeout even if they are not: the store usually answers
-    within milliseconds, and callers should get a refusal during an outage
-    instead of waiting for it to end.
+    The modules that run them are imported only then.
     """
-    with anyio.move_on_after(SYNC_TIMEOUT_S):
-        await entry.synced.wait()
-
-
-def begin_batch(entry: Entry, group: TaskGroup) -> None:
-    """Begin to run batch jobs, whose modules are imported only now."""
+    policy = StartPolicy(entry.started_s)
+    accepting_since_s = entry.clock.now()
+    while not policy.may_begin_batch(
+        entry.clock.now(),
+        accepting_since_s,
+        sum(entry.dispatcher.waiting().values()),
+    ):
+        await anyio.sleep(BATCH_CHECK_S)
+    if entry.stopping.is_set():
+        return
     module = importlib.import_module('quetzaldyke.gateway.batch_start')
     module.create_runner(entry, group)
+    log_event(
+        'batch_begun',
+        after_ms=int((entry.clock.now() - entry.started_s) * MS_IN_S),
+    )
 
 
 async def start_gossip(entry: Entry, stack: AsyncExitStack) -> None:
@@ -161,7 +170,17 @@
     watchers[0].on_success = entry.configurations.confirm
     for watcher in watchers:
         entry.sharing.add(watcher)
-        group.start_soon(watcher.run)
+    group.start_soon(run_guarded, entry.load_crash_records)
+    for first in watchers[:-1]:
+        group.start_soon(first.run)
+    group.start_soon(watch_fleet, entry, watchers[-1])
+
+
+async def watch_fleet(entry: Entry, watcher: PrefixWatcher) -> None:
+    """Watch jobs and members, after what callers wait for was read."""
+    with anyio.move_on_after(FIRST_READS_TIMEOUT_S):
+        await entry.synced.wait()
+    await watcher.run()
 
 
 async def watch_signals(entry: Entry) -> None:
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -59,12 +59,27 @@
 LEFT_REASON: Final = 'entry_left'
 
 
+# Waits for what a starting entry still has to load, if a request may.
+LoadingWait = Callable[[ReceivedRequest], Awaitable[None]]
+# Returns how long a request has waited before it was read, from what its
+# connection noted.
+BacklogTime = Callable[[float], float]
+
 JobHandler = Callable[
     [ReceivedRequest, Route | None, Identity, AsgiCaller],
     Awaitable[bool],
 ]
 
 
+async def no_wait(request: ReceivedRequest) -> None:
+    """Wait for nothing."""
+
+
+def no_backlog(noted_s: float) -> float:
+    """Return that no request has waited."""
+    return 0.0
+
+
 @dataclass(slots=True)
 class Ingress:
     """ASGI application that serves the callers' requests."""
@@ -77,6 +92,8 @@
     # Whether the configuration was confirmed recently enough to answer an
     # unknown route with 404.
     is_current: Callable[[], bool]
+    wait_until_loaded: LoadingWait = no_wait
+    backlog_s: BacklogTime = no_backlog
     table: RouteTable | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     # Set during a graceful shutdown: every response then closes its
@@ -190,6 +207,8 @@
 
     async def serve(self, request: ReceivedRequest, caller: AsgiCaller) -> None:
         """Pass a request to the job API or to the route that matches it."""
+        arrived_s = self.context.now() - self.backlog_s(request.backlog_s)
+        await self.wait_until_loaded(request)
         if self.table is None:
             await self.refuse(caller, request, 'no_configuration')
             return
@@ -204,7 +223,7 @@
         if route is None:
             await self.reject_unknown(caller, request, STATUS_NOT_FOUND)
             return
-        online = self.to_online_request(request, route, identity)
+        online = self.to_online_request(request, route, identity, arrived_s)
         if online is None:
             await self.reject(caller, STATUS_BAD_REQUEST)
             return
@@ -305,6 +324,7 @@
         request: ReceivedRequest,
         route: Route,
         identity: Identity,
+        arrived_s: float,
     ) -> OnlineRequest | None:
         """Return the request to relay, or None if it has no attempt id.
 
@@ -332,8 +352,8 @@
                 self.generator,
                 lambda service: bool(endpoints.usable(service, now_s)),
             ),
-            arrived_s=now_s,
-            deadline_s=now_s + timeout_s,
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + timeout_s,
             last_event=request.number(names.LAST_EVENT),
             prompt_parts=decode_prompt_parts(
                 request.header(names.PROMPT_PARTS)
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -110,8 +110,9 @@
             status = STATUS_ACCEPTED if owned else STATUS_BAD_REQUEST
             await send_response(caller, status)
             return
-        if not self.store_up():
-            log_event('job_refused', job=job_id, reason='store_down')
+        reason = await self.why_not_now()
+        if reason:
+            log_event('job_refused', job=job_id, reason=reason)
             await send_refusal(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_AFTER)
             return
         job = make_job(
@@ -153,6 +154,19 @@
         else:
             await send_refusal(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_AFTER)
 
+    async def why_not_now(self) -> str:
+        """Return why no job can be accepted now; empty if one can.
+
+        An entry that has just started waits a little for the jobs that are
+        known to the store, as the quota counts their tokens.
+        """
+        if not self.store_up():
+            return 'store_down'
+        table = self.store.table
+        if not table.listed:
+            await self.store.wait_for_update()
+        return '' if table.listed else 'jobs_unknown'
+
     def belongs_to(self, view: JobView, identity: Identity) -> bool:
         """Return whether a known job is one of an organisation."""
         record = view.record
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -77,6 +77,11 @@
     on_members: Callable[[], None] = lambda: None
     members_changed: bool = False
 
+    @property
+    def listed(self) -> bool:
+        """Return whether all jobs of the fleet were read once."""
+        return self.revision > 0
+
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Apply a full listing and drop the members and jobs it lacks."""
         present = {record.key for record in snapshot.records}
--- a/src/quetzaldyke/gateway/received_request.py
+++ b/src/quetzaldyke/gateway/received_request.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from quetzaldyke.connection.caller_connection import BACKLOG_STATE
 from quetzaldyke.connection.http_server import Receive, Scope, Send
 from quetzaldyke.gateway.online_request import Headers
 from quetzaldyke.parts.byte_budget import Holding
@@ -22,6 +23,8 @@
     host: str
     headers: Headers
     body: bytes
+    # How long its connection had waited to be accepted.
+    backlog_s: float = 0.0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first header of that name, or None."""
@@ -92,6 +95,7 @@
         host=host.decode('latin-1').lower(),
         headers=headers,
         body=body,
+        backlog_s=scope.get('state', {}).get(BACKLOG_STATE, 0.0),
     )
 
 
