--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -5,16 +5,16 @@
 import random
 import secrets
 from dataclasses import dataclass, field
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import anyio
+from result import Ok
 
 from quetzaldyke.connection.http_server import HttpServer
 from quetzaldyke.gateway.batch_reserve import BatchReserve
-from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.batch_schedule import BatchPolicy
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
-from quetzaldyke.gateway.crash_records import CrashRecords
+from quetzaldyke.gateway.crash_records import SUSPECT_PREFIX, CrashRecords
 from quetzaldyke.gateway.crashes import CrashTracker
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.domain_shares import DomainShares
@@ -28,7 +28,6 @@
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.ingress import Ingress
 from quetzaldyke.gateway.job_api import JobApi
-from quetzaldyke.gateway.job_owner import JobOwner
 from quetzaldyke.gateway.job_records import Member
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobTable
@@ -53,6 +52,10 @@
 from quetzaldyke.platform.store import PlatformStore
 from quetzaldyke.process.metrics import Metrics
 
+if TYPE_CHECKING:
+    from quetzaldyke.gateway.batch_runner import BatchRunner
+    from quetzaldyke.gateway.job_owner import JobOwner
+
 OWNER_ID_BYTES: Final = 6
 # Members that have not reported this long after the start are not waited for.
 JOIN_WAIT_S: Final = 2.0
@@ -258,6 +261,10 @@
         self.metrics.count('store_calls_total', call=call, outcome=outcome)
         self.health.note(answered=answered, now_s=self.clock.now())
 
+    def record_cut_watch(self) -> None:
+        """Count a watch that the store ended while it waited."""
+        self.metrics.count('store_calls_total', call='kv-watch', outcome='cut')
+
     def unready_reason(self) -> str:
         """Return why this entry is not ready; empty if it is ready."""
         if self.stopping.is_set():
@@ -271,6 +278,9 @@
     def on_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration."""
         self.ingress.configure(configuration)
+        if self.runner is not None:
+            changed = self.runner.follow_routes()
+            self.metrics.count('job_terms_changed_total', changed)
         self.update_synced()
 
     def on_endpoints(self) -> None:
@@ -278,6 +288,17 @@
         self.dispatcher.on_endpoints()
         self.update_synced()
 
+    async def load_crash_records(self) -> None:
+        """Read what crashes endpoints before the rest of the fleet's keys.
+
+        Callers wait for it, and the jobs of a fleet are many. If the call
+        fails, the watch on all keys brings them.
+        """
+        listed = await self.store.list_prefix(SUSPECT_PREFIX)
+        if isinstance(listed, Ok):
+            self.crash_records.apply_snapshot(listed.ok_value)
+            self.update_synced()
+
     def on_fleet_snapshot(self, snapshot: Snapshot) -> None:
         """Apply a full listing of the fleet's records."""
         call_guarded(self.jobs.apply_snapshot, snapshot)
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import signal
 import socket
 from contextlib import AsyncExitStack
@@ -12,28 +13,31 @@
 from anyio.abc import TaskGroup
 
 from quetzaldyke.connection.http_server import HttpOptions, serve_http
-from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.entry import Entry
-from quetzaldyke.gateway.entry_wiring import WATCHDOG_INTERVAL_S, attach_runner
+from quetzaldyke.gateway.entry_wiring import WATCHDOG_INTERVAL_S
 from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.logs import LineWriter, log_event
 from quetzaldyke.gateway.metrics_app import metrics_app
 from quetzaldyke.gateway.model import Installation
 from quetzaldyke.gateway.readiness import readiness_app
+from quetzaldyke.gateway.restart import StartPolicy
 from quetzaldyke.gateway.store_tunnel import serve_tunnels
 from quetzaldyke.gateway.watch import PrefixWatcher
 from quetzaldyke.platform import names
 
+MS_IN_S: Final = 1000
 # Time for the load balancer to stop sending requests here: it removes an
 # entry after two failed readiness probes.
 DEREGISTRATION_DELAY_S: Final = 2.6
 # Effectively disables uvicorn's idle timeout: the entry itself enforces the
 # operator's limit on idle connections.
 KEEP_ALIVE_S: Final = 86_400
-# Longest wait for the configuration and the endpoints before callers are
-# accepted.
-SYNC_TIMEOUT_S: Final = 0.1
+# Longest wait for what callers need before the jobs and members are read. The
+# store usually answers within milliseconds.
+FIRST_READS_TIMEOUT_S: Final = 0.1
+# Interval at which a starting entry decides whether batch jobs begin.
+BATCH_CHECK_S: Final = 0.05
 # Changes of endpoints accumulate for this long. Many start at once, and what
 # must be known at once is in their answers.
 ENDPOINT_POLL_DELAY_S: Final = 0.1
@@ -51,8 +55,8 @@
 ) -> None:
     """Run an entry until its graceful shutdown is complete.
 
-    `listener` is a listening socket. Connections are accepted once the
-    configuration and the endpoints are known, or after a timeout.
+    `listener` is a listening socket. Connections are accepted at once; callers
+    wait for the configuration and the endpoints as `restart.py` decides.
     """
     entry = Entry.from_installation(installation, writer)
     log_event(
@@ -64,7 +68,6 @@
     async with AsyncExitStack() as stack:
         stack.callback(entry.client.close)
         group = await stack.enter_async_context(anyio.create_task_group())
-        create_runner(entry, group)
         await group.start(
             serve_tunnels,
             installation.host,
@@ -90,7 +93,6 @@
         group.start_soon(run_guarded, entry.registration.renew)
         group.start_soon(entry.timers.run)
         group.start_soon(watch_signals, entry)
-        await wait_until_synced(entry)
         entry.caller_server = await group.start(
             serve_http,
             entry.ingress,
@@ -103,35 +105,34 @@
             listener,
         )
         log_event('entry_accepting', lacks=entry.unready_reason())
+        group.start_soon(begin_batch, entry, group)
         await entry.stopping.wait()
         await shut_down(entry, group, stop_listener)
         group.cancel_scope.cancel()
     log_event('entry_stopped')
 
 
-async def wait_until_synced(entry: Entry) -> None:
-    """Wait until the configuration and the endpoints are known.
+async def begin_batch(entry: Entry, group: TaskGroup) -> None:
+    """Begin to run batch jobs once the first online callers are served.
 
-    Returns after a timeout even if they are not: the store usually answers
-    within milliseconds, and callers should get a refusal during an outage
-    instead of waiting for it to end.
+    The modules that run them are imported only then.
     """
-    with anyio.move_on_after(SYNC_TIMEOUT_S):
-        await entry.synced.wait()
-
-
-def create_runner(entry: Entry, group: TaskGroup) -> None:
-    """Create the batch runner and attach it to the entry."""
-    runner = BatchRunner(
-        entry.dispatcher,
-        entry.client,
-        entry.job_store,
-        entry.policy,
-        group,
-        entry.gossip.note_change,
-        lambda: entry.ingress.table,
+    policy = StartPolicy(entry.started_s)
+    accepting_since_s = entry.clock.now()
+    while not policy.may_begin_batch(
+        entry.clock.now(),
+        accepting_since_s,
+        sum(entry.dispatcher.waiting().values()),
+    ):
+        await anyio.sleep(BATCH_CHECK_S)
+    if entry.stopping.is_set():
+        return
+    module = importlib.import_module('quetzaldyke.gateway.batch_start')
+    module.create_runner(entry, group)
+    log_event(
+        'batch_begun',
+        after_ms=int((entry.clock.now() - entry.started_s) * MS_IN_S),
     )
-    attach_runner(entry, runner)
 
 
 async def start_gossip(entry: Entry, stack: AsyncExitStack) -> None:
@@ -171,7 +172,17 @@
     watchers[0].on_success = entry.configurations.confirm
     for watcher in watchers:
         entry.sharing.add(watcher)
-        group.start_soon(watcher.run)
+    group.start_soon(run_guarded, entry.load_crash_records)
+    for first in watchers[:-1]:
+        group.start_soon(first.run)
+    group.start_soon(watch_fleet, entry, watchers[-1])
+
+
+async def watch_fleet(entry: Entry, watcher: PrefixWatcher) -> None:
+    """Watch jobs and members, after what callers wait for was read."""
+    with anyio.move_on_after(FIRST_READS_TIMEOUT_S):
+        await entry.synced.wait()
+    await watcher.run()
 
 
 async def watch_signals(entry: Entry) -> None:
@@ -209,9 +220,7 @@
     ingress.closing = True
     ingress.window.leaves_at_s = deadline_s - KILL_MARGIN_S - ANSWER_MARGIN_S
     ingress.window.deregistered_at_s = started_s + DEREGISTRATION_DELAY_S
-    runner = entry.runner
-    assert runner is not None
-    group.start_soon(run_guarded, hand_over_and_deregister, entry, runner)
+    group.start_soon(run_guarded, hand_over_and_deregister, entry)
     await anyio.sleep(DEREGISTRATION_DELAY_S)
     stop_listener.set()
     await wait_for_requests(entry, ingress.window.leaves_at_s)
@@ -226,7 +235,7 @@
         await anyio.sleep(WATCHDOG_INTERVAL_S)
 
 
-async def hand_over_and_deregister(entry: Entry, runner: BatchRunner) -> None:
+async def hand_over_and_deregister(entry: Entry) -> None:
     """Hand all jobs over to peers that report, and revoke the lease."""
     if entry.owner is not None:
         entry.owner.stopping = True
@@ -235,5 +244,6 @@
         for member in entry.jobs.members.values()
         if member.owner_id in entry.loads.peers
     ]
-    await runner.hand_over_all(successors)
+    if entry.runner is not None:
+        await entry.runner.hand_over_all(successors)
     await entry.registration.end()
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -1,26 +1,26 @@
-"""Connects the components of an entry: callbacks between them, and timers."""
+"""Connects the components of an entry: callbacks between them, and timers.
+
+Those of batch jobs are connected by `batch_start.py`.
+"""
 
 from __future__ import annotations
 
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.guarded import log_timer_failure
-from quetzaldyke.gateway.job_owner import JobOwner
+from quetzaldyke.gateway.loading import Loading
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S, Ownership
+from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S
 from quetzaldyke.gateway.outages import follow_outages
 from quetzaldyke.gateway.placement_upkeep import update_domain_shares
+from quetzaldyke.gateway.restart import StartPolicy
 
 if TYPE_CHECKING:
     from quetzaldyke.gateway.entry import Entry
 
 WATCHDOG_INTERVAL_S: Final = 0.05
 QUEUE_INTERVAL_S: Final = 0.05
-BATCH_INTERVAL_S: Final = 0.1
-OWNERSHIP_INTERVAL_S: Final = 0.5
-EXPIRY_INTERVAL_S: Final = 10.0
 CLEANUP_INTERVAL_S: Final = 1.0
 GOSSIP_INTERVAL_S: Final = 0.1
 
@@ -41,6 +41,7 @@
     entry.policy.grants.shares.weight_of = entry.configurations.weight_of
     entry.limits.permits.on_granted = entry.on_permits
     connect_domains(entry)
+    connect_loading(entry)
     entry.messages.drains.connect(entry.metrics, log_event)
     entry.metrics.gauge(
         'organisation_rows', lambda: entry.messages.flows.rows_sent
@@ -77,22 +78,14 @@
     entry.policy.grants.domain_of_entry = domain_of_entry
 
 
-def attach_runner(entry: Entry, runner: BatchRunner) -> None:
-    """Start scheduling batch jobs on a runner."""
-    entry.runner = runner
-    entry.messages.runner = runner
-    entry.owner = JobOwner(
-        runner,
-        entry.jobs,
-        entry.job_store,
-        Ownership.of(entry.jobs, entry.member),
-        entry.health,
+def connect_loading(entry: Entry) -> None:
+    """Let callers wait for what the entry loads at its start."""
+    loading = Loading(
+        StartPolicy(entry.started_s),
+        entry.synced,
         entry.clock.now,
-        alive=lambda: entry.loads.peers,
-        retention_s=entry.installation.bounds.job_retention_s,
+        entry.metrics,
     )
-    entry.jobs.on_job = entry.owner.on_job
-    timers = entry.timers
-    timers.subscribe('batch', BATCH_INTERVAL_S, entry.batch_tick)
-    timers.subscribe('owners', OWNERSHIP_INTERVAL_S, entry.owner.reconcile)
-    timers.subscribe('jobs', EXPIRY_INTERVAL_S, entry.owner.delete_expired)
+    entry.ingress.wait_until_loaded = loading.wait
+    entry.ingress.backlog_s = loading.backlog_s
+    entry.store.on_cut = entry.record_cut_watch
--- a/src/quetzaldyke/gateway/flow_exchange.py
+++ b/src/quetzaldyke/gateway/flow_exchange.py
@@ -10,15 +10,17 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
-from quetzaldyke.gateway.batch_runner import BatchRunner
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.fair_shares import RequestRow
 from quetzaldyke.gateway.flow_messages import FlowReport
 from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.logs import log_event
 
+if TYPE_CHECKING:
+    from quetzaldyke.gateway.batch_runner import BatchRunner
+
 # Shortest time between two reports: a tenth of the time after which the rows
 # of a silent entry expire.
 MIN_INTERVAL_S: Final = 0.1
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -20,6 +20,12 @@
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.incomplete_response import IncompleteResponseError
 from quetzaldyke.gateway.key_check import Denial, KeyCheck
+from quetzaldyke.gateway.loading import (
+    BacklogTime,
+    LoadingWait,
+    no_backlog,
+    no_wait,
+)
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Route
 from quetzaldyke.gateway.online_request import (
     Headers,
@@ -60,7 +66,6 @@
 # Outcome of a request that is ended because the entry leaves.
 LEFT_REASON: Final = 'entry_left'
 
-
 JobHandler = Callable[
     [ReceivedRequest, Route | None, Identity, AsgiCaller],
     Awaitable[bool],
@@ -80,6 +85,8 @@
     # unknown route with 404.
     is_current: Callable[[], bool]
     keys: KeyCheck
+    wait_until_loaded: LoadingWait = no_wait
+    backlog_s: BacklogTime = no_backlog
     table: RouteTable | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     # Set during a graceful shutdown: every response then closes its
@@ -213,7 +220,8 @@
         if not request.host:
             await self.reject(caller, STATUS_BAD_REQUEST)
             return
-        arrived_s = self.context.now()
+        arrived_s = self.context.now() - self.backlog_s(request.backlog_s)
+        await self.wait_until_loaded(request)
         admitted = await self.keys.admit(request, lambda: self.table)
         if isinstance(admitted, Err):
             await self.deny(caller, request, admitted.err_value)
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -108,8 +108,9 @@
         if self.store.table.is_known(job_id):
             await self.answer_known(job_id, identity, caller)
             return
-        if not self.store_up():
-            log_event('job_refused', job=job_id, reason='store_down')
+        reason = await self.why_not_now()
+        if reason:
+            log_event('job_refused', job=job_id, reason=reason)
             await send_refusal(caller, STATUS_UNAVAILABLE, OUTAGE_RETRY_AFTER)
             return
         job = make_job(
@@ -178,6 +179,19 @@
         )
         await send_response(caller, STATUS_BAD_REQUEST)
 
+    async def why_not_now(self) -> str:
+        """Return why no job can be accepted now; empty if one can.
+
+        An entry that has just started waits a little for the jobs that are
+        known to the store, as the quota counts their tokens.
+        """
+        if not self.store_up():
+            return 'store_down'
+        table = self.store.table
+        if not table.listed:
+            await self.store.wait_for_update()
+        return '' if table.listed else 'jobs_unknown'
+
     def belongs_to(self, view: JobView, identity: Identity) -> bool:
         """Return whether a known job exists for a caller."""
         record = view.record
--- a/tests/test_organisation_requests.py
+++ b/tests/test_organisation_requests.py
@@ -37,6 +37,7 @@
 from quetzaldyke.gateway.model import Configuration
 from quetzaldyke.gateway.new_job import make_job
 from quetzaldyke.gateway.online_request import RelayContext
+from quetzaldyke.parts.transactions import Snapshot
 from raw_endpoint import RawEndpoint, raw_endpoint
 from test_broken_streams import WHOLE, MonotonicTime
 
@@ -72,6 +73,8 @@
         keys = KeyRig(now=now.read)
         keys.feed.confirm()
         node = Node.of(FakeStore(), 'a')
+        # All jobs of the fleet were listed, and there are none.
+        node.table.apply_snapshot(Snapshot([], 1))
         api = JobApi(
             node.store,
             run_accepted=lambda _: None,
