--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -21,6 +21,7 @@
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoint_preference import EndpointPreference
 from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.entry_upkeep import observe_demand
 from quetzaldyke.gateway.entry_wiring import connect_parts
 from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.gossip_messages import JobEnded, LoadReport
@@ -38,12 +39,9 @@
 from quetzaldyke.gateway.membership import Registration
 from quetzaldyke.gateway.model import Configuration, Installation
 from quetzaldyke.gateway.online_request import RelayContext
+from quetzaldyke.gateway.organisation_rates import OrganisationRates
 from quetzaldyke.gateway.peer_messages import PeerMessages
 from quetzaldyke.gateway.placement import PlacementPolicy
-from quetzaldyke.gateway.placement_upkeep import (
-    observe_demand,
-    update_preference,
-)
 from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.slot_grants import SlotGrants
 from quetzaldyke.gateway.store_health import StoreHealth
@@ -77,6 +75,7 @@
     endpoint_table: EndpointTable
     loads: LoadTable
     limits: LimitExchange
+    rates: OrganisationRates
     dispatcher: Dispatcher
     jobs: JobTable
     job_store: JobStore
@@ -148,6 +147,14 @@
             lambda peer, message: gossip.send([peer], message),
         )
         limits.attach(dispatcher)
+        rates = OrganisationRates.from_parts(
+            owner_id,
+            installation,
+            metrics,
+            lambda name: entry.configurations.find_organisation(name),
+            lambda peer, message: gossip.send([peer], message),
+            clock.now,
+        )
         api = JobApi(
             job_store,
             run_accepted=lambda job: (
@@ -184,6 +191,7 @@
             keys=KeyCheck.from_bounds(
                 installation.bounds, configurations, metrics
             ),
+            admit=rates.admit,
         )
         gossip = Gossip(
             owner_id,
@@ -216,6 +224,7 @@
             endpoint_table=endpoint_table,
             loads=loads,
             limits=limits,
+            rates=rates,
             dispatcher=dispatcher,
             jobs=jobs,
             job_store=job_store,
@@ -248,6 +257,7 @@
                 store.path,
                 gossip,
                 limits,
+                rates,
                 clock.now,
             ),
             started_s=clock.now(),
@@ -281,6 +291,7 @@
         if self.runner is not None:
             changed = self.runner.follow_routes()
             self.metrics.count('job_terms_changed_total', changed)
+        self.rates.configure(configuration)
         self.update_synced()
 
     def on_endpoints(self) -> None:
@@ -325,6 +336,12 @@
 
     def on_members(self) -> None:
         """Use the current members as gossip peers unless the store is down."""
+        self.rates.shares.set_registered(
+            {
+                member.owner_id: member.instance
+                for member in self.jobs.members.values()
+            }
+        )
         if not self.health.up:
             return
         self.sharing.set_members(self.jobs.members)
@@ -374,22 +391,3 @@
             log_event('peers_silent', peers=','.join(silent))
         self.gossip.keep_senders(self.loads.peers)
         self.limits.set_members(self.jobs.members, self.loads.peers)
-
-    async def clean_up(self) -> None:
-        """Remove expired state and time out idle callers."""
-        self.client.close_expired()
-        update_preference(self)
-        self.ingress.context.crashes.drop_expired()
-        self.store.path.remove_silent_peers(self.clock.now())
-        await self.store.probe_direct()
-        gone = self.endpoint_table.drop_lapsed(self.clock.now())
-        if gone:
-            log_event('endpoints_gone', endpoints=','.join(gone))
-        self.policy.grants.drop_absent(self.endpoint_table.by_id)
-        if self.runner is not None:
-            self.runner.estimator.keep_endpoints(self.endpoint_table.by_id)
-        self.limits.clean_up()
-        self.messages.drains.clean_up()
-        if self.caller_server is not None:
-            self.ingress.time_out_callers(self.caller_server)
-        await self.writer.report_dropped()
--- a/src/quetzaldyke/gateway/placement_upkeep.py
+++ b/src/quetzaldyke/gateway/entry_upkeep.py
@@ -1,10 +1,12 @@
-"""Keeps what an entry knows for placement up to date, at intervals."""
+"""Work of an entry at intervals: what placement needs, and expired state."""
 
 from __future__ import annotations
 
 from functools import partial
 from typing import TYPE_CHECKING
 
+from quetzaldyke.gateway.logs import log_event
+
 if TYPE_CHECKING:
     from quetzaldyke.gateway.entry import Entry
 
@@ -56,3 +58,24 @@
             queue.mean_hold_s,
             now_s,
         )
+
+
+async def clean_up(entry: Entry) -> None:
+    """Remove expired state and time out idle callers."""
+    entry.client.close_expired()
+    update_preference(entry)
+    entry.ingress.context.crashes.drop_expired()
+    entry.store.path.remove_silent_peers(entry.clock.now())
+    await entry.store.probe_direct()
+    gone = entry.endpoint_table.drop_lapsed(entry.clock.now())
+    if gone:
+        log_event('endpoints_gone', endpoints=','.join(gone))
+    entry.policy.grants.drop_absent(entry.endpoint_table.by_id)
+    if entry.runner is not None:
+        entry.runner.estimator.keep_endpoints(entry.endpoint_table.by_id)
+    entry.limits.clean_up()
+    entry.rates.clean_up()
+    entry.messages.drains.clean_up()
+    if entry.caller_server is not None:
+        entry.ingress.time_out_callers(entry.caller_server)
+    await entry.writer.report_dropped()
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -8,12 +8,12 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
+from quetzaldyke.gateway.entry_upkeep import clean_up, update_domain_shares
 from quetzaldyke.gateway.guarded import log_timer_failure
 from quetzaldyke.gateway.loading import Loading
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S
 from quetzaldyke.gateway.outages import follow_outages
-from quetzaldyke.gateway.placement_upkeep import update_domain_shares
 from quetzaldyke.gateway.restart import StartPolicy
 
 if TYPE_CHECKING:
@@ -52,10 +52,11 @@
     timers.subscribe('lines', QUEUE_INTERVAL_S, entry.dispatcher.tick)
     timers.subscribe('gossip', GOSSIP_INTERVAL_S, entry.gossip_tick)
     timers.subscribe('limits', GOSSIP_INTERVAL_S, entry.limits.tick)
+    timers.subscribe('rates', WATCHDOG_INTERVAL_S, entry.rates.tick)
     timers.subscribe('drains', GOSSIP_INTERVAL_S, entry.messages.drains.tick)
     timers.subscribe('flows', GOSSIP_INTERVAL_S, entry.messages.flows.tick)
     timers.subscribe('lease', RENEWAL_INTERVAL_S, entry.registration.renew)
-    timers.subscribe('cleaning', CLEANUP_INTERVAL_S, entry.clean_up)
+    timers.subscribe('cleaning', CLEANUP_INTERVAL_S, partial(clean_up, entry))
     timers.subscribe(
         'crash records', GOSSIP_INTERVAL_S, entry.crash_records.write
     )
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -35,6 +35,7 @@
     RelayContext,
 )
 from quetzaldyke.gateway.open_requests import OpenRequests
+from quetzaldyke.gateway.rate_demand import RateLimiter, admit_all
 from quetzaldyke.gateway.received_request import (
     AsgiCaller,
     CallerDisconnectedError,
@@ -43,20 +44,23 @@
     read_body,
 )
 from quetzaldyke.gateway.relay import end_request, relay
+from quetzaldyke.gateway.request_building import (
+    ServiceChoice,
+    online_request_of,
+)
 from quetzaldyke.gateway.request_outcome import FinalOutcome, record_outcome
 from quetzaldyke.gateway.responses import send_refusal, send_response
 from quetzaldyke.gateway.route_table import RouteTable, choose_service
 from quetzaldyke.gateway.stop_window import StopWindow
 from quetzaldyke.parts.byte_budget import ByteBudget, Holding
 from quetzaldyke.platform import names
-from quetzaldyke.platform.prompts import decode_prompt_parts
 from quetzaldyke.process.metrics import Metrics
 
-MS_IN_S: Final = 1000
 STATUS_BAD_REQUEST: Final = 400
 STATUS_UNAUTHORIZED: Final = 401
 STATUS_NOT_FOUND: Final = 404
 STATUS_TOO_LARGE: Final = 413
+STATUS_TOO_MANY_REQUESTS: Final = 429
 STATUS_HEADERS_TOO_LARGE: Final = 431
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
@@ -87,6 +91,8 @@
     keys: KeyCheck
     wait_until_loaded: LoadingWait = no_wait
     backlog_s: BacklogTime = no_backlog
+    # Admits or refuses a request by the rate of its organisation.
+    admit: RateLimiter = admit_all
     table: RouteTable | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     # Set during a graceful shutdown: every response then closes its
@@ -233,7 +239,9 @@
         if route is None:
             await self.reject_unknown_route(caller, request)
             return
-        online = self.to_online_request(request, route, identity, arrived_s)
+        online = online_request_of(
+            request, route, identity, arrived_s, self.choose_service(arrived_s)
+        )
         if online is None:
             await self.reject(caller, STATUS_BAD_REQUEST)
             return
@@ -242,8 +250,28 @@
             retry_after_s = self.window.retry_after_s(now_s)
             await self.refuse(caller, request, 'stopping', retry_after_s)
             return
+        admission = await self.admit(online.organisation, online.deadline_s)
+        if isinstance(admission, Err):
+            await self.refuse(
+                caller,
+                request,
+                'organisation_rate',
+                admission.err_value.retry_after_s,
+                status=STATUS_TOO_MANY_REQUESTS,
+                organisation=identity.name,
+            )
+            return
         await self.relay(online, caller)
 
+    def choose_service(self, now_s: float) -> ServiceChoice:
+        """Return the choice of a service among those that have endpoints."""
+        endpoints = self.context.dispatcher.endpoints
+        return lambda route: choose_service(
+            route,
+            self.generator,
+            lambda service: bool(endpoints.usable(service, now_s)),
+        )
+
     async def deny(
         self, caller: AsgiCaller, request: ReceivedRequest, denial: Denial
     ) -> None:
@@ -330,46 +358,6 @@
             self.version,
         )
 
-    def to_online_request(
-        self,
-        request: ReceivedRequest,
-        route: Route,
-        identity: Identity,
-        arrived_s: float,
-    ) -> OnlineRequest | None:
-        """Return the request to relay, or None unless it has one attempt id.
-
-        A deadline header can shorten the route's timeout.
-        """
-        request_id = request.sole_header(names.ATTEMPT_ID)
-        if not request_id:
-            return None
-        endpoints = self.context.dispatcher.endpoints
-        requested_ms = request.number(names.DEADLINE)
-        timeout_s = route.timeout_s
-        if requested_ms is not None:
-            timeout_s = min(timeout_s, requested_ms / MS_IN_S)
-        return OnlineRequest(
-            request_id=request_id,
-            method=request.method,
-            target=request.target,
-            headers=identity.apply_to(request.headers),
-            body=request.body,
-            route=route,
-            organisation=identity.organisation,
-            service=choose_service(
-                route,
-                self.generator,
-                lambda service: bool(endpoints.usable(service, arrived_s)),
-            ),
-            arrived_s=arrived_s,
-            deadline_s=arrived_s + timeout_s,
-            last_event=request.number(names.LAST_EVENT),
-            prompt_parts=decode_prompt_parts(
-                request.header(names.PROMPT_PARTS)
-            ),
-        )
-
     async def reject(self, caller: AsgiCaller, status: int) -> None:
         """Reject an invalid or unroutable request."""
         self.metrics.count('requests_rejected_total', status=str(status))
@@ -382,6 +370,8 @@
         request: ReceivedRequest,
         reason: str,
         retry_after_s: float = CONFIGURATION_RETRY_S,
+        status: int = STATUS_UNAVAILABLE,
+        **fields: str,
     ) -> None:
         """Refuse a request that no endpoint has run."""
         self.metrics.count('requests_refused_total', reason=reason)
@@ -390,9 +380,10 @@
             request=id_of(request),
             reason=reason,
             config=self.version,
+            **fields,
         )
         retry_after = b'%.2f' % retry_after_s
-        await send_refusal(caller, STATUS_UNAVAILABLE, retry_after)
+        await send_refusal(caller, status, retry_after)
 
 
 def id_of(request: ReceivedRequest) -> str:
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -22,8 +22,11 @@
 from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.limit_exchange import LimitExchange
 from quetzaldyke.gateway.model import Endpoint
+from quetzaldyke.gateway.organisation_rates import OrganisationRates
+from quetzaldyke.gateway.rate_messages import RateAsk, RateGrant
 from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
 from quetzaldyke.gateway.store_path import StorePath
+from quetzaldyke.parts.rate_shares import ShareHeartbeat
 
 if TYPE_CHECKING:
     from quetzaldyke.gateway.batch_runner import BatchRunner
@@ -41,6 +44,7 @@
     store_path: StorePath
     gossip: Gossip
     limits: LimitExchange
+    rates: OrganisationRates
     now: Callable[[], float]
     # None until jobs are run.
     runner: BatchRunner | None = None
@@ -81,6 +85,8 @@
                 self.drains.apply(message)
             case FlowReport():
                 self.flows.apply(message)
+            case ShareHeartbeat() | RateAsk() | RateGrant():
+                self.rates.apply(message)
             case _:
                 self.limits.apply(message)
 
