Place online requests by the expected time of their events

Cause: endpoints of a service differ by factors in the time of each step, and free slots, by which requests were placed, are mostly those of slow endpoints. What endpoints state of their load was read by nobody.

Change: with QUETZALDYKE_PLACE_BY_SPEED=1 an entry learns the pace of each endpoint from its own answers, reads the stated load while it is young, and compares endpoints by utilisation and slowness together. Endpoints whose expected events are late for a route come last; the own queue of a fast endpoint goes before a slow free slot where it is left sooner. Batch items take the slots that online requests want least. Waits count slots at their rate.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from quetzaldyke.gateway.answer_meter import note_head
 from quetzaldyke.gateway.connection_reuse import max_idle_s
 from quetzaldyke.gateway.crashes import PROGRESS_CHUNKS
 from quetzaldyke.gateway.event_stream import StreamError
@@ -80,8 +81,8 @@
         """
         try:
             head = await self.send()
-            self.context.dispatcher.drains.note_head(
-                self.reservation.endpoint, head
+            self.progress.meter = note_head(
+                self.context.dispatcher, self.reservation, head
             )
             not_run = is_not_run(head)
             self.note_limit(head, not_run=not_run)
@@ -194,6 +195,7 @@
 
     def note_served(self) -> None:
         """Record a success, which also clears the request of crashes."""
+        self.progress.note_served(self.context.now())
         self.context.dispatcher.endpoints.note_success(self.endpoint_id)
         self.context.crashes.note_served(self.request.traits())
 
@@ -392,5 +394,6 @@
             # A caller that reads slowly is no pause of the endpoint.
             self.exchange.expires_at_s = self.request.deadline_s
             await self.caller.send(events)
+            self.progress.note_sent(self.context.now())
             self.exchange.expires_at_s = self.next_event_deadline_s(may_resume)
         return True
--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -24,6 +24,8 @@
 from typing import Final
 
 from quetzaldyke.gateway.batch_reserve import BatchReserve
+from quetzaldyke.gateway.endpoint_speeds import EndpointSpeeds
+from quetzaldyke.gateway.expected_times import batch_shift
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.slot_grants import SlotGrants
@@ -176,6 +178,8 @@
     generator: random.Random
     # None if batch work may use every free slot.
     reserve: BatchReserve | None = None
+    # None if the endpoints of a service are taken for equally fast.
+    speeds: EndpointSpeeds | None = None
 
     def allocate_slots(
         self,
@@ -186,9 +190,11 @@
         """Return one endpoint for each item that may start now.
 
         The endpoints with the most free slots come first, ties in random
-        order.
+        order. Where speeds are known, items go to somewhat slow endpoints
+        rather than to those that online requests prefer, and of the slots that
+        all items need, the first item gets the fastest.
         """
-        allocated: list[tuple[int, float, Endpoint]] = []
+        allocated: list[tuple[float, float, Endpoint]] = []
         for endpoint in endpoints:
             endpoint_id = endpoint.endpoint_id
             free = endpoint.slots - self.loads.total(endpoint_id)
@@ -198,6 +204,15 @@
                 continue
             for number in range(free):
                 tie_break = self.generator.random()
-                allocated.append((number - free, tie_break, endpoint))
+                order = number - free + self.shift(endpoint)
+                allocated.append((order, tie_break, endpoint))
         allocated.sort(key=lambda row: row[:2])
-        return [row[2] for row in allocated]
+        slots = [row[2] for row in allocated]
+        if self.speeds is None:
+            return slots
+        first = sorted(slots[:own_pending], key=self.speeds.pace)
+        return first + slots[own_pending:]
+
+    def shift(self, endpoint: Endpoint) -> float:
+        """Return what an endpoint's speed adds to its place, in slots."""
+        return batch_shift(self.speeds, endpoint) if self.speeds else 0.0
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -84,6 +84,7 @@
         self,
         service: str,
         excluded: Collection[str] = (),
+        route: Route | None = None,
         *,
         avoid_failing: bool = False,
     ) -> Reservation | None:
@@ -100,6 +101,7 @@
             self.permits.admitted(usable),
             self.max_queued(service),
             self.endpoints.paused(service, now_s),
+            route,
         )
         if choice is None:
             return None
@@ -142,7 +144,8 @@
         if reservation.online:
             counts.online -= 1
             held_s = self.clock.now() - reservation.reserved_s
-            self.queue(service).record_hold(held_s)
+            pace = self.policy.pace(reservation.endpoint)
+            self.queue(service).record_hold(held_s / pace)
         else:
             counts.batch -= 1
         self.on_change(reservation.endpoint.endpoint_id)
@@ -172,9 +175,7 @@
             return Err(Refusal('no_endpoint', NO_ENDPOINT_RETRY_S))
         if not len(self.queue(service)):
             reservation = self.try_acquire(
-                service,
-                excluded,
-                avoid_failing=not route.idempotent,
+                service, excluded, route, avoid_failing=not route.idempotent
             )
             if reservation is not None:
                 return Ok(reservation)
@@ -220,6 +221,7 @@
             self.endpoints.usable(service, self.clock.now()),
             self.permits,
             self.queue(service).mean_hold_s,
+            self.policy.pace,
         )
 
     def expected_wait_s(self, service: str) -> float:
@@ -297,9 +299,7 @@
             if outcome.done():
                 return True
             reservation = self.try_acquire(
-                service,
-                excluded,
-                avoid_failing=not route.idempotent,
+                service, excluded, route, avoid_failing=not route.idempotent
             )
             if reservation is not None:
                 outcome.set_result(reservation)
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -20,6 +20,7 @@
 from quetzaldyke.gateway.domain_shares import DomainShares
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoint_preference import EndpointPreference
+from quetzaldyke.gateway.endpoint_speeds import EndpointSpeeds
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.entry_wiring import connect_parts
 from quetzaldyke.gateway.gossip import Gossip
@@ -125,6 +126,7 @@
                 loads,
                 DomainShares.from_installation(installation, loads, generator),
                 EndpointPreference.from_installation(installation, owner_id),
+                EndpointSpeeds.from_installation(installation, clock.now),
             ),
             clock,
             generator,
@@ -219,6 +221,7 @@
                 BatchReserve(loads)
                 if installation.options.reserve_peaks
                 else None,
+                dispatcher.policy.speeds,
             ),
             configurations=ConfigurationFeed(
                 clock.now,
--- a/src/quetzaldyke/gateway/entry_settings.py
+++ b/src/quetzaldyke/gateway/entry_settings.py
@@ -23,6 +23,8 @@
 RESERVE_VARIABLE: Final = 'QUETZALDYKE_RESERVE_PEAKS'
 # Set to 1 to prefer endpoints to which an entry has connections.
 CONNECTIONS_VARIABLE: Final = 'QUETZALDYKE_KEEP_CONNECTIONS'
+# Set to 1 to place requests by what endpoints show of their speed.
+SPEED_VARIABLE: Final = 'QUETZALDYKE_PLACE_BY_SPEED'
 MS_IN_S: Final = 1000
 MAX_PRICE_MS: Final = 60_000.0
 
@@ -38,6 +40,7 @@
     ] = Field(default=0, alias=PRICE_VARIABLE)
     reserve_peaks: bool = Field(default=False, alias=RESERVE_VARIABLE)
     keep_connections: bool = Field(default=False, alias=CONNECTIONS_VARIABLE)
+    by_speed: bool = Field(default=False, alias=SPEED_VARIABLE)
 
 
 def read_entry_options(
@@ -61,5 +64,6 @@
             read.price_ms / MS_IN_S,
             read.reserve_peaks,
             read.keep_connections,
+            read.by_speed,
         )
     )
--- a/src/quetzaldyke/gateway/item_run.py
+++ b/src/quetzaldyke/gateway/item_run.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from quetzaldyke.gateway.active_job import ActiveJob, ItemProgress
+from quetzaldyke.gateway.answer_meter import AnswerMeter, note_head
 from quetzaldyke.gateway.authentication import IDENTITY_HEADERS
 from quetzaldyke.gateway.batch_schedule import RunTimeEstimator
 from quetzaldyke.gateway.dispatcher import Dispatcher
@@ -79,6 +80,8 @@
     exchange: Exchange
     # Events of the item that earlier runs have brought.
     events_before: int = field(init=False)
+    # None if the endpoint's speed is not learned.
+    meter: AnswerMeter | None = None
 
     def __post_init__(self) -> None:
         """Note how far the item has come."""
@@ -147,7 +150,7 @@
         self.context.client.active.add(self.exchange)
         self.extend_stall_deadline()
         head = await self.exchange.read_head()
-        self.context.dispatcher.drains.note_head(endpoint, head)
+        self.meter = note_head(self.context.dispatcher, self.reservation, head)
         now_s = self.context.dispatcher.clock.now()
         limits.note_answer(
             endpoint,
@@ -234,6 +237,10 @@
         events = self.progress.splitter.feed(chunk)
         if events:
             self.extend_stall_deadline()
+            if self.meter is not None:
+                now_s = self.context.dispatcher.clock.now()
+                last_event = self.progress.splitter.last_id or 0
+                self.meter.note_events(last_event, now_s)
             self.progress.add_outputs(event_data(events))
             self.check_size()
 
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -145,6 +145,18 @@
         return f'{self.endpoint_id}@{self.started_ms}'
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLoad:
+    """What an endpoint states of its load in an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+    # How long work takes there at this moment, 1 being as usual; None if it
+    # is not stated.
+    slowness: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Time limits set by the installation."""
@@ -181,6 +193,8 @@
     reserve_peaks: bool = False
     # Whether requests prefer endpoints to which this entry has connections.
     keep_connections: bool = False
+    # Whether requests are placed by the expected time of their events.
+    by_speed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -12,6 +12,7 @@
     content_trait,
     prompt_traits,
 )
+from quetzaldyke.gateway.answer_meter import AnswerMeter
 from quetzaldyke.gateway.dispatcher import Dispatcher
 from quetzaldyke.gateway.event_stream import EventSplitter
 from quetzaldyke.gateway.http_client import HttpClient
@@ -100,6 +101,8 @@
     # Whether the stream may have ended there: an answer with events ended
     # cleanly, and no other one has brought more since.
     end_stated: bool = False
+    # Measures the latest answer; None if its endpoint's speed is not learned.
+    meter: AnswerMeter | None = None
 
     def begin_send(self, endpoint_id: str, reserved_s: float) -> None:
         """Record the endpoint that the request is sent to next."""
@@ -107,12 +110,25 @@
         self.endpoint_id = endpoint_id
         self.reserved_s = reserved_s
         self.event_chunks = 0
+        self.meter = None
 
     def note_events(self, now_s: float) -> None:
         """Record that a chunk with whole events has arrived."""
         self.event_chunks += 1
         self.end_stated = False
         self.first_event_at_s = self.first_event_at_s or now_s
+        if self.meter is not None:
+            self.meter.note_events(self.splitter.last_id or 0, now_s)
+
+    def note_sent(self, now_s: float) -> None:
+        """Record that the caller has taken the latest events."""
+        if self.meter is not None:
+            self.meter.note_sent(now_s)
+
+    def note_served(self, now_s: float) -> None:
+        """Record that the latest attempt has brought the whole answer."""
+        if self.meter is not None:
+            self.meter.finish(now_s)
 
     def note_end(self, endpoint_id: str, usable: Collection[str]) -> bool:
         """Record that an answer without length or chunks has ended.
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -8,6 +8,9 @@
 
 Where requests stay in their failure domain while it has room, the slots of the
 domain that `domain_shares.py` names come first, whether free or preemptible.
+
+Where requests are placed by speed, endpoints that are too slow for the route
+come last, and the others are compared by utilisation and slowness together.
 """
 
 from __future__ import annotations
@@ -19,8 +22,14 @@
 
 from quetzaldyke.gateway.domain_shares import DomainShares, grouped
 from quetzaldyke.gateway.endpoint_preference import EndpointPreference
+from quetzaldyke.gateway.endpoint_speeds import EndpointSpeeds
+from quetzaldyke.gateway.expected_times import (
+    by_needs,
+    quicker_queue,
+    slowness_penalty,
+)
 from quetzaldyke.gateway.loads import LoadTable
-from quetzaldyke.gateway.model import Endpoint
+from quetzaldyke.gateway.model import Endpoint, Route
 
 # Online requests that an engine may be given beyond its slots. They wait less
 # for a slot there than a load report about a free slot takes to arrive.
@@ -61,12 +70,15 @@
     shares: DomainShares | None = None
     # None if entries differ by chance alone.
     preference: EndpointPreference | None = None
+    # None if the endpoints of a service are taken for equally fast.
+    speeds: EndpointSpeeds | None = None
 
     def choose(
         self,
         candidates: Sequence[Endpoint],
         max_queued: int,
         paused: Collection[str] = (),
+        route: Route | None = None,
     ) -> Placement | None:
         """Return the placement of an online request, or None if all are full.
 
@@ -75,21 +87,70 @@
         """
         if not candidates:
             return None
+        groups: Sequence[Sequence[Endpoint]] = (candidates,)
+        if self.speeds is not None and route is not None:
+            online = [self.loads.online(one.endpoint_id) for one in candidates]
+            groups = by_needs(self.speeds, candidates, route, online)
+        placements = (
+            self.choose_among(group, max_queued, paused, route)
+            for group in groups
+        )
+        return next((one for one in placements if one is not None), None)
+
+    def choose_among(
+        self,
+        candidates: Sequence[Endpoint],
+        max_queued: int,
+        paused: Collection[str],
+        route: Route | None,
+    ) -> Placement | None:
+        """Return the placement on one of some endpoints, None if all are full.
+
+        A slot of any failure domain goes before the endpoints' own queues,
+        except for a slow one.
+        """
         for group in self.groups(candidates):
             placement = self.choose_slot(group, paused)
             if placement is not None:
-                return placement
-        fitting = [
-            one
-            for one in candidates
-            if self.loads.online(one.endpoint_id) < one.slots + max_queued
-        ]
+                if self.speeds is None or route is None:
+                    return placement
+                queues = self.fitting(without(paused, group), max_queued)
+                return self.quicker(self.speeds, placement, queues, route)
+        fitting = self.fitting(candidates, max_queued)
         if not fitting:
             return None
         preferred = without(paused, fitting)
         best = min(preferred, key=self.online_utilisation)
         return Placement(best, preempt_batch=False)
 
+    def fitting(
+        self, candidates: Sequence[Endpoint], max_queued: int
+    ) -> list[Endpoint]:
+        """Return the endpoints whose own queues have room."""
+        return [
+            one
+            for one in candidates
+            if self.loads.online(one.endpoint_id) < one.slots + max_queued
+        ]
+
+    def quicker(
+        self,
+        speeds: EndpointSpeeds,
+        placement: Placement,
+        queues: Sequence[Endpoint],
+        route: Route,
+    ) -> Placement:
+        """Return the placement in a queue if that is quicker than the slot."""
+        full = [
+            one
+            for one in queues
+            if self.loads.online(one.endpoint_id) >= one.slots
+        ]
+        queue = quicker_queue(
+            speeds, placement.endpoint, full, route, self.loads.online
+        )
+        return Placement(queue, preempt_batch=False) if queue else placement
+
     def groups(
         self, candidates: Sequence[Endpoint]
     ) -> Sequence[Sequence[Endpoint]]:
@@ -125,14 +186,25 @@
         return Placement(best, preempt_batch=True)
 
     def utilisation(self, endpoint: Endpoint) -> float:
-        """Return the share of slots in use plus the locality penalty."""
+        """Return the share of slots in use plus the penalties."""
         used = self.loads.total(endpoint.endpoint_id) / endpoint.slots
-        return used + self.locality_penalty(endpoint)
+        return used + self.penalty(endpoint)
 
     def online_utilisation(self, endpoint: Endpoint) -> float:
-        """Return the share of slots used online plus the locality penalty."""
+        """Return the share of slots used online plus the penalties."""
         used = self.loads.online(endpoint.endpoint_id) / endpoint.slots
-        return used + self.locality_penalty(endpoint)
+        return used + self.penalty(endpoint)
+
+    def pace(self, endpoint: Endpoint) -> float:
+        """Return how long requests hold a slot there, 1 at the median."""
+        return self.speeds.pace(endpoint) if self.speeds else 1.0
+
+    def penalty(self, endpoint: Endpoint) -> float:
+        """Return the penalties for slowness and for a remote domain."""
+        penalty = self.locality_penalty(endpoint)
+        if self.speeds is not None:
+            penalty += slowness_penalty(self.speeds, endpoint)
+        return penalty
 
     def locality_penalty(self, endpoint: Endpoint) -> float:
         """Return the penalty for a remote failure domain plus a tie-break.
--- a/src/quetzaldyke/gateway/service_capacity.py
+++ b/src/quetzaldyke/gateway/service_capacity.py
@@ -3,12 +3,13 @@
 Load pattern: some or all endpoints of a service name a limit that is far
 below what their slots could do. Waits and retry times that count slots alone
 would then promise what can't be kept: callers would wait for permits that do
-not come in time, or return before there are any.
+not come in time, or return before there are any. Slots of an endpoint that works
+slowly become free less often, so they count as fewer.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from quetzaldyke.gateway.endpoint_permits import EndpointPermits
@@ -27,21 +28,31 @@
     delay_s: float = 0.0
 
 
+def even_pace(endpoint: Endpoint) -> float:
+    """Return the pace of any endpoint where speeds are not known."""
+    return 1.0
+
+
 def service_capacity(
     usable: Sequence[Endpoint],
     permits: EndpointPermits,
     hold_s: float,
+    pace: Callable[[Endpoint], float] = even_pace,
 ) -> ServiceCapacity:
-    """Return what endpoints can take; a request holds a slot for `hold_s`."""
+    """Return what endpoints can take.
+
+    A request holds a slot for `hold_s` where `pace` is 1, else for that many
+    times as long.
+    """
     unlimited = permits.unlimited(usable)
-    slots = float(sum(one.slots for one in unlimited))
+    slots = float(sum(one.slots / pace(one) for one in unlimited))
     if len(unlimited) == len(usable):
         return ServiceCapacity(slots)
     delays_s: list[float] = []
     for endpoint in usable:
         rate = permits.limits.rate_of(endpoint)
         if rate is not None:
-            slots += min(endpoint.slots, rate * hold_s)
+            slots += min(endpoint.slots / pace(endpoint), rate * hold_s)
             delays_s.append(permits.online_wait_s(endpoint))
     if unlimited:
         return ServiceCapacity(slots)
