Share the paces of uneven endpoints between entries

Cause: each of many entries gets few answers of an endpoint, so one that turns slow costs every entry some requests.

Slow and fast endpoints are logged and counted.

--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -12,6 +12,7 @@
 from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S, Ownership
 from quetzaldyke.gateway.outages import follow_outages
 from quetzaldyke.gateway.placement_upkeep import update_domain_shares
+from quetzaldyke.gateway.speed_exchange import SpeedExchange
 
 if TYPE_CHECKING:
     from quetzaldyke.gateway.entry import Entry
@@ -23,6 +24,7 @@
 EXPIRY_INTERVAL_S: Final = 10.0
 CLEANUP_INTERVAL_S: Final = 1.0
 GOSSIP_INTERVAL_S: Final = 0.1
+SPEED_INTERVAL_S: Final = 0.5
 
 
 def connect_parts(entry: Entry) -> None:
@@ -36,6 +38,7 @@
     entry.jobs.on_members = entry.on_members
     entry.limits.permits.on_granted = entry.on_permits
     connect_domains(entry)
+    connect_speeds(entry)
     entry.messages.drains.connect(entry.metrics, log_event)
     timers = entry.timers
     timers.on_failure = log_timer_failure
@@ -68,6 +71,24 @@
     entry.policy.grants.domain_of_entry = domain_of_entry
 
 
+def connect_speeds(entry: Entry) -> None:
+    """Share with the peers how fast the endpoints work."""
+    speeds = entry.dispatcher.policy.speeds
+    if speeds is None:
+        return
+    exchange = SpeedExchange(
+        entry.member.owner_id,
+        speeds,
+        entry.endpoint_table,
+        lambda: entry.gossip.peers,
+        entry.gossip.send,
+        entry.dispatcher.generator,
+    )
+    exchange.connect(entry.metrics, log_event)
+    entry.messages.speeds = exchange
+    entry.timers.subscribe('speeds', SPEED_INTERVAL_S, exchange.tick)
+
+
 def attach_runner(entry: Entry, runner: BatchRunner) -> None:
     """Start scheduling batch jobs on a runner."""
     entry.runner = runner
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -24,6 +24,10 @@
 )
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.shared_watch import WatchUpdate
+from quetzaldyke.gateway.speed_exchange import (
+    SpeedUpdate,
+    decode_speed_update,
+)
 from quetzaldyke.parts.crash_causes import Trait
 from quetzaldyke.parts.transactions import WatchedChange
 
@@ -80,6 +84,7 @@
     | CrashReport
     | WatchUpdate
     | DrainUpdate
+    | SpeedUpdate
     | LimitMessage
 )
 
@@ -101,6 +106,8 @@
             return encode_watch_update(message)
         case DrainUpdate(sender, lifetimes):
             return bytes(msgpack.packb(['draining', sender, lifetimes]))
+        case SpeedUpdate(sender, paces):
+            return bytes(msgpack.packb(['speeds', sender, paces]))
         case _:
             return encode_limit_message(message)
 
@@ -174,6 +181,8 @@
             return decode_load_report(sender, content)
         case 'draining':
             return decode_drain_update(sender, content)
+        case 'speeds':
+            return decode_speed_update(sender, content)
     return decode_limit_message(kind, sender, content)
 
 
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -21,6 +21,7 @@
 from quetzaldyke.gateway.limit_exchange import LimitExchange
 from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
+from quetzaldyke.gateway.speed_exchange import SpeedExchange, SpeedUpdate
 from quetzaldyke.gateway.store_path import StorePath
 
 
@@ -39,6 +40,8 @@
     now: Callable[[], float]
     # None until jobs are run.
     runner: BatchRunner | None = None
+    # None if the speeds of endpoints are not used.
+    speeds: SpeedExchange | None = None
     drains: DrainExchange = field(init=False)
 
     def __post_init__(self) -> None:
@@ -66,6 +69,9 @@
                 self.sharing.on_update(message)
             case DrainUpdate():
                 self.drains.apply(message)
+            case SpeedUpdate():
+                if self.speeds is not None:
+                    self.speeds.apply(message)
             case _:
                 self.limits.apply(message)
 
