Compute what a route needs once for each placement

Cause: the expected times of each endpoint looked up the usual durations and the time again. Change: a forecast holds them for one choice.

--- a/src/quetzaldyke/gateway/endpoint_speeds.py
+++ b/src/quetzaldyke/gateway/endpoint_speeds.py
@@ -158,10 +158,10 @@
         speed = self.known(endpoint)
         return speed.pace if speed else 1.0
 
-    def slowness(self, endpoint: Endpoint) -> float:
+    def slowness(self, endpoint: Endpoint, now_s: float) -> float:
         """Return how long work takes at an endpoint now, 1 at the median."""
         speed = self.known(endpoint)
-        return speed.pace * speed.moment(self.now()) if speed else 1.0
+        return speed.pace * speed.moment(now_s) if speed else 1.0
 
     def note_unreadable(self, endpoint: Endpoint, reason: str) -> None:
         """Count a statement that says nothing; log an endpoint's first one."""
--- a/src/quetzaldyke/gateway/expected_times.py
+++ b/src/quetzaldyke/gateway/expected_times.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -36,83 +37,106 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Expectation:
-    """What one more request would meet; 0 where nothing is known."""
+class Forecast:
+    """What the requests of a route meet at one moment."""
 
+    speeds: EndpointSpeeds
+    now_s: float
+    # Times at the median pace, 0 if not known: until the first event on a free
+    # slot, for which a slot is held, and between events.
     first_s: float
-    pause_s: float
-
-    def meets(self, route: Route) -> bool:
-        """Return whether that is in time for the requests of a route."""
-        if route.kind == 'stream' and (
-            self.pause_s > PAUSE_SHARE * route.max_gap_s
-        ):
-            return False
-        return self.first_s <= route.target_s
-
-
-def expect(
-    speeds: EndpointSpeeds, endpoint: Endpoint, online: int, kind: str
-) -> Expectation:
-    """Return the expected times at an endpoint with so many online requests.
-
-    `kind` is that of the route; the first event of any answer but a stream is
-    its end. Requests beyond the slots wait for those before them.
-    """
-    service = endpoint.service
-    slowness = speeds.slowness(endpoint)
-    streamed = kind == 'stream'
-    first_s = speeds.usual_s.get((service, 'first' if streamed else 'whole'), 0)
-    held_s = speeds.usual_s.get((service, 'stream' if streamed else 'whole'), 0)
-    queued = max(0, online + 1 - endpoint.slots)
-    return Expectation(
-        slowness * (first_s + queued * held_s / endpoint.slots),
-        slowness * speeds.usual_s.get((service, 'pause'), 0),
-    )
-
-
-def by_needs(
-    speeds: EndpointSpeeds,
-    candidates: Sequence[Endpoint],
-    route: Route,
-    online: Sequence[int],
-) -> list[Sequence[Endpoint]]:
-    """Return the endpoints that are in time for a route, then the others.
-
-    `online` are the online requests at each of them. Empty groups are left
-    out.
-    """
-    in_time: list[Endpoint] = []
-    late: list[Endpoint] = []
-    for endpoint, requests in zip(candidates, online, strict=True):
-        expected = expect(speeds, endpoint, requests, route.kind)
-        (in_time if expected.meets(route) else late).append(endpoint)
-    return [group for group in (in_time, late) if group]
-
-
-def quicker_queue(
-    speeds: EndpointSpeeds,
-    slot: Endpoint,
-    queues: Sequence[Endpoint],
-    route: Route,
-    online: Callable[[str], int],
-) -> Endpoint | None:
-    """Return the full endpoint that would answer sooner than a free slot.
-
-    `queues` are full but may be given one more request each. `online` returns
-    how many online requests an endpoint has.
-    """
-    limit_s = QUEUE_GAIN * expect(speeds, slot, 0, route.kind).first_s
-    best = None
-    for endpoint in queues:
-        requests = online(endpoint.endpoint_id)
-        first_s = expect(speeds, endpoint, requests, route.kind).first_s
-        if first_s < limit_s:
-            best, limit_s = endpoint, first_s
-    return best
-
-
-def slowness_penalty(speeds: EndpointSpeeds, endpoint: Endpoint) -> float:
+    held_s: float
+    # Latest first event that meets the route's objective.
+    target_s: float
+    # Slowness from which on the pauses of a stream may be too long.
+    max_slowness: float
+
+    @classmethod
+    def of(cls, speeds: EndpointSpeeds, service: str, route: Route) -> Forecast:
+        """Return the forecast for a route's requests to a service.
+
+        The first event of any answer but a stream is its end.
+        """
+        usual_s = speeds.usual_s
+        now_s = speeds.now()
+        if route.kind != 'stream':
+            whole_s = usual_s.get((service, 'whole'), 0.0)
+            return cls(
+                speeds, now_s, whole_s, whole_s, route.target_s, math.inf
+            )
+        pause_s = usual_s.get((service, 'pause'))
+        longest_s = PAUSE_SHARE * route.max_gap_s
+        return cls(
+            speeds,
+            now_s,
+            usual_s.get((service, 'first'), 0.0),
+            usual_s.get((service, 'stream'), 0.0),
+            route.target_s,
+            longest_s / pause_s if pause_s else math.inf,
+        )
+
+    def expected_first_s(self, endpoint: Endpoint, online: int) -> float:
+        """Return the expected time of the first event of one more request.
+
+        It waits for those before it if the `online` ones take all slots.
+        """
+        return self.time_s(
+            self.speeds.slowness(endpoint, self.now_s), endpoint.slots, online
+        )
+
+    def time_s(self, slowness: float, slots: int, online: int) -> float:
+        """Return the expected time until the first event."""
+        queued = online + 1 - slots
+        if queued <= 0:
+            return slowness * self.first_s
+        return slowness * (self.first_s + queued * self.held_s / slots)
+
+    def is_in_time(self, endpoint: Endpoint, online: int) -> bool:
+        """Return whether one more request is expected to be in time."""
+        slowness = self.speeds.slowness(endpoint, self.now_s)
+        return slowness <= self.max_slowness and (
+            self.time_s(slowness, endpoint.slots, online) <= self.target_s
+        )
+
+    def by_needs(
+        self, candidates: Sequence[Endpoint], online: Callable[[str], int]
+    ) -> list[Sequence[Endpoint]]:
+        """Return the endpoints that are in time, then the others.
+
+        `online` returns how many online requests an endpoint has. Empty groups
+        are left out.
+        """
+        in_time: list[Endpoint] = []
+        late: list[Endpoint] = []
+        for endpoint in candidates:
+            requests = online(endpoint.endpoint_id)
+            fits = self.is_in_time(endpoint, requests)
+            (in_time if fits else late).append(endpoint)
+        return [group for group in (in_time, late) if group]
+
+    def quicker_queue(
+        self,
+        slot: Endpoint,
+        queues: Sequence[Endpoint],
+        online: Callable[[str], int],
+    ) -> Endpoint | None:
+        """Return the full endpoint that would answer sooner than a free slot.
+
+        `queues` are full but may be given one more request each.
+        """
+        limit_s = QUEUE_GAIN * self.expected_first_s(slot, 0)
+        best = None
+        for endpoint in queues:
+            requests = online(endpoint.endpoint_id)
+            first_s = self.expected_first_s(endpoint, requests)
+            if first_s < limit_s:
+                best, limit_s = endpoint, first_s
+        return best
+
+
+def slowness_penalty(
+    speeds: EndpointSpeeds, endpoint: Endpoint, now_s: float
+) -> float:
     """Return what is added to the utilisation of an endpoint.
 
     It is 0 near the median of the service without a statement, and negative
@@ -121,7 +145,6 @@
     speed = speeds.known(endpoint)
     if speed is None:
         return 0.0
-    now_s = speeds.now()
     waiting = speed.stated_waiting(now_s) / endpoint.slots
     return equivalent_use(speed.pace * speed.moment(now_s)) + waiting
 
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -23,11 +23,7 @@
 from quetzaldyke.gateway.domain_shares import DomainShares, grouped
 from quetzaldyke.gateway.endpoint_preference import EndpointPreference
 from quetzaldyke.gateway.endpoint_speeds import EndpointSpeeds
-from quetzaldyke.gateway.expected_times import (
-    by_needs,
-    quicker_queue,
-    slowness_penalty,
-)
+from quetzaldyke.gateway.expected_times import Forecast, slowness_penalty
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint, Route
 
@@ -87,13 +83,12 @@
         """
         if not candidates:
             return None
-        groups: Sequence[Sequence[Endpoint]] = (candidates,)
-        if self.speeds is not None and route is not None:
-            online = [self.loads.online(one.endpoint_id) for one in candidates]
-            groups = by_needs(self.speeds, candidates, route, online)
+        if self.speeds is None or route is None:
+            return self.choose_among(candidates, max_queued, paused)
+        forecast = Forecast.of(self.speeds, candidates[0].service, route)
         placements = (
-            self.choose_among(group, max_queued, paused, route)
-            for group in groups
+            self.choose_among(group, max_queued, paused, forecast)
+            for group in forecast.by_needs(candidates, self.loads.online)
         )
         return next((one for one in placements if one is not None), None)
 
@@ -102,7 +97,7 @@
         candidates: Sequence[Endpoint],
         max_queued: int,
         paused: Collection[str],
-        route: Route | None,
+        forecast: Forecast | None = None,
     ) -> Placement | None:
         """Return the placement on one of some endpoints, None if all are full.
 
@@ -112,10 +107,10 @@
         for group in self.groups(candidates):
             placement = self.choose_slot(group, paused)
             if placement is not None:
-                if self.speeds is None or route is None:
+                if forecast is None:
                     return placement
                 queues = self.fitting(without(paused, group), max_queued)
-                return self.quicker(self.speeds, placement, queues, route)
+                return self.quicker(forecast, placement, queues)
         fitting = self.fitting(candidates, max_queued)
         if not fitting:
             return None
@@ -135,10 +130,9 @@
 
     def quicker(
         self,
-        speeds: EndpointSpeeds,
+        forecast: Forecast,
         placement: Placement,
         queues: Sequence[Endpoint],
-        route: Route,
     ) -> Placement:
         """Return the placement in a queue if that is quicker than the slot."""
         full = [
@@ -146,8 +140,8 @@
             for one in queues
             if self.loads.online(one.endpoint_id) >= one.slots
         ]
-        queue = quicker_queue(
-            speeds, placement.endpoint, full, route, self.loads.online
+        queue = forecast.quicker_queue(
+            placement.endpoint, full, self.loads.online
         )
         return Placement(queue, preempt_batch=False) if queue else placement
 
@@ -203,7 +197,9 @@
         """Return the penalties for slowness and for a remote domain."""
         penalty = self.locality_penalty(endpoint)
         if self.speeds is not None:
-            penalty += slowness_penalty(self.speeds, endpoint)
+            penalty += slowness_penalty(
+                self.speeds, endpoint, self.speeds.now()
+            )
         return penalty
 
     def locality_penalty(self, endpoint: Endpoint) -> float:
--- a/tests/test_endpoint_speeds.py
+++ b/tests/test_endpoint_speeds.py
@@ -213,13 +213,13 @@
         liar.note_statement(StatedLoad(0, 0, 4, 0.01), time.now_s)
         speeds.record(endpoints['a'], 'pause', 0.025)
         speeds.refresh([('lm', list(endpoints.values()))])
-    assert 0.8 < speeds.slowness(endpoints['a']) < 1.25
+    assert 0.8 < speeds.slowness(endpoints['a'], time.now_s) < 1.25
     honest = speeds.of(endpoints['b'])
     honest.note_statement(StatedLoad(4, 3, 4, 2.5), time.now_s)
-    assert speeds.slowness(endpoints['b']) > 2
+    assert speeds.slowness(endpoints['b'], time.now_s) > 2
     assert honest.stated_waiting(time.now_s) == 3
     time.now_s += 0.3
-    assert speeds.slowness(endpoints['b']) < 1.1
+    assert speeds.slowness(endpoints['b'], time.now_s) < 1.1
     assert honest.stated_waiting(time.now_s) == 0
 
 
