--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -77,6 +77,7 @@
             lambda: self.permits,
             lambda: self.count_entries(),
             self.queues,
+            pace=lambda endpoint: self.policy.pace(endpoint),
         )
         self.drains = DrainNotes(
             self.endpoints, self.clock.now, on_change=self.on_endpoints
@@ -90,6 +91,7 @@
         self,
         service: str,
         excluded: Collection[str] = (),
+        route: Route | None = None,
         *,
         avoid_failing: bool = False,
         flow: str = '',
@@ -109,6 +111,7 @@
             self.permits.admitted(usable),
             self.max_queued(service, flow),
             self.endpoints.paused(service, now_s),
+            route,
         )
         if choice is None:
             return None
@@ -159,7 +162,8 @@
             counts.online -= 1
             self.estimates.shares.table(service).end(reservation.flow)
             held_s = self.clock.now() - reservation.reserved_s
-            self.queue(service).record_hold(held_s)
+            pace = self.policy.pace(reservation.endpoint)
+            self.queue(service).record_hold(held_s / pace)
         else:
             counts.batch -= 1
         self.on_change(reservation.endpoint.endpoint_id)
@@ -195,6 +199,7 @@
             reservation = self.try_acquire(
                 service,
                 excluded,
+                route,
                 avoid_failing=not route.idempotent,
                 flow=claim.flow,
             )
@@ -289,6 +294,7 @@
             reservation = self.try_acquire(
                 service,
                 excluded,
+                route,
                 avoid_failing=not route.idempotent,
                 flow=claim.flow,
             )
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -20,6 +20,7 @@
 from quetzaldyke.gateway.domain_shares import DomainShares
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoint_preference import EndpointPreference
+from quetzaldyke.gateway.endpoint_speeds import EndpointSpeeds
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.entry_upkeep import observe_demand
 from quetzaldyke.gateway.entry_wiring import connect_parts
@@ -128,6 +129,7 @@
                 loads,
                 DomainShares.from_installation(installation, loads, generator),
                 EndpointPreference.from_installation(installation, owner_id),
+                EndpointSpeeds.from_installation(installation, clock.now),
             ),
             clock,
             generator,
@@ -237,6 +239,7 @@
                 SlotGrants(owner_id, loads),
                 generator,
                 BatchReserve.from_options(installation.options, loads),
+                dispatcher.policy.speeds,
             ),
             configurations=configurations,
             endpoints=EndpointFeed(
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -15,6 +15,7 @@
 from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S
 from quetzaldyke.gateway.outages import follow_outages
 from quetzaldyke.gateway.restart import StartPolicy
+from quetzaldyke.gateway.speed_exchange import SpeedExchange
 
 if TYPE_CHECKING:
     from quetzaldyke.gateway.entry import Entry
@@ -23,6 +24,7 @@
 QUEUE_INTERVAL_S: Final = 0.05
 CLEANUP_INTERVAL_S: Final = 1.0
 GOSSIP_INTERVAL_S: Final = 0.1
+SPEED_INTERVAL_S: Final = 0.5
 
 
 def connect_parts(entry: Entry) -> None:
@@ -42,6 +44,7 @@
     entry.limits.permits.on_granted = entry.on_permits
     connect_domains(entry)
     connect_loading(entry)
+    connect_speeds(entry)
     entry.messages.drains.connect(entry.metrics, log_event)
     entry.metrics.gauge(
         'organisation_rows', lambda: entry.messages.flows.rows_sent
@@ -79,6 +82,24 @@
     entry.policy.grants.domain_of_entry = domain_of_entry
 
 
+def connect_speeds(entry: Entry) -> None:
+    """Share with the peers how fast the endpoints work."""
+    speeds = entry.dispatcher.policy.speeds
+    if speeds is None:
+        return
+    exchange = SpeedExchange(
+        entry.member.owner_id,
+        speeds,
+        entry.endpoint_table,
+        lambda: entry.gossip.peers,
+        entry.gossip.send,
+        entry.dispatcher.generator,
+    )
+    exchange.connect(entry.metrics, log_event)
+    entry.messages.speeds = exchange
+    entry.timers.subscribe('speeds', SPEED_INTERVAL_S, exchange.tick)
+
+
 def connect_loading(entry: Entry) -> None:
     """Let callers wait for what the entry loads at its start."""
     loading = Loading(
--- /dev/null
+++ b/src/quetzaldyke/gateway/expected_times.py
@@ -0,0 +1,172 @@
+"""Expects when one more request at an endpoint would get its events.
+
+Load pattern: uneven endpoints under a load that their sum can serve. A free
+slot of an endpoint that is too slow for a route makes each stream there late,
+while a short wait elsewhere does not. Where requests take as long as their
+first event, the own queue of a fast endpoint is left sooner than a slow
+endpoint is done.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from quetzaldyke.gateway.endpoint_speeds import EndpointSpeeds
+from quetzaldyke.gateway.model import Endpoint, Route
+
+# Pauses vary by about a factor of two around the expected one, and each of a
+# stream has to be in time.
+PAUSE_SHARE: Final = 0.5
+# Differences from the median below this ratio are within the noise of what is
+# measured, and don't change the order of endpoints.
+NOISE_RATIO: Final = 1.2
+# Utilisation that balances twice the time of the median. A slot beside others
+# in use costs a request little, slow work costs it in any case: fast endpoints
+# fill up before slow ones are used.
+SLOWNESS_WEIGHT: Final = 3.0
+# Slowness from which on an endpoint is last anyway.
+MAX_SLOWNESS: Final = 8.0
+# A queue is chosen over a free slot if it takes at most this share of the time.
+# Other entries may be about to join it too.
+QUEUE_GAIN: Final = 0.8
+# Endpoints that take this many times as long as the median get items last.
+MAX_BATCH_PACE: Final = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """What the requests of a route meet at one moment."""
+
+    speeds: EndpointSpeeds
+    now_s: float
+    # Times at the median pace, 0 if not known: until the first event on a free
+    # slot, for which a slot is held, and between events.
+    first_s: float
+    held_s: float
+    # Latest first event that meets the route's objective.
+    target_s: float
+    # Slowness from which on the pauses of a stream may be too long.
+    max_slowness: float
+
+    @classmethod
+    def of(cls, speeds: EndpointSpeeds, service: str, route: Route) -> Forecast:
+        """Return the forecast for a route's requests to a service.
+
+        The first event of any answer but a stream is its end.
+        """
+        usual_s = speeds.usual_s
+        now_s = speeds.now()
+        if route.kind != 'stream':
+            whole_s = usual_s.get((service, 'whole'), 0.0)
+            return cls(
+                speeds, now_s, whole_s, whole_s, route.target_s, math.inf
+            )
+        pause_s = usual_s.get((service, 'pause'))
+        longest_s = PAUSE_SHARE * route.max_gap_s
+        return cls(
+            speeds,
+            now_s,
+            usual_s.get((service, 'first'), 0.0),
+            usual_s.get((service, 'stream'), 0.0),
+            route.target_s,
+            longest_s / pause_s if pause_s else math.inf,
+        )
+
+    def expected_first_s(self, endpoint: Endpoint, online: int) -> float:
+        """Return the expected time of the first event of one more request.
+
+        It waits for those before it if the `online` ones take all slots.
+        """
+        return self.time_s(
+            self.speeds.slowness(endpoint, self.now_s), endpoint.slots, online
+        )
+
+    def time_s(self, slowness: float, slots: int, online: int) -> float:
+        """Return the expected time until the first event."""
+        queued = online + 1 - slots
+        if queued <= 0:
+            return slowness * self.first_s
+        return slowness * (self.first_s + queued * self.held_s / slots)
+
+    def is_in_time(self, endpoint: Endpoint, online: int) -> bool:
+        """Return whether one more request is expected to be in time."""
+        slowness = self.speeds.slowness(endpoint, self.now_s)
+        return slowness <= self.max_slowness and (
+            self.time_s(slowness, endpoint.slots, online) <= self.target_s
+        )
+
+    def by_needs(
+        self, candidates: Sequence[Endpoint], online: Callable[[str], int]
+    ) -> list[Sequence[Endpoint]]:
+        """Return the endpoints that are in time, then the others.
+
+        `online` returns how many online requests an endpoint has. Empty groups
+        are left out.
+        """
+        in_time: list[Endpoint] = []
+        late: list[Endpoint] = []
+        for endpoint in candidates:
+            requests = online(endpoint.endpoint_id)
+            fits = self.is_in_time(endpoint, requests)
+            (in_time if fits else late).append(endpoint)
+        return [group for group in (in_time, late) if group]
+
+    def quicker_queue(
+        self,
+        slot: Endpoint,
+        queues: Sequence[Endpoint],
+        online: Callable[[str], int],
+    ) -> Endpoint | None:
+        """Return the full endpoint that would answer sooner than a free slot.
+
+        `queues` are full but may be given one more request each.
+        """
+        limit_s = QUEUE_GAIN * self.expected_first_s(slot, 0)
+        best = None
+        for endpoint in queues:
+            requests = online(endpoint.endpoint_id)
+            first_s = self.expected_first_s(endpoint, requests)
+            if first_s < limit_s:
+                best, limit_s = endpoint, first_s
+        return best
+
+
+def slowness_penalty(
+    speeds: EndpointSpeeds, endpoint: Endpoint, now_s: float
+) -> float:
+    """Return what is added to the utilisation of an endpoint.
+
+    It is 0 near the median of the service without a statement, and negative
+    for faster endpoints.
+    """
+    speed = speeds.known(endpoint)
+    if speed is None:
+        return 0.0
+    waiting = speed.stated_waiting(now_s) / endpoint.slots
+    return equivalent_use(speed.pace * speed.moment(now_s)) + waiting
+
+
+def equivalent_use(slowness: float) -> float:
+    """Return the utilisation that makes an ordinary endpoint as undesirable.
+
+    >>> equivalent_use(1.1), equivalent_use(2.2) > 1, equivalent_use(0.7) < 0
+    (0.0, True, True)
+    """
+    slowness = min(MAX_SLOWNESS, slowness)
+    usual = max(1 / NOISE_RATIO, min(NOISE_RATIO, slowness))
+    return SLOWNESS_WEIGHT * (slowness - usual)
+
+
+def batch_shift(speeds: EndpointSpeeds, endpoint: Endpoint) -> float:
+    """Return by how many slots batch items rank an endpoint lower.
+
+    They take the slots that online requests want least, unless the endpoint
+    is so slow that items there might end too late.
+    """
+    pace = speeds.pace(endpoint)
+    if pace > MAX_BATCH_PACE:
+        return pace * endpoint.slots
+    return -equivalent_use(pace) * endpoint.slots
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -38,6 +38,10 @@
     encode_rate_message,
 )
 from quetzaldyke.gateway.shared_watch import WatchUpdate
+from quetzaldyke.gateway.speed_exchange import (
+    SpeedUpdate,
+    decode_speed_update,
+)
 from quetzaldyke.parts.crash_causes import Trait
 from quetzaldyke.parts.rate_shares import ShareHeartbeat
 from quetzaldyke.parts.transactions import WatchedChange
@@ -94,6 +98,7 @@
     | WatchUpdate
     | DrainUpdate
     | FlowReport
+    | SpeedUpdate
     | LimitMessage
     | RateMessage
 )
@@ -120,6 +125,8 @@
             return encode_flow_report(message)
         case ShareHeartbeat() | RateAsk() | RateGrant():
             return encode_rate_message(message)
+        case SpeedUpdate(sender, paces):
+            return bytes(msgpack.packb(['speeds', sender, paces]))
         case _:
             return encode_limit_message(message)
 
@@ -193,6 +200,8 @@
             return decode_load_report(sender, content)
         case 'draining':
             return decode_drain_update(sender, content)
+        case 'speeds':
+            return decode_speed_update(sender, content)
         case 'rate_shares' | 'rate_ask' | 'rate_grant':
             return decode_rate_message(kind, sender, content)
     if kind == FLOW_KIND:
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -25,6 +25,7 @@
 from quetzaldyke.gateway.organisation_rates import OrganisationRates
 from quetzaldyke.gateway.rate_messages import RateAsk, RateGrant
 from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
+from quetzaldyke.gateway.speed_exchange import SpeedExchange, SpeedUpdate
 from quetzaldyke.gateway.store_path import StorePath
 from quetzaldyke.parts.rate_shares import ShareHeartbeat
 
@@ -48,6 +49,8 @@
     now: Callable[[], float]
     # None until jobs are run.
     runner: BatchRunner | None = None
+    # None if the speeds of endpoints are not used.
+    speeds: SpeedExchange | None = None
     drains: DrainExchange = field(init=False)
     flows: FlowExchange = field(init=False)
 
@@ -87,6 +90,9 @@
                 self.flows.apply(message)
             case ShareHeartbeat() | RateAsk() | RateGrant():
                 self.rates.apply(message)
+            case SpeedUpdate():
+                if self.speeds is not None:
+                    self.speeds.apply(message)
             case _:
                 self.limits.apply(message)
 
--- a/src/quetzaldyke/gateway/wait_estimates.py
+++ b/src/quetzaldyke/gateway/wait_estimates.py
@@ -16,9 +16,11 @@
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.fair_shares import FairShares, RequestRow
 from quetzaldyke.gateway.loads import LoadTable
+from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.reservation import Refusal
 from quetzaldyke.gateway.service_capacity import (
     ServiceCapacity,
+    even_pace,
     service_capacity,
 )
 from quetzaldyke.gateway.wait_queue import (
@@ -56,6 +58,8 @@
     count_entries: Callable[[], int]
     queues: dict[str, WaitQueue]
     shares: FairShares = field(default_factory=FairShares)
+    # Returns how long requests hold a slot of an endpoint, 1 at the median.
+    pace: Callable[[Endpoint], float] = even_pace
 
     def queue(self, service: str) -> WaitQueue:
         """Return the wait queue of a service; create it on first use."""
@@ -71,6 +75,7 @@
             self.endpoints.usable(service, self.now()),
             self.permits(),
             self.queue(service).mean_hold_s,
+            self.pace,
         )
 
     def waiting_ahead(self, service: str, claim: Claim | None) -> int:
