--- a/tests/framing_rig.py
+++ b/tests/framing_rig.py
@@ -196,6 +196,8 @@
 
     def __init__(self) -> None:
         """Open a connection."""
+        # Whether a request is answered behind its body, or at once.
+        self.reads_bodies = True
         config = uvicorn.Config(
             self.serve,
             interface='asgi3',
@@ -215,7 +217,9 @@
     async def serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Forward a request as the gateway does, and answer it."""
         with ByteBudget(MAX_BODY_BYTES).holding(lambda: None) as held:
-            body = await read_body(receive, held, MAX_BODY_BYTES)
+            body: bytes | None = b''
+            if self.reads_bodies:
+                body = await read_body(receive, held, MAX_BODY_BYTES)
         assert body is not None
         request = build_request(scope, list(scope['headers']), body)
         headers = request_headers(request.headers)
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -169,11 +169,12 @@
 }
 
 
-def send(data: bytes, cuts: set[int]) -> Caller:
+def send(data: bytes, cuts: set[int], *, reads_bodies: bool = True) -> Caller:
     """Send bytes cut at some places, and return the caller."""
 
     async def run() -> Caller:
         caller = Caller()
+        caller.reads_bodies = reads_bodies
         ends = sorted({cut for cut in cuts if 0 < cut < len(data)})
         starts = [0, *ends]
         pieces = zip(starts, [*ends, len(data)], strict=True)
@@ -218,6 +219,28 @@
         assert sum(caller.state.refused_heads.values()) == 1
 
 
+@pytest.mark.parametrize(
+    'unread',
+    [sized(), chunked(INNER_CHUNK + '0\r\n\r\n'), OFFERS['h2c']],
+)
+def test_request_behind_an_unread_body(unread: bytes) -> None:
+    """Guards against an unread body that is taken for the next request."""
+    for cuts in all_cuts(unread + NEXT):
+        caller = send(unread + NEXT, cuts, reads_bodies=False)
+        targets = [message.target for message in caller.received()]
+        assert targets == [b'/p/x?a=%20', b'/next?']
+        assert caller.transport.written.count(b'HTTP/1.1') == 2
+
+
+def test_malformed_rest_of_an_unread_body_gets_no_second_answer() -> None:
+    """Guards against an error that is taken for the next request's answer."""
+    start, rest = chunked('1\r\n'), b'ab\r\n0\r\n\r\n' + NEXT
+    caller = send(start + rest, {len(start)}, reads_bodies=False)
+    assert caller.transport.closing
+    assert caller.transport.written.count(b'HTTP/1.1') == 1
+    assert len(caller.forwarded) == 1
+
+
 def test_body_that_was_not_awaited_ends_the_connection() -> None:
     """Guards against a next request that is read as the missing body.
 
