Bound an organisation's requests over all entries

Cause: an organisation's rate and burst hold over the whole fleet in every sliding window, also while entries are lost, frozen or cut off, and nothing that fits may be refused. Even shares lose bursts; the coordinator of endpoints' limits may grant nearly twice the rate in a split.

Change: each instance has one share of every rate, and its heartbeats delegate the shares for a short time to the entry that ranks first among those that it hears. That entry keeps a token bucket of the shares it holds, and starts it with what they gained since. Nothing asks for permits yet.

--- a/src/quetzaldyke/gateway/configuration_feed.py
+++ b/src/quetzaldyke/gateway/configuration_feed.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.model import Configuration
+from quetzaldyke.gateway.model import Configuration, Organisation
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 from quetzaldyke.platform import names
 from quetzaldyke.platform.records import decode_configuration
@@ -47,6 +47,12 @@
         known = self.configuration.services.get(service)
         return known is not None and known.is_engine
 
+    def find_organisation(self, name: str) -> Organisation | None:
+        """Return an organisation of the active configuration."""
+        if self.configuration is None or self.configuration.directory is None:
+            return None
+        return self.configuration.directory.owners.get(name)
+
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Apply the configuration of a complete list of keys, if it has one."""
         for record in snapshot.records:
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -35,6 +35,7 @@
 from quetzaldyke.gateway.membership import Registration
 from quetzaldyke.gateway.model import Configuration, Installation
 from quetzaldyke.gateway.online_request import RelayContext
+from quetzaldyke.gateway.organisation_rates import OrganisationRates
 from quetzaldyke.gateway.peer_messages import PeerMessages
 from quetzaldyke.gateway.placement import PlacementPolicy
 from quetzaldyke.gateway.shared_watch import WatchSharing
@@ -66,6 +67,7 @@
     endpoint_table: EndpointTable
     loads: LoadTable
     limits: LimitExchange
+    rates: OrganisationRates
     dispatcher: Dispatcher
     jobs: JobTable
     job_store: JobStore
@@ -131,6 +133,14 @@
             lambda peer, message: gossip.send([peer], message),
         )
         limits.attach(dispatcher)
+        rates = OrganisationRates.from_parts(
+            owner_id,
+            installation,
+            metrics,
+            lambda name: entry.configurations.find_organisation(name),
+            lambda peer, message: gossip.send([peer], message),
+            clock.now,
+        )
         api = JobApi(
             job_store,
             run_accepted=lambda job: (
@@ -192,6 +202,7 @@
             endpoint_table=endpoint_table,
             loads=loads,
             limits=limits,
+            rates=rates,
             dispatcher=dispatcher,
             jobs=jobs,
             job_store=job_store,
@@ -222,6 +233,7 @@
                 store.path,
                 gossip,
                 limits,
+                rates,
                 clock.now,
             ),
             started_s=clock.now(),
@@ -248,6 +260,7 @@
     def on_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration."""
         self.ingress.configure(configuration)
+        self.rates.configure(configuration)
         self.update_synced()
 
     def on_endpoints(self) -> None:
@@ -281,6 +294,12 @@
 
     def on_members(self) -> None:
         """Use the current members as gossip peers unless the store is down."""
+        self.rates.shares.set_registered(
+            {
+                member.owner_id: member.instance
+                for member in self.jobs.members.values()
+            }
+        )
         if not self.health.up:
             return
         self.sharing.set_members(self.jobs.members)
@@ -337,6 +356,7 @@
             log_event('endpoints_gone', endpoints=','.join(gone))
         self.policy.grants.drop_absent(self.endpoint_table.by_id)
         self.limits.clean_up()
+        self.rates.clean_up()
         self.messages.drains.clean_up()
         if self.caller_server is not None:
             self.ingress.time_out_callers(self.caller_server)
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -225,7 +225,8 @@
 
 
 async def hand_over_and_deregister(entry: Entry, runner: BatchRunner) -> None:
-    """Hand all jobs over to peers that report, and revoke the lease."""
+    """Hand rates and jobs over to the peers, and revoke the lease."""
+    entry.rates.leave()
     if entry.owner is not None:
         entry.owner.stopping = True
     successors = [
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -40,6 +40,7 @@
     timers.subscribe('lines', QUEUE_INTERVAL_S, entry.dispatcher.tick)
     timers.subscribe('gossip', GOSSIP_INTERVAL_S, entry.gossip_tick)
     timers.subscribe('limits', GOSSIP_INTERVAL_S, entry.limits.tick)
+    timers.subscribe('rates', WATCHDOG_INTERVAL_S, entry.rates.tick)
     timers.subscribe('drains', GOSSIP_INTERVAL_S, entry.messages.drains.tick)
     timers.subscribe('lease', RENEWAL_INTERVAL_S, entry.registration.renew)
     timers.subscribe('cleaning', CLEANUP_INTERVAL_S, entry.clean_up)
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -23,8 +23,16 @@
     encode_limit_message,
 )
 from quetzaldyke.gateway.loads import RequestCounts
+from quetzaldyke.gateway.rate_messages import (
+    RateAsk,
+    RateGrant,
+    RateMessage,
+    decode_rate_message,
+    encode_rate_message,
+)
 from quetzaldyke.gateway.shared_watch import WatchUpdate
 from quetzaldyke.parts.crash_causes import Trait
+from quetzaldyke.parts.rate_shares import ShareHeartbeat
 from quetzaldyke.parts.transactions import WatchedChange
 
 # Raised for content of another form; an infinite number is no integer.
@@ -81,6 +89,7 @@
     | WatchUpdate
     | DrainUpdate
     | LimitMessage
+    | RateMessage
 )
 
 
@@ -101,6 +110,8 @@
             return encode_watch_update(message)
         case DrainUpdate(sender, lifetimes):
             return bytes(msgpack.packb(['draining', sender, lifetimes]))
+        case ShareHeartbeat() | RateAsk() | RateGrant():
+            return encode_rate_message(message)
         case _:
             return encode_limit_message(message)
 
@@ -174,6 +185,8 @@
             return decode_load_report(sender, content)
         case 'draining':
             return decode_drain_update(sender, content)
+        case 'rate_shares' | 'rate_ask' | 'rate_grant':
+            return decode_rate_message(kind, sender, content)
     return decode_limit_message(kind, sender, content)
 
 
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -20,8 +20,11 @@
 from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.limit_exchange import LimitExchange
 from quetzaldyke.gateway.model import Endpoint
+from quetzaldyke.gateway.organisation_rates import OrganisationRates
+from quetzaldyke.gateway.rate_messages import RateAsk, RateGrant
 from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
 from quetzaldyke.gateway.store_path import StorePath
+from quetzaldyke.parts.rate_shares import ShareHeartbeat
 
 
 @dataclass(slots=True)
@@ -36,6 +39,7 @@
     store_path: StorePath
     gossip: Gossip
     limits: LimitExchange
+    rates: OrganisationRates
     now: Callable[[], float]
     # None until jobs are run.
     runner: BatchRunner | None = None
@@ -66,6 +70,8 @@
                 self.sharing.on_update(message)
             case DrainUpdate():
                 self.drains.apply(message)
+            case ShareHeartbeat() | RateAsk() | RateGrant():
+                self.rates.apply(message)
             case _:
                 self.limits.apply(message)
 
