Answer 429 to requests beyond their organisation's rate

Cause: nothing used the rates of the configuration.

Jobs, public routes and organisations without a rate don't count. The refusals' log lines are routine ones, so that an overload can't use up the log's rate.

--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -170,6 +170,7 @@
             generator,
             api.handle,
             is_current=lambda: entry.configurations.is_current(),
+            admit=rates.admit,
         )
         gossip = Gossip(
             owner_id,
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -28,6 +28,7 @@
     RelayContext,
 )
 from quetzaldyke.gateway.open_requests import OpenRequests
+from quetzaldyke.gateway.rate_demand import RateLimiter, admit_all
 from quetzaldyke.gateway.received_request import (
     AsgiCaller,
     CallerDisconnectedError,
@@ -49,6 +50,7 @@
 STATUS_UNAUTHORIZED: Final = 401
 STATUS_NOT_FOUND: Final = 404
 STATUS_TOO_LARGE: Final = 413
+STATUS_TOO_MANY_REQUESTS: Final = 429
 STATUS_HEADERS_TOO_LARGE: Final = 431
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
@@ -77,6 +79,8 @@
     # Whether the configuration was confirmed recently enough to answer an
     # unknown route with 404.
     is_current: Callable[[], bool]
+    # Admits or refuses a request by the rate of its organisation.
+    admit: RateLimiter = admit_all
     table: RouteTable | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
     # Set during a graceful shutdown: every response then closes its
@@ -213,6 +217,17 @@
             retry_after_s = self.window.retry_after_s(now_s)
             await self.refuse(caller, request, 'stopping', retry_after_s)
             return
+        admission = await self.admit(online.organisation, online.deadline_s)
+        if isinstance(admission, Err):
+            await self.refuse(
+                caller,
+                request,
+                'organisation_rate',
+                admission.err_value.retry_after_s,
+                status=STATUS_TOO_MANY_REQUESTS,
+                organisation=identity.name,
+            )
+            return
         await self.relay(online, caller)
 
     async def reject_unknown(
@@ -352,6 +367,8 @@
         request: ReceivedRequest,
         reason: str,
         retry_after_s: float = CONFIGURATION_RETRY_S,
+        status: int = STATUS_UNAVAILABLE,
+        **fields: str,
     ) -> None:
         """Refuse a request that no endpoint has run."""
         request_id = request.header(names.ATTEMPT_ID) or b''
@@ -360,9 +377,10 @@
             'request_refused',
             request=request_id.decode('latin-1'),
             reason=reason,
+            **fields,
         )
         retry_after = b'%.2f' % retry_after_s
-        await send_refusal(caller, STATUS_UNAVAILABLE, retry_after)
+        await send_refusal(caller, status, retry_after)
 
 
 def span_ms(start_s: float, end_s: float) -> int | str:
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -36,6 +36,8 @@
         'crashes_cleared',
     ),
 )
+# Reasons of refusals that come by the hundred while one caller sends too much.
+ROUTINE_REASONS: Final = frozenset(('organisation_rate',))
 
 
 @dataclass(slots=True)
@@ -80,9 +82,9 @@
         """Write a message; drop and count it if it exceeds the rate limit."""
         name = str(message.get('message_type', ''))
         now_s = time.monotonic()
-        if not self.limiter.try_take(
-            routine=name in ROUTINE_EVENTS, now_s=now_s
-        ):
+        frequent = message.get('reason') in ROUTINE_REASONS
+        routine = frequent or name in ROUTINE_EVENTS
+        if not self.limiter.try_take(routine=routine, now_s=now_s):
             self.dropped += 1
             return
         line = f't={time.time():.3f} process={self.process} '
