--- a/src/quetzaldyke/parts/rate_shares.py
+++ b/src/quetzaldyke/parts/rate_shares.py
@@ -199,15 +199,17 @@
             if now_s - peer.returned_s < self.hold_s
         }
         heard.add(self.own_id)
-        known = frozenset(heard.union(self.registered))
-        members = known.difference(self.left_s)
-        if members != self.members:
-            self.members = members
-            self.digest = digest_of(members)
         self.drop_expired(now_s)
         if self.bound_until_s > now_s:
             for member in self.heard.symmetric_difference(heard):
                 self.unsettled_s[member] = self.bound_until_s
+        # One that is no longer registered when it ceases to be heard must
+        # count until it is settled: shares may still be delegated to it.
+        known = heard.union(self.registered, self.unsettled_s)
+        members = frozenset(known.difference(self.left_s))
+        if members != self.members:
+            self.members = members
+            self.digest = digest_of(members)
         self.hold_s = HOLD_INTERVALS * self.interval_s
         self.heard = frozenset(heard)
         self.instance_count = len(self.instances())
--- a/tests/test_rate_faults.py
+++ b/tests/test_rate_faults.py
@@ -14,7 +14,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gateway_kit import FakeTime
 from quetzaldyke.gateway.model import Organisation
+from quetzaldyke.parts.rate_shares import ShareHeartbeat, ShareTable
+from quetzaldyke.parts.rendezvous import score
 from rate_fleet import RateFleet
 
 BIG: Final = Organisation('big', rate=100.0, burst=150.0)
@@ -139,6 +142,31 @@
             assert len(holders) == 1, (key, fleet.time.now_s, holders)
 
 
+def test_unregistered_member_counts_until_it_is_settled() -> None:
+    """Guards against a share that its member uses while it is delegated.
+
+    A coordinator whose registration had lapsed was no member any more from the
+    moment at which it was not heard, and what it holds was forgotten. Found by
+    seed 170 of (stop, 0.7), (cut_off, 2.0), (cut_link, 0.1), (kill, 0.1)
+    without requests.
+    """
+    time = FakeTime(100.0)
+    shares = ShareTable('m', 'im', time.read)
+    time.now_s = 101.0
+    key = next(key for key in KEYS if score('c', key) > score('m', key))
+    shares.apply(ShareHeartbeat('c', 'ic', 1, 100_900_000, 0.6, 0, 2))
+    shares.update()
+    shares.heartbeat_to('c')
+    assert not shares.held.senders(key)
+    time.now_s = 101.55
+    shares.update()
+    assert 'c' not in shares.heard
+    assert not shares.held.senders(key)
+    time.now_s = 101.65
+    shares.update()
+    assert shares.held.senders(key) == ['m']
+
+
 @settings(max_examples=30, deadline=None)
 @given(
     st.lists(
