Let requests wait for the shares of rates after a common start

Cause: after all entries die at once nobody holds the shares of an organisation's rate for 1.4 to 2.2 s, while old registrations last.

--- a/src/quetzaldyke/gateway/organisation_rates.py
+++ b/src/quetzaldyke/gateway/organisation_rates.py
@@ -267,7 +267,8 @@
         demand.permits_s.extend(itertools.repeat(expires_s, unused))
         if grant.granted >= asked:
             return
-        if grant.minority and self.starting:
+        soon = grant.minority or grant.retry_after_s < PATIENCE_S
+        if soon and self.starting:
             # The others are asked for again when this ask is too old.
             demand.asked = asked - admitted
             return
--- a/tests/rate_fleet.py
+++ b/tests/rate_fleet.py
@@ -20,7 +20,6 @@
 from quetzaldyke.gateway.gossip_messages import decode, encode
 from quetzaldyke.gateway.model import Organisation
 from quetzaldyke.gateway.organisation_rates import (
-    PATIENCE_S,
     OrganisationRates,
 )
 from quetzaldyke.gateway.rate_coordinator import RateCoordinator
@@ -29,6 +28,8 @@
 from quetzaldyke.parts.fleet_rate import RateBounds
 from quetzaldyke.parts.rate_shares import ShareTable
 
+# Time that callers have for their requests.
+CALLER_TIME_S: Final = 5.0
 TICK_S: Final = 0.05
 LEASE_S: Final = 3.0
 BOUNDS: Final = RateBounds()
@@ -193,7 +194,8 @@
                 self.admitted_s.setdefault(name, []).append(self.time.now_s)
 
         def arrive() -> None:
-            deadline_s = self.time.now_s + PATIENCE_S
+            patience_s = entry.rates.patience_s(CALLER_TIME_S)
+            deadline_s = self.time.now_s + patience_s
             organisation = self.organisations[name]
             entry.rates.request(organisation, Waiter(decide, deadline_s))
 
--- a/tests/test_organisation_rates.py
+++ b/tests/test_organisation_rates.py
@@ -106,6 +106,25 @@
     assert fleet.keeps_bounds()
 
 
+def test_fleet_that_starts_again_serves_what_fits() -> None:
+    """Guards against light organisations refused while shares are unknown.
+
+    Nobody holds the shares for a moment after all entries have died at once.
+    A request waits for them rather than being refused.
+    """
+    names = [f'o{number}' for number in range(12)]
+    limits = [Organisation(name, rate=20.0, burst=20.0) for name in names]
+    fleet = RateFleet.of(12, *limits)
+    for name in names:
+        fleet.demand(name, 2.0, 10.0)
+    fleet.run(2.0)
+    for number in range(12):
+        fleet.kill(f'i{number}', 0.5)
+    fleet.run(8.0)
+    assert len(fleet.refusals) <= 0.01 * 12 * 2.0 * 10.0
+    assert fleet.keeps_bounds()
+
+
 def test_planned_stop_refuses_nothing_that_fits() -> None:
     """Guards against shares that a stopping coordinator takes along."""
     fleet = RateFleet.of(6, LARGE)
