Weigh slowness by what a full endpoint costs, and try slow ones with one request

Cause: with a fixed weight, entries whose load reports are some ms old meet on the last slots of fast engines, where a slot is held for far longer than a slow first event takes; and each entry sends several requests at once to an endpoint whose slowness has only faded.

Change: the weight is the time of a first event over that of a wait for a slot, three at most. While an endpoint has requests, its last confirmed pace decides whether it is in time.

--- a/src/quetzaldyke/gateway/endpoint_speeds.py
+++ b/src/quetzaldyke/gateway/endpoint_speeds.py
@@ -69,6 +69,8 @@
 
     endpoint: Endpoint
     pace: float = 1.0
+    # The pace when answers have last confirmed it, which does not fade.
+    confirmed: float = 1.0
     # When an own answer, or one of a peer, last confirmed the pace.
     measured_s: float = -math.inf
     heard_s: float = -math.inf
@@ -106,7 +108,7 @@
         """Move the pace towards a measured one, within bounds."""
         nearest = max(self.pace / MAX_CHANGE, min(self.pace * MAX_CHANGE, pace))
         moved = self.pace + weight * (nearest - self.pace)
-        self.pace = max(MIN_PACE, min(MAX_PACE, moved))
+        self.pace = self.confirmed = max(MIN_PACE, min(MAX_PACE, moved))
 
     def fade(self, elapsed_s: float, now_s: float) -> None:
         """Bring an unconfirmed pace nearer to the median."""
@@ -158,6 +160,11 @@
         speed = self.known(endpoint)
         return speed.pace if speed else 1.0
 
+    def confirmed_pace(self, endpoint: Endpoint) -> float:
+        """Return the pace of an endpoint that answers have last confirmed."""
+        speed = self.known(endpoint)
+        return speed.confirmed if speed else 1.0
+
     def slowness(self, endpoint: Endpoint, now_s: float) -> float:
         """Return how long work takes at an endpoint now, 1 at the median."""
         speed = self.known(endpoint)
@@ -242,6 +249,7 @@
         median = statistics.median((*paces, *repeat(1.0, unknown)))
         for speed in known:
             speed.pace = max(MIN_PACE, min(MAX_PACE, speed.pace / median))
+            speed.confirmed /= median
         for key in self.usual_s:
             if key[0] == service:
                 self.usual_s[key] *= median
--- a/src/quetzaldyke/gateway/expected_times.py
+++ b/src/quetzaldyke/gateway/expected_times.py
@@ -23,10 +23,12 @@
 # Differences from the median below this ratio are within the noise of what is
 # measured, and don't change the order of endpoints.
 NOISE_RATIO: Final = 1.2
-# Utilisation that balances twice the time of the median. A slot beside others
-# in use costs a request little, slow work costs it in any case: fast endpoints
-# fill up before slow ones are used.
-SLOWNESS_WEIGHT: Final = 3.0
+# Utilisation that balances twice the time of the median, at most. It is the time
+# of a first event over the wait for a slot that another entry has just taken:
+# where slots are held for long, a full endpoint costs more than a slow one.
+MAX_SLOWNESS_WEIGHT: Final = 3.0
+# The same until the times of a service are known.
+DEFAULT_SLOWNESS_WEIGHT: Final = 0.5
 # Slowness from which on an endpoint is last anyway.
 MAX_SLOWNESS: Final = 8.0
 # A queue is chosen over a free slot if it takes at most this share of the time.
@@ -92,8 +94,14 @@
         return slowness * (self.first_s + queued * self.held_s / slots)
 
     def is_in_time(self, endpoint: Endpoint, online: int) -> bool:
-        """Return whether one more request is expected to be in time."""
+        """Return whether one more request is expected to be in time.
+
+        An endpoint whose slowness has faded is tried with one request: while
+        it has any, the last confirmed pace counts.
+        """
         slowness = self.speeds.slowness(endpoint, self.now_s)
+        if online:
+            slowness = max(slowness, self.speeds.confirmed_pace(endpoint))
         return slowness <= self.max_slowness and (
             self.time_s(slowness, endpoint.slots, online) <= self.target_s
         )
@@ -146,18 +154,31 @@
     if speed is None:
         return 0.0
     waiting = speed.stated_waiting(now_s) / endpoint.slots
-    return equivalent_use(speed.pace * speed.moment(now_s)) + waiting
+    weight = slowness_weight(speeds, endpoint)
+    return weight * difference(speed.pace * speed.moment(now_s)) + waiting
+
+
+def slowness_weight(speeds: EndpointSpeeds, endpoint: Endpoint) -> float:
+    """Return which utilisation balances twice the time of the median."""
+    usual_s = speeds.usual_s
+    held_s = usual_s.get((endpoint.service, 'stream'))
+    first_s = usual_s.get((endpoint.service, 'first'))
+    if held_s is None:
+        held_s = first_s = usual_s.get((endpoint.service, 'whole'))
+    if not held_s or not first_s:
+        return DEFAULT_SLOWNESS_WEIGHT
+    return min(MAX_SLOWNESS_WEIGHT, first_s * endpoint.slots / held_s)
 
 
-def equivalent_use(slowness: float) -> float:
-    """Return the utilisation that makes an ordinary endpoint as undesirable.
+def difference(slowness: float) -> float:
+    """Return by how much a slowness differs from the median beyond noise.
 
-    >>> equivalent_use(1.1), equivalent_use(2.2) > 1, equivalent_use(0.7) < 0
-    (0.0, True, True)
+    >>> difference(1.1), difference(2.2), difference(0.7) < 0
+    (0.0, 1.0, True)
     """
     slowness = min(MAX_SLOWNESS, slowness)
     usual = max(1 / NOISE_RATIO, min(NOISE_RATIO, slowness))
-    return SLOWNESS_WEIGHT * (slowness - usual)
+    return slowness - usual
 
 
 def batch_shift(speeds: EndpointSpeeds, endpoint: Endpoint) -> float:
@@ -169,4 +190,4 @@
     pace = speeds.pace(endpoint)
     if pace > MAX_BATCH_PACE:
         return pace * endpoint.slots
-    return -equivalent_use(pace) * endpoint.slots
+    return -MAX_SLOWNESS_WEIGHT * difference(pace) * endpoint.slots
--- a/tests/test_endpoint_speeds.py
+++ b/tests/test_endpoint_speeds.py
@@ -192,6 +192,30 @@
         time.now_s += 0.5
         speeds.refresh([('lm', candidates)])
     assert speeds.pace(endpoints['a']) < 1.2
+    for online, chosen in ((0, 'a'), (1, 'b')):
+        set_running(loads, 'a', online, 0)
+        set_running(loads, 'b', 3, 0)
+        tried = policy.choose(candidates, 1, (), route)
+        assert tried is not None
+        assert tried.endpoint.endpoint_id == chosen
+
+
+def test_fast_engines_are_not_filled_where_slots_are_held_for_long() -> None:
+    """Guards against entries that all send to the same last free slot.
+
+    The one that comes too late waits far longer than a slow first event takes.
+    """
+    speeds = EndpointSpeeds(FakeTime().read)
+    endpoints = learned(speeds, {'fast': 0.7, 'b': 1.0, 'slow': 1.7})
+    speeds.record(endpoints['b'], 'stream', 0.8)
+    loads = LoadTable()
+    set_running(loads, 'fast', 3, 0)
+    set_running(loads, 'b', 3, 0)
+    policy = PlacementPolicy('a', random.Random(1), loads, speeds=speeds)
+    candidates = list(endpoints.values())
+    chosen = policy.choose(candidates, 1, (), make_route('stream'))
+    assert chosen is not None
+    assert chosen.endpoint.endpoint_id == 'slow'
 
 
 def test_new_lifetime_starts_at_the_median() -> None:
