Let a pause that an endpoint asks for go before its speed

Cause: endpoints in time for a route were asked before all others, also those that had asked for a pause and would refuse. Change: they go with the late ones, among which those without a pause are preferred. A test fails without it.

--- a/src/quetzaldyke/gateway/expected_times.py
+++ b/src/quetzaldyke/gateway/expected_times.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -107,18 +107,24 @@
         )
 
     def by_needs(
-        self, candidates: Sequence[Endpoint], online: Callable[[str], int]
+        self,
+        candidates: Sequence[Endpoint],
+        online: Callable[[str], int],
+        paused: Collection[str],
     ) -> list[Sequence[Endpoint]]:
         """Return the endpoints that are in time, then the others.
 
-        `online` returns how many online requests an endpoint has. Empty groups
-        are left out.
+        `online` returns how many online requests an endpoint has. Those that
+        have asked for a pause would refuse the request, however fast they are.
+        Empty groups are left out.
         """
         in_time: list[Endpoint] = []
         late: list[Endpoint] = []
         for endpoint in candidates:
             requests = online(endpoint.endpoint_id)
-            fits = self.is_in_time(endpoint, requests)
+            fits = endpoint.endpoint_id not in paused and (
+                self.is_in_time(endpoint, requests)
+            )
             (in_time if fits else late).append(endpoint)
         return [group for group in (in_time, late) if group]
 
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -88,7 +88,9 @@
         forecast = Forecast.of(self.speeds, candidates[0].service, route)
         placements = (
             self.choose_among(group, max_queued, paused, forecast)
-            for group in forecast.by_needs(candidates, self.loads.online)
+            for group in forecast.by_needs(
+                candidates, self.loads.online, paused
+            )
         )
         return next((one for one in placements if one is not None), None)
 
--- a/tests/test_endpoint_speeds.py
+++ b/tests/test_endpoint_speeds.py
@@ -218,6 +218,18 @@
     assert chosen.endpoint.endpoint_id == 'slow'
 
 
+def test_pause_goes_before_speed() -> None:
+    """Guards against requests that a fast endpoint has said it will refuse."""
+    speeds = EndpointSpeeds(FakeTime().read)
+    endpoints = learned(speeds, {'fast': 1.0, 'b': 8.0, 'c': 8.0, 'd': 1.0})
+    policy = PlacementPolicy('a', random.Random(1), LoadTable(), speeds=speeds)
+    candidates = list(endpoints.values())
+    route = make_route('stream')
+    chosen = policy.choose(candidates, 1, ('fast', 'd'), route)
+    assert chosen is not None
+    assert chosen.endpoint.endpoint_id in {'b', 'c'}
+
+
 def test_new_lifetime_starts_at_the_median() -> None:
     """Guards against a restarted endpoint that is starved or flooded."""
     speeds = EndpointSpeeds(FakeTime().read)
