Mend what the review of rates and fair sharing has found

Cause, each shown by the reviewer on the fleet of the tests: a new entry used a grant again when its ask was sent again; an instance cut off from peers and store went on granting a share that the others had forgotten; an entry that knew no members yet took the whole rate; a coordinator that kept members which the others had dropped refused all that fits. Besides, lapsed members and grants to lost entries were kept for good, urgent batch items lost their precedence with more organisations than slots, and the weights of entries were computed for each endpoint. Change: each partial answer ends its ask; an entry whose registration is not confirmed for 45 s, and that hears half of the members at most, gives its share up; members with another view count as not heard; weights once a pass.

--- a/src/quetzaldyke/gateway/batch_schedule.py
+++ b/src/quetzaldyke/gateway/batch_schedule.py
@@ -202,11 +202,16 @@
         all items need, the first item gets the fastest.
         """
         allocated: list[tuple[float, float, Endpoint]] = []
+        weights = self.grants.weigh_entries(own_pending)
         for endpoint in endpoints:
             endpoint_id = endpoint.endpoint_id
             free = endpoint.slots - self.loads.total(endpoint_id)
             if free <= 0 or not self.grants.may_fill(
-                endpoint_id, own_pending, now_s, endpoint.failure_domain
+                endpoint_id,
+                own_pending,
+                now_s,
+                endpoint.failure_domain,
+                weights,
             ):
                 continue
             for number in range(free):
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -42,6 +42,7 @@
     entry.dispatcher.estimates.shares.weight_of = entry.configurations.weight_of
     entry.policy.grants.shares.weight_of = entry.configurations.weight_of
     entry.limits.permits.on_granted = entry.on_permits
+    entry.registration.on_renewed = entry.rates.shares.confirm
     connect_domains(entry)
     connect_loading(entry)
     connect_speeds(entry)
--- a/src/quetzaldyke/gateway/item_order.py
+++ b/src/quetzaldyke/gateway/item_order.py
@@ -72,7 +72,8 @@
     chosen: list[Candidate] = []
     for flow, line in lines_of(ordered).items():
         urgent = [one for one in line if one.urgent and not one.late]
-        room = math.floor(share * table.weight_of(flow)) - table.held(flow)
+        whole = max(1, math.floor(share * table.weight_of(flow)))
+        room = whole - table.held(flow)
         chosen += urgent[: max(0, room)]
     return start_order(chosen)
 
--- a/src/quetzaldyke/gateway/item_starter.py
+++ b/src/quetzaldyke/gateway/item_starter.py
@@ -269,6 +269,9 @@
 
     def update_shares(self) -> tuple[ItemRow, ...]:
         """Count the items by organisation; return the rows for the peers."""
+        if not any(job.record.organisation for job in self.jobs.values()):
+            self.shares.own = ()
+            return ()
         pending: dict[str, int] = {}
         for job in self.jobs.values():
             name = job.record.organisation
--- a/src/quetzaldyke/gateway/membership.py
+++ b/src/quetzaldyke/gateway/membership.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Final
 
@@ -44,6 +44,8 @@
     # Whether the record was certainly written under the lease.
     written: bool = False
     ended: bool = False
+    # Called when the lease was renewed.
+    on_renewed: Callable[[], None] = lambda: None
 
     @property
     def key(self) -> str:
@@ -60,6 +62,7 @@
         if self.lease_id:
             answer = await self.store.renew_lease(self.lease_id)
             if isinstance(answer, Ok):
+                self.on_renewed()
                 if not self.written:
                     await self.register()
                 return
--- a/src/quetzaldyke/gateway/organisation_rates.py
+++ b/src/quetzaldyke/gateway/organisation_rates.py
@@ -270,7 +270,9 @@
         soon = grant.minority or grant.retry_after_s < PATIENCE_S
         if soon and self.starting:
             # The others are asked for again when this ask is too old.
+            # This ask is done with: its grant must not be used again.
             demand.asked = asked - admitted
+            demand.number = next(self.numbers)
             return
         now_s = self.now()
         demand.told_s = now_s + grant.retry_after_s
@@ -307,7 +309,8 @@
         """
         now_s = self.now()
         bounds = self.coordinator.bounds
-        if now_s - self.shares.started_s < bounds.window_s:
+        fresh = now_s - self.shares.started_s < bounds.window_s
+        if fresh or not self.shares.confirmed:
             return False
         organisation = demand.organisation
         rank, entries = self.shares.rank(organisation.name)
--- a/src/quetzaldyke/gateway/rate_coordinator.py
+++ b/src/quetzaldyke/gateway/rate_coordinator.py
@@ -102,7 +102,10 @@
     def clean_up(self) -> None:
         """Drop the buckets that are full, and grants to lost entries."""
         now_s = self.now()
+        members = self.shares.members
         for name, state in list(self.rates.items()):
+            for sender in state.grants.keys() - members:
+                del state.grants[sender]
             if now_s - state.asked_s < KEPT_S:
                 continue
             bucket = state.bucket
--- a/src/quetzaldyke/gateway/slot_grants.py
+++ b/src/quetzaldyke/gateway/slot_grants.py
@@ -94,19 +94,30 @@
             return near_number, near
         return NEAR_ROUNDS + int(waited_s / FAR_ROUND_S), weights
 
+    def weigh_entries(self, own_pending: int) -> Mapping[str, float]:
+        """Return the weight of each entry; empty if no peer has items."""
+        pending = self.loads.pending_by_peer()
+        if not pending:
+            return {}
+        pending[self.own_id] = own_pending
+        return self.shares.weigh_entries(self.own_id, pending)
+
     def may_fill(
         self,
         endpoint_id: str,
         own_pending: int,
         now_s: float,
         failure_domain: str = '',
+        weights: Mapping[str, float] | None = None,
     ) -> bool:
-        """Return whether this entry fills the free slots of an endpoint."""
-        pending = self.loads.pending_by_peer()
-        if not pending:
+        """Return whether this entry fills the free slots of an endpoint.
+
+        `weights` are those of the entries if they are known already.
+        """
+        if weights is None:
+            weights = self.weigh_entries(own_pending)
+        if not weights:
             return own_pending > 0
-        pending[self.own_id] = own_pending
-        weights = self.shares.weigh_entries(self.own_id, pending)
         running = self.loads.batch(endpoint_id)
         known, since_s = self.batch_runs.get(endpoint_id, (-1, now_s))
         if known != running:
--- a/src/quetzaldyke/parts/kv.py
+++ b/src/quetzaldyke/parts/kv.py
@@ -44,7 +44,7 @@
     `unavailable`: certainly not applied. `unknown`: may have been applied.
     `conflict`: the revision differs. `too_large`: the value exceeds the
     limit. `compacted`: the requested history has been removed. `no_lease`:
-    the lease has lapsed. `cut`: a watch was ended while it waited. `cut`: a watch was ended while it waited.
+    the lease has lapsed. `cut`: a watch was ended while it waited.
     """
 
     kind: ErrorKind
--- a/src/quetzaldyke/parts/rate_shares.py
+++ b/src/quetzaldyke/parts/rate_shares.py
@@ -28,6 +28,7 @@
 import hashlib
 import math
 from collections.abc import Callable, Container, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -41,6 +42,12 @@
 HOLD_INTERVALS: Final = 6
 # For how long an instance without a registration keeps its share.
 LAPSED_S: Final = 60.0
+# An entry that has not confirmed its registration for this long, and hears half
+# of the members at most, gives its share up: others may forget it soon.
+UNCONFIRMED_S: Final = 45.0
+# A member whose view of the members has differed for so many holds counts as
+# not heard: nobody can delegate to it.
+DIFFERING_HOLDS: Final = 2.0
 US_IN_S: Final = 1_000_000
 DIGEST_BYTES: Final = 6
 
@@ -83,6 +90,8 @@
     received_s: float = -math.inf
     # Latest time at which a heartbeat was sent to it that it has returned.
     returned_s: float = -math.inf
+    # When its heartbeats last named the same members as this process knows.
+    agreed_s: float = -math.inf
 
 
 @dataclass(slots=True)
@@ -111,6 +120,10 @@
     # When all delegations that were sent so far have expired.
     bound_until_s: float = -math.inf
     leaving: bool = False
+    # Whether most of those that are heard know other members.
+    outdated: bool = False
+    # When the own registration was last confirmed; never before it was seen.
+    confirmed_s: float = -math.inf
     started_s: float = field(init=False)
     held: HeldShares = field(init=False)
 
@@ -128,8 +141,27 @@
 
     @property
     def delegating(self) -> bool:
-        """Return whether no delegation of a predecessor can still hold."""
-        return self.now() - self.started_s >= self.hold_s
+        """Return whether this process may delegate its shares.
+
+        No delegation of a predecessor can still hold, and the other entries
+        count its share.
+        """
+        started = self.now() - self.started_s >= self.hold_s
+        return started and self.confirmed
+
+    @property
+    def confirmed(self) -> bool:
+        """Return whether the other entries count the share of this one."""
+        if self.confirmed_s == -math.inf:
+            return False
+        if 2 * len(self.heard) > len(self.members):
+            return True
+        return self.now() - self.confirmed_s < UNCONFIRMED_S
+
+    def confirm(self) -> None:
+        """Record that the own registration holds, if it was seen."""
+        if self.own_id in self.registered:
+            self.confirmed_s = self.now()
 
     def set_registered(self, instances: Mapping[str, str]) -> None:
         """Replace the registered members, with the instance of each."""
@@ -138,8 +170,10 @@
             if member not in self.left_s:
                 self.lapsed[member] = self.registered[member], now_s
         self.registered = dict(instances)
+        self.confirm()
         for member in instances:
             self.lapsed.pop(member, None)
+        self.drop_lapsed(now_s)
 
     def apply(self, heartbeat: ShareHeartbeat) -> None:
         """Apply a heartbeat unless a later one has arrived."""
@@ -161,6 +195,8 @@
             return
         peer.returned_s = max(peer.returned_s, returned_s)
         known = heartbeat.members == self.digest
+        if known or peer.agreed_s == -math.inf:
+            peer.agreed_s = now_s
         if heartbeat.hold_s and known and not self.leaving:
             self.held.renew(
                 sender,
@@ -199,6 +235,10 @@
             if now_s - peer.returned_s < self.hold_s
         }
         heard.add(self.own_id)
+        differing = self.differing(heard)
+        self.outdated = 2 * len(differing) >= len(heard)
+        if not self.outdated:
+            heard -= differing
         self.drop_expired(now_s)
         if self.bound_until_s > now_s:
             for member in self.heard.symmetric_difference(heard):
@@ -223,6 +263,8 @@
                 self.instance_count,
                 math.inf,
             )
+        else:
+            self.held.remove(self.own_id)
 
     def established(self) -> frozenset[str]:
         """Return the members to ask for permits.
@@ -233,8 +275,22 @@
         entered = self.unsettled_s.keys() & self.heard
         if 2 * len(entered) > len(self.heard):
             return self.heard
+        if self.outdated:
+            return self.heard - entered - {self.own_id}
         return self.heard - entered
 
+    def differing(self, heard: AbstractSet[str]) -> set[str]:
+        """Return those that know other members than this process.
+
+        An entry that is cut from the store keeps members that others drop.
+        """
+        oldest_s = self.now() - DIFFERING_HOLDS * self.hold_s
+        return {
+            member
+            for member in heard
+            if member in self.peers and self.peers[member].agreed_s < oldest_s
+        }
+
     def drop_expired(self, now_s: float) -> None:
         """Drop what has expired."""
         self.unsettled_s = {
@@ -243,11 +299,7 @@
             if until_s > now_s
         }
         self.held.drop_expired(LAPSED_S)
-        self.lapsed = {
-            member: (instance, since_s)
-            for member, (instance, since_s) in self.lapsed.items()
-            if now_s - since_s <= LAPSED_S
-        }
+        self.drop_lapsed(now_s)
         self.left_s = {
             member: since_s
             for member, since_s in self.left_s.items()
@@ -259,6 +311,14 @@
             if member in self.registered or now_s - peer.received_s <= LAPSED_S
         }
 
+    def drop_lapsed(self, now_s: float) -> None:
+        """Drop the members that were lost long ago."""
+        self.lapsed = {
+            member: (instance, since_s)
+            for member, (instance, since_s) in self.lapsed.items()
+            if now_s - since_s <= LAPSED_S
+        }
+
     def instances(self) -> set[str]:
         """Return the instances that may use their share."""
         instances = {instance for instance, _ in self.lapsed.values()}
--- a/tests/test_organisation_rates.py
+++ b/tests/test_organisation_rates.py
@@ -125,6 +125,62 @@
     assert fleet.keeps_bounds()
 
 
+def test_new_entry_uses_each_grant_once() -> None:
+    """Guards against permits that a repeated answer brings once more.
+
+    A new entry asks again for what it was not granted, and datagrams come
+    twice.
+    """
+    fleet = RateFleet.of(
+        5, Organisation('big', rate=100.0, burst=500.0), doubling=1
+    )
+    fleet.start('i9')
+    fleet.run(1.2)
+    fleet.demand('big', 800.0, 4.0, 'i9')
+    fleet.run(6.0)
+    assert fleet.keeps_bounds()
+
+
+def test_long_cut_keeps_the_bound() -> None:
+    """Guards against a share that is used after the others forgot it."""
+    fleet = RateFleet.of(9, LARGE)
+    fleet.cut('i0', 'i1', 'i2', 'i3', seconds=90.0)
+    fleet.run(75.0)
+    fleet.demand('large', 300.0, 8.0)
+    fleet.run(8.0)
+    assert fleet.keeps_bounds()
+
+
+def test_entry_cut_from_the_store_keeps_nothing_from_others() -> None:
+    """Guards against a coordinator that knows members which others dropped."""
+    fleet = RateFleet.of(9, LARGE)
+    shares = fleet.running('i0').rates.shares
+    coordinator = fleet.entries[shares.coordinator('large') or '']
+    coordinator.store_cut = True
+    other = next(
+        one.instance for one in fleet.entries.values() if one is not coordinator
+    )
+    fleet.kill(other, 0.3)
+    fleet.run(8.0)
+    before = len(fleet.refusals)
+    fleet.demand('large', 20.0, 10.0)
+    fleet.run(10.0)
+    assert len(fleet.refusals) - before <= 0.02 * 20.0 * 10.0
+    assert fleet.keeps_bounds()
+
+
+def test_entry_that_knows_no_members_holds_no_share() -> None:
+    """Guards against an entry that starts cut off and takes the whole rate."""
+    fleet = RateFleet.of(8, LARGE)
+    alone = fleet.start('i8')
+    alone.store_cut = True
+    fleet.cut('i8', seconds=20.0)
+    fleet.demand('large', 300.0, 8.0, 'i8')
+    fleet.demand('large', 300.0, 8.0, 'i1')
+    fleet.run(8.0)
+    assert fleet.keeps_bounds()
+
+
 def test_planned_stop_refuses_nothing_that_fits() -> None:
     """Guards against shares that a stopping coordinator takes along."""
     fleet = RateFleet.of(6, LARGE)
--- a/tests/test_rate_faults.py
+++ b/tests/test_rate_faults.py
@@ -152,6 +152,7 @@
     """
     time = FakeTime(100.0)
     shares = ShareTable('m', 'im', time.read)
+    shares.set_registered({'m': 'im'})
     time.now_s = 101.0
     key = next(key for key in KEYS if score('c', key) > score('m', key))
     shares.apply(ShareHeartbeat('c', 'ic', 1, 100_900_000, 0.6, 0, 2))
