Mend what a fresh reader of the diff stumbled on

Cause: a row of merged items could hide one of jobs without an organisation, only the heaviest row of a report was logged, explain did not know refusals by rate, and some docstrings and pages said less or other than the code does. Change: the rows add up, each service logs its heaviest organisation, and the texts follow the code. Result: the tests of the modules touched pass.

--- a/src/quetzaldyke/gateway/authentication.py
+++ b/src/quetzaldyke/gateway/authentication.py
@@ -2,8 +2,8 @@
 
 Failure pattern: keys are added and withdrawn while connections, streams and
 jobs live on, and an entry may know an older version than its callers. Each
-request is therefore decided by itself. An unknown key is rejected only by an
-entry that knows the current version; any other refuses the request for now.
+request is therefore decided by itself. `key_check.py` decides whether one with
+an unknown key is rejected or refused for now.
 """
 
 from __future__ import annotations
--- a/src/quetzaldyke/gateway/domain_shares.py
+++ b/src/quetzaldyke/gateway/domain_shares.py
@@ -147,7 +147,10 @@
         self.spread = Spread(share, target.room, target.largest)
 
     def leaves(self) -> bool:
-        """Return whether the next request leaves; evenly over the requests."""
+        """Return whether the next request leaves, evenly over the requests.
+
+        Each call counts as a request.
+        """
         self.credit += self.spread.share
         if self.credit < 1:
             return False
@@ -268,7 +271,7 @@
     def next_domain(self, service: str) -> str:
         """Return the domain that the next request of a service should go to.
 
-        Empty if it should stay.
+        Empty if it should stay. Each call counts as a request.
         """
         known = self.services.get(service)
         if known is None or not known.spread.share or not known.leaves():
@@ -279,7 +282,10 @@
         return self.generator.choices(list(rooms), list(rooms.values()))[0]
 
     def groups(self, endpoints: Sequence[Endpoint]) -> Groups:
-        """Return endpoints by the order in which a request asks them."""
+        """Return endpoints by the order in which the next request asks them.
+
+        Each call counts as a request.
+        """
         service = endpoints[0].service
         known = self.services.get(service, ServiceSpread())
         named = self.next_domain(service)
--- a/src/quetzaldyke/gateway/entry_settings.py
+++ b/src/quetzaldyke/gateway/entry_settings.py
@@ -21,7 +21,7 @@
 PRICE_VARIABLE: Final = 'QUETZALDYKE_TRAFFIC_PRICE_MS'
 # Set to 1 to leave free what online demand takes in its peaks.
 RESERVE_VARIABLE: Final = 'QUETZALDYKE_RESERVE_PEAKS'
-# Set to 1 to prefer endpoints to which an entry has connections.
+# Set to 1 to give each entry endpoints that it prefers.
 CONNECTIONS_VARIABLE: Final = 'QUETZALDYKE_KEEP_CONNECTIONS'
 # Set to 1 to place requests by what endpoints show of their speed.
 SPEED_VARIABLE: Final = 'QUETZALDYKE_PLACE_BY_SPEED'
--- a/src/quetzaldyke/gateway/flow_exchange.py
+++ b/src/quetzaldyke/gateway/flow_exchange.py
@@ -70,13 +70,17 @@
             self.log_heaviest(report.requests, now_s)
 
     def log_heaviest(self, rows: tuple[RequestRow, ...], now_s: float) -> None:
-        """Log the organisation that asks for most, once in a while."""
+        """Log the heaviest organisation of each service, once in a while."""
         self.logged_s = {
             key: logged_s
             for key, logged_s in self.logged_s.items()
             if now_s - logged_s < LOG_INTERVAL_S
         }
-        for row in rows[:1]:
+        heaviest: dict[str, RequestRow] = {}
+        for row in rows:
+            if row.organisation:
+                heaviest.setdefault(row.service, row)
+        for row in heaviest.values():
             key = (row.service, row.organisation)
             if key not in self.logged_s:
                 self.logged_s[key] = now_s
--- a/src/quetzaldyke/gateway/history.py
+++ b/src/quetzaldyke/gateway/history.py
@@ -22,6 +22,7 @@
     'crashes_endpoints': 'requests like it crashed several endpoints',
     'no_configuration': 'the entry had no configuration yet',
     'configuration_too_old': 'the configuration may be out of date',
+    'organisation_rate': 'its organisation is beyond its rate',
     'keys_unconfirmed': 'the store has not confirmed for too long that keys hold',
     'too_many_unknown_keys': 'too many requests with unknown keys waited',
 }
--- a/src/quetzaldyke/gateway/item_order.py
+++ b/src/quetzaldyke/gateway/item_order.py
@@ -36,6 +36,7 @@
     flows = {one.organisation for one in ordered}
     if len(flows) < 2:
         return ordered
+    # Past use takes the place of virtual times; nothing is started in the table.
     table = FlowTable(
         shares.weight_of,
         dict(running),
--- a/src/quetzaldyke/gateway/item_shares.py
+++ b/src/quetzaldyke/gateway/item_shares.py
@@ -103,7 +103,7 @@
             told = [row for row in rows.get(entry, ()) if row.pending]
             for row in told or (ItemRow('', 0, items),):
                 waiting = by_flow.setdefault(row.organisation, {})
-                waiting[entry] = row.pending
+                waiting[entry] = waiting.get(entry, 0) + row.pending
         weights = dict.fromkeys(pending, 0.0)
         for flow, waiting in by_flow.items():
             total = sum(waiting.values())
@@ -115,7 +115,8 @@
 def heaviest_items(rows: Iterable[ItemRow]) -> tuple[ItemRow, ...]:
     """Return as many rows as a report holds, those with few items merged.
 
-    The last row then stands for all that found no room.
+    The last row then stands for all that found no room, without a name like
+    that of jobs without an organisation.
     """
     ordered = sorted(
         rows, key=lambda row: (-row.pending, -row.running, row.organisation)
--- a/src/quetzaldyke/gateway/item_starter.py
+++ b/src/quetzaldyke/gateway/item_starter.py
@@ -152,7 +152,7 @@
         items: int,
         now_s: float,
     ) -> OfferedSlots:
-        """Return one endpoint for each item that may start now."""
+        """Return the slots on which this entry's items may start now."""
         permits = self.dispatcher.permits
         permitted = permits.batch_places(usable, self.free_slots)
         if len(self.dispatcher.queue(service)):
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -193,7 +193,8 @@
     price_s: float = 0.0
     # Whether batch work leaves free what online demand takes in its peaks.
     reserve_peaks: bool = False
-    # Whether requests prefer endpoints to which this entry has connections.
+    # Whether each entry prefers its own few endpoints, so that connections are
+    # used again.
     keep_connections: bool = False
     # Whether requests are placed by the expected time of their events.
     by_speed: bool = False
--- a/src/quetzaldyke/gateway/organisation_rates.py
+++ b/src/quetzaldyke/gateway/organisation_rates.py
@@ -269,7 +269,8 @@
             return
         soon = grant.minority or grant.retry_after_s < PATIENCE_S
         if soon and self.starting:
-            # The others are asked for again when this ask is too old.
+            # Keeps further asks back until `serve_unanswered` asks for the
+            # others again, when this ask is too old.
             # This ask is done with: its grant must not be used again.
             demand.asked = asked - admitted
             demand.number = next(self.numbers)
--- a/src/quetzaldyke/gateway/speed_exchange.py
+++ b/src/quetzaldyke/gateway/speed_exchange.py
@@ -96,9 +96,7 @@
 
         self.log_event = self.speeds.log_event = log_event
         self.count = self.speeds.count = count
-        metrics.gauge(
-            'answer_durations_total', lambda: float(self.speeds.recorded)
-        )
+        metrics.gauge('answer_durations', lambda: float(self.speeds.recorded))
         metrics.gauge('uneven_endpoints', lambda: float(len(self.logged)))
 
     async def tick(self) -> None:
--- a/src/quetzaldyke/parts/held_shares.py
+++ b/src/quetzaldyke/parts/held_shares.py
@@ -254,7 +254,10 @@
         return None
 
     def floor_s(self, key: str) -> float:
-        """Return when the last one ceased to rank before this member."""
+        """Return when the last member that ranked above this one was lost.
+
+        Minus infinity if none was.
+        """
         own = score(self.own_id, key), self.own_id
         return max(
             (
--- a/src/quetzaldyke/parts/rate_shares.py
+++ b/src/quetzaldyke/parts/rate_shares.py
@@ -63,7 +63,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ShareHeartbeat:
-    """What one member tells another; the numbers are times in us."""
+    """What one member tells another.
+
+    `number` and `echo` are times in microseconds, by the clock of the sender
+    and of the receiver, which go on while a machine is suspended.
+    """
 
     sender: str
     instance: str
