Take a free slot of another domain before a batch run is cut

Change: a free slot of a domain with room goes before a slot of the own domain that batch work holds.

--- a/src/quetzaldyke/gateway/domain_shares.py
+++ b/src/quetzaldyke/gateway/domain_shares.py
@@ -296,11 +296,12 @@
             one for one in endpoints if one.failure_domain != self.own_domain
         ]
         if near and self.options.price_s >= known.next_slot_s:
-            return Groups([], near, [])
+            return Groups([], near, [], [])
         rooms = known.spread.room
         return Groups(
             [one for one in others if one.failure_domain == named],
             near,
+            [one for one in others if rooms.get(one.failure_domain, 0.0) >= 1],
             self.by_distance(others, rooms),
         )
 
@@ -329,5 +330,7 @@
     # Of the domain that the share names; only free slots there are for it.
     named: Sequence[Endpoint]
     near: Sequence[Endpoint]
+    # Of other domains that have room.
+    spare: Sequence[Endpoint]
     # Groups of other domains. Empty if a wait costs less than leaving.
     others: Sequence[Sequence[Endpoint]]
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -169,13 +169,16 @@
     ) -> Sequence[Group]:
         """Return the endpoints in groups, the preferred ones first.
 
-        Groups in which all endpoints have asked for a pause come last.
+        A free slot of a domain with room goes before one of the own domain
+        that batch work holds: a run that is cut is read again. Groups in which all endpoints have asked for a pause come last.
         """
         if self.shares is None:
             return (Group(candidates),)
         asked = self.shares.groups(candidates)
         groups = [
             Group(asked.named, may_preempt=False),
+            Group(asked.near, may_preempt=False),
+            Group(asked.spare, may_preempt=False),
             Group(asked.near),
             *(Group(others) for others in asked.others),
         ]
