Keep to a failure domain only where it has endpoints to choose among

Change: requests keep to domains with three endpoints or more; smaller domains share their peaks, and their peers get reports at each change.

--- a/src/quetzaldyke/gateway/batch_reserve.py
+++ b/src/quetzaldyke/gateway/batch_reserve.py
@@ -10,11 +10,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
 from quetzaldyke.gateway.demand_rhythm import DemandRhythm, reserved_share
+from quetzaldyke.gateway.domain_shares import MIN_ENDPOINTS
 from quetzaldyke.gateway.loads import LoadTable
 from quetzaldyke.gateway.model import Endpoint, EntryOptions
 
@@ -35,6 +36,8 @@
     rhythms: dict[DomainKey, DemandRhythm] = field(default_factory=dict)
     # Batch runs that each endpoint may have beside peaks.
     limits: dict[str, int] = field(default_factory=dict)
+    # Whose rhythm holds for each endpoint.
+    keys: dict[str, DomainKey] = field(default_factory=dict)
     observed_s: dict[str, float] = field(default_factory=dict)
 
     @classmethod
@@ -55,16 +58,20 @@
         for endpoint in endpoints:
             key = endpoint.service, endpoint.failure_domain
             domains.setdefault(key, []).append(endpoint)
+        domains = joined_small(domains)
         for key, members in domains.items():
             rhythm = self.rhythms.setdefault(key, DemandRhythm())
             online = (self.loads.online(one.endpoint_id) for one in members)
             rhythm.note(sum(online), now_s)
             self.limits.update(limits_of(members, rhythm.peak))
+            for one in members:
+                self.keys[one.endpoint_id] = key
 
     def keep_endpoints(self, endpoint_ids: Collection[str]) -> None:
         """Drop what is known of all other endpoints."""
         for endpoint_id in self.limits.keys() - set(endpoint_ids):
             del self.limits[endpoint_id]
+            del self.keys[endpoint_id]
 
     def limit(self, endpoint: Endpoint) -> int:
         """Return how many batch runs an endpoint may have beside peaks."""
@@ -72,8 +79,8 @@
 
     def rest_of_low_s(self, endpoint: Endpoint, now_s: float) -> float:
         """Return for how long its kept slots are expected to stay free."""
-        key = endpoint.service, endpoint.failure_domain
-        rhythm = self.rhythms.get(key)
+        key = self.keys.get(endpoint.endpoint_id)
+        rhythm = self.rhythms.get(key) if key is not None else None
         return 0.0 if rhythm is None else rhythm.rest_of_low_s(now_s)
 
     def split(
@@ -96,6 +103,21 @@
         return beside, kept
 
 
+def joined_small(
+    domains: Mapping[DomainKey, list[Endpoint]],
+) -> dict[DomainKey, list[Endpoint]]:
+    """Return endpoints by service and domain, with small domains joined.
+
+    Requests don't keep to domains with few endpoints, so their peaks are those
+    of all such domains together, under an empty name.
+    """
+    joined: dict[DomainKey, list[Endpoint]] = {}
+    for (service, domain), members in domains.items():
+        name = domain if len(members) >= MIN_ENDPOINTS else ''
+        joined.setdefault((service, name), []).extend(members)
+    return joined
+
+
 def limits_of(endpoints: Sequence[Endpoint], peak: float) -> dict[str, int]:
     """Return how many batch runs each endpoint of a domain may have.
 
--- a/src/quetzaldyke/gateway/domain_shares.py
+++ b/src/quetzaldyke/gateway/domain_shares.py
@@ -31,6 +31,9 @@
 FALL_S: Final = 1.0
 # Travel between two failure domains of a region, there and back.
 REMOTE_DELAY_S: Final = 0.003
+# Requests keep to a domain with at least so many endpoints of their service.
+# Among fewer there is no choice, and each of them would fill up first.
+MIN_ENDPOINTS: Final = 3
 # Keeps the wait that is accepted finite where requests take no time.
 MIN_HOLD_S: Final = 0.001
 # A share below this is taken as none.
@@ -59,6 +62,7 @@
     # from the entries of the own domain.
     served: int = 0
     served_for_own: int = 0
+    endpoints: int = 0
 
     @property
     def room(self) -> float:
@@ -131,6 +135,8 @@
     credit: float = 0.0
     # Expected wait for a slot of a full own domain.
     next_slot_s: float = math.inf
+    # Whether the own domain has enough endpoints to keep to.
+    is_local: bool = False
 
     def update(self, target: Spread, now_s: float) -> None:
         """Follow a higher share at once, and a lower one slowly.
@@ -170,6 +176,8 @@
     # Returns the failure domain of a peer; empty if it is not known.
     domain_of_peer: Callable[[str], str] = lambda peer: ''
     services: dict[str, ServiceSpread] = field(default_factory=dict)
+    # Endpoints of a service from which on requests keep to the own domain.
+    min_endpoints: int = MIN_ENDPOINTS
     # Online requests of the own domain's entries by endpoint.
     own_use: Counter[str] = field(default_factory=Counter)
     # Requests that wait at other entries of the own domain, by service.
@@ -220,7 +228,9 @@
             wait_s / max(hold_s, MIN_HOLD_S),
         )
         known = self.services.setdefault(service, ServiceSpread())
-        slots = loads.get(self.own_domain, DomainLoad()).slots
+        own_load = loads.get(self.own_domain, DomainLoad())
+        slots = own_load.slots
+        known.is_local = own_load.endpoints >= self.min_endpoints
         known.next_slot_s = (
             (waiting + 1) * hold_s / slots if slots else math.inf
         )
@@ -244,6 +254,7 @@
         for endpoint in endpoints:
             load = loads.setdefault(endpoint.failure_domain, DomainLoad())
             load.slots += endpoint.slots
+            load.endpoints += 1
             load.served += self.loads.online(endpoint.endpoint_id)
             load.served_for_own += self.own_use[endpoint.endpoint_id]
         return loads
@@ -281,6 +292,15 @@
             return ''
         return self.generator.choices(list(rooms), list(rooms.values()))[0]
 
+    def is_local(self, service: str) -> bool:
+        """Return whether requests of a service keep to the own domain."""
+        known = self.services.get(service)
+        return known is not None and known.is_local
+
+    def keeps_any(self) -> bool:
+        """Return whether requests of any service keep to the own domain."""
+        return any(one.is_local for one in self.services.values())
+
     def groups(self, endpoints: Sequence[Endpoint]) -> Groups:
         """Return endpoints by the order in which the next request asks them.
 
--- a/src/quetzaldyke/gateway/entry_upkeep.py
+++ b/src/quetzaldyke/gateway/entry_upkeep.py
@@ -58,6 +58,7 @@
             queue.mean_hold_s,
             now_s,
         )
+    entry.gossip.far_reports_rare = shares.keeps_any()
 
 
 async def clean_up(entry: Entry) -> None:
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -48,6 +48,8 @@
     transport: asyncio.DatagramTransport | None = None
     # Peers that get reports at longer intervals.
     far_peers: frozenset[str] = frozenset()
+    # Whether they do: not while requests go to all endpoints alike.
+    far_reports_rare: bool = True
     last_report_s: float = 0.0
     last_far_report_s: float = 0.0
     report_timer: asyncio.TimerHandle | None = None
@@ -112,7 +114,8 @@
         now_s = asyncio.get_running_loop().time()
         self.last_report_s = now_s
         receivers = {*self.peers, *self.senders}
-        if now_s - self.last_far_report_s >= FAR_INTERVAL_S:
+        rare = self.far_reports_rare
+        if not rare or now_s - self.last_far_report_s >= FAR_INTERVAL_S:
             self.last_far_report_s = now_s
         else:
             receivers -= self.far_peers
--- a/src/quetzaldyke/gateway/placement.py
+++ b/src/quetzaldyke/gateway/placement.py
@@ -169,10 +169,13 @@
     ) -> Sequence[Group]:
         """Return the endpoints in groups, the preferred ones first.
 
+        Endpoints of a service that has few in the own domain are one group.
+
         A free slot of a domain with room goes before one of the own domain
         that batch work holds: a run that is cut is read again. Groups in which all endpoints have asked for a pause come last.
         """
-        if self.shares is None:
+        service = candidates[0].service
+        if self.shares is None or not self.shares.is_local(service):
             return (Group(candidates),)
         asked = self.shares.groups(candidates)
         groups = [
--- a/tests/test_demand_rhythm.py
+++ b/tests/test_demand_rhythm.py
@@ -9,6 +9,7 @@
 from quetzaldyke.gateway.batch_reserve import (
     BatchReserve,
     is_urgent,
+    joined_small,
     limits_of,
 )
 from quetzaldyke.gateway.demand_rhythm import (
@@ -17,6 +18,7 @@
     reserved_share,
 )
 from quetzaldyke.gateway.loads import LoadTable, RequestCounts
+from quetzaldyke.gateway.model import Endpoint
 
 STEP_S = 0.1
 LOW_S = 3.8
@@ -136,6 +138,23 @@
     assert make_reserve(online=0).limit(endpoint) == 8
 
 
+def test_small_domains_share_their_peaks() -> None:
+    """Guards against endpoints kept free for peaks that go to all domains."""
+    endpoints = [
+        make_endpoint(f'{domain}{number}', failure_domain=domain)
+        for domain, count in (('a', 1), ('b', 2), ('c', 3))
+        for number in range(count)
+    ]
+    domains: dict[tuple[str, str], list[Endpoint]] = {}
+    for one in endpoints:
+        domains.setdefault(('lm', one.failure_domain), []).append(one)
+    joined = joined_small(domains)
+    assert {key: len(members) for key, members in joined.items()} == {
+        ('lm', ''): 3,
+        ('lm', 'c'): 3,
+    }
+
+
 def test_item_that_would_be_late_is_urgent() -> None:
     """Guards against items that are late beside slots that stay idle."""
     assert not is_urgent(left_s=18.0, remaining_s=4.0, wait_s=2.0)
--- a/tests/test_domain_shares.py
+++ b/tests/test_domain_shares.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from quetzaldyke.gateway.domain_shares import (
+    MIN_ENDPOINTS,
     DomainLoad,
     DomainShares,
     ServiceSpread,
@@ -64,6 +65,8 @@
         loads,
         random.Random(1),
         domain_of_peer=lambda peer: peer[0],
+        services={'lm': ServiceSpread(is_local=True)},
+        min_endpoints=2,
     )
 
 
@@ -226,7 +229,9 @@
     assert choice is not None
     assert choice.endpoint.failure_domain == 'b'
     loads.own = {}
-    shares.services['lm'] = ServiceSpread(Spread(0.5, {'b': 1.0}))
+    shares.services['lm'] = ServiceSpread(
+        Spread(0.5, {'b': 1.0}), is_local=True
+    )
     domains = Counter(
         choice.endpoint.failure_domain
         for choice in (policy.choose(endpoints, 1) for _ in range(20))
@@ -315,11 +320,23 @@
     assert choice.preempt_batch
 
 
+def test_domain_with_few_endpoints_is_not_kept_to() -> None:
+    """Guards against one endpoint that fills up beside idle ones elsewhere."""
+    shares = make_shares({})
+    shares.min_endpoints = MIN_ENDPOINTS
+    endpoints = fleet_of(a=8, b=8)
+    assert share_now(shares, endpoints).share == 0
+    assert not shares.keeps_any()
+    assert placed_domains(shares, endpoints, 12)['b'] >= 3
+
+
 def test_share_cuts_no_batch_run_elsewhere() -> None:
     """Guards against runs in another domain that make way without need."""
     endpoints = fleet_of(a=8, b=8)
     shares = make_shares({})
-    shares.services['lm'] = ServiceSpread(Spread(1.0, {'b': 4.0}))
+    shares.services['lm'] = ServiceSpread(
+        Spread(1.0, {'b': 4.0}), is_local=True
+    )
     shares.loads.own = {key: RequestCounts(0, 8) for key in ('b0', 'b1')}
     policy = PlacementPolicy('a', random.Random(2), shares.loads, shares)
     choice = policy.choose(endpoints, 1)
