Name the failure domain of a member only where a setting needs it

Cause: the member record had a fifth field for every deployment, and an earlier release takes four only. In a rolling replacement its entries would miss the new ones, and take over their jobs.

--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -55,20 +55,26 @@
     instance: str
     host: str
     port: int
-    # Empty in earlier releases.
+    # Empty where no setting needs it, and in earlier releases.
     failure_domain: str = ''
 
     @classmethod
     def from_installation(
         cls, installation: Installation, owner_id: str
     ) -> Member:
-        """Return the member that an entry is."""
+        """Return the member that an entry is.
+
+        Its failure domain is named only where a setting needs it: an earlier
+        release can't read a record with it.
+        """
+        options = installation.options
+        named = options.keep_local or options.keep_connections
         return cls(
             owner_id,
             installation.instance,
             installation.host,
             installation.first_peer_port,
-            installation.failure_domain,
+            installation.failure_domain if named else '',
         )
 
     @classmethod
@@ -87,13 +93,9 @@
 
     def pack(self) -> bytes:
         """Encode for storage."""
-        row = [
-            self.owner_id,
-            self.instance,
-            self.host,
-            self.port,
-            self.failure_domain,
-        ]
+        row = [self.owner_id, self.instance, self.host, self.port]
+        if self.failure_domain:
+            row.append(self.failure_domain)
         return bytes(msgpack.packb(row))
 
 
--- a/tests/test_fleet_records.py
+++ b/tests/test_fleet_records.py
@@ -130,3 +130,10 @@
     sound = Record(f'{MEMBER_PREFIX}sound', SOUND.pack(), 1)
     table.apply_snapshot(Snapshot([deep, sound], 2))
     assert table.members == {'sound': SOUND}
+
+
+def test_member_without_domain_is_read_by_earlier_releases() -> None:
+    """Guards against entries that miss each other in a rolling replacement."""
+    assert len(msgpack.unpackb(SOUND.pack())) == 4
+    named = Member('m', 'i', '127.0.0.1', 7_000, 'a')
+    assert Member.unpack(named.pack()) == named
