--- a/review/bed-2/bed.py
+++ b/review/bed-2/bed.py
@@ -175,7 +175,17 @@
             sys.executable, str(BED / "replica.py"), host, str(port),
             f"{self.store_host}:{self.store_port}", name, service, str(slots), str(event_ms),
         ]
-        await self.spawn(name, command, {})
+        await self.spawn(name, command, {key: os.environ[key] for key in ("CRASH_PART",) if key in os.environ})
+        self.replicas[name] = (host, port)
+
+    async def start_lookup(self, name, service, slots):
+        """Start a replica that gives records, see `lookup.py`."""
+        host = f"{self.net}.{100 + len(self.replicas)}"
+        port = free_port(host)
+        await self.spawn(name, [
+            sys.executable, str(BED / "lookup.py"), host, str(port),
+            f"{self.store_host}:{self.store_port}", name, service, str(slots),
+        ], {})
         self.replicas[name] = (host, port)
 
     async def control(self, name, **wanted):
--- a/review/bed-2/replica.py
+++ b/review/bed-2/replica.py
@@ -12,6 +12,7 @@
 import asyncio
 import base64
 import json
+import os
 import sys
 import time
 
@@ -34,10 +35,12 @@
         self.unframed = False
         # By request id: the event behind which its answer is truncated.
         self.truncate = {}
-        # By request id: events behind which the run pauses until released.
         self.state = "ready"
         # Item ids that wait before their last event until they are released.
         self.held = {}
+        # A part of prompts under which this replica crashes as it begins to
+        # write an answer.
+        self.crash_part = os.environ.get("CRASH_PART", "")
 
     async def register(self):
         host, _, port = STORE.rpartition(":")
@@ -166,6 +169,10 @@
         await asyncio.sleep(EVENT_S)
         self.runs.append(run)
         writer.write("\r\n".join([*lines, "", ""]).encode())
+        parts = [one.partition(":")[0] for one in headers.get("prompt-prefix", "").split(",")]
+        if self.crash_part and self.crash_part in parts:
+            await writer.drain()
+            os._exit(70)
         for event in range(after + 1, total + 1):
             while event == total and self.held.get(number):
                 await asyncio.sleep(0.01)
