Log how old the table behind a read is, and who follows whom

Callers saw a result that was read at one entry missing at another, and the logs could not tell why: neither the age of an entry's table nor whom it follows was logged.

Each watch now records as of when all changes were passed on: the time at which the call was sent, as an answer may be late. Updates of watchers carry that age. results_read logs it for each read of a job, watch_roles tells sources and followers when they change, watch_resumed why an entry calls the store in place of its sources. No decision changes.

--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -167,6 +167,7 @@
             entry.on_fleet_snapshot,
             entry.on_fleet_changes,
             poll_delay_s=entry.sharing.poll_delay_s,
+            confirmation=entry.jobs.confirmation,
         ),
     ]
     watchers[0].on_success = entry.configurations.confirm
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -162,6 +162,7 @@
         update.revision,
         changes,
         update.lapse_grace_s,
+        update.age_s,
     ]
     return bytes(msgpack.packb(['watch', update.sender, row]))
 
@@ -262,7 +263,7 @@
 
 def decode_watch_update(sender: str, content: Any) -> WatchUpdate:
     """Decode what a watcher has read."""
-    prefix, after, revision, rows, lapse_grace_s = content
+    prefix, after, revision, rows, lapse_grace_s, age_s = content
     changes = None
     if rows is not None:
         changes = tuple(
@@ -280,6 +281,7 @@
         decode_revision(revision),
         changes,
         decode_non_negative(lapse_grace_s),
+        decode_non_negative(age_s),
     )
 
 
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
@@ -56,6 +57,7 @@
     store_up: Callable[[], bool]
     # Version of the configuration in force here.
     version: Callable[[], int]
+    now: Callable[[], float] = time.monotonic
 
     async def handle(
         self,
@@ -237,6 +239,7 @@
         If the request asks to wait, the first of them may take up to
         `MAX_LONG_POLL_S`.
         """
+        asked_s = self.now()
         view = await self.find_job(job_id, identity, caller)
         if view is None:
             return
@@ -249,8 +252,26 @@
         if isinstance(page, Err):
             await self.refuse_unavailable(job_id, page.err_value, caller)
             return
+        self.log_read(job_id, view, after, asked_s)
         await send_response(caller, STATUS_OK, page.ok_value, [JSON_TYPE])
 
+    def log_read(
+        self, job_id: str, view: JobView, after: int, asked_s: float
+    ) -> None:
+        """Log which results a read can return, and how old the table is."""
+        table = self.store.table
+        now_s = self.now()
+        log_event(
+            'results_read',
+            job=job_id,
+            after=after,
+            listed=len(view.state.results) if view.state else 0,
+            waited_ms=int((now_s - asked_s) * MS_IN_S),
+            state_revision=view.state_revision,
+            table_revision=table.revision,
+            **table.confirmation.describe(now_s),
+        )
+
     async def read_page(
         self, view: JobView, after: int
     ) -> Result[bytes, KvError]:
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -8,6 +8,7 @@
 import anyio
 
 from quetzaldyke.gateway import job_records
+from quetzaldyke.gateway.confirmation import Confirmation
 from quetzaldyke.gateway.guarded import call_guarded, describe_fault
 from quetzaldyke.gateway.job_records import (
     FLEET_PREFIX,
@@ -72,6 +73,8 @@
     # By the names that `job_records.quota_name` gives.
     quota_revisions: dict[str, int] = field(default_factory=dict)
     revision: int = 0
+    # As of when all changes were applied.
+    confirmation: Confirmation = field(default_factory=Confirmation)
     # Set and replaced with each snapshot or set of changes.
     advanced: anyio.Event = field(default_factory=anyio.Event)
     on_job: Callable[[str], None] = lambda job_id: None
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -33,6 +33,7 @@
         'item_preempted',
         'limit_used',
         'results_listed',
+        'results_read',
         'callers_timed_out',
         'requests_malformed',
         'crashes_cleared',
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -18,7 +18,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.gateway.confirmation import MS_IN_S
 from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.watch import PrefixWatcher
 from quetzaldyke.parts.rendezvous import ranking
 from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
@@ -57,6 +59,8 @@
     # For how much longer missing registrations may come back after an outage
     # of the store.
     lapse_grace_s: float
+    # Time since the sender's call to the store was sent.
+    age_s: float = 0.0
 
 
 def watchers_of(members: Collection[str]) -> list[str]:
@@ -102,6 +106,8 @@
     followers: list[str] = field(default_factory=list)
     # When each source last confirmed a prefix.
     confirmed_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    # The sources and the number of followers that were logged last.
+    logged_roles: tuple[str, int] = ('', 0)
 
     def set_members(self, members: Collection[str]) -> None:
         """Choose watchers, sources and followers from the member list."""
@@ -113,21 +119,35 @@
         self.watchers = watchers_of(members)
         self.sources = []
         self.followers = []
-        if self.own_id not in members:
-            return
-        self.sources = sources_of(self.own_id, self.watchers)
+        if self.own_id in members:
+            self.sources = sources_of(self.own_id, self.watchers)
         if self.own_id in self.watchers:
             self.followers = [
                 member
                 for member in members
                 if self.own_id in sources_of(member, self.watchers)
             ]
+        self.log_roles()
+
+    def log_roles(self) -> None:
+        """Log whom this entry follows and how many follow it, if changed."""
+        roles = (','.join(self.sources), len(self.followers))
+        if roles != self.logged_roles:
+            self.logged_roles = roles
+            log_event(
+                'watch_roles',
+                sources=roles[0],
+                followers=roles[1],
+                watchers=','.join(self.watchers),
+            )
 
     def add(self, watcher: PrefixWatcher) -> None:
         """Share the watch on one prefix."""
         prefix = watcher.prefix
         self.watched[prefix] = watcher
+        watcher.now = self.now
         watcher.follow_s = lambda: self.follow_s(prefix)
+        watcher.on_resume = lambda: self.log_resumed(watcher)
         watcher.on_batch = lambda after, batch: self.publish(
             prefix, after, batch
         )
@@ -153,6 +173,7 @@
             batch.revision,
             limit_changes(batch.changes),
             self.endpoints.lapse_grace_s(self.now()),
+            self.now() - self.watched[prefix].called_s,
         )
         self.send(self.followers, update)
 
@@ -165,7 +186,9 @@
         if watcher.apply_update(
             update.after_revision, update.changes, update.revision
         ):
-            self.confirmed_s[update.sender, update.prefix] = self.now()
+            now_s = self.now()
+            self.confirmed_s[update.sender, update.prefix] = now_s
+            watcher.confirmation.note(now_s - update.age_s, update.sender)
 
     def follow_s(self, prefix: str) -> float:
         """Return how long this entry may rely on others before it calls.
@@ -188,3 +211,31 @@
             reported_s + MAX_SILENCE_S,
         )
         return max(0.0, until_s - self.now())
+
+    def log_resumed(self, watcher: PrefixWatcher) -> None:
+        """Log why this entry calls the store in place of its sources.
+
+        For each source, the times since its last load report and its last
+        confirmation of the prefix; empty if there was none.
+        """
+        now_s = self.now()
+        log_event(
+            'watch_resumed',
+            prefix=watcher.prefix,
+            missed_update=watcher.behind.is_set(),
+            sources=','.join(self.sources),
+            reported_ms=','.join(
+                age_text(self.last_report_s(source), now_s)
+                for source in self.sources
+            ),
+            source_confirmed_ms=','.join(
+                age_text(self.confirmed_s.get((source, watcher.prefix)), now_s)
+                for source in self.sources
+            ),
+            **watcher.confirmation.describe(now_s),
+        )
+
+
+def age_text(since_s: float | None, now_s: float) -> str:
+    """Return the time since an event in milliseconds, empty without one."""
+    return '' if since_s is None else str(round((now_s - since_s) * MS_IN_S))
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -10,6 +11,7 @@
 import anyio
 from result import Err
 
+from quetzaldyke.gateway.confirmation import OWN_CALL, Confirmation
 from quetzaldyke.gateway.guarded import call_guarded
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.backoff import BackoffOptions, backoff_s
@@ -58,6 +60,13 @@
     on_batch: Callable[[int, WatchBatch], None] = lambda after, batch: None
     # Set when an update of another entry shows that changes were missed.
     behind: anyio.Event = field(default_factory=anyio.Event)
+    now: Callable[[], float] = time.monotonic
+    # When the last call was sent.
+    called_s: float = 0.0
+    # As of when all changes were passed on.
+    confirmation: Confirmation = field(default_factory=Confirmation)
+    # Called before the first call after other entries have watched.
+    on_resume: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Watch until cancelled, with a backoff after failed calls."""
@@ -87,6 +96,8 @@
             with anyio.move_on_after(rest_s):
                 await self.behind.wait()
             rest_s = self.follow_s()
+        if followed:
+            self.on_resume()
         self.behind = anyio.Event()
         return followed
 
@@ -96,6 +107,7 @@
         If the store has compacted the needed history, nothing is confirmed
         and the next call loads a new snapshot.
         """
+        self.called_s = self.now()
         if self.revision is None:
             return await self.load_snapshot()
         after = self.revision
@@ -109,6 +121,7 @@
         batch = answer.ok_value
         self.on_batch(after, batch)
         self.advance(batch.changes, batch.revision)
+        self.confirmation.note(self.called_s, OWN_CALL)
         return True
 
     def apply_update(
@@ -151,4 +164,5 @@
             return False
         self.revision = answer.ok_value.revision
         call_guarded(self.on_snapshot, answer.ok_value)
+        self.confirmation.note(self.called_s, OWN_CALL)
         return True
--- /dev/null
+++ b/tests/test_confirmation.py
@@ -0,0 +1,132 @@
+"""Tests of what an entry knows and logs about the age of its tables."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import pytest
+from result import Result
+
+from gateway_kit import FakeStore, FakeTime
+from quetzaldyke.gateway import logs
+from quetzaldyke.gateway.confirmation import OWN_CALL
+from quetzaldyke.gateway.gossip_messages import decode, encode
+from quetzaldyke.gateway.shared_watch import (
+    MAX_CONFIRMATION_AGE_S,
+    WatchUpdate,
+)
+from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.parts.kv import KvError
+from quetzaldyke.parts.transactions import WatchBatch
+from sharing_fleet import PREFIX, SimulatedFleet
+
+pytestmark = pytest.mark.anyio
+DELAY_S = 0.7
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on the backend that the processes use."""
+    return 'asyncio'
+
+
+@pytest.fixture
+def events(monkeypatch: pytest.MonkeyPatch) -> list[Mapping[str, object]]:
+    """Collect the log events of this process."""
+    collected: list[Mapping[str, object]] = []
+    monkeypatch.setattr(logs, 'DESTINATIONS', [collected.append])
+    return collected
+
+
+class DelayingStore(FakeStore):
+    """A store whose answers to watches are late."""
+
+    time: FakeTime
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Result[WatchBatch, KvError]:
+        """Return the changes at the time of the call, but later."""
+        answer = await super().watch(prefix, after_revision, wait_s)
+        self.time.now_s += DELAY_S
+        return answer
+
+
+async def test_delayed_answer_confirms_the_time_of_its_call() -> None:
+    """Guards against a table that counts as fresh after a late answer."""
+    store = DelayingStore()
+    store.time = FakeTime()
+    watcher = PrefixWatcher(
+        store,
+        PREFIX,
+        lambda snapshot: None,
+        lambda *_: None,
+        revision=0,
+        now=store.time.read,
+    )
+    called_s = store.time.now_s
+    assert await watcher.poll()
+    assert watcher.confirmation.as_of_s == called_s
+    assert watcher.confirmation.age_s(store.time.now_s) == pytest.approx(
+        DELAY_S
+    )
+
+
+async def test_update_is_as_old_as_the_call_of_its_watcher() -> None:
+    """Guards against a follower that takes a watcher's late news for new."""
+    fleet = SimulatedFleet.of_size(3)
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    follower.watcher.revision = 9
+    source = follower.sharing.sources[0]
+    update = WatchUpdate(source, PREFIX, 4, 9, (), 0.0, DELAY_S)
+    assert decode(encode(update)) == update
+    follower.sharing.on_update(update)
+    assert follower.watcher.confirmation.source == source
+    assert follower.watcher.confirmation.age_s(
+        fleet.time.now_s
+    ) == pytest.approx(DELAY_S)
+
+
+async def test_own_call_is_named_as_the_source() -> None:
+    """Guards against logs that name a source for an entry's own call."""
+    fleet = SimulatedFleet.of_size(1)
+    watcher = fleet.entries['e0'].watcher
+    assert await watcher.poll()
+    assert watcher.confirmation.source == OWN_CALL
+
+
+async def test_entry_logs_why_it_leaves_its_sources(
+    events: list[Mapping[str, object]],
+) -> None:
+    """Guards against logs that can't tell a silent source from an idle one."""
+    fleet = SimulatedFleet.of_size(4)
+    for _ in range(3):
+        await fleet.step()
+        fleet.deliver_all()
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    fleet.time.now_s += MAX_CONFIRMATION_AGE_S
+    for name in fleet.entries:
+        follower.reports[name] = fleet.time.now_s
+    follower.watcher.on_resume()
+    resumed = [one for one in events if one['message_type'] == 'watch_resumed']
+    assert [one['reported_ms'] for one in resumed] == ['0,0']
+    assert [one['source_confirmed_ms'] for one in resumed] == ['3300,3300']
+
+
+async def test_roles_are_logged_when_they_change(
+    events: list[Mapping[str, object]],
+) -> None:
+    """Guards against an entry without followers that no line shows."""
+    fleet = SimulatedFleet.of_size(4)
+    one = next(
+        entry for entry in fleet.entries.values() if entry.sharing.followers
+    )
+    events.clear()
+    one.sharing.set_members(list(fleet.entries))
+    assert not events
+    one.sharing.set_members([])
+    assert [event['followers'] for event in events] == [0]
