Split reading pages and decoding queries from the job API

The pages of results and the decoding of ids and parameters are modules of their own; no behaviour changes.

--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -6,12 +6,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
-from urllib.parse import parse_qs, unquote
 
-import anyio
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from quetzaldyke.gateway.authentication import Identity
+from quetzaldyke.gateway.job_queries import (
+    decode_id,
+    query_number,
+    query_text,
+)
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.gateway.logs import log_event
@@ -19,14 +22,10 @@
 from quetzaldyke.gateway.new_job import NewJob, make_job
 from quetzaldyke.gateway.received_request import AsgiCaller, ReceivedRequest
 from quetzaldyke.gateway.responses import send_refusal, send_response
-from quetzaldyke.parts.decimals import parse_decimal
+from quetzaldyke.gateway.result_pages import read_page, wait_for_result
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.platform import names
-from quetzaldyke.platform.jobs import (
-    ItemResult,
-    decode_submission,
-    encode_results,
-)
+from quetzaldyke.platform.jobs import decode_submission
 
 MS_IN_S: Final = 1000
 STATUS_OK: Final = 200
@@ -37,7 +36,6 @@
 STATUS_TOO_MANY_REQUESTS: Final = 429
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_UNAVAILABLE: Final = 503
-MAX_PAGE_BYTES: Final = 900_000
 MAX_LONG_POLL_S: Final = 1.0
 OUTAGE_RETRY_AFTER: Final = b'1.0'
 QUOTA_RETRY_AFTER: Final = b'2.0'
@@ -248,7 +246,7 @@
         await wait_for_result(
             view, after, min(wait_ms / MS_IN_S, MAX_LONG_POLL_S)
         )
-        page = await self.read_page(view, after)
+        page = await read_page(self.store, view, after)
         if isinstance(page, Err):
             await self.refuse_unavailable(job_id, page.err_value, caller)
             return
@@ -272,30 +270,6 @@
             **table.confirmation.describe(now_s),
         )
 
-    async def read_page(
-        self, view: JobView, after: int
-    ) -> Result[bytes, KvError]:
-        """Return an encoded page of results, bounded by its output size."""
-        assert view.record is not None
-        assert view.state is not None
-        results: list[ItemResult] = []
-        size = 0
-        for result in view.state.results[after:]:
-            outputs = await self.store.read_outputs(
-                view.record.job_id,
-                result.part,
-            )
-            if isinstance(outputs, Err):
-                return outputs
-            output = outputs.ok_value[result.item]
-            size += len(output)
-            if results and size > MAX_PAGE_BYTES:
-                break
-            item = view.record.items[result.item]
-            results.append(ItemResult(item.item_id, result.completed, output))
-        total = len(view.record.items)
-        return Ok(encode_results(total, after, results))
-
     async def read_body(
         self,
         job_id: str,
@@ -342,34 +316,3 @@
         await send_response(
             caller, STATUS_OK if ended.ok_value else STATUS_NOT_FOUND
         )
-
-
-async def wait_for_result(view: JobView, after: int, wait_s: float) -> None:
-    """Wait until a position has a result, the job is over or time is up."""
-    with anyio.move_on_after(wait_s):
-        while view.open and view.state and len(view.state.results) <= after:
-            await view.changed.wait()
-
-
-def decode_id(text: str) -> str:
-    """Return the id in a path, where callers may have to encode characters.
-
-    >>> decode_id('a%2Fb'), decode_id('a/b')
-    ('a/b', 'a/b')
-    """
-    return unquote(text, 'latin-1')
-
-
-def query_text(query: bytes, name: str) -> str:
-    """Return a parameter of a query string, empty when it is missing.
-
-    >>> query_text(b'id=a%2Fb', 'id')
-    'a/b'
-    """
-    values = parse_qs(query.decode('latin-1')).get(name, [''])
-    return values[0]
-
-
-def query_number(query: bytes, name: str) -> int:
-    """Return a numeric parameter, 0 when it is missing or no number."""
-    return parse_decimal(query_text(query, name)) or 0
