Read a job's state before a read that an old table would deny

Cause: each read of a job is answered from the entry's table, and nothing in the read asked how old the table is. An entry that has lost its sources, or whose watch hears nothing, answers 200 without results until it notices.

Change: a read that finds no result at its position, and could get one, asks as of when the table holds all changes. Reads that find a result, and reads at the end of a complete job, need no store: results never change. A full listing no longer drops a job that was written after the listing had begun, and a job whose state is gone from the store is no longer shown.

Why it works: the age counts from the sending of the call whose answer brought the table up to date, so it holds whatever delays the answer.

--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -167,6 +167,8 @@
             ),
             store_up=lambda: health.up,
             version=lambda: entry.configurations.version,
+            now=clock.now,
+            settle_s=installation.bounds.settle_s,
         )
         crashes = CrashTracker(
             owner_id,
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from result import Err, Ok
@@ -15,6 +15,7 @@
     query_number,
     query_text,
 )
+from quetzaldyke.gateway.job_reads import JobReads, may_get_result
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.gateway.logs import log_event
@@ -56,6 +57,15 @@
     # Version of the configuration in force here.
     version: Callable[[], int]
     now: Callable[[], float] = time.monotonic
+    # From the first read of a result until every entry has to show it.
+    settle_s: float = 1.0
+    reads: JobReads = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Build what keeps the answers to reads up to date."""
+        self.reads = JobReads(
+            self.store, self.settle_s, self.now, self.store_up
+        )
 
     async def handle(
         self,
@@ -246,6 +256,10 @@
         await wait_for_result(
             view, after, min(wait_ms / MS_IN_S, MAX_LONG_POLL_S)
         )
+        if may_get_result(view, after):
+            view = await self.refresh(job_id, identity, asked_s, caller)
+            if view is None:
+                return
         page = await read_page(self.store, view, after)
         if isinstance(page, Err):
             await self.refuse_unavailable(job_id, page.err_value, caller)
@@ -253,6 +267,24 @@
         self.log_read(job_id, view, after, asked_s)
         await send_response(caller, STATUS_OK, page.ok_value, [JSON_TYPE])
 
+    async def refresh(
+        self,
+        job_id: str,
+        identity: Identity,
+        asked_s: float,
+        caller: AsgiCaller,
+    ) -> JobView | None:
+        """Return a job with all results of a moment before the request.
+
+        None after answering 404 or 503. The view may be another one than
+        before: a listing may have dropped the job meanwhile.
+        """
+        refreshed = await self.reads.refresh(job_id, asked_s)
+        if isinstance(refreshed, Err):
+            await self.refuse_unavailable(job_id, refreshed.err_value, caller)
+            return None
+        return await self.find_job(job_id, identity, caller)
+
     def log_read(
         self, job_id: str, view: JobView, after: int, asked_s: float
     ) -> None:
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -156,14 +156,25 @@
             return job
         if job.ok_value is None:
             return Ok(None)
-        state = await self.store.get(f'{STATE_PREFIX}{job_id}')
+        state = await self.read_state(job_id)
         if isinstance(state, Err):
             return state
-        for record in (job.ok_value, state.ok_value):
-            if record is not None:
-                self.table.apply(record.key, record.revision, record.value)
+        record = job.ok_value
+        self.table.apply(record.key, record.revision, record.value)
         return Ok(self.table.view(job_id))
 
+    async def read_state(self, job_id: str) -> Result[None, KvError]:
+        """Read the state of a job; drop a known job that was deleted."""
+        answer = await self.store.get(f'{STATE_PREFIX}{job_id}')
+        if isinstance(answer, Err):
+            return answer
+        record = answer.ok_value
+        if record is None:
+            self.table.apply(f'{JOB_PREFIX}{job_id}', 0, None)
+        else:
+            self.table.apply(record.key, record.revision, record.value)
+        return Ok(None)
+
     async def end(self, job_id: str) -> Result[bool, KvError]:
         """Mark a job as ended; False when there is no such job."""
         found = await self.find(job_id)
@@ -234,17 +245,9 @@
             self.table.apply(key, written.ok_value, updated.pack())
             self.cache.put(part_key, part)
             return Ok(None)
-        await self.refresh_state(job_id)
+        await self.read_state(job_id)
         return written
 
-    async def refresh_state(self, job_id: str) -> None:
-        """Read the state of a job again after a write that failed."""
-        key = f'{STATE_PREFIX}{job_id}'
-        answer = await self.store.get(key)
-        if isinstance(answer, Ok) and answer.ok_value is not None:
-            record = answer.ok_value
-            self.table.apply(key, record.revision, record.value)
-
     async def take_over(self, job_id: str) -> Result[None, KvError]:
         """Make this entry the owner of a job whose owner is lost."""
         return await self.set_owner(job_id, self.owner_id, self.instance, None)
@@ -294,7 +297,7 @@
             Transaction({key: view.state_revision}, tuple(puts)),
         )
         if isinstance(written, Err):
-            await self.refresh_state(job_id)
+            await self.read_state(job_id)
             return written
         self.table.apply(key, written.ok_value, state.pack())
         return Ok(None)
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -30,6 +31,8 @@
     state: JobState | None = None
     state_revision: int = 0
     ended: bool = False
+    # When the last call was sent that read the state of this job alone.
+    read_s: float = -math.inf
     # Set and replaced at each change, to wake readers that wait for results.
     changed: anyio.Event = field(default_factory=anyio.Event)
 
@@ -88,13 +91,17 @@
         return self.revision > 0
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
-        """Apply a full listing and drop the members and jobs it lacks."""
+        """Apply a full listing and drop the members and jobs it lacks.
+
+        Jobs that were written after the listing began are kept.
+        """
         present = {record.key for record in snapshot.records}
         for owner_id in list(self.members):
             if f'{MEMBER_PREFIX}{owner_id}' not in present:
                 self.apply(f'{MEMBER_PREFIX}{owner_id}', 0, None)
-        for job_id in list(self.jobs):
-            if f'{JOB_PREFIX}{job_id}' not in present:
+        for job_id, view in list(self.jobs.items()):
+            listed = f'{JOB_PREFIX}{job_id}' in present
+            if not listed and view.state_revision <= snapshot.revision:
                 self.apply(f'{JOB_PREFIX}{job_id}', 0, None)
         for record in snapshot.records:
             self.apply(record.key, record.revision, record.value)
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -180,6 +180,9 @@
     # how long after the last confirmation.
     strict_revocation: bool = False
     revocation_s: float = 5.0
+    # A job, or a result of it, that one entry has shown is shown by every
+    # other one after this.
+    settle_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/quetzaldyke/platform/settings.py
+++ b/src/quetzaldyke/platform/settings.py
@@ -34,6 +34,7 @@
     quota_slack: float = Field(default=20, alias='quota-slack', ge=0)
     strict_revoke: bool = Field(default=False, alias='strict-revoke')
     revoke_ms: float = Field(default=5000, alias='revoke-ms', gt=0)
+    settle_ms: float = Field(default=1000, alias='settle-ms', gt=0)
 
 
 class ProviderTable(BaseModel):
@@ -124,5 +125,6 @@
             rate_slack=bounds.quota_slack,
             strict_revocation=bounds.strict_revoke,
             revocation_s=bounds.revoke_ms / MS_IN_S,
+            settle_s=bounds.settle_ms / MS_IN_S,
         ),
     )
