Follow the member list while the store counts as down

Cause: an entry ignored the member list while the store counted as down. Its sources had read the same list, found themselves missing in it and published to nobody, but went on sending load reports, so the entry relied on them for 3.3 s. Nothing applied the list later, unless it changed again.

Change: whom to follow is chosen from each member list. Only the peers that are told the load are kept while the store counts as down, and the list is applied to them when the store is back.

Why it works: an entry and its sources choose from the same list, so an entry whose sources lapse calls the store itself.

Evidence: three of the five tests of tests/test_outage_members.py failed before (lapsed sources, members that come back, a peer of an outage), all pass now.

--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -340,16 +340,16 @@
             self.runner.schedule_soon()
 
     def on_members(self) -> None:
-        """Use the current members as gossip peers unless the store is down."""
+        """Follow the current members; peers stay peers while they lapse."""
         self.rates.shares.set_registered(
             {
                 member.owner_id: member.instance
                 for member in self.jobs.members.values()
             }
         )
+        self.sharing.set_members(self.jobs.members)
         if not self.health.up:
             return
-        self.sharing.set_members(self.jobs.members)
         keep_local = self.installation.options.keep_local
         self.gossip.set_members(
             self.jobs.members.values(),
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -39,6 +39,8 @@
         entry.health, entry.endpoint_table, entry.store.path, entry.clock.now
     )
     entry.jobs.on_members = entry.on_members
+    # Members that came while the store counted as down become peers.
+    entry.health.on_regained.append(entry.on_members)
     entry.dispatcher.estimates.shares.weight_of = entry.configurations.weight_of
     entry.policy.grants.shares.weight_of = entry.configurations.weight_of
     entry.limits.permits.on_granted = entry.on_permits
