Leave sources that report that they lost the store

Cause: a source that gets no answers goes on sending load reports, and counts as reaching the store until two of its calls have failed, 0.9 s each. Its followers wait for 3.3 s or for its change to a path through a peer.

Change: an entry that the store has not answered for 1.3 s reports that it does not reach it, at once; it renews its lease each second, so a working store answers more often. A follower whose sources all report that, and that hears no update of theirs, calls the store itself. A source that reads through a peer goes on confirming and is still followed in between. No datagram changes.

--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -214,6 +214,7 @@
             loads.last_report_s,
             gossip.send,
             endpoint_table,
+            store.path.peer_is_up,
         )
         entry = cls(
             installation=installation,
@@ -386,13 +387,3 @@
         return waited_s > JOIN_WAIT_S or all(
             peer in self.loads.peers for peer in self.gossip.peers
         )
-
-    async def gossip_tick(self) -> None:
-        """Send a heartbeat if it is due, and remove silent peers."""
-        await self.gossip.heartbeat()
-        self.ingress.context.crashes.resend()
-        silent = self.loads.remove_silent_peers(self.clock.now())
-        if silent:
-            log_event('peers_silent', peers=','.join(silent))
-        self.gossip.keep_senders(self.loads.peers)
-        self.limits.set_members(self.jobs.members, self.loads.peers)
--- a/src/quetzaldyke/gateway/entry_upkeep.py
+++ b/src/quetzaldyke/gateway/entry_upkeep.py
@@ -82,3 +82,22 @@
     if entry.caller_server is not None:
         entry.ingress.time_out_callers(entry.caller_server)
     await entry.writer.report_dropped()
+
+
+async def exchange_load(entry: Entry) -> None:
+    """Send a heartbeat if it is due, and remove silent peers.
+
+    Peers are told at once that the store has fallen silent, because they may
+    follow this entry.
+    """
+    now_s = entry.clock.now()
+    gossip = entry.gossip
+    if gossip.reported_store and not entry.store.path.direct.up_s(now_s):
+        gossip.note_change()
+    await gossip.heartbeat()
+    entry.ingress.context.crashes.resend()
+    silent = entry.loads.remove_silent_peers(now_s)
+    if silent:
+        log_event('peers_silent', peers=','.join(silent))
+    gossip.keep_senders(entry.loads.peers)
+    entry.limits.set_members(entry.jobs.members, entry.loads.peers)
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -8,7 +8,11 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from quetzaldyke.gateway.entry_upkeep import clean_up, update_domain_shares
+from quetzaldyke.gateway.entry_upkeep import (
+    clean_up,
+    exchange_load,
+    update_domain_shares,
+)
 from quetzaldyke.gateway.guarded import log_timer_failure
 from quetzaldyke.gateway.loading import Loading
 from quetzaldyke.gateway.logs import log_event
@@ -56,7 +60,7 @@
     timers.on_failure = log_timer_failure
     timers.subscribe('watchdog', WATCHDOG_INTERVAL_S, entry.cancel_timed_out)
     timers.subscribe('lines', QUEUE_INTERVAL_S, entry.dispatcher.tick)
-    timers.subscribe('gossip', GOSSIP_INTERVAL_S, entry.gossip_tick)
+    timers.subscribe('gossip', GOSSIP_INTERVAL_S, partial(exchange_load, entry))
     timers.subscribe('limits', GOSSIP_INTERVAL_S, entry.limits.tick)
     timers.subscribe('rates', WATCHDOG_INTERVAL_S, entry.rates.tick)
     timers.subscribe('drains', GOSSIP_INTERVAL_S, entry.messages.drains.tick)
--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -46,6 +46,8 @@
     # member any more, but still serves open connections.
     senders: dict[str, Address] = field(default_factory=dict)
     transport: asyncio.DatagramTransport | None = None
+    # Whether the last report said that this entry reaches the store.
+    reported_store: bool = False
     # Peers that get reports at longer intervals.
     far_peers: frozenset[str] = frozenset()
     # Whether they do: not while requests go to all endpoints alike.
@@ -119,7 +121,9 @@
             self.last_far_report_s = now_s
         else:
             receivers -= self.far_peers
-        self.send(receivers, self.make_report())
+        report = self.make_report()
+        self.reported_store = report.store_up_s > 0
+        self.send(receivers, report)
 
     async def heartbeat(self) -> None:
         """Send a report if the last one to any peer is too old."""
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -109,6 +109,7 @@
                 store_up_s=report.store_up_s,
                 now_s=self.now(),
             )
+            self.sharing.on_report(report.sender)
         if self.runner is not None:
             self.runner.on_peer_load(freed=freed)
 
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -7,8 +7,9 @@
 A few entries, the watchers, watch the store directly. Each sends what it has
 read to the entries that follow it. An entry follows two watchers, so that the
 loss of one delays nothing. It watches the store itself as soon as neither
-sends load reports nor confirms that it is up to date, and makes one call when
-an update shows that it missed an earlier one. All entries choose the same
+sends load reports that say that it reaches the store, or neither confirms that
+it is up to date, and makes one call when an update shows that it missed an
+earlier one. All entries choose the same
 watchers from the member list by rendezvous hashing, without communication.
 """
 
@@ -99,6 +100,8 @@
     # Sends an update to the given entries.
     send: Callable[[Collection[str], WatchUpdate], None]
     endpoints: EndpointTable
+    # Whether the last load report of an entry says that it reaches the store.
+    reaches_store: Callable[[str], bool] = lambda entry_id: True
     watched: dict[str, PrefixWatcher] = field(default_factory=dict)
     watchers: list[str] = field(default_factory=list)
     sources: list[str] = field(default_factory=list)
@@ -190,6 +193,14 @@
             self.confirmed_s[update.sender, update.prefix] = now_s
             watcher.confirmation.note(now_s - update.age_s, update.sender)
 
+    def on_report(self, sender: str) -> None:
+        """Leave a source at once if its report says that it lost the store."""
+        if sender not in self.sources or self.reaches_store(sender):
+            return
+        for prefix, watcher in self.watched.items():
+            if not self.follow_s(prefix):
+                watcher.behind.set()
+
     def follow_s(self, prefix: str) -> float:
         """Return how long this entry may rely on others before it calls.
 
@@ -206,10 +217,11 @@
         reported_s = self.last_report_s(source)
         if confirmed_s is None or reported_s is None:
             return 0.0
-        until_s = min(
-            confirmed_s + MAX_CONFIRMATION_AGE_S,
-            reported_s + MAX_SILENCE_S,
-        )
+        age_s = MAX_CONFIRMATION_AGE_S
+        if not self.reaches_store(source):
+            # It may go on confirming what it reads through a peer.
+            age_s = MAX_SILENCE_S
+        until_s = min(confirmed_s + age_s, reported_s + MAX_SILENCE_S)
         return max(0.0, until_s - self.now())
 
     def log_resumed(self, watcher: PrefixWatcher) -> None:
@@ -222,8 +234,11 @@
         log_event(
             'watch_resumed',
             prefix=watcher.prefix,
-            missed_update=watcher.behind.is_set(),
+            missed_update=self.follow_s(watcher.prefix) > 0,
             sources=','.join(self.sources),
+            reach_store=','.join(
+                str(self.reaches_store(source)) for source in self.sources
+            ),
             reported_ms=','.join(
                 age_text(self.last_report_s(source), now_s)
                 for source in self.sources
--- a/src/quetzaldyke/gateway/store_health.py
+++ b/src/quetzaldyke/gateway/store_health.py
@@ -19,6 +19,9 @@
 # A watch whose connection ends sooner did not wait: the store accepts
 # connections and fails.
 MIN_WATCH_S: Final = 0.1
+# Longest time between two answers of a store that is up: the lease is renewed
+# each second, and the slowest answers still in time take a quarter of one.
+MAX_SILENCE_S: Final = 1.3
 
 
 def is_cut_watch(failure: Failure, waited_s: float) -> bool:
@@ -72,8 +75,12 @@
                 handler()
 
     def up_s(self, now_s: float) -> float:
-        """Return for how long all calls were answered; 0 while down."""
-        return now_s - self.up_since_s if self.up else 0.0
+        """Return for how long all calls were answered.
+
+        0 while the store is down, or has not answered for `MAX_SILENCE_S`.
+        """
+        silent = now_s - self.last_answer_s > MAX_SILENCE_S
+        return now_s - self.up_since_s if self.up and not silent else 0.0
 
     def note_answer(self, now_s: float) -> None:
         """Record an answered call; run `on_regained` on coming back up."""
--- a/src/quetzaldyke/gateway/store_path.py
+++ b/src/quetzaldyke/gateway/store_path.py
@@ -104,6 +104,14 @@
                 return peer_path.address
         return self.store
 
+    def peer_is_up(self, peer: str) -> bool:
+        """Return whether a peer's last report says that it reaches the store.
+
+        True for an unknown peer.
+        """
+        known = self.peers.get(peer)
+        return known is None or known.store_up_s > 0
+
     def any_peer_up_since(self, since_s: float, now_s: float) -> bool:
         """Return whether any peer has reached the store ever since that time.
 
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -58,7 +58,7 @@
     on_success: Callable[[], None] = lambda: None
     # Called after each watch call, with the revision after which it read.
     on_batch: Callable[[int, WatchBatch], None] = lambda after, batch: None
-    # Set when an update of another entry shows that changes were missed.
+    # Set when changes were missed, or other entries can't be relied on any more.
     behind: anyio.Event = field(default_factory=anyio.Event)
     now: Callable[[], float] = time.monotonic
     # When the last call was sent.
