Tell followers when the changes they lack were dropped by the store

Cause: only watch answers were sent on, not listings.

Change: after a listing a watcher sends an update without changes that begins at the listing's revision. A follower that lacks anything before it calls the store at once, as after a lost update; one that does not is confirmed.

Evidence: test_followers_hear_of_a_listing_after_lost_history failed before. The same follows for the configuration and the endpoints, whose readers have no floor like that of the reads of jobs.

--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -162,7 +162,10 @@
         answer = await self.store.list_prefix(self.prefix)
         if isinstance(answer, Err):
             return False
-        self.revision = answer.ok_value.revision
+        revision = answer.ok_value.revision
+        self.revision = revision
+        # Entries that lack any of the changes before it read them themselves.
+        self.on_batch(revision, WatchBatch([], revision))
         call_guarded(self.on_snapshot, answer.ok_value)
         self.confirmation.note(self.called_s, OWN_CALL)
         return True
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -228,6 +228,28 @@
     assert entry.applied == [1, 2]
 
 
+async def test_followers_hear_of_a_listing_after_lost_history() -> None:
+    """Guards against followers that wait for their watcher's next change.
+
+    The changes that the store has dropped are in no update.
+    """
+    fleet = SimulatedFleet.of_size(3)
+    for _ in range(3):
+        await fleet.step()
+        fleet.deliver_all()
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    assert not follower.must_call()
+    source = fleet.entries[follower.sharing.sources[0]]
+    await fleet.write()
+    source.watcher.revision = None
+    assert await source.watcher.poll()
+    fleet.deliver_all()
+    assert follower.must_call()
+    assert follower.watcher.behind.is_set()
+
+
 async def test_failing_callback_does_not_end_the_watch() -> None:
     """Guards against an unexpected error that ends the process."""
     seen: list[int] = []
