--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -118,6 +118,30 @@
     return owner
 
 
+async def make_old_reader(store: FakeStore) -> tuple[Node, Reader]:
+    """Return the owner of a job, and an entry that follows no longer.
+
+    Its table holds the job without results.
+    """
+    owner = await make_owner(store)
+    reader = Reader(Node.of(store, 'b'))
+    await reader.sync(OLD_S)
+    return owner, reader
+
+
+async def read_five_times(reader: Reader) -> list[tuple[int, int]]:
+    """Return the answers to five reads at the same time."""
+    answers = []
+
+    async def read() -> None:
+        answers.append(await reader.read(0))
+
+    async with anyio.create_task_group() as group:
+        for _ in range(5):
+            group.start_soon(read)
+    return answers
+
+
 async def list_result(owner: Node, item: int) -> None:
     """List the result of an item, as the owner of the job."""
     listed = await owner.store.append_results(
@@ -135,9 +159,7 @@
     off, an update that is lost, or a watch that hears nothing.
     """
     store = CountingStore()
-    owner = await make_owner(store)
-    reader = Reader(Node.of(store, 'b'))
-    await reader.sync(OLD_S)
+    owner, reader = await make_old_reader(store)
     await list_result(owner, 0)
     assert await reader.read(0) == (200, 1)
     await list_result(owner, 1)
@@ -148,9 +170,7 @@
 async def test_wait_for_a_result_ends_with_what_the_store_has() -> None:
     """Guards against a wait at an entry that hears of no change."""
     store = CountingStore()
-    owner = await make_owner(store)
-    reader = Reader(Node.of(store, 'b'))
-    await reader.sync(OLD_S)
+    owner, reader = await make_old_reader(store)
     await list_result(owner, 0)
     assert await reader.read(0, wait_ms=20) == (200, 1)
 
@@ -158,9 +178,7 @@
 async def test_old_table_without_the_store_answers_503() -> None:
     """Guards against an entry that says "no result" and can't be sure."""
     store = CountingStore()
-    owner = await make_owner(store)
-    reader = Reader(Node.of(store, 'b'))
-    await reader.sync(OLD_S)
+    owner, reader = await make_old_reader(store)
     await list_result(owner, 0)
     store.failing = True
     assert await reader.read(0) == (503, 0)
@@ -169,9 +187,7 @@
 async def test_store_that_is_down_is_not_waited_for() -> None:
     """Guards against readers that wait for a store known to be away."""
     store = CountingStore()
-    await make_owner(store)
-    reader = Reader(Node.of(store, 'b'))
-    await reader.sync(OLD_S)
+    _, reader = await make_old_reader(store)
     reader.store_up = False
     store.reads = 0
     assert await reader.read(0) == (503, 0)
@@ -218,20 +234,10 @@
 async def test_readers_of_a_job_share_one_call() -> None:
     """Guards against a store call for each of many readers of a job."""
     store = CountingStore()
-    await make_owner(store)
-    reader = Reader(Node.of(store, 'b'))
-    await reader.sync(OLD_S)
+    _, reader = await make_old_reader(store)
     store.reads = 0
     store.delay_s = 0.01
-    answers = []
-
-    async def read() -> None:
-        answers.append(await reader.read(0))
-
-    async with anyio.create_task_group() as group:
-        for _ in range(5):
-            group.start_soon(read)
-    assert answers == [(200, 0)] * 5
+    assert await read_five_times(reader) == [(200, 0)] * 5
     assert store.reads == 1
     assert await reader.read(0) == (200, 0)
     assert store.reads == 1
@@ -240,30 +246,18 @@
 async def test_readers_of_a_job_share_a_failure() -> None:
     """Guards against readers that wait for one failing call after another."""
     store = CountingStore()
-    await make_owner(store)
-    reader = Reader(Node.of(store, 'b'))
-    await reader.sync(OLD_S)
+    _, reader = await make_old_reader(store)
     store.reads = 0
     store.delay_s = 0.01
     store.failing = True
-    answers = []
-
-    async def read() -> None:
-        answers.append(await reader.read(0))
-
-    async with anyio.create_task_group() as group:
-        for _ in range(5):
-            group.start_soon(read)
-    assert answers == [(503, 0)] * 5
+    assert await read_five_times(reader) == [(503, 0)] * 5
     assert store.reads == 1
 
 
 async def test_cancelled_reader_leaves_the_call_to_the_next() -> None:
     """Guards against readers that wait for a caller that has gone."""
     store = CountingStore()
-    await make_owner(store)
-    reader = Reader(Node.of(store, 'b'))
-    await reader.sync(OLD_S)
+    _, reader = await make_old_reader(store)
     store.delay_s = 0.05
     async with anyio.create_task_group() as group:
         group.start_soon(reader.read, 0)
@@ -276,9 +270,7 @@
 async def test_job_that_was_deleted_is_not_found() -> None:
     """Guards against an old table that still shows a deleted job."""
     store = CountingStore()
-    owner = await make_owner(store)
-    reader = Reader(Node.of(store, 'b'))
-    await reader.sync(OLD_S)
+    owner, reader = await make_old_reader(store)
     await owner.store.delete('j')
     assert await reader.read(0) == (404, 0)
 
