Share the callers of the tests of leaving and limited endpoints

Both test files had the same loop that sends streams to each entry. It moves to tests/fleet_load.py; what they send and check is unchanged.

--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -9,6 +9,7 @@
 import anyio
 import orjson
 
+from fleet_load import start_callers
 from gateway_fleet import GatewayFleet
 
 LEAVING = 'i-lm0'
@@ -16,6 +17,7 @@
 DRAIN_S = 2.0
 LOAD_S = 6.0
 CALLERS_PER_ENTRY = 2
+PAUSE_S = 0.02
 Scenario = Callable[[GatewayFleet], Awaitable[None]]
 
 
@@ -37,33 +39,10 @@
     return [run['at'] for run in orjson.loads(body)['runs']]
 
 
-async def call_repeatedly(
-    fleet: GatewayFleet, entry: str, caller: int, statuses: list[int]
-) -> None:
-    """Send streams to an entry one after the other, until cancelled."""
-    number = 0
-    while True:
-        number += 1
-        request_id = f'{entry}-{caller}-{number}'
-        status, _ = await fleet.call(
-            fleet.ports[entry].front,
-            'POST',
-            f'/again/{request_id}',
-            None,
-            {'Attempt-Id': request_id, 'Deadline-Ms': '3000'},
-        )
-        statuses.append(status)
-        await anyio.sleep(0.02)
-
-
 async def keep_loaded(fleet: GatewayFleet, statuses: list[int]) -> None:
     """Send requests to all entries for some seconds."""
     async with anyio.create_task_group() as group:
-        for entry in fleet.ports:
-            for caller in range(CALLERS_PER_ENTRY):
-                group.start_soon(
-                    call_repeatedly, fleet, entry, caller, statuses
-                )
+        start_callers(fleet, group, statuses, CALLERS_PER_ENTRY, PAUSE_S)
         await anyio.sleep(LOAD_S)
         group.cancel_scope.cancel()
 
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -11,6 +11,7 @@
 import anyio
 import orjson
 
+from fleet_load import start_callers
 from gateway_fleet import GatewayFleet
 
 ENTRIES = 3
@@ -61,25 +62,6 @@
     )
 
 
-async def call_repeatedly(
-    fleet: GatewayFleet, entry: str, caller: int, statuses: list[int]
-) -> None:
-    """Send streams to an entry one after the other, until cancelled."""
-    number = 0
-    while True:
-        number += 1
-        request_id = f'{entry}-{caller}-{number}'
-        status, _ = await fleet.call(
-            fleet.ports[entry].front,
-            'POST',
-            f'/again/{request_id}',
-            request_id,
-            {'Attempt-Id': request_id, 'Deadline-Ms': '3000'},
-        )
-        statuses.append(status)
-        await anyio.sleep(PAUSE_S)
-
-
 async def submit_job(fleet: GatewayFleet, entry: str, job_id: str) -> None:
     """Submit a job of several items."""
     items = [
@@ -107,11 +89,14 @@
 ) -> None:
     """Send online requests to all entries, and some jobs, for some seconds."""
     async with anyio.create_task_group() as group:
-        for entry in fleet.ports:
-            for caller in range(CALLERS_PER_ENTRY):
-                group.start_soon(
-                    call_repeatedly, fleet, entry, caller, statuses
-                )
+        start_callers(
+            fleet,
+            group,
+            statuses,
+            CALLERS_PER_ENTRY,
+            PAUSE_S,
+            with_body=True,
+        )
         for number in range(int(seconds)):
             entry = list(fleet.ports)[number % len(fleet.ports)]
             await submit_job(fleet, entry, f'job-{number}')
