Count the age of reads strictly: shared calls, waits, odd records

* A reader joined a call that had been sent before a result was listed, up to 0.9 s before it asked.
It now makes a call of its own if the shared one was sent too early.
* The age of a table was compared with the arrival of a request that then waited up to 1 s.
It is now compared with the answer.
* A state or record that can't be decoded was taken for none (200 without results, 404).
It is now answered 503.
* The age of an update counted from the end of the callbacks that apply it.
* A watch with a short wait and no change confirmed the table.
A store that is about to drop its history lets watches hear nothing for a moment, so only changes, a whole wait or a listing confirm a table now.

--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -257,7 +257,7 @@
             view, after, min(wait_ms / MS_IN_S, MAX_LONG_POLL_S)
         )
         if may_get_result(view, after):
-            view = await self.refresh(job_id, identity, asked_s, caller)
+            view = await self.refresh(job_id, identity, caller)
             if view is None:
                 return
         page = await read_page(self.store, view, after)
@@ -268,18 +268,14 @@
         await send_response(caller, STATUS_OK, page.ok_value, [JSON_TYPE])
 
     async def refresh(
-        self,
-        job_id: str,
-        identity: Identity,
-        asked_s: float,
-        caller: AsgiCaller,
+        self, job_id: str, identity: Identity, caller: AsgiCaller
     ) -> JobView | None:
-        """Return a job with all results of a moment before the request.
+        """Return a job with all results of a moment before the answer.
 
         None after answering 404 or 503. The view may be another one than
         before: a listing may have dropped the job meanwhile.
         """
-        refreshed = await self.reads.refresh(job_id, asked_s)
+        refreshed = await self.reads.refresh(job_id)
         if isinstance(refreshed, Err):
             await self.refuse_unavailable(job_id, refreshed.err_value, caller)
             return None
--- a/src/quetzaldyke/gateway/job_reads.py
+++ b/src/quetzaldyke/gateway/job_reads.py
@@ -23,8 +23,8 @@
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.parts.kv import KvError
 
-# Share of the settling time by which a table may be older than a read. The
-# rest allows for the answer's way to the caller who reads first.
+# Share of the settling time by which a table may be older than an answer. The
+# rest allows for updates of watchers that were delayed on their way.
 MAX_AGE_SHARE: Final = 0.7
 
 Refreshed = Result[None, KvError]
@@ -51,28 +51,33 @@
     store_up: Callable[[], bool]
     calls: dict[str, SharedCall] = field(default_factory=dict)
 
-    def is_current(self, job_id: str, asked_s: float) -> bool:
-        """Return whether a read of a known job needs no call to the store."""
+    def is_current(self, job_id: str, not_before_s: float) -> bool:
+        """Return whether all changes of a job before a time are known.
+
+        An unknown job is looked up in the store anyway.
+        """
         table = self.store.table
-        as_of_s = table.confirmation.as_of_s
         view = table.jobs.get(job_id)
-        if view is not None:
-            as_of_s = max(as_of_s, view.read_s)
-        return as_of_s >= asked_s - MAX_AGE_SHARE * self.settle_s
+        if view is None:
+            return True
+        return max(table.confirmation.as_of_s, view.read_s) >= not_before_s
 
-    async def refresh(self, job_id: str, asked_s: float) -> Refreshed:
-        """Read the state of a known job if it is too old for a read.
+    async def refresh(self, job_id: str) -> Refreshed:
+        """Read the state of a known job if it is too old to deny a result.
 
-        Fails with `unavailable`, without a call, while the store is down.
+        Fails with `unavailable`, without a call, while the store is down, and
+        as the call does otherwise.
         """
-        while not self.is_current(job_id, asked_s):
+        not_before_s = self.now() - MAX_AGE_SHARE * self.settle_s
+        while not self.is_current(job_id, not_before_s):
             if not self.store_up():
                 return Err(KvError('unavailable', 'the store is down'))
             running = self.calls.get(job_id)
             if running is None:
                 return await self.call(job_id)
             await running.done.wait()
-            if running.outcome is not None:
+            # A call that was sent too early may have missed a change.
+            if isinstance(running.outcome, Err):
                 return running.outcome
         return Ok(None)
 
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -18,6 +18,7 @@
     check_quota,
     excess_of,
 )
+from quetzaldyke.gateway.job_deletion import deletions
 from quetzaldyke.gateway.job_parts import (
     Outcome,
     PartSizes,
@@ -54,8 +55,6 @@
     TransactionLimits,
 )
 
-# Keys deleted in one transaction.
-MAX_DELETES_PER_TRANSACTION: Final = 32
 MAX_ACCEPT_ATTEMPTS: Final = 6
 # Kinds of errors after which a write was certainly not applied.
 NOT_APPLIED_ERRORS: Final = frozenset(('unavailable', 'conflict', 'too_large'))
@@ -161,10 +160,16 @@
             return state
         record = job.ok_value
         self.table.apply(record.key, record.revision, record.value)
-        return Ok(self.table.view(job_id))
+        view = self.table.view(job_id)
+        if view.record is None:
+            return Err(KvError('unknown', 'the record can not be read'))
+        return Ok(view)
 
     async def read_state(self, job_id: str) -> Result[None, KvError]:
-        """Read the state of a job; drop a known job that was deleted."""
+        """Read the state of a job; drop a known job that was deleted.
+
+        Fails with `unknown` if the state can't be decoded.
+        """
         answer = await self.store.get(f'{STATE_PREFIX}{job_id}')
         if isinstance(answer, Err):
             return answer
@@ -173,6 +178,8 @@
             self.table.apply(f'{JOB_PREFIX}{job_id}', 0, None)
         else:
             self.table.apply(record.key, record.revision, record.value)
+            if self.table.view(job_id).state_revision < record.revision:
+                return Err(KvError('unknown', 'the state can not be read'))
         return Ok(None)
 
     async def end(self, job_id: str) -> Result[bool, KvError]:
@@ -334,20 +341,8 @@
 
         Stops at the first error; another call deletes the remaining ones.
         """
-        view = self.table.view(job_id)
-        parts = view.state.part_count if view.state else 0
-        bodies = view.record.body_parts if view.record else 1
-        keys = [result_key(job_id, part) for part in range(parts)]
-        keys.extend(body_key(job_id, part) for part in range(bodies))
-        keys.append(f'{PARTIAL_PREFIX}{job_id}')
-        keys.append(f'{END_PREFIX}{job_id}')
-        keys.append(f'{STATE_PREFIX}{job_id}')
-        # The job record is deleted last: as long as it exists, the deletion is
-        # retried.
-        keys.append(f'{JOB_PREFIX}{job_id}')
-        for start in range(0, len(keys), MAX_DELETES_PER_TRANSACTION):
-            batch = tuple(keys[start : start + MAX_DELETES_PER_TRANSACTION])
-            deleted = await self.store.transact(Transaction(deletes=batch))
+        for keys in deletions(job_id, self.table.view(job_id)):
+            deleted = await self.store.transact(Transaction(deletes=keys))
             if isinstance(deleted, Err):
                 return
 
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -60,7 +60,7 @@
     # For how much longer missing registrations may come back after an outage
     # of the store.
     lapse_grace_s: float
-    # Time since the sender's call to the store was sent.
+    # Age of what the sender has read: all changes before that are included.
     age_s: float = 0.0
 
 
@@ -176,7 +176,7 @@
             batch.revision,
             limit_changes(batch.changes),
             self.endpoints.lapse_grace_s(self.now()),
-            self.now() - self.watched[prefix].called_s,
+            self.now() - self.watched[prefix].answer_as_of_s,
         )
         self.send(self.followers, update)
 
@@ -185,11 +185,11 @@
         watcher = self.watched.get(update.prefix)
         if watcher is None:
             return
-        self.endpoints.allow_lapses(update.lapse_grace_s, self.now())
+        now_s = self.now()
+        self.endpoints.allow_lapses(update.lapse_grace_s, now_s)
         if watcher.apply_update(
             update.after_revision, update.changes, update.revision
         ):
-            now_s = self.now()
             self.confirmed_s[update.sender, update.prefix] = now_s
             watcher.confirmation.note(now_s - update.age_s, update.sender)
 
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -61,8 +61,8 @@
     # Set when changes were missed, or other entries can't be relied on any more.
     behind: anyio.Event = field(default_factory=anyio.Event)
     now: Callable[[], float] = time.monotonic
-    # When the last call was sent.
-    called_s: float = 0.0
+    # The changes before this time are in the last answer.
+    answer_as_of_s: float = 0.0
     # As of when all changes were passed on.
     confirmation: Confirmation = field(default_factory=Confirmation)
     # Called before the first call after other entries have watched.
@@ -107,9 +107,9 @@
         If the store has compacted the needed history, nothing is confirmed
         and the next call loads a new snapshot.
         """
-        self.called_s = self.now()
         if self.revision is None:
             return await self.load_snapshot()
+        called_s = self.now()
         after = self.revision
         answer = await self.store.watch(self.prefix, after, wait_s)
         if isinstance(answer, Err):
@@ -119,9 +119,13 @@
                 return True
             return False
         batch = answer.ok_value
+        # A store that is about to drop history may let watches hear nothing
+        # for a moment: no change in a short wait proves nothing.
+        if batch.changes or wait_s > CATCH_UP_WAIT_S:
+            self.answer_as_of_s = called_s
         self.on_batch(after, batch)
         self.advance(batch.changes, batch.revision)
-        self.confirmation.note(self.called_s, OWN_CALL)
+        self.confirmation.note(self.answer_as_of_s, OWN_CALL)
         return True
 
     def apply_update(
@@ -159,13 +163,15 @@
 
         Later calls watch for changes from the snapshot's revision.
         """
+        called_s = self.now()
         answer = await self.store.list_prefix(self.prefix)
         if isinstance(answer, Err):
             return False
+        self.answer_as_of_s = called_s
         revision = answer.ok_value.revision
         self.revision = revision
         # Entries that lack any of the changes before it read them themselves.
         self.on_batch(revision, WatchBatch([], revision))
         call_guarded(self.on_snapshot, answer.ok_value)
-        self.confirmation.note(self.called_s, OWN_CALL)
+        self.confirmation.note(called_s, OWN_CALL)
         return True
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -15,9 +15,9 @@
     MAX_CONFIRMATION_AGE_S,
     WatchUpdate,
 )
-from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.gateway.watch import CATCH_UP_WAIT_S, PrefixWatcher
 from quetzaldyke.parts.kv import KvError
-from quetzaldyke.parts.transactions import WatchBatch
+from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
 from sharing_fleet import PREFIX, SimulatedFleet
 
 pytestmark = pytest.mark.anyio
@@ -89,6 +89,49 @@
     ) == pytest.approx(DELAY_S)
 
 
+async def test_update_is_not_newer_than_its_arrival() -> None:
+    """Guards against callbacks whose time makes a table look newer."""
+    fleet = SimulatedFleet.of_size(3)
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    follower.watcher.revision = 8
+    arrived_s = fleet.time.now_s
+
+    def be_slow(*_: object) -> None:
+        fleet.time.now_s += DELAY_S
+
+    follower.watcher.on_changes = be_slow
+    change = WatchedChange(f'{PREFIX}k', 9, b'x')
+    source = follower.sharing.sources[0]
+    follower.sharing.on_update(WatchUpdate(source, PREFIX, 8, 9, (change,), 0))
+    assert follower.watcher.confirmation.as_of_s == arrived_s
+
+
+async def test_short_watch_without_changes_confirms_nothing() -> None:
+    """Guards against a store whose watches hear nothing for a moment.
+
+    It does so before it drops its history. Reads of keys are not concerned.
+    """
+    fleet = SimulatedFleet.of_size(3)
+    for _ in range(3):
+        await fleet.step()
+        fleet.deliver_all()
+    source = next(
+        one for one in fleet.entries.values() if one.sharing.followers
+    )
+    follower = fleet.entries[source.sharing.followers[-1]]
+    as_of_s = source.watcher.confirmation.as_of_s
+    fleet.time.now_s += DELAY_S
+    assert await source.watcher.poll(CATCH_UP_WAIT_S)
+    fleet.deliver_all()
+    assert source.watcher.confirmation.as_of_s == as_of_s
+    assert follower.watcher.confirmation.as_of_s == pytest.approx(as_of_s)
+    await fleet.write()
+    assert await source.watcher.poll(CATCH_UP_WAIT_S)
+    assert source.watcher.confirmation.as_of_s == fleet.time.now_s
+
+
 async def test_own_call_is_named_as_the_source() -> None:
     """Guards against logs that name a source for an entry's own call."""
     fleet = SimulatedFleet.of_size(1)
--- a/tests/test_cut_watchers.py
+++ b/tests/test_cut_watchers.py
@@ -66,20 +66,26 @@
 async def find_missing(
     fleet: GatewayFleet, owner: str, other: str, job_id: str
 ) -> list[str]:
-    """Return the answers of an entry that lack what was read at the owner."""
+    """Return the answers of an entry that lack what was read at the owner.
+
+    The entry must show it before the watchers reach the store again.
+    """
     began_s = time.monotonic()
     first_s = 0.0
+    shown = False
     missing: list[str] = []
     while time.monotonic() < began_s + CUT_S:
         if not first_s and (await read(fleet, owner, job_id))[1]:
             first_s = time.monotonic()
         sent_s = time.monotonic()
         status, found = await read(fleet, other, job_id)
+        shown = shown or found > 0
         late = first_s and sent_s > first_s + SETTLE_S
         if late and (status == 404 or (status == 200 and not found)):
             missing.append(f'{sent_s - first_s:.2f} s: {status}')
         await anyio.sleep(0.05)
     assert first_s, 'no result was read'
+    assert shown, f'{other} did not show it'
     return missing
 
 
--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -13,10 +13,11 @@
 from quetzaldyke.gateway.authentication import Identity
 from quetzaldyke.gateway.confirmation import OWN_CALL
 from quetzaldyke.gateway.job_api import JobApi
+from quetzaldyke.gateway.job_records import JOB_PREFIX, STATE_PREFIX
 from quetzaldyke.gateway.new_job import make_job
 from quetzaldyke.gateway.received_request import AsgiCaller, ReceivedRequest
 from quetzaldyke.parts.kv import KvError, Record
-from quetzaldyke.parts.transactions import Snapshot
+from quetzaldyke.parts.transactions import Put, Snapshot, Transaction
 from quetzaldyke.platform import names
 from quetzaldyke.platform.jobs import SubmittedItem
 
@@ -40,6 +41,8 @@
     reads: int = 0
     failing: bool = False
     delay_s: float = 0.0
+    # Answers are as of the call, and come when this is set.
+    gate: anyio.Event | None = None
 
     async def get(
         self, key: str, *, stale: bool = False
@@ -49,7 +52,10 @@
         await anyio.sleep(self.delay_s)
         if self.failing:
             return Err(KvError('unknown', 'no answer'))
-        return await super().get(key, stale=stale)
+        answer = await super().get(key, stale=stale)
+        if self.gate is not None and not stale:
+            await self.gate.wait()
+        return answer
 
 
 @dataclass(slots=True)
@@ -259,12 +265,80 @@
     store = CountingStore()
     _, reader = await make_old_reader(store)
     store.delay_s = 0.05
+    answers = []
+
+    async def read() -> None:
+        answers.append(await reader.read(0))
+
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as waiting:
+            async with anyio.create_task_group() as leaving:
+                leaving.start_soon(reader.read, 0)
+                await anyio.sleep(0.01)
+                waiting.start_soon(read)
+                await anyio.sleep(0.01)
+                store.delay_s = 0.0
+                leaving.cancel_scope.cancel()
+    assert answers == [(200, 0)]
+
+
+@pytest.mark.parametrize('settle_s', [1.0, 0.5])
+async def test_reader_shares_no_call_that_was_sent_too_early(
+    settle_s: float,
+) -> None:
+    """Guards against a result that was listed after a shared call was sent.
+
+    The call takes so long that the second reader comes 0.85 s after it.
+    """
+    store = CountingStore()
+    owner, reader = await make_old_reader(store)
+    reader.api.reads.settle_s = settle_s
+    store.gate = anyio.Event()
+    answers = []
+
+    async def read() -> None:
+        answers.append(await reader.read(0))
+
     async with anyio.create_task_group() as group:
-        group.start_soon(reader.read, 0)
+        group.start_soon(read)
         await anyio.sleep(0.01)
-        group.cancel_scope.cancel()
-    store.delay_s = 0.0
-    assert await reader.read(0) == (200, 0)
+        await list_result(owner, 0)
+        reader.time.now_s += 0.85
+        group.start_soon(read)
+        await anyio.sleep(0.01)
+        gate, store.gate = store.gate, None
+        gate.set()
+    assert answers == [(200, 0), (200, 1)]
+
+
+async def test_answer_to_a_long_wait_is_as_new_as_the_answer() -> None:
+    """Guards against a wait in which the table falls behind."""
+    store = CountingStore()
+    owner = await make_owner(store)
+    reader = Reader(Node.of(store, 'b'))
+    await reader.sync(0.6)
+    await list_result(owner, 0)
+
+    async def pass_time() -> None:
+        await anyio.sleep(0.01)
+        reader.time.now_s += 1.0
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(pass_time)
+        assert await reader.read(0, wait_ms=50) == (200, 1)
+
+
+@pytest.mark.parametrize('prefix', [STATE_PREFIX, JOB_PREFIX])
+async def test_record_that_can_not_be_read_denies_nothing(prefix: str) -> None:
+    """Guards against 404, or no result, for a record of another release."""
+    store = CountingStore()
+    owner = await make_owner(store)
+    reader = Reader(Node.of(store, 'b'))
+    if prefix == STATE_PREFIX:
+        await reader.sync(OLD_S)
+        await list_result(owner, 0)
+    await store.transact(Transaction({}, (Put(f'{prefix}j', b'\xc1'),)))
+    assert await reader.read(0) == (503, 0)
 
 
 async def test_job_that_was_deleted_is_not_found() -> None:
