Deny requests only by a configuration within its bound

Callers could get a 404 for a route, or a 401 for a key, later than the time in which a version has to be in force (2 s): a request was denied by a configuration that had been confirmed within 4.0 s (404) or 2.5 s (401).

Change: both bounds are 0.875 of config-apply-ms; an older configuration gets 503, which is true. A watch on the configuration waits for half of that time instead of 2 s, so that a working one confirms often enough, and followers leave sources that confirm nothing after the wait of the watch and 0.65 s instead of 3.3 s for all prefixes.

Why it works: the bound no longer depends on how soon the loss of a source is noticed.

Evidence: test_old_configuration_denies_no_request asks for a bound below the promise; with 4.0 s it could not hold. Tests that named the old constants name the new ones.

--- a/src/quetzaldyke/gateway/configuration_feed.py
+++ b/src/quetzaldyke/gateway/configuration_feed.py
@@ -11,12 +11,17 @@
 
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Configuration, Organisation
+from quetzaldyke.gateway.watch import WATCH_WAIT_S
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 from quetzaldyke.platform import names
 from quetzaldyke.platform.records import decode_configuration
 
-# A configuration that was not confirmed for this long may be out of date.
-CONFIG_MAX_AGE_S: Final = 4.0
+# Shares of the time in which a version has to be in force everywhere: how long
+# a watch waits, so that a working one confirms the version in time, and how old
+# a confirmation may be for a request to be denied. The rest allows for answers
+# and updates that were delayed on their way.
+WATCH_WAIT_SHARE: Final = 0.5
+MAX_AGE_SHARE: Final = 0.875
 
 
 @dataclass(slots=True)
@@ -25,6 +30,8 @@
 
     now: Callable[[], float]
     on_configuration: Callable[[Configuration], None]
+    # From the acknowledgement of a version until it is in force everywhere.
+    apply_s: float = 2.0
     configuration: Configuration | None = None
     confirmed_s: float = 0.0
     # Set and replaced with each new version.
@@ -44,8 +51,12 @@
         return self.now() - self.confirmed_s
 
     def is_current(self) -> bool:
-        """Return whether the configuration was confirmed recently enough."""
-        return self.age_s() < CONFIG_MAX_AGE_S
+        """Return whether a request may be denied by this configuration."""
+        return self.age_s() < MAX_AGE_SHARE * self.apply_s
+
+    def watch_wait_s(self) -> float:
+        """Return how long a watch on the configuration may wait."""
+        return min(WATCH_WAIT_S, WATCH_WAIT_SHARE * self.apply_s)
 
     def weight_of(self, organisation: str) -> float:
         """Return the weight of an organisation, 1 if it is not configured."""
--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -179,6 +179,7 @@
         configurations = ConfigurationFeed(
             clock.now,
             lambda configuration: entry.on_configuration(configuration),
+            installation.bounds.config_apply_s,
         )
         ingress = Ingress(
             RelayContext(
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -153,6 +153,7 @@
             names.OPERATOR_PREFIX,
             entry.configurations.on_snapshot,
             entry.configurations.on_changes,
+            wait_s=entry.configurations.watch_wait_s(),
         ),
         PrefixWatcher(
             entry.store,
--- a/src/quetzaldyke/gateway/key_check.py
+++ b/src/quetzaldyke/gateway/key_check.py
@@ -26,15 +26,12 @@
 from quetzaldyke.gateway.model import Bounds, Route
 from quetzaldyke.gateway.received_request import ReceivedRequest
 from quetzaldyke.gateway.route_table import RouteTable
-from quetzaldyke.gateway.watch import WATCH_WAIT_S
 from quetzaldyke.platform import names
 from quetzaldyke.process.metrics import Metrics
 
 MS_IN_S: Final = 1000
 # A new version reaches all entries within this, unless links or the store fail.
 VERSION_WAIT_S: Final = 0.3
-# A working watch confirms the configuration more often.
-MAX_CONFIRMATION_AGE_S: Final = WATCH_WAIT_S + 0.5
 # Requests with an unknown key that wait at one entry.
 MAX_WAITING: Final = 256
 
@@ -107,7 +104,7 @@
         route = table.find(request.host, request.path)
         identified = identify_caller(request, route, table)
         if isinstance(identified, Err):
-            if self.feed.age_s() > MAX_CONFIRMATION_AGE_S:
+            if not self.feed.is_current():
                 return Err(Denial('configuration_too_old'))
             name = route.name if route else ''
             return Err(Denial(identified.err_value, True, name))
--- a/src/quetzaldyke/gateway/model.py
+++ b/src/quetzaldyke/gateway/model.py
@@ -183,6 +183,8 @@
     # A job, or a result of it, that one entry has shown is shown by every
     # other one after this.
     settle_s: float = 1.0
+    # From the acknowledgement of a configuration until it is in force.
+    config_apply_s: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -33,9 +33,8 @@
 # A watcher that has been silent for longer is not relied on: it misses two
 # of its periodic load reports.
 MAX_SILENCE_S: Final = 0.65
-# Longest age of a watcher's last confirmation: the wait of one watch call and
-# the slack of its timeout, plus the delay between two calls.
-MAX_CONFIRMATION_AGE_S: Final = 3.3
+# Time that a watch call may take beyond its wait, as allowed by its timeout.
+CONFIRMATION_SLACK_S: Final = 0.65
 # An update that is larger is sent without its changes, so that followers read
 # them from the store; datagrams are limited to 64 KB.
 MAX_CHANGES_BYTES: Final = 32_768
@@ -89,6 +88,14 @@
     return tuple(changes) if size <= MAX_CHANGES_BYTES else None
 
 
+def max_confirmation_age_s(watcher: PrefixWatcher) -> float:
+    """Return the longest time between two confirmations by a working watch.
+
+    That is the wait of a call, its slack, and the delay before the next one.
+    """
+    return watcher.wait_s + watcher.poll_delay_s() + CONFIRMATION_SLACK_S
+
+
 @dataclass(slots=True)
 class WatchSharing:
     """Decides whether this entry watches the store, and for whom."""
@@ -217,7 +224,7 @@
         reported_s = self.last_report_s(source)
         if confirmed_s is None or reported_s is None:
             return 0.0
-        age_s = MAX_CONFIRMATION_AGE_S
+        age_s = max_confirmation_age_s(self.watched[prefix])
         if not self.reaches_store(source):
             # It may go on confirming what it reads through a peer.
             age_s = MAX_SILENCE_S
--- a/src/quetzaldyke/platform/settings.py
+++ b/src/quetzaldyke/platform/settings.py
@@ -35,6 +35,7 @@
     strict_revoke: bool = Field(default=False, alias='strict-revoke')
     revoke_ms: float = Field(default=5000, alias='revoke-ms', gt=0)
     settle_ms: float = Field(default=1000, alias='settle-ms', gt=0)
+    config_apply_ms: float = Field(default=2000, alias='config-apply-ms', gt=0)
 
 
 class ProviderTable(BaseModel):
@@ -126,5 +127,6 @@
             strict_revocation=bounds.strict_revoke,
             revocation_s=bounds.revoke_ms / MS_IN_S,
             settle_s=bounds.settle_ms / MS_IN_S,
+            config_apply_s=bounds.config_apply_ms / MS_IN_S,
         ),
     )
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -9,11 +9,11 @@
 
 from gateway_kit import FakeStore, FakeTime
 from quetzaldyke.gateway import logs
-from quetzaldyke.gateway.confirmation import OWN_CALL
+from quetzaldyke.gateway.confirmation import MS_IN_S, OWN_CALL
 from quetzaldyke.gateway.gossip_messages import decode, encode
 from quetzaldyke.gateway.shared_watch import (
-    MAX_CONFIRMATION_AGE_S,
     WatchUpdate,
+    max_confirmation_age_s,
 )
 from quetzaldyke.gateway.watch import CATCH_UP_WAIT_S, PrefixWatcher
 from quetzaldyke.parts.kv import KvError
@@ -151,13 +151,15 @@
     follower = next(
         one for one in fleet.entries.values() if one.sharing.sources
     )
-    fleet.time.now_s += MAX_CONFIRMATION_AGE_S
+    age_s = max_confirmation_age_s(follower.watcher)
+    fleet.time.now_s += age_s
     for name in fleet.entries:
         follower.reports[name] = fleet.time.now_s
     follower.watcher.on_resume()
     resumed = [one for one in events if one['message_type'] == 'watch_resumed']
     assert [one['reported_ms'] for one in resumed] == ['0,0']
-    assert [one['source_confirmed_ms'] for one in resumed] == ['3300,3300']
+    age = str(round(age_s * MS_IN_S))
+    assert [one['source_confirmed_ms'] for one in resumed] == [f'{age},{age}']
 
 
 async def test_roles_are_logged_when_they_change(
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -17,7 +17,7 @@
 from gateway_fleet import configuration
 from gateway_kit import FakeStore
 from quetzaldyke.gateway.configuration_feed import (
-    CONFIG_MAX_AGE_S,
+    MAX_AGE_SHARE,
     ConfigurationFeed,
 )
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
@@ -307,7 +307,22 @@
     assert feed.is_engine('lm')
     assert not feed.is_engine('app')
     feed.confirm()
-    now[0] = CONFIG_MAX_AGE_S
+    now[0] = MAX_AGE_SHARE * feed.apply_s
+    assert not feed.is_current()
+
+
+@pytest.mark.parametrize('apply_s', [0.5, 2.0, 8.0])
+def test_old_configuration_denies_no_request(apply_s: float) -> None:
+    """Guards against a 404 or 401 that a version in force would not give.
+
+    A working watch confirms the configuration often enough to deny requests.
+    """
+    now = [0.0]
+    feed = ConfigurationFeed(lambda: now[0], lambda _: None, apply_s)
+    feed.confirm()
+    now[0] = feed.watch_wait_s()
+    assert feed.is_current()
+    now[0] = 0.9 * apply_s
     assert not feed.is_current()
 
 
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -16,13 +16,13 @@
 from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.shared_watch import (
     MAX_CHANGES_BYTES,
-    MAX_CONFIRMATION_AGE_S,
     MAX_POLL_DELAY_S,
     MAX_SILENCE_S,
     MIN_POLL_DELAY_S,
     SOURCES_PER_FOLLOWER,
     WatchUpdate,
     limit_changes,
+    max_confirmation_age_s,
     sources_of,
     watchers_of,
 )
@@ -108,7 +108,7 @@
         one for one in fleet.entries.values() if one.sharing.sources
     )
     assert not follower.must_call()
-    fleet.time.now_s += MAX_CONFIRMATION_AGE_S
+    fleet.time.now_s += max_confirmation_age_s(follower.watcher)
     for name in fleet.entries:
         follower.reports[name] = fleet.time.now_s
     assert follower.must_call()
@@ -136,7 +136,9 @@
             assert entry.applied == list(range(first, last + 1))
     fleet.silent = set()
     fleet.updates = []
-    fleet.time.now_s += MAX_CONFIRMATION_AGE_S
+    fleet.time.now_s += max(
+        max_confirmation_age_s(one.watcher) for one in fleet.entries.values()
+    )
     await fleet.step()
     revisions = {one.watcher.revision for one in fleet.entries.values()}
     assert revisions == {fleet.store.state.revision}
--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -17,8 +17,8 @@
     make_configuration,
     make_request,
 )
+from quetzaldyke.gateway.configuration_feed import MAX_AGE_SHARE
 from quetzaldyke.gateway.key_check import (
-    MAX_CONFIRMATION_AGE_S,
     MAX_WAITING,
     Admitted,
     Denial,
@@ -88,7 +88,7 @@
         rig = KeyRig()
         rig.write(1, DEPOT)
         assert await rig.admit('new') == UNKNOWN
-        await anyio.sleep(MAX_CONFIRMATION_AGE_S)
+        await anyio.sleep(MAX_AGE_SHARE * rig.feed.apply_s)
         assert await rig.admit('new') == TOO_OLD
         assert await rig.admit() == TOO_OLD
         assert owner_of(await rig.admit('old')) == 'depot'
--- a/tests/test_lost_sources.py
+++ b/tests/test_lost_sources.py
@@ -10,8 +10,8 @@
 from quetzaldyke.gateway.entry_upkeep import exchange_load
 from quetzaldyke.gateway.gossip import Gossip
 from quetzaldyke.gateway.shared_watch import (
-    MAX_CONFIRMATION_AGE_S,
     MAX_SILENCE_S,
+    max_confirmation_age_s,
 )
 from quetzaldyke.gateway.store_health import MAX_SILENCE_S as STORE_SILENCE_S
 from quetzaldyke.gateway.store_health import StoreHealth
@@ -87,7 +87,7 @@
     fleet.time.now_s += MAX_SILENCE_S / 2
     report(fleet, follower)
     assert not follower.must_call()
-    assert MAX_SILENCE_S < MAX_CONFIRMATION_AGE_S
+    assert MAX_SILENCE_S < max_confirmation_age_s(follower.watcher)
 
 
 def test_store_that_does_not_answer_is_not_reported_as_reached() -> None:
