Look for a job in the store before refusing it for its quota

Callers could get 429 for a job that had been accepted at another entry and was sent again: an entry whose table lacks both that acceptance and the results before it refused the job by its own count.

Change: before 429 the entry reads the job's record; if it is there, the answer is that of a job sent again.

Evidence: test_job_accepted_elsewhere_is_not_over_its_own_quota, found by the review of this issue; it failed before with over_quota.

The review also showed that an entry with an old table accepts small jobs without a condition on the quota key: 1,440 tokens wait where 1,100 are allowed.

--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -108,7 +108,7 @@
                 return Ok(None)
             quota = check_quota(self.table, job, route)
             if not quota.fits and not uncertain:
-                return Err('over_quota')
+                return await self.refuse_over_quota(job)
             state = self.new_state
             written = await self.store.transact(
                 acceptance_transaction(job, route, state, quota),
@@ -124,6 +124,15 @@
                 return Ok(None)
         return Err('unknown' if uncertain else 'unavailable')
 
+    async def refuse_over_quota(
+        self, job: NewJob
+    ) -> Result[None, AcceptFailure]:
+        """Refuse a job, unless it was accepted and the table lacks it."""
+        found = await self.find(job.record.job_id)
+        if isinstance(found, Err):
+            return Err('unavailable')
+        return Err('over_quota') if found.ok_value is None else Ok(None)
+
     async def was_accepted(self, job_id: str, kind: ErrorKind) -> bool:
         """Return whether a job is in the store although its write failed."""
         settled = await self.find(job_id)
@@ -158,8 +167,7 @@
         state = await self.read_state(job_id)
         if isinstance(state, Err):
             return state
-        record = job.ok_value
-        self.table.apply(record.key, record.revision, record.value)
+        self.table.apply_record(job.ok_value)
         view = self.table.view(job_id)
         if view.record is None:
             return Err(KvError('unknown', 'the record can not be read'))
@@ -177,7 +185,7 @@
         if record is None:
             self.table.apply(f'{JOB_PREFIX}{job_id}', 0, None)
         else:
-            self.table.apply(record.key, record.revision, record.value)
+            self.table.apply_record(record)
             if self.table.view(job_id).state_revision < record.revision:
                 return Err(KvError('unknown', 'the state can not be read'))
         return Ok(None)
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -20,6 +20,7 @@
     Member,
 )
 from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.parts.kv import Record
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 
 
@@ -104,7 +105,7 @@
             if not listed and view.state_revision <= snapshot.revision:
                 self.apply(f'{JOB_PREFIX}{job_id}', 0, None)
         for record in snapshot.records:
-            self.apply(record.key, record.revision, record.value)
+            self.apply_record(record)
         self.advance(snapshot.revision)
 
     def apply_changes(
@@ -124,6 +125,10 @@
         self.advanced.set()
         self.advanced = anyio.Event()
 
+    def apply_record(self, record: Record) -> None:
+        """Apply a record that was read; a fault is left to its key."""
+        self.apply(record.key, record.revision, record.value)
+
     def apply(self, key: str, revision: int, value: bytes | None) -> None:
         """Apply one key; a fault is logged and left to this key.
 
--- a/tests/test_organisation_quotas.py
+++ b/tests/test_organisation_quotas.py
@@ -83,6 +83,45 @@
     run_virtual(scenario)
 
 
+async def test_job_accepted_elsewhere_is_not_over_its_own_quota() -> None:
+    """Guards against 429 for a job that was accepted and is sent again.
+
+    The entry has not heard of it, nor that the one before is done.
+    """
+    store = FakeStore()
+    owner, other = Node.of(store, 'a'), Node.of(store, 'b')
+    done, again = (make_job_of('depot', f'j{one}', 90) for one in range(2))
+    assert await owner.store.accept(done, ROUTE) == Ok(None)
+    await other.sync()
+    listed = await owner.store.append_results('j0', [(0, True, b'o')], {})
+    assert listed == Ok(1)
+    await owner.sync()
+    assert await owner.store.accept(again, ROUTE) == Ok(None)
+    assert await other.store.accept(again, ROUTE) == Ok(None)
+    third = make_job_of('depot', 'j2', 90)
+    assert await other.store.accept(third, ROUTE) == Err('over_quota')
+
+
+async def test_small_jobs_at_an_old_table_keep_the_quota() -> None:
+    """Guards against an entry that hears nothing and fills a quota again.
+
+    The quota is 1,000 tokens, of which a tenth may be exceeded.
+    """
+    route = make_route('batch', cap=1000)
+    store = FakeStore()
+    owner, other = Node.of(store, 'a'), Node.of(store, 'b')
+    await other.sync()
+    for number in range(95):
+        job = make_job_of('depot', f'a{number}', 10, route)
+        assert await owner.store.accept(job, route) == Ok(None)
+        await owner.sync()
+    for number in range(49):
+        job = make_job_of('depot', f'b{number}', 10, route)
+        await other.store.accept(job, route)
+    await owner.sync()
+    assert owner.table.waiting_tokens('r', 'depot') <= 1100
+
+
 async def test_full_quota_delays_no_other_organisation() -> None:
     """Guards against acceptances that conflict across organisations."""
     store = FakeStore()
