Complete unframed answers only once the request was received

Callers saw a 200 whose body was the first part of the answer: an endpoint answered a long upload at once without length or chunks, sent a part, ended its stream and reset the connection while the upload was still being written. A batch item took the same end for a statement of its endpoint.

Cause: the end of the stream completed the body, whatever of the request was still unsent. Where the reset had arrived with it, only the end was read; the operating system reports the reset to the next write, or when asked.

Change: at the end of the stream such an answer is complete if no error is pending on the socket and the peer's system has received the whole request. Otherwise the connection stays open for writing, as an endpoint may answer first and read on, until the rest is received, the connection is reset or the exchange is given up.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -17,6 +17,11 @@
 from quetzaldyke.gateway.answer_owner import Owner, owner_of
 from quetzaldyke.gateway.exchange import Exchange, Failure, ResponseHead
 from quetzaldyke.gateway.further_answers import is_torn
+from quetzaldyke.parts.socket_state import (
+    END_CHECK_INTERVAL_S,
+    pending_error,
+    unacknowledged_bytes,
+)
 
 # Assumed if the response has no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_S: Final = 4.0
@@ -106,17 +111,40 @@
             self.fail(Failure.MALFORMED, 'endless head')
 
     def eof_received(self) -> bool:
-        """Complete a body that ends with the connection; let it close.
+        """End a body that ends with the connection; let it close.
 
-        Only the peer's own end is reported here, not a reset and not a close
-        by this process. The connection takes no request any more, though
-        `connection_lost` is called only in a later iteration of the loop.
+        Only the peer's own end is reported here, not a close by this process.
+        The connection takes no request any more, though `connection_lost` is
+        called only in a later iteration of the loop. It stays open while the
+        body may still turn out to be incomplete.
         """
         self.closed = True
         exchange = self.exchange
-        if exchange is not None and exchange.head and not self.framed:
+        if exchange is None or exchange.head is None or self.framed:
+            return False
+        self.end_body()
+        return self.exchange is not None
+
+    def end_body(self) -> None:
+        """Complete the body once the peer has received the whole request.
+
+        A peer that closes the connection before that resets it behind the end
+        of its stream; one that has ended its answer alone receives the rest.
+        """
+        exchange, transport = self.exchange, self.transport
+        if exchange is None or transport is None or transport.is_closing():
+            return
+        error = pending_error(transport)
+        if error is not None:
+            self.fail(Failure.BROKEN, repr(error))
+        elif unacknowledged_bytes(transport):
+            asyncio.get_running_loop().call_later(
+                END_CHECK_INTERVAL_S, self.end_body
+            )
+        else:
+            self.exchange = None
             exchange.finish()
-        return False
+            transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange unless it is complete."""
