End an unframed answer of a sidecar only after its request

Callers of a plain service got the first part of an answer without length as its whole, if the endpoint ended its stream before it had received the request and reset the connection then.

Cause: the stream of the connection reported the end that the peer had sent, and not the reset behind it or the unsent rest of the request.

Change: a read at the end waits until the peer's system has received all that was written, and fails if the connection was reset.

--- a/src/quetzaldyke/connection/tcp_backend.py
+++ b/src/quetzaldyke/connection/tcp_backend.py
@@ -16,6 +16,12 @@
 import anyio
 import httpcore
 
+from quetzaldyke.parts.socket_state import (
+    END_CHECK_INTERVAL_S,
+    pending_error,
+    unacknowledged_bytes,
+)
+
 # Received bytes at which reading from the socket pauses.
 MAX_BUFFERED_BYTES: Final = 65_536
 
@@ -83,7 +89,7 @@
         """Return the next bytes; empty at the end that the peer sent.
 
         Raises ReadError if the connection ended in another way, also because
-        this process closed it.
+        this process closed it, or was reset behind that end.
         """
         if timeout is None:
             await self.wait_for_bytes()
@@ -152,6 +158,24 @@
         while not self.received and not self.ended and not self.lost:
             self.reader = asyncio.get_running_loop().create_future()
             await self.reader
+        if not self.received:
+            await self.confirm_end()
+
+    async def confirm_end(self) -> None:
+        """Wait until the peer has received all that was sent before its end.
+
+        A peer that closes the connection before that resets it behind the end
+        of its stream; one that has ended its answer alone receives the rest.
+        """
+        transport = self.transport
+        if transport is None or not self.ended or self.lost:
+            return
+        while not transport.is_closing():
+            self.failure = pending_error(transport)
+            if self.failure or not unacknowledged_bytes(transport):
+                return
+            await asyncio.sleep(END_CHECK_INTERVAL_S)
+        self.failure = self.failure or ConnectionAbortedError('closed')
 
     def wake_reader(self) -> None:
         """Resume the task that waits for bytes."""
