Refuse answers whose status is none at once

Callers waited for their whole time for a request that an endpoint answered with a status from 000 to 099; if a further answer followed, they got that one.

Cause: each status below 200 counted as interim, and was skipped. The body that an interim answer states was skipped with it and could take in the final one.

Change: only 100 to 199 without a body are interim. Any other status outside 200 to 599 is malformed, as garbage is, so the request fails or is tried elsewhere at once.

--- a/src/quetzaldyke/gateway/answer_form.py
+++ b/src/quetzaldyke/gateway/answer_form.py
@@ -1,8 +1,11 @@
-"""Decides whether the body of an answer can be forwarded as it is.
+"""Decides whether an answer's status and body can be forwarded as they are.
 
 The gateway asks for no encoding and undoes none. A transfer encoding that it
 removes from the head, or a content encoding that no caller asked for, would
 turn the body into other bytes at the caller.
+
+An endpoint in trouble may send a status that is none, or an interim answer with
+a body.
 """
 
 from __future__ import annotations
@@ -11,6 +14,8 @@
 
 from quetzaldyke.gateway.exchange import ResponseHead
 
+FIRST_STATUS: Final = 100
+FIRST_FINAL_STATUS: Final = 200
 LAST_STATUS: Final = 599
 LOGGED_BYTES: Final = 40
 # The transfer codings of a body that can be passed on. `identity` is the older
@@ -22,6 +27,32 @@
 )
 
 
+def is_interim(status: int) -> bool:
+    """Tell whether a final answer follows one with this status.
+
+    >>> is_interim(100), is_interim(99), is_interim(0), is_interim(200)
+    (True, False, False, False)
+    """
+    return FIRST_STATUS <= status < FIRST_FINAL_STATUS
+
+
+def interim_fault(head: ResponseHead) -> str:
+    """Return what is wrong with an interim answer, or no text.
+
+    Its body, which none has, would take in the final answer. The parser refuses
+    a switch of protocols.
+
+    >>> interim_fault(ResponseHead(100, []))
+    ''
+    >>> interim_fault(ResponseHead(100, [(b'content-length', b'2')]))
+    'interim response with a body'
+    """
+    has_length = head.get(b'content-length') not in {None, b'0'}
+    if has_length or head.transfer_codings:
+        return 'interim response with a body'
+    return ''
+
+
 def form_fault(head: ResponseHead) -> str:
     """Return what is wrong with the form of an answer, or no text.
 
@@ -30,7 +61,7 @@
     >>> form_fault(ResponseHead(200, [(b'content-encoding', b'gzip')]))
     "content-encoding b'gzip'"
     """
-    if head.status > LAST_STATUS:
+    if not FIRST_FINAL_STATUS <= head.status <= LAST_STATUS:
         return f'status {head.status}'
     codings = head.transfer_codings
     if codings not in READABLE_CODINGS:
--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -13,7 +13,11 @@
 
 import httptools
 
-from quetzaldyke.gateway.answer_form import form_fault
+from quetzaldyke.gateway.answer_form import (
+    form_fault,
+    interim_fault,
+    is_interim,
+)
 from quetzaldyke.gateway.answer_owner import Owner, owner_of
 from quetzaldyke.gateway.exchange import Exchange, Failure, ResponseHead
 from quetzaldyke.gateway.further_answers import is_torn
@@ -25,7 +29,6 @@
 
 # Assumed if the response has no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_S: Final = 4.0
-FIRST_FINAL_STATUS: Final = 200
 # Reading is paused while more body bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 262_144
 # Limit on all headers and trailers that a peer sends for one request,
@@ -191,8 +194,8 @@
             return
         # A copy: trailers are no headers of the response.
         head = ResponseHead(status, list(self.headers))
-        if status < FIRST_FINAL_STATUS:
-            self.skipping_response = True
+        if is_interim(status):
+            self.skip_interim(head)
             return
         owner = owner_of(head, exchange.echo_header, exchange.expected_echo)
         if owner is Owner.OTHER and head.framed:
@@ -201,8 +204,7 @@
             return
         reason = self.rejection(owner) or form_fault(head)
         if reason:
-            exchange.rejected = head
-            self.fail(Failure.MALFORMED, reason)
+            self.reject(head, reason)
             return
         if owner is Owner.UNNAMED:
             self.reusable = False
@@ -211,6 +213,20 @@
         exchange.head = head
         exchange.wake()
 
+    def skip_interim(self, head: ResponseHead) -> None:
+        """Skip an interim response; fail the exchange if none can follow."""
+        fault = interim_fault(head)
+        if fault:
+            self.reject(head, fault)
+            return
+        self.skipping_response = True
+
+    def reject(self, head: ResponseHead, reason: str) -> None:
+        """Fail the exchange because of the head of a response."""
+        if self.exchange is not None:
+            self.exchange.rejected = head
+        self.fail(Failure.MALFORMED, reason)
+
     def rejection(self, owner: Owner) -> str:
         """Return why an answer proves nothing, or no text if it may count.
 
