Refuse a status above 599 from a sidecar's endpoint

Callers of a plain service whose endpoint answered with a status from 600 to 999 had their connection closed without an answer. The sidecar passed the answer on as complete, and the entry failed to send such a status. An engine's connection stayed in use after one.

Cause: h11 checks that a status has three digits and is at least 100.

Change: a status above 599 breaks the answer, as garbage does, and closes the connection; it is then unknown whether the request ran, and the caller gets a 502.

--- a/src/quetzaldyke/connection/http_connection.py
+++ b/src/quetzaldyke/connection/http_connection.py
@@ -20,6 +20,8 @@
 KEEP_ALIVE_TIMEOUT: Final = re.compile(
     rb'(?:^|,)\s*timeout=([0-9]{1,6})\s*(?:$|,)', re.IGNORECASE
 )
+# h11 refuses a status below 100 and passes on any number of three digits above.
+LAST_STATUS: Final = 599
 FRAMING_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
 
 
@@ -45,10 +47,13 @@
     ) -> httpcore.Response:
         """Send a request and return the head of the answer.
 
-        Raises RemoteProtocolError for an answer with both a length and chunks:
-        nothing tells which of the two ends it.
+        Raises RemoteProtocolError for a status that is none, and for an answer
+        with both a length and chunks: nothing tells which of the two ends it.
         """
         response = await super().handle_async_request(request)
+        if response.status > LAST_STATUS:
+            await self.aclose()
+            raise httpcore.RemoteProtocolError(f'status {response.status}')
         named = {name.lower() for name, _ in response.headers}
         if named >= FRAMING_HEADERS:
             await self.aclose()
