Test early ends of streams and of readers that lag

Two more cases of an answer that is reset behind the end of its stream: an online stream, which failed before the fix (it ended as if it were whole), and a reader that lags, so that reading has paused, which held before, too. The receive buffer of the tests' endpoint no longer depends on the settings of the operating system.

--- a/tests/early_endpoint.py
+++ b/tests/early_endpoint.py
@@ -13,6 +13,9 @@
 # On, with a linger time of 0 s: a close then resets the connection.
 RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 RECEIVE_BYTES: Final = 65_536
+# The operating system takes twice as much of a request that nobody reads,
+# whatever its settings are.
+BUFFER_BYTES: Final = 262_144
 
 
 @dataclass(slots=True)
@@ -45,6 +48,9 @@
         """Answer the first request of each connection."""
         loop = asyncio.get_running_loop()
         self.listener.setblocking(False)
+        self.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES
+        )
         while True:
             connected, _ = await loop.sock_accept(self.listener)
             connected.setblocking(False)
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -14,10 +14,17 @@
 
 from early_endpoint import EarlyEndpoint, early_endpoint
 from gateway_kit import FakeTime, make_dispatcher, make_endpoint, make_route
+from quetzaldyke.gateway.client_connection import MAX_UNREAD_BYTES
 from quetzaldyke.gateway.crashes import CrashTracker
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError, Failure
 from quetzaldyke.gateway.http_client import HttpClient, encode_request
-from quetzaldyke.gateway.online_request import Progress, RelayContext
+from quetzaldyke.gateway.incomplete_response import IncompleteResponseError
+from quetzaldyke.gateway.model import Route, RouteKind
+from quetzaldyke.gateway.online_request import (
+    Outcome,
+    Progress,
+    RelayContext,
+)
 from quetzaldyke.gateway.relay import relay
 from quetzaldyke.parts.socket_state import END_CHECK_INTERVAL_S
 from test_gateway_attempts import FakeCaller, make_request
@@ -113,6 +120,25 @@
             assert exchange.complete
 
 
+# Guards against the same where the reader of the answer lags, so that reading
+# from the connection has paused before the reset.
+@pytest.mark.parametrize('ending', [False, True], ids=['reset', 'end, reset'])
+@pytest.mark.parametrize('size', [10, *UPLOADS])
+async def test_reset_while_reading_is_paused_breaks_the_answer(
+    size: int, ending: bool
+) -> None:
+    """The reset is found once reading goes on."""
+    answer = PART + bytes(2 * MAX_UNREAD_BYTES)
+    with anyio.fail_after(20):
+        async with early_endpoint(
+            answer, ending=ending, resetting=True
+        ) as endpoint:
+            exchange = await upload(endpoint, size)
+            await endpoint.answered.wait()
+            await anyio.sleep(0.01)
+            assert await failure_of(exchange) is Failure.BROKEN
+
+
 async def test_end_without_receipt_can_be_given_up() -> None:
     """Guards against checks that go on after a timeout."""
     with anyio.fail_after(20):
@@ -126,48 +152,59 @@
     assert not exchange.complete
 
 
+async def ask(
+    answer: bytes, route: Route, caller: FakeCaller, progress: Progress
+) -> Outcome:
+    """Relay a long request to endpoints that end and reset their answers."""
+    time = FakeTime()
+    async with early_endpoint(answer, ending=True, resetting=True) as endpoint:
+        port = endpoint.port
+        dispatcher = make_dispatcher(
+            time,
+            *(replace(make_endpoint(name), port=port) for name in ('a', 'b')),
+        )
+        request = make_request(route, time.now_s)
+        return await relay(
+            RelayContext(
+                dispatcher,
+                HttpClient(),
+                CrashTracker(),
+                time.read,
+                lambda *args, **fields: None,
+            ),
+            replace(request, body=bytes(UPLOADS[0])),
+            caller,
+            progress,
+        )
+
+
 # Guards against a caller that gets a part of an answer as its whole, and
 # against a second run of a request that may run once.
 @pytest.mark.parametrize(
     ('kind', 'attempts'), [('idempotent', 2), ('non_idempotent', 1)]
 )
 async def test_caller_gets_no_part_of_an_answer(
-    kind: str, attempts: int
+    kind: RouteKind, attempts: int
 ) -> None:
     """Two endpoints that break their answers lead to a 502."""
-    time = FakeTime()
-    answer = HEAD % b'r1' + b'part'
+    route = make_route(kind, resumable=False)
+    caller, progress = FakeCaller(), Progress()
     with anyio.fail_after(20):
-        async with early_endpoint(
-            answer, ending=True, resetting=True
-        ) as endpoint:
-            port = endpoint.port
-            dispatcher = make_dispatcher(
-                time,
-                *(replace(make_endpoint(one), port=port) for one in ('a', 'b')),
-            )
-            route = make_route(kind, resumable=False)  # type: ignore[arg-type]
-            request = replace(
-                make_request(route, time.now_s), body=bytes(UPLOADS[0])
-            )
-            caller, progress = FakeCaller(), Progress()
-            outcome = await relay(
-                RelayContext(
-                    dispatcher,
-                    HttpClient(),
-                    CrashTracker(),
-                    time.read,
-                    lambda *args, **fields: None,
-                ),
-                request,
-                caller,
-                progress,
-            )
+        outcome = await ask(HEAD % b'r1' + b'part', route, caller, progress)
     assert (outcome.status, caller.status) == (502, 502)
     assert caller.body != b'part'
     assert progress.attempts == attempts
 
 
+async def test_stream_that_is_reset_is_not_ended() -> None:
+    """Guards against a stream that ends as if it were whole."""
+    route = make_route('stream', resumable=False)
+    caller = FakeCaller()
+    with anyio.fail_after(20), pytest.raises(IncompleteResponseError):
+        await ask(HEAD % b'r1' + EVENT, route, caller, Progress())
+    assert (caller.body, caller.finished) == (EVENT, False)
+
+
 # Guards against a batch result that is listed with a part of its text, and
 # against such an end that counts as a statement of the endpoint.
 async def test_item_that_is_reset_states_no_end() -> None:
