--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -13,14 +13,22 @@
 
 import httptools
 
-from quetzaldyke.gateway.answer_form import form_fault
+from quetzaldyke.gateway.answer_form import (
+    form_fault,
+    interim_fault,
+    is_interim,
+)
 from quetzaldyke.gateway.answer_owner import Owner, owner_of
 from quetzaldyke.gateway.exchange import Exchange, Failure, ResponseHead
 from quetzaldyke.gateway.further_answers import is_torn
+from quetzaldyke.parts.socket_state import (
+    END_CHECK_INTERVAL_S,
+    pending_error,
+    unacknowledged_bytes,
+)
 
 # Assumed if the response has no Keep-Alive timeout.
 DEFAULT_KEEP_ALIVE_S: Final = 4.0
-FIRST_FINAL_STATUS: Final = 200
 # Reading is paused while more body bytes than this are unread.
 MAX_UNREAD_BYTES: Final = 262_144
 # Limit on all headers and trailers that a peer sends for one request,
@@ -106,17 +114,40 @@
             self.fail(Failure.MALFORMED, 'endless head')
 
     def eof_received(self) -> bool:
-        """Complete a body that ends with the connection; let it close.
+        """End a body that ends with the connection; let it close.
 
-        Only the peer's own end is reported here, not a reset and not a close
-        by this process. The connection takes no request any more, though
-        `connection_lost` is called only in a later iteration of the loop.
+        Only the peer's own end is reported here, not a close by this process.
+        The connection takes no request any more, though `connection_lost` is
+        called only in a later iteration of the loop. It stays open while the
+        body may still turn out to be incomplete.
         """
         self.closed = True
         exchange = self.exchange
-        if exchange is not None and exchange.head and not self.framed:
+        if exchange is None or exchange.head is None or self.framed:
+            return False
+        self.end_body()
+        return self.exchange is not None
+
+    def end_body(self) -> None:
+        """Complete the body once the peer has received the whole request.
+
+        A peer that closes the connection before that resets it behind the end
+        of its stream; one that has ended its answer alone receives the rest.
+        """
+        exchange, transport = self.exchange, self.transport
+        if exchange is None or transport is None or transport.is_closing():
+            return
+        error = pending_error(transport)
+        if error is not None:
+            self.fail(Failure.BROKEN, repr(error))
+        elif unacknowledged_bytes(transport):
+            asyncio.get_running_loop().call_later(
+                END_CHECK_INTERVAL_S, self.end_body
+            )
+        else:
+            self.exchange = None
             exchange.finish()
-        return False
+            transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange unless it is complete."""
@@ -163,8 +194,8 @@
             return
         # A copy: trailers are no headers of the response.
         head = ResponseHead(status, list(self.headers))
-        if status < FIRST_FINAL_STATUS:
-            self.skipping_response = True
+        if is_interim(status):
+            self.skip_interim(head)
             return
         owner = owner_of(head, exchange.echo_header, exchange.expected_echo)
         if owner is Owner.OTHER and head.framed:
@@ -173,8 +204,7 @@
             return
         reason = self.rejection(owner) or form_fault(head)
         if reason:
-            exchange.rejected = head
-            self.fail(Failure.MALFORMED, reason)
+            self.reject(head, reason)
             return
         if owner is Owner.UNNAMED:
             self.reusable = False
@@ -183,6 +213,20 @@
         exchange.head = head
         exchange.wake()
 
+    def skip_interim(self, head: ResponseHead) -> None:
+        """Skip an interim response; fail the exchange if none can follow."""
+        fault = interim_fault(head)
+        if fault:
+            self.reject(head, fault)
+            return
+        self.skipping_response = True
+
+    def reject(self, head: ResponseHead, reason: str) -> None:
+        """Fail the exchange because of the head of a response."""
+        if self.exchange is not None:
+            self.exchange.rejected = head
+        self.fail(Failure.MALFORMED, reason)
+
     def rejection(self, owner: Owner) -> str:
         """Return why an answer proves nothing, or no text if it may count.
 
