--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -115,13 +115,15 @@
         self.report_timer = None
         now_s = asyncio.get_running_loop().time()
         self.last_report_s = now_s
+        report = self.make_report()
         receivers = {*self.peers, *self.senders}
-        rare = self.far_reports_rare
+        # The loss of the store concerns followers in any domain.
+        lost = self.reported_store and not report.store_up_s
+        rare = self.far_reports_rare and not lost
         if not rare or now_s - self.last_far_report_s >= FAR_INTERVAL_S:
             self.last_far_report_s = now_s
         else:
             receivers -= self.far_peers
-        report = self.make_report()
         self.reported_store = report.store_up_s > 0
         self.send(receivers, report)
 
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -138,6 +138,13 @@
                 if self.own_id in sources_of(member, self.watchers)
             ]
         self.log_roles()
+        self.leave_unreliable()
+
+    def leave_unreliable(self) -> None:
+        """Call the store at once for prefixes that no source confirms."""
+        for prefix, watcher in self.watched.items():
+            if not self.follow_s(prefix):
+                watcher.behind.set()
 
     def log_roles(self) -> None:
         """Log whom this entry follows and how many follow it, if changed."""
@@ -202,11 +209,8 @@
 
     def on_report(self, sender: str) -> None:
         """Leave a source at once if its report says that it lost the store."""
-        if sender not in self.sources or self.reaches_store(sender):
-            return
-        for prefix, watcher in self.watched.items():
-            if not self.follow_s(prefix):
-                watcher.behind.set()
+        if sender in self.sources and not self.reaches_store(sender):
+            self.leave_unreliable()
 
     def follow_s(self, prefix: str) -> float:
         """Return how long this entry may rely on others before it calls.
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -252,6 +252,24 @@
     assert follower.watcher.behind.is_set()
 
 
+async def test_follower_calls_at_once_when_its_sources_are_no_members() -> None:
+    """Guards against an entry that waits for sources that have lapsed.
+
+    It may wait for an update at that moment.
+    """
+    fleet = SimulatedFleet.of_size(4)
+    for _ in range(3):
+        await fleet.step()
+        fleet.deliver_all()
+    follower = next(
+        one for one in fleet.entries.values() if one.sharing.sources
+    )
+    assert not follower.watcher.behind.is_set()
+    follower.sharing.set_members([])
+    assert follower.watcher.behind.is_set()
+    assert follower.must_call()
+
+
 async def test_failing_callback_does_not_end_the_watch() -> None:
     """Guards against an unexpected error that ends the process."""
     seen: list[int] = []
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -122,3 +122,30 @@
 
     anyio.run(scenario)
     assert not transport.sent
+
+
+def test_loss_of_the_store_is_reported_to_far_peers_at_once() -> None:
+    """Guards against far followers that go on relying on a lost watcher."""
+    up_s = 1.0
+    transport = FakeTransport()
+    gossip = Gossip(
+        'w', lambda: LoadReport('w', {}, {}, 0, up_s), lambda message: None
+    )
+    gossip.transport = cast(asyncio.DatagramTransport, transport)
+    gossip.peers = {'near': ('n', 1), 'far': ('f', 1)}
+    gossip.far_peers = frozenset({'far'})
+
+    def receivers() -> list[Address]:
+        transport.sent.clear()
+        gossip.send_report()
+        return sorted(address for _, address in transport.sent)
+
+    async def scenario() -> None:
+        nonlocal up_s
+        assert receivers() == [('f', 1), ('n', 1)]
+        assert receivers() == [('n', 1)]
+        up_s = 0.0
+        assert receivers() == [('f', 1), ('n', 1)]
+        assert receivers() == [('n', 1)]
+
+    anyio.run(scenario)
