Refuse a body that a further answer has filled up to its length

Cause: for HTTP the bytes of the extra answer are the rest of the body, and only bodies without length or chunks were searched for a further head.

Change: every body that is read as a whole is searched. One that states its end is malformed if it holds a status line and below it the id of a request that the connection has carried, or if it holds a status line, or the beginning of one at its end, and bytes that begin no answer come right behind it. The attempt is repeated where the route allows that, else the answer is 502. A body may still quote other heads.

--- a/src/quetzaldyke/gateway/client_connection.py
+++ b/src/quetzaldyke/gateway/client_connection.py
@@ -91,7 +91,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; abort on bytes that nothing asked for."""
-        if self.exchange is None:
+        exchange = self.exchange
+        if exchange is None:
             # An unsolicited response: the next request on this connection
             # could mistake it for its own.
             self.abort()
@@ -100,6 +101,7 @@
         try:
             self.parser.feed_data(data)
         except PARSER_ERRORS as exc:
+            exchange.garbage_follows = self.response_complete
             self.fail(Failure.MALFORMED, repr(exc))
             return
         if max(self.head_bytes, self.unparsed_bytes) > MAX_HEAD_BYTES:
--- a/src/quetzaldyke/gateway/exchange.py
+++ b/src/quetzaldyke/gateway/exchange.py
@@ -9,7 +9,10 @@
 from enum import Enum
 from typing import Final, Literal, Protocol
 
-from quetzaldyke.gateway.further_answers import has_further_head
+from quetzaldyke.gateway.further_answers import (
+    further_ids,
+    holds_status_line,
+)
 from quetzaldyke.parts.byte_budget import ByteBudget, Holding
 
 # Limit on a body that is read as a whole, which keeps a peer that sends
@@ -26,6 +29,9 @@
     def resume_reading(self) -> None:
         """Resume reading after the buffered body has been consumed."""
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Return whether the connection has never carried a request."""
+
 
 # What ends the body of a response: its status if that has none, its length, its
 # last chunk, or the close of the connection.
@@ -138,6 +144,8 @@
     # Requests that the connection has carried, this one included; 0 before the
     # request is sent.
     connection_uses: int = 0
+    # Whether bytes that begin no response came right behind the complete one.
+    garbage_follows: bool = False
     # Monotonic time at which the watchdog cancels the exchange; 0 for never.
     expires_at_s: float = 0.0
     # Called on expiry; returns a later expiry time, or 0 to cancel.
@@ -254,8 +262,8 @@
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the whole body.
 
-        Raises `ExchangeError` if it breaks off, exceeds the limit, or ends
-        with the connection and holds a further answer.
+        Raises `ExchangeError` if it breaks off, exceeds the limit, or holds a
+        further answer.
         """
         body = bytearray()
         while chunk := await self.read_chunk():
@@ -266,16 +274,30 @@
                 raise ExchangeError(
                     Failure.MALFORMED, f'body exceeds {max_bytes} bytes'
                 )
-        self.check_single(bytes(body))
-        return bytes(body)
-
-    def check_single(self, body: bytes) -> None:
-        """Raise `ExchangeError` if a whole body holds a further answer."""
-        framed = self.head is None or self.head.framed
-        if framed or not self.echo_header:
-            return
-        if has_further_head(body, self.echo_header):
+        whole = bytes(body)
+        if self.echo_header and self.holds_further(whole):
             raise ExchangeError(Failure.MALFORMED, 'body holds a response head')
+        return whole
+
+    def holds_further(self, body: bytes) -> bool:
+        """Return whether a whole body holds a further answer.
+
+        A body that states its end may quote the head of any answer. A further
+        one on this connection names a request that it has carried, or its own
+        end is left over behind the body.
+        """
+        ids = further_ids(body, self.echo_header)
+        if not self.framed:
+            return any(True for _ in ids)
+        if any(self.was_carried(request_id) for request_id in ids):
+            return True
+        return self.garbage_follows and holds_status_line(body)
+
+    def was_carried(self, request_id: bytes) -> bool:
+        """Return whether the connection has carried a request."""
+        if self.connection is None:
+            return request_id == self.expected_echo
+        return not self.connection.may_carry(request_id)
 
     @property
     def framed(self) -> bool:
