Break a stream off whose end nobody confirms, after a wait for a slot

Cause: the clean close of a crash is a statement of an end, which another endpoint is to confirm. That had 1 s as any retry; without a slot, an answer or an attempt left the stream was ended normally. The second also became the deadline of a stream that went on at the other endpoint.

Change: an end that nobody confirms closes the caller's connection without the end, so that it can resume. To make that rare, a confirmation goes before all other requests, holds up none that uses other endpoints, and waits as long as the caller is expected to wait for an event. Once the attempts are used up, the endpoints that have sent a part of the stream are asked again, and no further one. A stream that goes on has all of its time.

Tests: test_stream_that_ended_is_ended asked for a normal end after a refused or broken confirmation, which is the fault. These cases are now in test_stream_that_nobody_confirms_is_broken_off, with more answers and numbers of attempts. Two tests of mended streams give the further answer that now confirms their end; what callers must get is unchanged.

--- a/src/quetzaldyke/gateway/answer_ends.py
+++ b/src/quetzaldyke/gateway/answer_ends.py
@@ -10,7 +10,8 @@
   said. Two endpoints that say so independently are believed, or one that says
   so twice while there is no other.
 
-Answers with length or chunks are never confirmed: their own end proves them.
+The endpoints to ask are those that may still get the request. Answers with
+length or chunks are never confirmed: their own end proves them.
 """
 
 from __future__ import annotations
--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -39,11 +39,13 @@
     is_not_run,
 )
 from quetzaldyke.gateway.stalls import (
+    answer_deadline_s,
     extended_deadline_s,
     first_event_timeout_s,
     head_deadline_s,
     next_event_timeout_s,
 )
+from quetzaldyke.gateway.stream_confirmation import note_stated_end
 from quetzaldyke.platform import names
 from quetzaldyke.platform.limits import decode_limit, decode_retry_after
 
@@ -113,10 +115,7 @@
         self.context.dispatcher.permits.limits.note_sent(endpoint, online=True)
         self.context.client.active.add(self.exchange)
         self.exchange.expires_at_s = head_deadline_s(
-            self.request,
-            self.reservation,
-            self.progress.attempts,
-            self.context.now(),
+            self.request, self.reservation, self.progress, self.context.now()
         )
         if self.request.route.kind == 'stream':
             self.exchange.extend = self.extend_first_event_wait
@@ -124,15 +123,17 @@
 
     def extend_first_event_wait(self, now_s: float) -> float:
         """Return a later deadline for the first event, or 0 for none."""
-        if self.progress.event_chunks or now_s >= self.request.deadline_s:
+        deadline_s = answer_deadline_s(self.request, self.progress)
+        if self.progress.event_chunks or now_s >= deadline_s:
             return 0.0
         silence_timeout_s = first_event_timeout_s(
             self.request.route, self.reservation
         )
         endpoints = self.context.dispatcher.endpoints
-        return extended_deadline_s(
+        later_s = extended_deadline_s(
             endpoints, self.reservation, silence_timeout_s, now_s
         )
+        return min(later_s, deadline_s)
 
     def encode(self) -> bytes:
         """Return the bytes of the request that is sent to the endpoint."""
@@ -256,7 +257,9 @@
             )
         if self.request.route.kind == 'stream' and head.status == STATUS_OK:
             return await self.forward_stream(head)
-        self.exchange.expires_at_s = self.request.deadline_s
+        self.exchange.expires_at_s = answer_deadline_s(
+            self.request, self.progress
+        )
         body = await self.exchange.read_body()
         if head.status >= FIRST_ERROR_STATUS:
             return await self.handle_error_response(head, body)
@@ -352,16 +355,13 @@
             self.exchange.check_events(progress.event_chunks, events_before)
         if self.exchange.framed or not self.request.route.resumable:
             return True
-        endpoints = self.context.dispatcher.endpoints
-        usable = endpoints.usable(self.request.service, self.context.now())
-        usable_ids = {one.endpoint_id for one in usable}
-        whole = progress.note_end(self.endpoint_id, usable_ids)
+        whole = note_stated_end(self.context, self.request, progress)
         self.log_attempt('stream_end_stated', f'whole={whole}', 0.0)
         return whole
 
     def next_event_deadline_s(self, may_resume: bool) -> float:
         """Return the time by which the next whole event must arrive."""
-        deadline_s = self.request.deadline_s
+        deadline_s = answer_deadline_s(self.request, self.progress)
         if not may_resume:
             return deadline_s
         route = self.request.route
--- a/src/quetzaldyke/gateway/dispatcher.py
+++ b/src/quetzaldyke/gateway/dispatcher.py
@@ -34,10 +34,10 @@
 )
 from quetzaldyke.gateway.wait_queue import (
     FIRST_EVENT_LATENCY_S,
-    MAX_WAIT_SHARE,
     QueuedRequest,
     WaitQueue,
     max_queue_time_s,
+    max_wait_s,
     may_wait,
     priority_of,
 )
@@ -178,6 +178,7 @@
         *,
         organisation: Organisation | None = None,
         already_sent: bool = False,
+        confirms: bool = False,
     ) -> Result[Reservation, Refusal]:
         """Reserve capacity for an online request, waiting if necessary.
 
@@ -186,7 +187,8 @@
 
         A request that was already sent to an endpoint is queued under the
         longer limit of retrying callers: it may have been executed, so
-        telling its caller that it was refused could be wrong.
+        telling its caller that it was refused could be wrong. One that asks
+        for a stream's end goes before all others and waits until the deadline.
         """
         now_s = self.clock.now()
         if not self.endpoints.usable(service, now_s):
@@ -194,6 +196,7 @@
         claim = Claim(
             priority_of(route, organisation),
             organisation.name if organisation else '',
+            confirms,
         )
         if self.estimates.is_next(service, claim):
             reservation = self.try_acquire(
@@ -207,21 +210,17 @@
                 self.displace_last(service, claim)
                 return Ok(reservation)
         left_s = deadline_s - now_s
-        expected_s = self.expected_wait_s(service, claim)
         full_s = math.inf if already_sent else route.timeout_s
-        if not may_wait(expected_s, route.target_s, left_s, full_s):
+        expected_s = self.expected_wait_s(service, claim)
+        may = may_wait(expected_s, route.target_s, left_s, full_s)
+        if not may and not confirms:
             return Err(
                 self.estimates.refusal(
                     'no_slot_in_time', service, left_s, claim
                 )
             )
         return await self.wait_in_queue(
-            service,
-            route,
-            deadline_s,
-            excluded,
-            full_s,
-            claim,
+            service, route, deadline_s, excluded, full_s, claim
         )
 
     def capacity(self, service: str) -> ServiceCapacity:
@@ -309,7 +308,7 @@
         now_s = self.clock.now()
         longest_s = min(
             max_queue_time_s(route.target_s, route.max_gap_s),
-            MAX_WAIT_SHARE * (deadline_s - now_s),
+            max_wait_s(deadline_s - now_s, confirms=claim.confirms),
         )
         request = QueuedRequest(
             claim.priority,
@@ -324,6 +323,7 @@
                 full_s,
             ),
             claim.flow,
+            claim.confirms,
         )
         self.queue(service).add(request)
         self.displace_last(service, claim)
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -87,6 +87,8 @@
     attempts: int = 0
     sends: int = 0
     tried_endpoints: set[str] = field(default_factory=set)
+    # Endpoints that have sent a part of the stream or stated its end.
+    ran: set[str] = field(default_factory=set)
     last_failure: str = ''
     endpoint_id: str = ''
     first_event_at_s: float = 0.0
@@ -101,6 +103,8 @@
     # Whether the stream may have ended there: an answer with events ended
     # cleanly, and no other one has brought more since.
     end_stated: bool = False
+    # When the caller has taken the latest events.
+    sent_at_s: float = 0.0
     # Measures the latest answer; None if its endpoint's speed is not learned.
     meter: AnswerMeter | None = None
 
@@ -115,6 +119,7 @@
     def note_events(self, now_s: float) -> None:
         """Record that a chunk with whole events has arrived."""
         self.event_chunks += 1
+        self.ran.add(self.endpoint_id)
         self.end_stated = False
         self.first_event_at_s = self.first_event_at_s or now_s
         if self.meter is not None:
@@ -122,6 +127,7 @@
 
     def note_sent(self, now_s: float) -> None:
         """Record that the caller has taken the latest events."""
+        self.sent_at_s = now_s
         if self.meter is not None:
             self.meter.note_sent(now_s)
 
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Final
 
 from result import Err, Result
@@ -29,15 +28,14 @@
     STATUS_UNAVAILABLE,
     final_failure,
 )
+from quetzaldyke.gateway.stream_confirmation import acquire_to_confirm
 from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
 # Retry-After for a request that several endpoints rejected without running.
 REJECTED_RETRY_AFTER: Final = b'0.5'
-# Longest wait for the confirmation that a stream is whole. Its caller has all
-# events by then, and waits for the end alone.
-CONFIRM_TIMEOUT_S: Final = 1.0
-STATUS_OK: Final = 200
+# In logs and metrics; the failure behind it is in the line of the attempt.
+UNCONFIRMED: Final = 'end_not_confirmed'
 
 
 async def relay(
@@ -72,19 +70,11 @@
             context.dispatcher.release(reservation)
         if outcome is not None:
             return outcome
-        if progress.end_stated:
-            request = confirming(request, context.now())
         final = final_failure(context, request, progress)
         if final is not None:
             return await send_final_response(caller, progress, *final)
 
 
-def confirming(request: OnlineRequest, now_s: float) -> OnlineRequest:
-    """Return the request with the time that the wait for its end may take."""
-    deadline_s = min(request.deadline_s, now_s + CONFIRM_TIMEOUT_S)
-    return replace(request, deadline_s=deadline_s)
-
-
 async def place(
     context: RelayContext,
     request: OnlineRequest,
@@ -99,14 +89,7 @@
     suspicion = None if trial else find_suspicion(context, request)
     if suspicion is not None:
         return Err(suspicion)
-    acquired = await context.dispatcher.acquire(
-        request.service,
-        request.route,
-        request.deadline_s,
-        progress.tried_endpoints,
-        organisation=request.organisation,
-        already_sent=progress.sends > 0,
-    )
+    acquired = await acquire(context, request, progress)
     if isinstance(acquired, Err):
         log_refusal(context, request, acquired.err_value)
         return acquired
@@ -118,6 +101,22 @@
     return acquired
 
 
+async def acquire(
+    context: RelayContext, request: OnlineRequest, progress: Progress
+) -> Result[Reservation, Refusal]:
+    """Reserve a slot for what the request needs next."""
+    if progress.end_stated:
+        return await acquire_to_confirm(context, request, progress)
+    return await context.dispatcher.acquire(
+        request.service,
+        request.route,
+        request.deadline_s,
+        progress.tried_endpoints,
+        organisation=request.organisation,
+        already_sent=progress.sends > 0,
+    )
+
+
 def find_suspicion(
     context: RelayContext, request: OnlineRequest
 ) -> Refusal | None:
@@ -203,15 +202,13 @@
 ) -> Outcome:
     """Send an error response to a request that can't be retried.
 
-    A stream whose end one answer states and none could confirm is ended
-    instead. Raises `IncompleteResponseError` if any other response has been
-    started.
+    Raises `IncompleteResponseError` if a response has been started, which is
+    also so for a stream whose end nobody could confirm.
     """
-    if progress.end_stated:
-        await caller.finish()
-        return Outcome(STATUS_OK, 'served')
     if progress.response_started:
-        raise IncompleteResponseError(reason)
+        raise IncompleteResponseError(
+            UNCONFIRMED if progress.end_stated else reason
+        )
     if status == STATUS_UNAVAILABLE:
         await responses.send_refusal(caller, status, REJECTED_RETRY_AFTER)
     else:
--- a/src/quetzaldyke/gateway/retries.py
+++ b/src/quetzaldyke/gateway/retries.py
@@ -16,6 +16,7 @@
     Progress,
     RelayContext,
 )
+from quetzaldyke.gateway.stalls import answer_deadline_s
 from quetzaldyke.platform import names
 
 # Limits all sends of a request. Those that were certainly not run don't count
@@ -44,11 +45,12 @@
 ) -> tuple[int, str] | None:
     """Return the final status and reason, or None if a retry is allowed."""
     route = request.route
-    if context.now() >= request.deadline_s:
+    if context.now() >= answer_deadline_s(request, progress):
         return STATUS_TIMEOUT, 'deadline'
     if progress.attempts and not route.idempotent:
         return STATUS_BAD_GATEWAY, progress.last_failure
-    if progress.attempts >= route.max_attempts:
+    # Endpoints that it was sent to may be asked again whether it has ended.
+    if progress.attempts >= route.max_attempts and not progress.end_stated:
         return STATUS_BAD_GATEWAY, progress.last_failure
     if progress.sends >= MAX_SENDS:
         status = STATUS_BAD_GATEWAY if progress.attempts else STATUS_UNAVAILABLE
--- a/src/quetzaldyke/gateway/stalls.py
+++ b/src/quetzaldyke/gateway/stalls.py
@@ -3,7 +3,7 @@
 An endpoint can become unresponsive while it holds requests. A resumable
 stream is moved early enough to meet its latency target at another endpoint. A
 request that can't be retried keeps waiting, because silence does not prove a
-failure.
+failure. A stream whose end is to be confirmed waits as long as its caller does.
 """
 
 from __future__ import annotations
@@ -12,8 +12,9 @@
 
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.model import Route
-from quetzaldyke.gateway.online_request import OnlineRequest
+from quetzaldyke.gateway.online_request import OnlineRequest, Progress
 from quetzaldyke.gateway.reservation import Reservation
+from quetzaldyke.gateway.wait_queue import max_queue_time_s
 
 FIRST_EVENT_SHARE: Final = 0.5
 NEXT_EVENT_SHARE: Final = 0.6
@@ -26,6 +27,19 @@
 FIRST_ATTEMPT_SHARE: Final = 0.45
 
 
+def answer_deadline_s(request: OnlineRequest, progress: Progress) -> float:
+    """Return how long the request waits for a slot and for an answer.
+
+    The caller of a stream whose end is to be confirmed takes the wait for a
+    pause between two events, and abandons it accordingly.
+    """
+    if not progress.end_stated:
+        return request.deadline_s
+    route = request.route
+    patience_s = max_queue_time_s(route.target_s, route.max_gap_s)
+    return min(request.deadline_s, progress.sent_at_s + patience_s)
+
+
 def extended_deadline_s(
     endpoints: EndpointTable,
     reservation: Reservation,
@@ -59,13 +73,13 @@
 def head_deadline_s(
     request: OnlineRequest,
     reservation: Reservation,
-    attempts: int,
+    progress: Progress,
     now_s: float,
 ) -> float:
     """Return the time by which the head of the response must arrive."""
     route = request.route
-    deadline_s = request.deadline_s
-    if not route.idempotent or attempts >= route.max_attempts:
+    deadline_s = answer_deadline_s(request, progress)
+    if not route.idempotent or progress.attempts >= route.max_attempts:
         return deadline_s
     if route.kind == 'stream':
         return min(
--- a/src/quetzaldyke/gateway/wait_estimates.py
+++ b/src/quetzaldyke/gateway/wait_estimates.py
@@ -40,6 +40,8 @@
     priority: int = 0
     # Name of its organisation; empty if there is none.
     flow: str = ''
+    # Whether it asks for the end of a stream, and goes before all others.
+    confirms: bool = False
 
 
 # Of requests that peers have started since the last look.
@@ -120,7 +122,7 @@
     def is_next(self, service: str, claim: Claim) -> bool:
         """Return whether no request in this queue goes before one more."""
         queue = self.queue(service)
-        if not len(queue):
+        if claim.confirms or not queue.has_new():
             return True
         if not self.is_shared(service, claim):
             return False
--- a/src/quetzaldyke/gateway/wait_queue.py
+++ b/src/quetzaldyke/gateway/wait_queue.py
@@ -81,6 +81,9 @@
     can_wait: Callable[[float], bool] = lambda expected_s: True
     # Name of its organisation; empty if there is none.
     flow: str = ''
+    # Whether it asks for the end of a stream. It goes before all others, and
+    # doesn't hold them up: it may wait for other endpoints than they do.
+    confirms: bool = False
     arrival_number: int = 0
     cancelled: bool = False
     started: bool = False
@@ -124,6 +127,10 @@
         """Return the number of requests that were not cancelled."""
         return sum(not one.cancelled for one in self.requests)
 
+    def has_new(self) -> bool:
+        """Return whether any request waits that asks for no stream's end."""
+        return any(not (one.cancelled or one.confirms) for one in self.requests)
+
     def record_hold(self, hold_s: float) -> None:
         """Add the time for which a request held its slot to the mean."""
         self.mean_hold_s += HOLD_WEIGHT * (hold_s - self.mean_hold_s)
@@ -189,16 +196,17 @@
         """Start queued requests until one finds no capacity.
 
         The order is by priority, then requests that can still meet their
-        objective, then arrival.
+        objective, then arrival. Those that ask for a stream's end come first.
         """
         if not self.requests:
             return
         for request in self.in_order(now_s):
             if request.cancelled:
                 continue
-            if not request.try_start():
+            if request.try_start():
+                request.started = True
+            elif not request.confirms:
                 break
-            request.started = True
         self.requests = [
             one
             for one in self.requests
@@ -209,6 +217,7 @@
         """Return the requests in the order in which they should start."""
         self.requests.sort(
             key=lambda one: (
+                not one.confirms,
                 one.priority,
                 one.latest_on_time_start_s < now_s,
                 one.arrival_number,
@@ -226,8 +235,9 @@
     def in_fair_order(self, now_s: float) -> Iterator[QueuedRequest]:
         """Yield sorted requests in the fair order among organisations."""
 
-        def rank(one: QueuedRequest) -> tuple[int, bool]:
-            return one.priority, one.latest_on_time_start_s < now_s
+        def rank(one: QueuedRequest) -> tuple[bool, int, bool]:
+            late = one.latest_on_time_start_s < now_s
+            return not one.confirms, one.priority, late
 
         for _, equals in itertools.groupby(self.requests, key=rank):
             lines: dict[str, list[QueuedRequest]] = {}
@@ -242,7 +252,11 @@
         It is one of the organisation with the most slots and requests for its
         weight, among the least urgent requests.
         """
-        waiting = [one for one in self.requests if not one.cancelled]
+        waiting = [
+            one
+            for one in self.requests
+            if not one.cancelled and not one.confirms
+        ]
         priority = max((one.priority for one in waiting), default=0)
         equals = [one for one in waiting if one.priority == priority]
         if not equals:
@@ -297,7 +311,7 @@
         for request in self.in_order(now_s) if mixed else self.requests:
             if request.cancelled:
                 continue
-            if request.can_wait(expected_s(position)):
+            if request.confirms or request.can_wait(expected_s(position)):
                 position += 1
                 continue
             request.cancelled = True
@@ -328,6 +342,14 @@
     return expected_s + FIRST_EVENT_LATENCY_S <= target_s
 
 
+def max_wait_s(left_s: float, *, confirms: bool) -> float:
+    """Return how much of its remaining time a request may spend in the queue.
+
+    The answer about a stream's end takes hardly any time.
+    """
+    return left_s if confirms else MAX_WAIT_SHARE * left_s
+
+
 def max_queue_time_s(target_s: float, max_gap_s: float) -> float:
     """Return the longest time that a request may spend in the queue.
 
