Give simulated entries their own order and generators

Cause: the simulation drew the delay of each message while it went through a set of receivers, so the delays followed the hash seed; and the dispatchers of all entries drew from generators with one seed, so that entries chose the same endpoint together. The product was not at fault.

Change: receivers are served in order of their names, and the seed of an entry's generator is its number.

--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -90,8 +90,13 @@
         return fleet
 
     def add_entry(self, name: str) -> DrainEntry:
-        """Start an entry, which has the list of the endpoints."""
-        dispatcher = make_dispatcher(self.time, *self.endpoints.values())
+        """Start an entry, which has the list of the endpoints.
+
+        Its number among the entries is the seed of its choices.
+        """
+        dispatcher = make_dispatcher(
+            self.time, *self.endpoints.values(), seed=len(self.entries)
+        )
         exchange = DrainExchange(
             name,
             dispatcher.drains,
@@ -124,12 +129,16 @@
     def send(
         self, sender: str, receivers: Iterable[str], update: DrainUpdate
     ) -> None:
-        """Deliver an update to each receiver after some time, or lose it."""
+        """Deliver an update to each receiver after some time, or lose it.
+
+        The receivers are a set, whose order differs between processes: taken
+        as it comes, it would decide which of them waits how long.
+        """
         datagram = encode(update)
         decoded = decode(datagram)
         assert decoded == update
         entry = self.entries[sender]
-        for receiver in receivers:
+        for receiver in sorted(receivers):
             entry.messages += 1
             entry.bytes += len(datagram)
             if self.generator.random() >= self.loss:
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -117,9 +117,15 @@
         return self.now_s
 
 
-def make_dispatcher(time: FakeTime, *endpoints: Endpoint) -> Dispatcher:
-    """Return a dispatcher over the given endpoints."""
-    generator = random.Random(1)
+def make_dispatcher(
+    time: FakeTime, *endpoints: Endpoint, seed: int = 1
+) -> Dispatcher:
+    """Return a dispatcher over the given endpoints.
+
+    Simulated entries need different seeds: with one seed all of them would
+    choose the same endpoint at the same moment.
+    """
+    generator = random.Random(seed)
     loads = LoadTable()
     table = EndpointTable()
     table.replace_all(endpoints, time.now_s)
