Write failed runs before the items run again

Cause: the number of an item's failed runs was in its owner's memory until the next results of the job were appended, and that of a finished item was left out even then. Each owner that was killed before took its count with it, and the next one began with the older number. A failed item's result waited 0.7 s for others, in which it was lost the same way.

Change: a job's failed runs, and results of failed items, are written with the next tick of 0.1 s, at most each 0.2 s for a job, in the conditional write of the results; without results it writes the state alone. An item does not run again before the store has its failures; after a failed write it waits as results do. Failures of finished items are kept until their results are listed. An owner that takes an item over whose attempts are used up gives it up without a run, and a planned stop writes failed runs before the job is handed over. An owner that is killed loses at most the last failure of each item, and only within the tick and the write, or while it can't reach the store.

--- a/src/quetzaldyke/gateway/active_job.py
+++ b/src/quetzaldyke/gateway/active_job.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from collections.abc import Container, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -41,6 +42,9 @@
     output_bytes: int = 0
     held: Holding | None = None
     failures: int = 0
+    # How many of the failed runs the store holds. The item runs again only
+    # when that is all: an owner that ends takes no counted failure with it.
+    saved_failures: int = 0
     # Endpoints on which it failed in runs by this entry.
     failed_at: frozenset[str] = frozenset()
     not_before_s: float = 0.0
@@ -68,6 +72,11 @@
             and not exchange.complete
         )
 
+    @property
+    def has_unsaved_failure(self) -> bool:
+        """Return whether it has failed in a run that the store lacks."""
+        return self.failures > self.saved_failures
+
     def note_interruption(self) -> None:
         """Count a run that an endpoint cut off, if it made no progress."""
         if self.events_done > self.interrupted_at_event:
@@ -171,6 +180,8 @@
     finished: list[FinishedItem] = field(default_factory=list)
     finished_since_s: float = 0.0
     appending: bool = False
+    # When the last write of results or failed runs ended.
+    appended_s: float = -math.inf
     # Whether the last write of results failed; the next one waits then.
     append_failed: bool = False
     stopped: bool = False
@@ -242,9 +253,37 @@
             for progress in self.items.values()
             if not progress.running
             and not progress.finished
+            and not progress.has_unsaved_failure
             and progress.not_before_s <= now_s
         ]
 
+    def exhausted(self) -> list[ItemProgress]:
+        """Return the unfinished items that have failed in all attempts."""
+        return [
+            progress
+            for progress in self.items.values()
+            if not progress.finished
+            and progress.failures >= self.terms.max_attempts
+        ]
+
+    def failures(self) -> dict[int, int]:
+        """Return the failed runs of the items without a listed result.
+
+        Finished items are among them, as their results may not get listed.
+        """
+        return {
+            progress.item: progress.failures
+            for progress in self.items.values()
+            if progress.failures
+        }
+
+    @property
+    def has_unsaved_failures(self) -> bool:
+        """Return whether the store lacks failed runs or failed items."""
+        return any(not row.completed for row in self.finished) or any(
+            progress.has_unsaved_failure for progress in self.items.values()
+        )
+
     def partials(self) -> list[PartialOutput]:
         """Return the partial outputs of the unfinished items."""
         return [
@@ -257,3 +296,19 @@
             for progress in self.items.values()
             if progress.outputs and not progress.finished
         ]
+
+
+def unlisted_items(
+    record: JobRecord, done: Container[int], failures: Mapping[int, int]
+) -> dict[int, ItemProgress]:
+    """Return the items not in `done`, with the failed runs that are known."""
+    return {
+        index: ItemProgress(
+            index,
+            item,
+            failures=failures.get(index, 0),
+            saved_failures=failures.get(index, 0),
+        )
+        for index, item in enumerate(record.items)
+        if index not in done
+    }
--- a/src/quetzaldyke/gateway/batch_runner.py
+++ b/src/quetzaldyke/gateway/batch_runner.py
@@ -16,6 +16,7 @@
     ActiveJob,
     FinishedItem,
     ItemProgress,
+    unlisted_items,
 )
 from quetzaldyke.gateway.batch_schedule import BatchPolicy, RunTimeEstimator
 from quetzaldyke.gateway.dispatcher import Dispatcher
@@ -135,11 +136,7 @@
         table = self.routes()
         if table is None or record.job_id in self.jobs:
             return
-        items = {
-            index: ItemProgress(index, item, failures=failures.get(index, 0))
-            for index, item in enumerate(record.items)
-            if index not in done
-        }
+        items = unlisted_items(record, done, failures)
         for progress in items.values():
             progress.count_bytes(self.outputs)
         for partial in partials:
@@ -157,6 +154,9 @@
             route=record.route,
             route_exists=batch_route(record, table) is not None,
         )
+        # The owner before may have ended between a failure and its result.
+        for progress in job.exhausted():
+            self.finish_item(job, progress, False)
         self.on_pending()
         self.schedule_soon()
 
@@ -330,7 +330,7 @@
                 progress.exchange.cancel()
         while job.appending:
             await anyio.sleep(SCHEDULE_DELAY_S)
-        if job.finished:
+        if job.finished or job.has_unsaved_failures:
             job.appending = True
             await self.results.append(job)
         if not job.items or not successors:
--- a/src/quetzaldyke/gateway/job_records.py
+++ b/src/quetzaldyke/gateway/job_records.py
@@ -292,7 +292,7 @@
         outcomes: list[tuple[int, bool]],
         failures: dict[int, int],
     ) -> JobState:
-        """Return the state with one more part of results.
+        """Return the state with one more part of results, if there are any.
 
         >>> state = JobState('o', 'i').with_results([(3, True)], {})
         >>> state.part_count, state.results
@@ -302,11 +302,16 @@
             ResultRecord(item, completed, self.part_count)
             for item, completed in outcomes
         )
+        done = {result.item for result in self.results + added}
         return replace(
             self,
-            part_count=self.part_count + 1,
+            part_count=self.part_count + bool(added),
             results=self.results + added,
-            failures=failures,
+            failures={
+                item: count
+                for item, count in failures.items()
+                if item not in done
+            },
         )
 
 
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -201,10 +201,10 @@
     ) -> Result[int, KvError]:
         """Append the first results of some to a job that this entry owns.
 
-        Returns how many of them the job now has, at least one: as many as fit
-        into one value. Fails with `conflict` if another entry owns the job or
-        its state has changed, and with `too_large` if the store refuses even
-        the first for its size.
+        Returns how many of them the job now has: as many as fit into one value,
+        none only if none are given, to write failed runs. Fails with `conflict`
+        if another entry owns the job or its state has changed, and with
+        `too_large` if the store refuses even the first for its size.
         """
         leading = leading_outcomes(outcomes, self.sizes.part_bytes)
         while True:
@@ -212,7 +212,7 @@
             if isinstance(written, Ok):
                 return Ok(len(leading))
             refused = written.err_value.kind == 'too_large'
-            if not refused or len(leading) == 1:
+            if not refused or len(leading) <= 1:
                 return written
             leading = leading[: len(leading) // 2]
 
@@ -222,28 +222,30 @@
         outcomes: list[Outcome],
         failures: dict[int, int],
     ) -> Result[None, KvError]:
-        """Append results as one part; items that have a result are skipped."""
+        """Append results as one part, without items that have a result."""
         view = self.table.view(job_id)
         state = view.state
         if state is None or state.owner_id != self.owner_id:
             return Err(KvError('conflict', 'another entry owns the job'))
         done = {result.item for result in state.results}
         new = [row for row in outcomes if row[0] not in done]
-        if not new:
-            return Ok(None)
         key = f'{STATE_PREFIX}{job_id}'
         part_key = result_key(job_id, state.part_count)
         updated = state.with_results([row[:2] for row in new], failures)
+        if updated == state:
+            return Ok(None)
         part = pack_outputs([(row[0], row[2]) for row in new])
+        outputs = (Put(part_key, part),) if new else ()
         written = await self.store.transact(
             Transaction(
                 {key: view.state_revision},
-                (Put(key, updated.pack()), Put(part_key, part)),
+                (Put(key, updated.pack()), *outputs),
             ),
         )
         if isinstance(written, Ok):
             self.table.apply(key, written.ok_value, updated.pack())
-            self.cache.put(part_key, part)
+            if new:
+                self.cache.put(part_key, part)
             return Ok(None)
         await self.read_state(job_id)
         return written
--- a/src/quetzaldyke/gateway/result_writer.py
+++ b/src/quetzaldyke/gateway/result_writer.py
@@ -3,6 +3,10 @@
 Load pattern: many items finish within moments, or while the store is away.
 Results wait a little for others of their job, so that they share a write, and
 are written in as many parts as the store's largest value requires.
+
+Failure pattern: owners are killed one after the other while items fail at each
+run. Failed runs and failed items are written with the next tick, before those
+items run again. An owner that ends loses at most the last failure of each.
 """
 
 from __future__ import annotations
@@ -28,6 +32,8 @@
 MIN_NEW_EVENTS: Final = 30
 # Results wait this long for others of their job, to share one write.
 RESULT_DELAY_S: Final = 0.7
+# Pause between two writes of a job's failed runs, as store calls are priced.
+FAILURE_INTERVAL_S: Final = 0.2
 
 
 @dataclass(slots=True)
@@ -43,15 +49,28 @@
     def write_due(self, job: ActiveJob, now_s: float) -> None:
         """Start the writes of a job that are due."""
         self.save_partials_if_due(job, now_s)
-        if not job.finished or job.appending:
-            return
-        waited_s = now_s - job.finished_since_s
-        all_finished = all(item.finished for item in job.items.values())
-        at_once = all_finished and not job.append_failed
-        if at_once or waited_s >= RESULT_DELAY_S:
+        if not job.appending and self.is_due(job, now_s):
             job.appending = True
             self.group.start_soon(run_guarded, self.append, job)
 
+    def is_due(self, job: ActiveJob, now_s: float) -> bool:
+        """Return whether the results or failed runs of a job are to be written.
+
+        After a write that failed all of them wait as long as results do.
+        """
+        if job.has_unsaved_failures:
+            pause_s = (
+                RESULT_DELAY_S if job.append_failed else FAILURE_INTERVAL_S
+            )
+            if now_s - job.appended_s >= pause_s:
+                return True
+        if not job.finished:
+            return False
+        all_finished = all(item.finished for item in job.items.values())
+        if all_finished and not job.append_failed:
+            return True
+        return now_s - job.finished_since_s >= RESULT_DELAY_S
+
     def save_partials_if_due(self, job: ActiveJob, now_s: float) -> None:
         """Save partial outputs if the interval and enough events passed."""
         if job.saving or now_s - job.saved_s < PARTIALS_INTERVAL_S:
@@ -83,32 +102,33 @@
             )
 
     async def append(self, job: ActiveJob) -> None:
-        """Append finished items to the results in the store; `tick` retries.
+        """Write finished items and failed runs to the store; `tick` retries.
 
         Writes one part after the other, as the results may be larger together
         than the store takes at once.
         """
         try:
-            while job.finished and await self.append_part(job):
-                pass
+            while job.finished or job.has_unsaved_failures:
+                if not await self.append_part(job):
+                    break
         finally:
             job.appending = False
         if not job.items:
             self.jobs.pop(job.record.job_id, None)
 
     async def append_part(self, job: ActiveJob) -> bool:
-        """Append the first finished items; return whether they are listed."""
+        """Append the first finished items, with all failed runs.
+
+        Returns whether the store has them.
+        """
         results = list(job.finished)
+        failures = job.failures()
         appended = await self.store.append_results(
             job.record.job_id,
             [(row.item, row.completed, row.output) for row in results],
-            {
-                progress.item: progress.failures
-                for progress in job.items.values()
-                if progress.failures and not progress.finished
-            },
+            failures,
         )
-        job.finished_since_s = self.clock.now()
+        job.finished_since_s = job.appended_s = self.clock.now()
         job.append_failed = isinstance(appended, Err)
         if isinstance(appended, Err):
             log_event(
@@ -119,6 +139,8 @@
                 reason=str(appended.err_value),
             )
             return self.withhold_first(job, appended.err_value)
+        for item, count in failures.items():
+            job.items[item].saved_failures = count
         listed = results[: appended.ok_value]
         del job.finished[: len(listed)]
         for row in listed:
@@ -130,6 +152,7 @@
             job=job.record.job_id,
             results=len(listed),
             bytes=sum(len(row.output) for row in listed),
+            failures=sum(failures.values()),
             left=len(job.items),
         )
         return True
@@ -139,8 +162,10 @@
 
         Returns whether it was, so that the others can be written.
         """
+        if error.kind != 'too_large' or not job.finished:
+            return False
         first = job.finished[0]
-        if error.kind != 'too_large' or not first.output:
+        if not first.output:
             return False
         del job.finished[0]
         job.items[first.item].withhold()
