--- a/tests/test_gateway_part_crashes.py
+++ b/tests/test_gateway_part_crashes.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from gateway_fleet import GatewayFleet
+from gateway_fleet import POLL_INTERVAL_S, START_TIMEOUT_S, GatewayFleet
 from quetzaldyke.standins.platform_endpoint import event_of
 
 EVENTS = 10
@@ -79,6 +79,15 @@
         await fleet.wait_until_up(port, '/runs', expected_status=200)
 
 
+async def wait_for_members(fleet: GatewayFleet) -> None:
+    """Wait until all entries know each other, so that they report crashes."""
+    for entry in ENTRIES:
+        log = anyio.Path(fleet.folder / f'{entry}.log')
+        with anyio.fail_after(START_TIMEOUT_S):
+            while f'members={len(ENTRIES)}' not in await log.read_text():
+                await anyio.sleep(POLL_INTERVAL_S)
+
+
 def whole_stream(request_id: str) -> bytes:
     """Return the complete stream of a request."""
     return b''.join(
@@ -86,29 +95,45 @@
     )
 
 
+async def expect_refusal(fleet: GatewayFleet, crashes_s: list[float]) -> None:
+    """Send requests with the part until it is refused; check what follows.
+
+    Sound requests that share the other part must still be served.
+    """
+    status = 0
+    for number in range(CRASHING_REQUESTS):
+        await wait_for_engines(fleet)
+        entry = ENTRIES[number % len(ENTRIES)]
+        status, _ = await send_prompt(
+            fleet, entry, f'r{number}', 'shared', CRASHING_PART
+        )
+        await anyio.sleep(RESTART_DELAY_S)
+        assert len(crashes_s) <= MAX_CRASHES
+    assert status == 503
+    await wait_for_engines(fleet)
+    for entry in ENTRIES:
+        answer = await send_prompt(fleet, entry, entry, 'shared', 'sound')
+        assert answer == (200, whole_stream(entry))
+
+
 # Guards against requests that share nothing but one part of their prompts and
 # crash one endpoint after another, each as if it were the first.
 def test_part_that_crashes_endpoints_is_refused(tmp_path: Path) -> None:
-    """Guards against a part of prompts that crashes the whole service.
+    """Guards against a part of prompts that crashes the whole service."""
+    run_with_crashing_part(tmp_path, expect_refusal)
 
-    Sound requests that share the other part must still be served.
-    """
+
+# Guards against crashes that don't count because the endpoint's registration
+# is that of a lifetime which has crashed before. On a busy machine the new one
+# arrived some milliseconds after the next request, and a sixth crash followed.
+def test_part_is_refused_without_new_registrations(tmp_path: Path) -> None:
+    """The entries don't hear from the store when endpoints are back."""
 
     async def scenario(fleet: GatewayFleet, crashes_s: list[float]) -> None:
-        status = 0
-        for number in range(CRASHING_REQUESTS):
-            await wait_for_engines(fleet)
-            entry = ENTRIES[number % len(ENTRIES)]
-            status, _ = await send_prompt(
-                fleet, entry, f'r{number}', 'shared', CRASHING_PART
-            )
-            await anyio.sleep(RESTART_DELAY_S)
-            assert len(crashes_s) <= MAX_CRASHES
-        assert status == 503
-        await wait_for_engines(fleet)
-        for entry in ENTRIES:
-            answer = await send_prompt(fleet, entry, entry, 'shared', 'sound')
-            assert answer == (200, whole_stream(entry))
+        await wait_for_members(fleet)
+        for proxy in fleet.store_proxies.values():
+            proxy.impairment = 'silent'
+        await expect_refusal(fleet, crashes_s)
 
     run_with_crashing_part(tmp_path, scenario)
 
