Order acceptances at an old table on the quota key

That few small jobs can pass the quota holds only within one delay of the watch, and nothing asked how old the table was.

Change: while the table is older than 1 s each acceptance is conditional on the last one seen. An entry that has written one under that condition may follow it up, as nobody else has accepted since.

--- a/src/quetzaldyke/gateway/job_acceptance.py
+++ b/src/quetzaldyke/gateway/job_acceptance.py
@@ -33,6 +33,8 @@
 # This holds only for small jobs: it takes 25 of them, accepted within one delay
 # of the watch, to fill the other half. Larger ones are always serialized.
 UNSERIALIZED_JOB_SHARE: Final = 0.02
+# Nor does it hold for a table that may lack the acceptances of a longer time.
+MAX_UNSERIALIZED_AGE_S: Final = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +47,9 @@
     revision: int | None = None
 
 
-def check_quota(table: JobTable, job: NewJob, route: Route) -> QuotaCheck:
+def check_quota(
+    table: JobTable, job: NewJob, route: Route, now_s: float
+) -> QuotaCheck:
     """Check a job against what its organisation has waiting on the route."""
     limit = route.batch.max_waiting_tokens if route.batch else 0
     if not limit:
@@ -55,7 +59,8 @@
     if waiting > limit:
         return QuotaCheck(fits=False)
     if (
-        waiting <= limit * UNSERIALIZED_QUOTA_SHARE
+        table.confirmation.age_s(now_s) <= MAX_UNSERIALIZED_AGE_S
+        and waiting <= limit * UNSERIALIZED_QUOTA_SHARE
         and job.tokens <= limit * UNSERIALIZED_JOB_SHARE
     ):
         return QuotaCheck(fits=True)
@@ -65,6 +70,22 @@
     )
 
 
+def note_order(
+    table: JobTable,
+    job: NewJob,
+    route: Route,
+    quota: QuotaCheck,
+    revision: int,
+) -> None:
+    """Let the next job follow one that was written at a revision.
+
+    Only if no other entry can have accepted one that the table lacks.
+    """
+    if quota.revision is not None:
+        name = quota_name(route.name, job.record.organisation)
+        table.note_quota(name, revision)
+
+
 def acceptance_transaction(
     job: NewJob,
     route: Route,
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Final, Literal
 
@@ -16,6 +18,7 @@
 from quetzaldyke.gateway.job_acceptance import (
     acceptance_transaction,
     check_quota,
+    note_order,
     excess_of,
 )
 from quetzaldyke.gateway.job_deletion import deletions
@@ -74,6 +77,7 @@
     instance: str
     cache: PartCache = field(default_factory=PartCache)
     limits: TransactionLimits = DEFAULT_LIMITS
+    now: Callable[[], float] = time.monotonic
 
     @property
     def sizes(self) -> PartSizes:
@@ -107,7 +111,7 @@
         for _ in range(MAX_ACCEPT_ATTEMPTS):
             if self.table.is_known(job.record.job_id):
                 return Ok(None)
-            quota = check_quota(self.table, job, route)
+            quota = check_quota(self.table, job, route, self.now())
             if not quota.fits and not uncertain:
                 return await self.refuse_over_quota(job)
             state = self.new_state
@@ -116,6 +120,7 @@
             )
             if isinstance(written, Ok):
                 self.table.note_accepted(job.record, state, written.ok_value)
+                note_order(self.table, job, route, quota, written.ok_value)
                 return Ok(None)
             kind = written.err_value.kind
             uncertain |= kind not in NOT_APPLIED_ERRORS
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -160,7 +160,12 @@
             case job_records.END_PREFIX:
                 self.apply_end(name, value)
             case job_records.QUOTA_PREFIX:
-                self.quota_revisions[name] = revision
+                self.note_quota(name, revision)
+
+    def note_quota(self, name: str, revision: int) -> None:
+        """Record the latest acceptance that counts towards a quota."""
+        known = self.quota_revisions.get(name, 0)
+        self.quota_revisions[name] = max(known, revision)
 
     def view(self, job_id: str) -> JobView:
         """Return the view of a job, adding an empty one for an unknown job."""
