--- a/src/quetzaldyke/gateway/confirmation.py
+++ b/src/quetzaldyke/gateway/confirmation.py
@@ -16,6 +16,17 @@
 OWN_CALL: Final = 'own_call'
 
 
+def age_ms(since_s: float | None, now_s: float) -> str:
+    """Return the time since an event in milliseconds, empty if there was none.
+
+    >>> age_ms(2.0, 2.5), age_ms(-math.inf, 2.5), age_ms(None, 2.5)
+    ('500', '', '')
+    """
+    if since_s is None or math.isinf(since_s):
+        return ''
+    return str(round((now_s - since_s) * MS_IN_S))
+
+
 @dataclass(slots=True)
 class Confirmation:
     """The latest time whose changes a table is known to hold, and by whom.
@@ -45,8 +56,7 @@
 
     def describe(self, now_s: float) -> dict[str, object]:
         """Return the log fields on the age of a table."""
-        age_s = self.age_s(now_s)
         return {
-            'confirmed_ms': int(age_s * MS_IN_S) if self.source else '',
+            'confirmed_ms': age_ms(self.as_of_s, now_s),
             'confirmed_by': self.source,
         }
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -10,6 +10,7 @@
 from result import Err, Ok
 
 from quetzaldyke.gateway.authentication import Identity
+from quetzaldyke.gateway.confirmation import age_ms
 from quetzaldyke.gateway.job_queries import (
     decode_id,
     query_number,
@@ -294,6 +295,7 @@
             listed=len(view.state.results) if view.state else 0,
             waited_ms=int((now_s - asked_s) * MS_IN_S),
             state_revision=view.state_revision,
+            state_read_ms=age_ms(view.read_s, now_s),
             table_revision=table.revision,
             **table.confirmation.describe(now_s),
         )
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from quetzaldyke.gateway.confirmation import MS_IN_S
+from quetzaldyke.gateway.confirmation import age_ms
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.watch import PrefixWatcher
@@ -251,17 +251,12 @@
                 str(self.reaches_store(source)) for source in self.sources
             ),
             reported_ms=','.join(
-                age_text(self.last_report_s(source), now_s)
+                age_ms(self.last_report_s(source), now_s)
                 for source in self.sources
             ),
             source_confirmed_ms=','.join(
-                age_text(self.confirmed_s.get((source, watcher.prefix)), now_s)
+                age_ms(self.confirmed_s.get((source, watcher.prefix)), now_s)
                 for source in self.sources
             ),
             **watcher.confirmation.describe(now_s),
         )
-
-
-def age_text(since_s: float | None, now_s: float) -> str:
-    """Return the time since an event in milliseconds, empty without one."""
-    return '' if since_s is None else str(round((now_s - since_s) * MS_IN_S))
