Load no more modules before the first answer than before

The age of a table is part of watch.py, pages of results of job_reads.py, the decoding of queries of received_request.py, deletions of job_parts.py, reading of parts of part_cache.py, confirmations of streams of retries.py, outages of entry_wiring.py; readiness and metrics are status_apps.py. No behaviour changes.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -37,6 +37,7 @@
     STATUS_TIMEOUT,
     final_failure,
     is_not_run,
+    note_stated_end,
 )
 from quetzaldyke.gateway.stalls import (
     answer_deadline_s,
@@ -45,7 +46,6 @@
     head_deadline_s,
     next_event_timeout_s,
 )
-from quetzaldyke.gateway.stream_confirmation import note_stated_end
 from quetzaldyke.platform import names
 from quetzaldyke.platform.limits import decode_limit, decode_retry_after
 
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -18,10 +18,9 @@
 from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.logs import LineWriter, log_event
-from quetzaldyke.gateway.metrics_app import metrics_app
 from quetzaldyke.gateway.model import Installation
-from quetzaldyke.gateway.readiness import readiness_app
 from quetzaldyke.gateway.restart import StartPolicy
+from quetzaldyke.gateway.status_apps import metrics_app, readiness_app
 from quetzaldyke.gateway.store_tunnel import serve_tunnels
 from quetzaldyke.gateway.watch import PrefixWatcher
 from quetzaldyke.platform import names
--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -17,7 +17,6 @@
 from quetzaldyke.gateway.loading import Loading
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S
-from quetzaldyke.gateway.outages import follow_outages
 from quetzaldyke.gateway.restart import StartPolicy
 from quetzaldyke.gateway.speed_exchange import SpeedExchange
 
@@ -39,12 +38,8 @@
     entry.dispatcher.on_displaced = lambda service: entry.metrics.count(
         'requests_displaced_total', service=service
     )
-    follow_outages(
-        entry.health, entry.endpoint_table, entry.store.path, entry.clock.now
-    )
+    follow_outages(entry)
     entry.jobs.on_members = entry.on_members
-    # Members that came while the store counted as down become peers.
-    entry.health.on_regained.append(entry.on_members)
     entry.dispatcher.estimates.shares.weight_of = entry.configurations.weight_of
     entry.policy.grants.shares.weight_of = entry.configurations.weight_of
     entry.limits.permits.on_granted = entry.on_permits
@@ -118,3 +113,27 @@
     entry.ingress.wait_until_loaded = loading.wait
     entry.ingress.backlog_s = loading.backlog_s
     entry.store.on_cut = entry.record_cut_watch
+
+
+def follow_outages(entry: Entry) -> None:
+    """Tell the endpoint table when the store is lost and regained."""
+    health, table = entry.health, entry.endpoint_table
+
+    def on_lost() -> None:
+        table.outage_began()
+        log_event('dependency_lost', dependency='store')
+
+    def on_regained() -> None:
+        now_s = entry.clock.now()
+        # An outage that peers did not see affected only this entry.
+        local = entry.store.path.any_peer_up_since(health.down_at_s, now_s)
+        if local:
+            table.outage_was_local()
+        else:
+            table.outage_ended(now_s)
+        log_event('dependency_regained', dependency='store', local=local)
+
+    health.on_lost.append(on_lost)
+    health.on_regained.append(on_regained)
+    # Members that came while the store counted as down become peers.
+    health.on_regained.append(entry.on_members)
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -10,21 +10,26 @@
 from result import Err, Ok
 
 from quetzaldyke.gateway.authentication import Identity
-from quetzaldyke.gateway.confirmation import age_ms
-from quetzaldyke.gateway.job_queries import (
-    decode_id,
-    query_number,
-    query_text,
+from quetzaldyke.gateway.job_reads import (
+    JobReads,
+    may_get_result,
+    read_page,
+    wait_for_result,
 )
-from quetzaldyke.gateway.job_reads import JobReads, may_get_result
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.gateway.new_job import NewJob, make_job
-from quetzaldyke.gateway.received_request import AsgiCaller, ReceivedRequest
+from quetzaldyke.gateway.received_request import (
+    AsgiCaller,
+    ReceivedRequest,
+    decode_id,
+    query_number,
+    query_text,
+)
 from quetzaldyke.gateway.responses import send_refusal, send_response
-from quetzaldyke.gateway.result_pages import read_page, wait_for_result
+from quetzaldyke.gateway.watch import age_ms
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.platform import names
 from quetzaldyke.platform.jobs import decode_submission
--- a/src/quetzaldyke/gateway/job_parts.py
+++ b/src/quetzaldyke/gateway/job_parts.py
@@ -8,13 +8,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
 from result import Err, Ok, Result
 
-from quetzaldyke.gateway.job_records import ItemRecord, PartialOutput
+from quetzaldyke.gateway.job_records import (
+    END_PREFIX,
+    JOB_PREFIX,
+    PARTIAL_PREFIX,
+    STATE_PREFIX,
+    ItemRecord,
+    PartialOutput,
+    body_key,
+    result_key,
+)
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.parts.transactions import DEFAULT_VALUE_BYTES
 
@@ -25,6 +34,8 @@
 ROW_OVERHEAD_BYTES: Final = 64
 # A page of results holds at least one and is at most 1 MB.
 MAX_LISTED_BYTES: Final = 900_000
+# Keys deleted in one transaction.
+MAX_DELETES_PER_TRANSACTION: Final = 32
 
 # An item, whether it completed, and its output.
 Outcome = tuple[int, bool, bytes]
@@ -133,3 +144,23 @@
             return Err(KvError('unknown', f'part {part} is too short'))
         part += 1
         start = 0
+
+
+def deletions(
+    job_id: str, result_parts: int, body_parts: int
+) -> Iterator[tuple[str, ...]]:
+    """Yield the keys of a job that each transaction deletes.
+
+    The job record is deleted last: as long as it exists, the deletion is
+    retried.
+    """
+    keys = [
+        *(result_key(job_id, part) for part in range(result_parts)),
+        *(body_key(job_id, part) for part in range(body_parts)),
+        f'{PARTIAL_PREFIX}{job_id}',
+        f'{END_PREFIX}{job_id}',
+        f'{STATE_PREFIX}{job_id}',
+        f'{JOB_PREFIX}{job_id}',
+    ]
+    for start in range(0, len(keys), MAX_DELETES_PER_TRANSACTION):
+        yield tuple(keys[start : start + MAX_DELETES_PER_TRANSACTION])
--- a/src/quetzaldyke/gateway/job_reads.py
+++ b/src/quetzaldyke/gateway/job_reads.py
@@ -1,4 +1,4 @@
-"""Makes sure that a read without a result is as new as is promised.
+"""Reads results of jobs, and makes sure that none is denied by an old table.
 
 Failure pattern: an entry's table stops following the store, because the
 entries that watch for it are cut off, an update is lost or a watch hears
@@ -22,10 +22,12 @@
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.parts.kv import KvError
+from quetzaldyke.platform.jobs import ItemResult, encode_results
 
 # Share of the settling time by which a table may be older than an answer. The
 # rest allows for updates of watchers that were delayed on their way.
 MAX_AGE_SHARE: Final = 0.7
+MAX_PAGE_BYTES: Final = 900_000
 
 Refreshed = Result[None, KvError]
 
@@ -102,3 +104,35 @@
         return True
     listed = len(view.state.results)
     return listed <= position and listed < len(view.record.items)
+
+
+async def read_page(
+    store: JobStore, view: JobView, after: int
+) -> Result[bytes, KvError]:
+    """Return an encoded page of results, bounded by its output size."""
+    assert view.record is not None
+    assert view.state is not None
+    results: list[ItemResult] = []
+    size = 0
+    for result in view.state.results[after:]:
+        outputs = await store.read_outputs(
+            view.record.job_id,
+            result.part,
+        )
+        if isinstance(outputs, Err):
+            return outputs
+        output = outputs.ok_value[result.item]
+        size += len(output)
+        if results and size > MAX_PAGE_BYTES:
+            break
+        item = view.record.items[result.item]
+        results.append(ItemResult(item.item_id, result.completed, output))
+    total = len(view.record.items)
+    return Ok(encode_results(total, after, results))
+
+
+async def wait_for_result(view: JobView, after: int, wait_s: float) -> None:
+    """Wait until a position has a result, the job is over or time is up."""
+    with anyio.move_on_after(wait_s):
+        while view.open and view.state and len(view.state.results) <= after:
+            await view.changed.wait()
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -18,13 +18,13 @@
 from quetzaldyke.gateway.job_acceptance import (
     acceptance_transaction,
     check_quota,
-    note_order,
     excess_of,
+    note_order,
 )
-from quetzaldyke.gateway.job_deletion import deletions
 from quetzaldyke.gateway.job_parts import (
     Outcome,
     PartSizes,
+    deletions,
     leading_outcomes,
     read_item_body,
     trim_partials,
@@ -48,8 +48,7 @@
 from quetzaldyke.gateway.job_table import JobTable, JobView
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.gateway.new_job import NewJob
-from quetzaldyke.gateway.part_cache import PartCache
-from quetzaldyke.gateway.part_reader import read_part
+from quetzaldyke.gateway.part_cache import PartCache, read_part
 from quetzaldyke.parts.kv import ErrorKind, KvError
 from quetzaldyke.parts.transactions import (
     DEFAULT_LIMITS,
@@ -357,7 +356,10 @@
 
         Stops at the first error; another call deletes the remaining ones.
         """
-        for keys in deletions(job_id, self.table.view(job_id)):
+        view = self.table.view(job_id)
+        parts = view.state.part_count if view.state else 0
+        bodies = view.record.body_parts if view.record else 1
+        for keys in deletions(job_id, parts, bodies):
             deleted = await self.store.transact(Transaction(deletes=keys))
             if isinstance(deleted, Err):
                 return
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -9,7 +9,6 @@
 import anyio
 
 from quetzaldyke.gateway import job_records
-from quetzaldyke.gateway.confirmation import Confirmation
 from quetzaldyke.gateway.guarded import call_guarded, describe_fault
 from quetzaldyke.gateway.job_records import (
     FLEET_PREFIX,
@@ -20,6 +19,7 @@
     Member,
 )
 from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.watch import Confirmation
 from quetzaldyke.parts.kv import Record
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 
--- a/src/quetzaldyke/gateway/received_request.py
+++ b/src/quetzaldyke/gateway/received_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote
 
 from quetzaldyke.connection.caller_connection import BACKLOG_STATE
 from quetzaldyke.connection.http_server import Receive, Scope, Send
@@ -128,3 +129,27 @@
             return None
         if not message.get('more_body', False):
             return bytes(body)
+
+
+def decode_id(text: str) -> str:
+    """Return the id in a path, where callers may have to encode characters.
+
+    >>> decode_id('a%2Fb'), decode_id('a/b')
+    ('a/b', 'a/b')
+    """
+    return unquote(text, 'latin-1')
+
+
+def query_text(query: bytes, name: str) -> str:
+    """Return a parameter of a query string, empty when it is missing.
+
+    >>> query_text(b'id=a%2Fb', 'id')
+    'a/b'
+    """
+    values = parse_qs(query.decode('latin-1')).get(name, [''])
+    return values[0]
+
+
+def query_number(query: bytes, name: str) -> int:
+    """Return a numeric parameter, 0 when it is missing or no number."""
+    return parse_decimal(query_text(query, name)) or 0
--- a/src/quetzaldyke/gateway/relay.py
+++ b/src/quetzaldyke/gateway/relay.py
@@ -26,9 +26,9 @@
 from quetzaldyke.gateway.retries import (
     STATUS_BAD_GATEWAY,
     STATUS_UNAVAILABLE,
+    acquire_to_confirm,
     final_failure,
 )
-from quetzaldyke.gateway.stream_confirmation import acquire_to_confirm
 from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -19,10 +19,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from quetzaldyke.gateway.confirmation import age_ms
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.gateway.watch import PrefixWatcher, age_ms
 from quetzaldyke.parts.rendezvous import ranking
 from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
 
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -9,13 +9,17 @@
 
 from gateway_kit import FakeStore, FakeTime
 from quetzaldyke.gateway import logs
-from quetzaldyke.gateway.confirmation import MS_IN_S, OWN_CALL
 from quetzaldyke.gateway.gossip_messages import decode, encode
 from quetzaldyke.gateway.shared_watch import (
     WatchUpdate,
     max_confirmation_age_s,
 )
-from quetzaldyke.gateway.watch import CATCH_UP_WAIT_S, PrefixWatcher
+from quetzaldyke.gateway.watch import (
+    CATCH_UP_WAIT_S,
+    MS_IN_S,
+    OWN_CALL,
+    PrefixWatcher,
+)
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
 from sharing_fleet import PREFIX, SimulatedFleet
--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -11,11 +11,11 @@
 
 from gateway_kit import FakeStore, FakeTime, Node, make_route
 from quetzaldyke.gateway.authentication import Identity
-from quetzaldyke.gateway.confirmation import OWN_CALL
 from quetzaldyke.gateway.job_api import JobApi
 from quetzaldyke.gateway.job_records import JOB_PREFIX, STATE_PREFIX
 from quetzaldyke.gateway.new_job import make_job
 from quetzaldyke.gateway.received_request import AsgiCaller, ReceivedRequest
+from quetzaldyke.gateway.watch import OWN_CALL
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Put, Snapshot, Transaction
 from quetzaldyke.platform import names
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -12,7 +12,7 @@
 from starlette.datastructures import Headers
 from starlette.requests import Request
 
-from quetzaldyke.gateway.job_queries import query_number
+from quetzaldyke.gateway.received_request import query_number
 from quetzaldyke.gateway.received_request import ReceivedRequest
 from quetzaldyke.parts.decimals import MAX_DECIMAL, parse_decimal
 from quetzaldyke.platform.jobs import encode_results
--- a/tests/test_organisation_quotas.py
+++ b/tests/test_organisation_quotas.py
@@ -12,10 +12,10 @@
 
 from batch_bed import run_virtual
 from gateway_kit import FakeStore, Node, make_route
-from quetzaldyke.gateway.confirmation import OWN_CALL
 from quetzaldyke.gateway.job_records import QUOTA_PREFIX, quota_name
 from quetzaldyke.gateway.model import Route
 from quetzaldyke.gateway.new_job import NewJob, make_job
+from quetzaldyke.gateway.watch import OWN_CALL
 from quetzaldyke.platform.jobs import SubmittedItem
 
 pytestmark = pytest.mark.anyio
