Revert counting answers that break off as crashes of a new lifetime

A head of an answer is no proof that the endpoint was started again.

A proof of the restart is needed, such as a refused connection or the start time that endpoints state.

--- a/src/quetzaldyke/gateway/attempt.py
+++ b/src/quetzaldyke/gateway/attempt.py
@@ -183,16 +183,16 @@
         """Record a failed exchange, a possible crash and the ejection."""
         self.progress.tried_endpoints.add(self.endpoint_id)
         self.progress.last_failure = exc.failure.value
-        ejected_s = self.eject_unless_serving(exc)
         if exc.failure is Failure.BROKEN:
             self.context.crashes.note_crash(
                 self.request.traits(),
                 self.reservation.endpoint,
                 late=self.progress.event_chunks >= PROGRESS_CHUNKS,
                 sent_s=self.reservation.reserved_s,
-                answered=bool(ejected_s and self.exchange.head),
             )
-        self.log_attempt('attempt_failed', str(exc), ejected_s)
+        self.log_attempt(
+            'attempt_failed', str(exc), self.eject_unless_serving(exc)
+        )
 
     def note_served(self) -> None:
         """Record a success, which also clears the request of crashes."""
--- a/src/quetzaldyke/gateway/crashes.py
+++ b/src/quetzaldyke/gateway/crashes.py
@@ -30,9 +30,6 @@
 # Keeps a datagram below its largest size of 64 KB even if all ids are long.
 MAX_REPORTS_A_DATAGRAM: Final = 20
 MAX_LOGGED_LIFETIMES: Final = 8
-# No endpoint that crashed serves again within this time. Answers to requests
-# that were sent sooner may still be those of the crashed lifetime.
-MIN_RESTART_S: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,43 +113,17 @@
         *,
         late: bool,
         sent_s: float,
-        answered: bool = False,
     ) -> None:
-        """Record a connection that broke during a request as a crash.
-
-        `answered` tells that the endpoint had begun to answer and has sent
-        nothing to others of late. Answers that break off at an endpoint that
-        serves others are not taken for crashes of further lifetimes.
-        """
-        lifetime = endpoint.lifetime
-        if answered:
-            lifetime = self.lifetime_at(lifetime, sent_s)
+        """Record a connection that broke during a request as a crash."""
         crash = ReportedCrash(
             tuple(traits),
-            lifetime,
+            endpoint.lifetime,
             late,
             self.now() - sent_s,
             endpoint.service,
         )
         self.announce(CrashReport(self.own_id, (crash,)))
 
-    def lifetime_at(self, lifetime: str, sent_s: float) -> str:
-        """Return a name for the lifetime that a request has reached.
-
-        An endpoint that answers a request which was sent after its crash has
-        been started again, though its registration is not known here yet. All
-        entries find the same name, as they know the same crashes.
-        """
-        crashes = self.quarantine.crashes
-        found = lifetime
-        restarts = 0
-        while (
-            found in crashes and sent_s - crashes[found].seen_s >= MIN_RESTART_S
-        ):
-            restarts += 1
-            found = f'{lifetime}+{restarts}'
-        return found
-
     def note_progress(self, traits: Sequence[Trait]) -> None:
         """Clear traits of crashes at the beginning of responses."""
         keys = [trait.key for trait in traits]
