Go on waiting for a confirmation when another endpoint returns

Callers could get a sound stream broken off: a request whose attempts are used up waits for an endpoint that sent a part of the stream; an endpoint that became usable meanwhile, and must not be asked, was given the slot, and the wait ended there.

Change: the request gives that slot back and waits on, until its time is over or no endpoint that may be asked is left.

--- a/src/quetzaldyke/gateway/retries.py
+++ b/src/quetzaldyke/gateway/retries.py
@@ -103,17 +103,36 @@
 
     Waits as long as the caller is expected to wait for the next event.
     """
-    excluded = progress.tried_endpoints
-    others = may_ask_others(request, progress)
-    if not others:
+    if may_ask_others(request, progress):
+        return await acquire_outside(
+            context, request, progress, progress.tried_endpoints
+        )
+    while True:
         usable = usable_ids(context, request)
         allowed = usable & progress.ran
         asked = progress.ends.asked(progress.splitter.last_id or 0)
         allowed = allowed - asked or allowed
         if not allowed:
             return Err(NOBODY)
-        excluded = usable - allowed
-    acquired = await context.dispatcher.acquire(
+        acquired = await acquire_outside(
+            context, request, progress, usable - allowed
+        )
+        if isinstance(acquired, Err):
+            return acquired
+        if acquired.ok_value.endpoint.endpoint_id in progress.ran:
+            return acquired
+        # Another endpoint became usable while the request waited.
+        context.dispatcher.release(acquired.ok_value)
+
+
+async def acquire_outside(
+    context: RelayContext,
+    request: OnlineRequest,
+    progress: Progress,
+    excluded: set[str],
+) -> Result[Reservation, Refusal]:
+    """Reserve a slot to confirm an end, of no excluded endpoint."""
+    return await context.dispatcher.acquire(
         request.service,
         request.route,
         answer_deadline_s(request, progress),
@@ -122,11 +141,3 @@
         already_sent=True,
         confirms=True,
     )
-    if isinstance(acquired, Err) or others:
-        return acquired
-    reservation = acquired.ok_value
-    if reservation.endpoint.endpoint_id in progress.ran:
-        return acquired
-    # The endpoints that may be asked have gone while the request waited.
-    context.dispatcher.release(reservation)
-    return Err(NOBODY)
--- a/tests/test_busy_confirmations.py
+++ b/tests/test_busy_confirmations.py
@@ -23,6 +23,7 @@
 from quetzaldyke.gateway.online_request import OnlineRequest, Progress
 from quetzaldyke.gateway.placement import QUEUED_PER_ENGINE
 from quetzaldyke.gateway.reservation import Reservation
+from quetzaldyke.gateway.retries import acquire_to_confirm
 from quetzaldyke.gateway.stalls import answer_deadline_s
 from quetzaldyke.gateway.wait_queue import QueuedRequest, WaitQueue
 from raw_endpoint import RawEndpoint, raw_endpoint
@@ -224,3 +225,46 @@
     assert answer_deadline_s(request, progress) == 102.5
     progress.note_events(102.0)
     assert answer_deadline_s(request, progress) == 160.0
+
+
+# Guards against a stream that is broken off because an endpoint which must not
+# be asked any more becomes usable while the request waits for one that may be.
+@pytest.mark.parametrize('returns', [False, True])
+async def test_endpoint_that_returns_ends_no_wait_for_a_confirmation(
+    returns: bool,
+) -> None:
+    """The request goes on waiting for the endpoint that sent the stream."""
+    route = make_route(max_attempts=1)
+    context = make_ingress(route, 1).context
+    dispatcher = context.dispatcher
+    now_s = context.now()
+    tracked = dispatcher.endpoints.by_id
+    asked = tracked['e1'].endpoint
+    taken = [
+        dispatcher.acquire_on(asked, online=True)
+        for _ in range(asked.slots + QUEUED_PER_ENGINE)
+    ]
+    tracked['e2'].ejected_until_s = now_s + 100
+    request = OnlineRequest(
+        b'r', b'POST', b'/', [], b'', route, 'lm', now_s, now_s + 5, None
+    )
+    progress = Progress(attempts=1, sends=1, ran={'e1'}, sent_at_s=now_s)
+    progress.end_stated = True
+    reserved = []
+
+    async def confirm() -> None:
+        reserved.append(await acquire_to_confirm(context, request, progress))
+
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as group:
+            group.start_soon(confirm)
+            while not dispatcher.waiting():
+                await anyio.sleep(TICK_S)
+            if returns:
+                tracked['e2'].ejected_until_s = 0
+                await dispatcher.tick()
+                await anyio.sleep(TICK_S)
+            assert not reserved
+            dispatcher.release(taken.pop())
+    assert isinstance(reserved[0], Ok)
+    assert reserved[0].ok_value.endpoint is asked
