Keep the quota when an acceptance is written again

Callers could fill a quota beyond its limit: when the answer to the first write of a job was lost, and the quota was filled meanwhile, the job was written again without any condition (150 tokens where 100 are allowed, in a test).

Cause: an uncertain write must not be reported as refused, so the check of the quota was passed over.

Change: such a job is looked up, and answered as unknown (502) if it is not there. A job over its quota is looked up only if the table is older than 1 s or a write is uncertain, so that callers over their quota cost no reads.

--- a/src/quetzaldyke/gateway/job_acceptance.py
+++ b/src/quetzaldyke/gateway/job_acceptance.py
@@ -47,6 +47,11 @@
     revision: int | None = None
 
 
+def is_recent(table: JobTable, now_s: float) -> bool:
+    """Return whether a table holds all but the latest acceptances."""
+    return table.confirmation.age_s(now_s) <= MAX_UNSERIALIZED_AGE_S
+
+
 def check_quota(
     table: JobTable, job: NewJob, route: Route, now_s: float
 ) -> QuotaCheck:
@@ -59,7 +64,7 @@
     if waiting > limit:
         return QuotaCheck(fits=False)
     if (
-        table.confirmation.age_s(now_s) <= MAX_UNSERIALIZED_AGE_S
+        is_recent(table, now_s)
         and waiting <= limit * UNSERIALIZED_QUOTA_SHARE
         and job.tokens <= limit * UNSERIALIZED_JOB_SHARE
     ):
--- a/src/quetzaldyke/gateway/job_api.py
+++ b/src/quetzaldyke/gateway/job_api.py
@@ -205,7 +205,7 @@
             return 'store_down'
         table = self.store.table
         if not table.listed:
-            await self.store.wait_for_update()
+            await table.wait_for_update()
         return '' if table.listed else 'jobs_unknown'
 
     def belongs_to(self, view: JobView, identity: Identity) -> bool:
--- a/src/quetzaldyke/gateway/job_store.py
+++ b/src/quetzaldyke/gateway/job_store.py
@@ -12,13 +12,13 @@
 from dataclasses import dataclass, field, replace
 from typing import Final, Literal
 
-import anyio
 from result import Err, Ok, Result
 
 from quetzaldyke.gateway.job_acceptance import (
     acceptance_transaction,
     check_quota,
     excess_of,
+    is_recent,
     note_order,
 )
 from quetzaldyke.gateway.job_parts import (
@@ -61,7 +61,6 @@
 MAX_ACCEPT_ATTEMPTS: Final = 6
 # Kinds of errors after which a write was certainly not applied.
 NOT_APPLIED_ERRORS: Final = frozenset(('unavailable', 'conflict', 'too_large'))
-UPDATE_WAIT_S: Final = 0.4
 
 AcceptFailure = Literal['over_quota', 'too_large', 'unavailable', 'unknown']
 
@@ -111,8 +110,8 @@
             if self.table.is_known(job.record.job_id):
                 return Ok(None)
             quota = check_quota(self.table, job, route, self.now())
-            if not quota.fits and not uncertain:
-                return await self.refuse_over_quota(job)
+            if not quota.fits:
+                return await self.refuse_over_quota(job, uncertain=uncertain)
             state = self.new_state
             written = await self.store.transact(
                 acceptance_transaction(job, route, state, quota),
@@ -130,13 +129,20 @@
         return Err('unknown' if uncertain else 'unavailable')
 
     async def refuse_over_quota(
-        self, job: NewJob
+        self, job: NewJob, *, uncertain: bool
     ) -> Result[None, AcceptFailure]:
-        """Refuse a job, unless it was accepted and the table lacks it."""
+        """Refuse a job over its quota, unless it was accepted.
+
+        The table may lack that if it is old, or if a write was `uncertain`.
+        """
+        if not uncertain and is_recent(self.table, self.now()):
+            return Err('over_quota')
         found = await self.find(job.record.job_id)
-        if isinstance(found, Err):
-            return Err('unavailable')
-        return Err('over_quota') if found.ok_value is None else Ok(None)
+        if isinstance(found, Ok) and found.ok_value is not None:
+            return Ok(None)
+        if uncertain:
+            return Err('unknown')
+        return Err('unavailable' if isinstance(found, Err) else 'over_quota')
 
     async def was_accepted(self, job_id: str, kind: ErrorKind) -> bool:
         """Return whether a job is in the store although its write failed."""
@@ -148,14 +154,9 @@
         if kind == 'conflict':
             # Another acceptance changed the quota key; the retry needs the
             # new revision.
-            await self.wait_for_update()
+            await self.table.wait_for_update()
         return False
 
-    async def wait_for_update(self) -> None:
-        """Wait up to `UPDATE_WAIT_S` for the watch to deliver changes."""
-        with anyio.move_on_after(UPDATE_WAIT_S):
-            await self.table.advanced.wait()
-
     async def find(self, job_id: str) -> Result[JobView | None, KvError]:
         """Return a job, or None when there is no such job.
 
--- a/src/quetzaldyke/gateway/job_table.py
+++ b/src/quetzaldyke/gateway/job_table.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Final
 
 import anyio
 
@@ -23,6 +24,8 @@
 from quetzaldyke.parts.kv import Record
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 
+UPDATE_WAIT_S: Final = 0.4
+
 
 @dataclass(slots=True)
 class JobView:
@@ -129,6 +132,11 @@
         """Apply a record that was read; a fault is left to its key."""
         self.apply(record.key, record.revision, record.value)
 
+    async def wait_for_update(self) -> None:
+        """Wait up to `UPDATE_WAIT_S` for the watch to deliver changes."""
+        with anyio.move_on_after(UPDATE_WAIT_S):
+            await self.advanced.wait()
+
     def apply(self, key: str, revision: int, value: bytes | None) -> None:
         """Apply one key; a fault is logged and left to this key.
 
--- a/tests/test_organisation_quotas.py
+++ b/tests/test_organisation_quotas.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Final
 
+import anyio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -146,6 +147,30 @@
     assert await other.store.accept(third, ROUTE) == Err('over_quota')
 
 
+async def test_lost_answer_keeps_the_quota() -> None:
+    """Guards against a retry of an acceptance that ignores the quota.
+
+    The answer to its first write was lost, and the quota has been filled.
+    """
+    store = FakeStore()
+    node, other = Node.of(store, 'a'), Node.of(store, 'b')
+    await node.sync()
+    first = make_job_of('depot', 'other', 90)
+    assert await other.store.accept(first, ROUTE) == Ok(None)
+    store.write_faults = ['dropped']
+
+    async def follow() -> None:
+        await anyio.sleep(0.05)
+        await node.sync()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(follow)
+        job = make_job_of('depot', 'own', 60)
+        assert await node.store.accept(job, ROUTE) == Err('unknown')
+    await other.sync()
+    assert other.table.waiting_tokens('r', 'depot') == 90
+
+
 def test_small_jobs_at_an_old_table_keep_the_quota() -> None:
     """Guards against an entry that hears nothing and fills a quota again.
 
