--- a/tests/sharing_fleet.py
+++ b/tests/sharing_fleet.py
@@ -59,6 +59,19 @@
             fleet.entries[name].sharing.set_members(names)
         return fleet
 
+    @classmethod
+    async def settled(cls, size: int) -> SimulatedFleet:
+        """Return a fleet whose followers have heard from their sources."""
+        fleet = cls.of_size(size)
+        for _ in range(3):
+            await fleet.step()
+            fleet.deliver_all()
+        return fleet
+
+    def follower(self) -> SimulatedEntry:
+        """Return the first entry that follows others."""
+        return next(one for one in self.entries.values() if one.sharing.sources)
+
     def make_entry(self, name: str) -> SimulatedEntry:
         """Return an entry that does not know the members yet."""
         reports: dict[str, float] = {}
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -79,9 +79,7 @@
 async def test_update_is_as_old_as_the_call_of_its_watcher() -> None:
     """Guards against a follower that takes a watcher's late news for new."""
     fleet = SimulatedFleet.of_size(3)
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    follower = fleet.follower()
     follower.watcher.revision = 9
     source = follower.sharing.sources[0]
     update = WatchUpdate(source, PREFIX, 4, 9, (), 0.0, DELAY_S)
@@ -96,9 +94,7 @@
 async def test_update_is_not_newer_than_its_arrival() -> None:
     """Guards against callbacks whose time makes a table look newer."""
     fleet = SimulatedFleet.of_size(3)
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    follower = fleet.follower()
     follower.watcher.revision = 8
     arrived_s = fleet.time.now_s
 
@@ -117,10 +113,7 @@
 
     It does so before it drops its history. Reads of keys are not concerned.
     """
-    fleet = SimulatedFleet.of_size(3)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
+    fleet = await SimulatedFleet.settled(3)
     source = next(
         one for one in fleet.entries.values() if one.sharing.followers
     )
@@ -148,13 +141,8 @@
     events: list[Mapping[str, object]],
 ) -> None:
     """Guards against logs that can't tell a silent source from an idle one."""
-    fleet = SimulatedFleet.of_size(4)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    fleet = await SimulatedFleet.settled(4)
+    follower = fleet.follower()
     age_s = max_confirmation_age_s(follower.watcher)
     fleet.time.now_s += age_s
     for name in fleet.entries:
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -50,10 +50,7 @@
 
 async def test_calls_do_not_grow_with_the_entries() -> None:
     """Guards against a store whose load is that of every entry's watch."""
-    fleet = SimulatedFleet.of_size(60)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
+    fleet = await SimulatedFleet.settled(60)
     fleet.calls = 0
     for _ in range(10):
         fleet.time.now_s += 0.3
@@ -69,10 +66,7 @@
 
 async def test_loss_of_one_watcher_delays_nothing() -> None:
     """Guards against followers that wait for a dead watcher."""
-    fleet = SimulatedFleet.of_size(20)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
+    fleet = await SimulatedFleet.settled(20)
     fleet.silent = {watchers_of(fleet.entries)[0]}
     await fleet.write()
     await fleet.step()
@@ -82,10 +76,7 @@
 
 async def test_entries_watch_themselves_without_watchers() -> None:
     """Guards against a fleet that misses changes when its watchers die."""
-    fleet = SimulatedFleet.of_size(20)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
+    fleet = await SimulatedFleet.settled(20)
     watchers = watchers_of(fleet.entries)
     fleet.silent = set(watchers)
     fleet.time.now_s += MAX_SILENCE_S + 0.01
@@ -100,13 +91,8 @@
 
 async def test_watcher_that_confirms_nothing_is_not_relied_on() -> None:
     """Guards against an entry that trusts a watcher cut off from the store."""
-    fleet = SimulatedFleet.of_size(4)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    fleet = await SimulatedFleet.settled(4)
+    follower = fleet.follower()
     assert not follower.must_call()
     fleet.time.now_s += max_confirmation_age_s(follower.watcher)
     for name in fleet.entries:
@@ -191,9 +177,7 @@
 def test_changes_that_were_not_sent_are_read_from_the_store() -> None:
     """Guards against confirming an update whose changes are missing."""
     fleet = SimulatedFleet.of_size(3)
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    follower = fleet.follower()
     follower.watcher.revision = 4
     source = follower.sharing.sources[0]
     follower.sharing.on_update(WatchUpdate(source, PREFIX, 4, 6, None, 0.0))
@@ -205,9 +189,7 @@
 def test_update_after_an_outage_keeps_lapsed_registrations() -> None:
     """Guards against endpoints removed in an outage that others saw."""
     fleet = SimulatedFleet.of_size(3)
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    follower = fleet.follower()
     source = follower.sharing.sources[0]
     update = WatchUpdate(source, PREFIX, 0, 0, (), LAPSE_GRACE_S)
     follower.sharing.on_update(update)
@@ -235,13 +217,8 @@
 
     The changes that the store has dropped are in no update.
     """
-    fleet = SimulatedFleet.of_size(3)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    fleet = await SimulatedFleet.settled(3)
+    follower = fleet.follower()
     assert not follower.must_call()
     source = fleet.entries[follower.sharing.sources[0]]
     await fleet.write()
@@ -257,13 +234,8 @@
 
     It may wait for an update at that moment.
     """
-    fleet = SimulatedFleet.of_size(4)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    fleet = await SimulatedFleet.settled(4)
+    follower = fleet.follower()
     assert not follower.watcher.behind.is_set()
     follower.sharing.set_members([])
     assert follower.watcher.behind.is_set()
@@ -292,9 +264,7 @@
 def test_update_of_a_paused_watcher_confirms_nothing() -> None:
     """Guards against relying on a watcher whose news is old."""
     fleet = SimulatedFleet.of_size(3)
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    follower = fleet.follower()
     follower.watcher.revision = 9
     source = follower.sharing.sources[0]
     follower.sharing.on_update(WatchUpdate(source, PREFIX, 4, 8, (), 0.0))
@@ -307,9 +277,7 @@
 def test_watchers_that_left_are_forgotten() -> None:
     """Guards against state that grows with every entry that ever ran."""
     fleet = SimulatedFleet.of_size(3)
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    follower = fleet.follower()
     follower.watcher.revision = 9
     gone, kept = follower.sharing.sources
     for source in (gone, kept):
--- a/tests/test_lost_sources.py
+++ b/tests/test_lost_sources.py
@@ -34,13 +34,8 @@
 
     The sources in `lost` report that they don't reach the store.
     """
-    fleet = SimulatedFleet.of_size(4)
-    for _ in range(3):
-        await fleet.step()
-        fleet.deliver_all()
-    follower = next(
-        one for one in fleet.entries.values() if one.sharing.sources
-    )
+    fleet = await SimulatedFleet.settled(4)
+    follower = fleet.follower()
     follower.sharing.reaches_store = lambda source: source not in lost
     assert not follower.must_call()
     return fleet, follower
