Log who brought a version, what followers missed, and how old it was for requests

The hypotheses on the incident can't be told apart by the logs so far: an entry logs that it applied a version, not whether its own call or a source brought it, what a watcher published, or that an update showed a gap. A request's line named the version in force at its end, not the one that decided it.

config_applied has its size, who brought it and the age of what it replaced. watch_published has the size and the receivers of updates over one packet, watch_missed the gap that an update showed. request_served and request_failed name the version that found their route, and how long ago it was confirmed. No decision changes.

--- a/src/quetzaldyke/gateway/configuration_feed.py
+++ b/src/quetzaldyke/gateway/configuration_feed.py
@@ -11,7 +11,7 @@
 
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Configuration, Organisation
-from quetzaldyke.gateway.watch import WATCH_WAIT_S
+from quetzaldyke.gateway.watch import WATCH_WAIT_S, age_ms
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 from quetzaldyke.platform import names
 from quetzaldyke.platform.records import decode_configuration
@@ -34,6 +34,8 @@
     apply_s: float = 2.0
     configuration: Configuration | None = None
     confirmed_s: float = 0.0
+    # Returns who brought what is applied: this entry's own call, or an entry.
+    brought_by: Callable[[], str] = str
     # Set and replaced with each new version.
     changed: anyio.Event = field(default_factory=anyio.Event)
 
@@ -112,4 +114,7 @@
             'config_applied',
             version=configuration.version,
             routes=len(configuration.routes),
+            bytes=len(raw),
+            brought_by=self.brought_by(),
+            confirmed_ms=age_ms(self.confirmed_s or None, self.now()),
         )
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -171,6 +171,7 @@
         ),
     ]
     watchers[0].on_success = entry.configurations.confirm
+    entry.configurations.brought_by = lambda: watchers[0].brought_by
     for watcher in watchers:
         entry.sharing.add(watcher)
     group.start_soon(run_guarded, entry.load_crash_records)
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -245,6 +245,8 @@
         if online is None:
             await self.reject(caller, STATUS_BAD_REQUEST)
             return
+        online.version = self.version
+        online.configuration_age_s = self.keys.feed.age_s()
         now_s = self.context.now()
         if not self.window.fits(route.name, online.deadline_s, now_s):
             retry_after_s = self.window.retry_after_s(now_s)
@@ -355,7 +357,6 @@
             online,
             FinalOutcome(status, reason, now_s - online.arrived_s),
             progress,
-            self.version,
         )
 
     async def reject(self, caller: AsgiCaller, status: int) -> None:
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -34,6 +34,7 @@
         'limit_used',
         'results_listed',
         'results_read',
+        'watch_published',
         'job_not_readable',
         'callers_timed_out',
         'requests_malformed',
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -53,6 +53,10 @@
     organisation: Organisation | None = None
     # Ids of the parts of the prompt in order; requests share parts.
     prompt_parts: tuple[str, ...] = ()
+    # The configuration by which its route was found, and how long ago that was
+    # confirmed.
+    version: int = 0
+    configuration_age_s: float = 0.0
     # Cached, because hashing covers the whole body.
     cached_traits: tuple[Trait, ...] = ()
 
--- a/src/quetzaldyke/gateway/request_outcome.py
+++ b/src/quetzaldyke/gateway/request_outcome.py
@@ -28,12 +28,8 @@
     online: OnlineRequest,
     outcome: FinalOutcome,
     progress: Progress,
-    version: int,
 ) -> None:
-    """Log the outcome of a request and update its metrics.
-
-    `version` is that of the configuration in force.
-    """
+    """Log the outcome of a request and update its metrics."""
     elapsed_ms = outcome.elapsed_s * MS_IN_S
     kind = online.route.kind
     metrics.count('requests_total', kind=kind, status=outcome.status)
@@ -56,7 +52,8 @@
         attempts=progress.attempts,
         last_event=progress.splitter.last_id,
         parts=','.join(online.prompt_parts),
-        config=version,
+        config=online.version,
+        config_ms=int(online.configuration_age_s * MS_IN_S),
     )
 
 
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -37,6 +37,8 @@
 # An update that is larger is sent without its changes, so that followers read
 # them from the store; datagrams are limited to 64 KB.
 MAX_CHANGES_BYTES: Final = 32_768
+# Payload that one packet of a common link carries.
+PACKET_BYTES: Final = 1200
 POLL_DELAY_PER_WATCHER_S: Final = 0.06
 MAX_POLL_DELAY_S: Final = 0.65
 # Holds before the watchers are chosen, too: when all entries start at once,
@@ -79,11 +81,16 @@
     return ranking(watchers, own_id)[:SOURCES_PER_FOLLOWER]
 
 
+def size_of(changes: Collection[WatchedChange]) -> int:
+    """Return the bytes of the keys and values of changes."""
+    return sum(len(change.key) + len(change.value or b'') for change in changes)
+
+
 def limit_changes(
     changes: Collection[WatchedChange],
 ) -> tuple[WatchedChange, ...] | None:
     """Return the changes, or None if they are too large for a datagram."""
-    size = sum(len(change.key) + len(change.value or b'') for change in changes)
+    size = size_of(changes)
     return tuple(changes) if size <= MAX_CHANGES_BYTES else None
 
 
@@ -192,6 +199,21 @@
             self.now() - self.watched[prefix].answer_as_of_s,
         )
         self.send(self.followers, update)
+        self.log_published(update, batch)
+
+    def log_published(self, update: WatchUpdate, batch: WatchBatch) -> None:
+        """Log an update whose datagrams together may overfill a link."""
+        size = size_of(batch.changes)
+        if size > PACKET_BYTES:
+            log_event(
+                'watch_published',
+                prefix=update.prefix,
+                after=update.after_revision,
+                revision=update.revision,
+                bytes=size,
+                followers=len(self.followers),
+                sent=update.changes is not None,
+            )
 
     def on_update(self, update: WatchUpdate) -> None:
         """Apply what a watcher has read, unless earlier changes are missing."""
@@ -201,7 +223,10 @@
         now_s = self.now()
         self.endpoints.allow_lapses(update.lapse_grace_s, now_s)
         if watcher.apply_update(
-            update.after_revision, update.changes, update.revision
+            update.after_revision,
+            update.changes,
+            update.revision,
+            update.sender,
         ):
             self.confirmed_s[update.sender, update.prefix] = now_s
             watcher.confirmation.note(now_s - update.age_s, update.sender)
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -121,6 +121,8 @@
     confirmation: Confirmation = field(default_factory=Confirmation)
     # Called before the first call after other entries have watched.
     on_resume: Callable[[], None] = lambda: None
+    # Who brought the changes that are passed on: `OWN_CALL` or an entry's id.
+    brought_by: str = ''
 
     async def run(self) -> None:
         """Watch until cancelled, with a backoff after failed calls."""
@@ -178,7 +180,7 @@
         if batch.changes or wait_s > CATCH_UP_WAIT_S:
             self.answer_as_of_s = called_s
         self.on_batch(after, batch)
-        self.advance(batch.changes, batch.revision)
+        self.advance(batch.changes, batch.revision, OWN_CALL)
         self.confirmation.note(self.answer_as_of_s, OWN_CALL)
         return True
 
@@ -187,6 +189,7 @@
         after: int,
         changes: Sequence[WatchedChange] | None,
         revision: int,
+        sender: str,
     ) -> bool:
         """Apply what another entry has read; return whether it is up to date.
 
@@ -197,15 +200,32 @@
             return False
         if changes is None or after > self.revision:
             if revision > self.revision:
-                self.behind.set()
+                self.note_missed(after, revision, sender)
                 return False
             changes = ()
-        self.advance(changes, revision)
+        self.advance(changes, revision, sender)
         self.on_success()
         return True
 
-    def advance(self, changes: Sequence[WatchedChange], revision: int) -> None:
+    def note_missed(self, after: int, revision: int, sender: str) -> None:
+        """Call the store at once; log the gap that an update showed first."""
+        if not self.behind.is_set():
+            log_event(
+                'watch_missed',
+                prefix=self.prefix,
+                sender=sender,
+                seen=self.revision,
+                after=after,
+                revision=revision,
+                **self.confirmation.describe(self.now()),
+            )
+        self.behind.set()
+
+    def advance(
+        self, changes: Sequence[WatchedChange], revision: int, source: str
+    ) -> None:
         """Pass on the changes that were not seen yet, up to a revision."""
+        self.brought_by = source
         seen = self.revision or 0
         new = [change for change in changes if change.revision > seen]
         self.revision = max(seen, revision)
@@ -222,6 +242,7 @@
         if isinstance(answer, Err):
             return False
         self.answer_as_of_s = called_s
+        self.brought_by = OWN_CALL
         revision = answer.ok_value.revision
         self.revision = revision
         # Entries that lack any of the changes before it read them themselves.
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -28,6 +28,7 @@
 )
 from quetzaldyke.gateway.watch import (
     CATCH_UP_WAIT_S,
+    OWN_CALL,
     WATCH_WAIT_S,
     PrefixWatcher,
 )
@@ -206,9 +207,9 @@
     entry = fleet.entries['e0']
     entry.watcher.revision = 0
     change = WatchedChange(f'{PREFIX}k', 1, b'x')
-    assert entry.watcher.apply_update(0, (change,), 1)
+    assert entry.watcher.apply_update(0, (change,), 1, 'e1')
     batch = WatchBatch([change, WatchedChange(f'{PREFIX}k', 2, b'y')], 2)
-    entry.watcher.advance(batch.changes, batch.revision)
+    entry.watcher.advance(batch.changes, batch.revision, OWN_CALL)
     assert entry.applied == [1, 2]
 
 
