Reproduce requests that an outdated configuration decides

An entry that nothing has told of a version goes on by the old one after the promise, though the store answers. A watch of 1 ms without changes, which proves nothing, counts as a confirmation of the configuration.

--- a/tests/sharing_fleet.py
+++ b/tests/sharing_fleet.py
@@ -9,6 +9,7 @@
 
 from gateway_kit import FakeStore, FakeTime
 from quetzaldyke.gateway.endpoints import EndpointTable
+from quetzaldyke.gateway.gossip_messages import encode
 from quetzaldyke.gateway.shared_watch import (
     WatchSharing,
     WatchUpdate,
@@ -47,6 +48,11 @@
     time: FakeTime = field(default_factory=FakeTime)
     store: FakeStore = field(default_factory=FakeStore)
     silent: set[str] = field(default_factory=set)
+    # Entries whose calls the store refuses.
+    refused: set[str] = field(default_factory=set)
+    # Bytes of one burst of datagrams that the link of an entry holds; what is
+    # sent beyond is lost. None if nothing is.
+    link_bytes: int | None = None
     calls: int = 0
 
     @classmethod
@@ -90,12 +96,16 @@
 
     def send(self, peers: Collection[str], update: WatchUpdate) -> None:
         """Put an update on its way, unless the sender is silent."""
-        if update.sender not in self.silent:
-            self.updates.extend((peer, update) for peer in peers)
-
-    async def write(self) -> None:
+        if update.sender in self.silent:
+            return
+        held = len(peers)
+        if self.link_bytes is not None:
+            held = self.link_bytes // len(encode(update))
+        self.updates.extend((peer, update) for peer in list(peers)[:held])
+
+    async def write(self, value: bytes = b'x') -> None:
         """Write one key of the prefix."""
-        await self.store.transact(Transaction({}, (Put(f'{PREFIX}k', b'x'),)))
+        await self.store.transact(Transaction({}, (Put(f'{PREFIX}k', value),)))
 
     async def step(self) -> None:
         """Deliver reports; entries that can't follow others call the store."""
@@ -103,7 +113,7 @@
             for other in self.entries.values():
                 if name not in self.silent:
                     other.reports[name] = self.time.now_s
-            if entry.must_call():
+            if entry.must_call() and name not in self.refused:
                 entry.watcher.behind = anyio.Event()
                 self.calls += 1
                 await entry.watcher.poll()
