Load the optimiser of hypothesis before the tests

test_changes_are_applied_once_and_in_order ended with "SystemError: AST constructor recursion depth mismatch" after a change that only moved when garbage is collected: hypothesis imports its optimiser in the middle of a test, and CPython 3.11.7 fails if a collection runs while it parses.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,10 @@
 
 Tests that KNOWN-RED.txt lists are run, but their failure does not fail the
 run; the listed tests are printed at its end.
+
+Hypothesis would load its optimiser in the middle of a test. If CPython 3.11
+collects garbage while it parses a module, the import can end with a
+SystemError, so it is loaded first.
 """
 
 from __future__ import annotations
@@ -9,6 +13,7 @@
 from pathlib import Path
 from typing import Final
 
+import hypothesis.internal.conjecture.optimiser  # noqa: F401
 import pytest
 from hypothesis import settings
 
