Fetch large updates from the entry that has read them

What callers saw: requests went by a route that had moved, or were answered 404 for one that had been added, up to 2 s and beside refused calls over 3 s after the new version was acknowledged; 3.0 s are promised.

Cause: a watcher sent a version of 10 to 20 KB to all its followers as one burst of datagrams. The link's queue holds some 70 to 80 KB; the end of the list got nothing, the same entries each time. They learned of it when their sources' last confirmation was 2.15 s old, and then had to call the store.

Change: a watcher sends at most 32 KB to all followers at once, and announces what is larger. A follower that lacks changes asks the sender over TCP, on the port for peers, and calls the store if that fails. The last changes are announced again for a second. A fetched update vouches for its sender as of its announcement, so that large versions in close succession no longer make followers leave their sources. The messages of watches move to a module of their own, and so does the start of the watches.

test_followers_hear_of_a_listing_after_lost_history and test_changes_that_no_one_sends_are_read_from_the_store let the follower ask its source first, which does not hold the changes; what they check stays.

--- a/src/quetzaldyke/gateway/entry_wiring.py
+++ b/src/quetzaldyke/gateway/entry_wiring.py
@@ -18,6 +18,7 @@
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.membership import RENEWAL_INTERVAL_S
 from quetzaldyke.gateway.restart import StartPolicy
+from quetzaldyke.gateway.shared_watch import NOTICE_INTERVAL_S
 from quetzaldyke.gateway.speed_exchange import SpeedExchange
 
 if TYPE_CHECKING:
@@ -59,6 +60,9 @@
     timers.subscribe('limits', GOSSIP_INTERVAL_S, entry.limits.tick)
     timers.subscribe('rates', WATCHDOG_INTERVAL_S, entry.rates.tick)
     timers.subscribe('drains', GOSSIP_INTERVAL_S, entry.messages.drains.tick)
+    timers.subscribe(
+        'watch notices', NOTICE_INTERVAL_S, entry.sharing.repeat_notices
+    )
     timers.subscribe('flows', GOSSIP_INTERVAL_S, entry.messages.flows.tick)
     timers.subscribe('lease', RENEWAL_INTERVAL_S, entry.registration.renew)
     timers.subscribe('cleaning', CLEANUP_INTERVAL_S, partial(clean_up, entry))
--- a/src/quetzaldyke/gateway/gossip_messages.py
+++ b/src/quetzaldyke/gateway/gossip_messages.py
@@ -37,14 +37,20 @@
     decode_rate_message,
     encode_rate_message,
 )
-from quetzaldyke.gateway.shared_watch import WatchUpdate
 from quetzaldyke.gateway.speed_exchange import (
     SpeedUpdate,
     decode_speed_update,
 )
+from quetzaldyke.gateway.watch_messages import (
+    NOTICE_KIND,
+    UPDATE_KIND,
+    WatchNotice,
+    WatchUpdate,
+    decode_watch_message,
+    encode_watch_message,
+)
 from quetzaldyke.parts.crash_causes import Trait
 from quetzaldyke.parts.rate_shares import ShareHeartbeat
-from quetzaldyke.parts.transactions import WatchedChange
 
 # Raised for content of another form; an infinite number is no integer.
 MALFORMED_CONTENT: Final = (
@@ -55,9 +61,6 @@
     msgpack.UnpackException,
 )
 
-# The store counts revisions in 64 bits with a sign.
-MAX_REVISION: Final = 0x7FFF_FFFF_FFFF_FFFF
-
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
@@ -96,6 +99,7 @@
     | JobEnded
     | CrashReport
     | WatchUpdate
+    | WatchNotice
     | DrainUpdate
     | FlowReport
     | SpeedUpdate
@@ -117,8 +121,8 @@
             return bytes(msgpack.packb(['ended', sender, job_id]))
         case CrashReport():
             return encode_crash_report(message)
-        case WatchUpdate():
-            return encode_watch_update(message)
+        case WatchUpdate() | WatchNotice():
+            return encode_watch_message(message)
         case DrainUpdate(sender, lifetimes):
             return bytes(msgpack.packb(['draining', sender, lifetimes]))
         case FlowReport():
@@ -148,25 +152,6 @@
     return bytes(msgpack.packb(['crash', report.sender, row]))
 
 
-def encode_watch_update(update: WatchUpdate) -> bytes:
-    """Encode what a watcher has read."""
-    changes = None
-    if update.changes is not None:
-        changes = [
-            [change.key, change.revision, change.value]
-            for change in update.changes
-        ]
-    row = [
-        update.prefix,
-        update.after_revision,
-        update.revision,
-        changes,
-        update.lapse_grace_s,
-        update.age_s,
-    ]
-    return bytes(msgpack.packb(['watch', update.sender, row]))
-
-
 def decode(datagram: bytes) -> GossipMessage | None:
     """Decode a datagram; return None if it is malformed or of unknown type.
 
@@ -195,8 +180,6 @@
             return JobEnded(sender, str(content))
         case 'crash':
             return decode_crash_report(sender, content)
-        case 'watch':
-            return decode_watch_update(sender, content)
         case 'load':
             return decode_load_report(sender, content)
         case 'draining':
@@ -205,6 +188,8 @@
             return decode_speed_update(sender, content)
         case 'rate_shares' | 'rate_ask' | 'rate_grant':
             return decode_rate_message(kind, sender, content)
+    if kind in {UPDATE_KIND, NOTICE_KIND}:
+        return decode_watch_message(kind, sender, content)
     if kind == FLOW_KIND:
         return decode_flow_report(sender, content)
     return decode_limit_message(kind, sender, content)
@@ -259,46 +244,3 @@
         decode_number(pending),
         decode_non_negative(store_up_s),
     )
-
-
-def decode_watch_update(sender: str, content: Any) -> WatchUpdate:
-    """Decode what a watcher has read."""
-    prefix, after, revision, rows, lapse_grace_s, age_s = content
-    changes = None
-    if rows is not None:
-        changes = tuple(
-            WatchedChange(
-                str(key),
-                decode_revision(changed),
-                decode_value(value),
-            )
-            for key, changed, value in rows
-        )
-    return WatchUpdate(
-        sender,
-        str(prefix),
-        decode_revision(after),
-        decode_revision(revision),
-        changes,
-        decode_non_negative(lapse_grace_s),
-        decode_non_negative(age_s),
-    )
-
-
-def decode_value(value: Any) -> bytes | None:
-    """Decode the value of a changed key, None if the key was deleted.
-
-    Raises `ValueError` for any other type: bytes() of a number would allocate
-    that many zeros.
-    """
-    if value is None or isinstance(value, bytes):
-        return value
-    raise ValueError(f'value of type {type(value).__name__}')
-
-
-def decode_revision(revision: Any) -> int:
-    """Decode a revision of the store; raises `ValueError` if it is none."""
-    decoded = int(revision)
-    if not 0 <= decoded <= MAX_REVISION:
-        raise ValueError(f'revision {decoded}')
-    return decoded
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -24,9 +24,10 @@
 from quetzaldyke.gateway.model import Endpoint
 from quetzaldyke.gateway.organisation_rates import OrganisationRates
 from quetzaldyke.gateway.rate_messages import RateAsk, RateGrant
-from quetzaldyke.gateway.shared_watch import WatchSharing, WatchUpdate
+from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.speed_exchange import SpeedExchange, SpeedUpdate
 from quetzaldyke.gateway.store_path import StorePath
+from quetzaldyke.gateway.watch_messages import WatchNotice, WatchUpdate
 from quetzaldyke.parts.rate_shares import ShareHeartbeat
 
 if TYPE_CHECKING:
@@ -84,6 +85,8 @@
                 self.crashes.merge(message)
             case WatchUpdate():
                 self.sharing.on_update(message)
+            case WatchNotice():
+                self.sharing.on_notice(message)
             case DrainUpdate():
                 self.drains.apply(message)
             case FlowReport():
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -8,9 +8,14 @@
 read to the entries that follow it. An entry follows two watchers, so that the
 loss of one delays nothing. It watches the store itself as soon as neither
 sends load reports that say that it reaches the store, or neither confirms that
-it is up to date, and makes one call when an update shows that it missed an
+it is up to date, and asks the sender of an update that shows that it missed an
 earlier one. All entries choose the same
 watchers from the member list by rendezvous hashing, without communication.
+
+Failure pattern: datagrams are lost when a link is full, and a watcher sends to
+all its followers at once. Updates that are too large for that are announced,
+and followers fetch them. The last changes are announced again for a moment,
+so that none is missed because one datagram was lost.
 """
 
 from __future__ import annotations
@@ -19,9 +24,15 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from quetzaldyke.gateway.change_history import size_of
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.watch import PrefixWatcher, age_ms
+from quetzaldyke.gateway.watch_messages import (
+    WatchMessage,
+    WatchNotice,
+    WatchUpdate,
+)
 from quetzaldyke.parts.rendezvous import ranking
 from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
 
@@ -34,9 +45,12 @@
 MAX_SILENCE_S: Final = 0.65
 # Time that a watch call may take beyond its wait, as allowed by its timeout.
 CONFIRMATION_SLACK_S: Final = 0.65
-# An update that is larger is sent without its changes, so that followers read
-# them from the store; datagrams are limited to 64 KB.
-MAX_CHANGES_BYTES: Final = 32_768
+# Bytes of changes that are sent to all followers at once. More are announced,
+# as a link of 30 Mbit/s holds about twice as much and loses what comes beyond.
+MAX_BURST_BYTES: Final = 32_768
+# For how long, and how often, the last changes are announced again.
+NOTICE_S: Final = 1.0
+NOTICE_INTERVAL_S: Final = 0.3
 # Payload that one packet of a common link carries.
 PACKET_BYTES: Final = 1200
 POLL_DELAY_PER_WATCHER_S: Final = 0.06
@@ -46,24 +60,6 @@
 MIN_POLL_DELAY_S: Final = 0.15
 
 
-@dataclass(frozen=True, slots=True)
-class WatchUpdate:
-    """What a watcher has read: all changes between two revisions."""
-
-    sender: str
-    prefix: str
-    # All changes after this revision, up to `revision`, are included.
-    after_revision: int
-    revision: int
-    # None if they are too large to be sent.
-    changes: tuple[WatchedChange, ...] | None
-    # For how much longer missing registrations may come back after an outage
-    # of the store.
-    lapse_grace_s: float
-    # Age of what the sender has read: all changes before that are included.
-    age_s: float = 0.0
-
-
 def watchers_of(members: Collection[str]) -> list[str]:
     """Return the entries that watch the store for all.
 
@@ -81,17 +77,12 @@
     return ranking(watchers, own_id)[:SOURCES_PER_FOLLOWER]
 
 
-def size_of(changes: Collection[WatchedChange]) -> int:
-    """Return the bytes of the keys and values of changes."""
-    return sum(len(change.key) + len(change.value or b'') for change in changes)
-
-
 def limit_changes(
-    changes: Collection[WatchedChange],
+    changes: Collection[WatchedChange], receivers: int
 ) -> tuple[WatchedChange, ...] | None:
-    """Return the changes, or None if they are too large for a datagram."""
-    size = size_of(changes)
-    return tuple(changes) if size <= MAX_CHANGES_BYTES else None
+    """Return the changes, or None if the receivers have to fetch them."""
+    size = size_of(changes) * receivers
+    return tuple(changes) if size <= MAX_BURST_BYTES else None
 
 
 def max_confirmation_age_s(watcher: PrefixWatcher) -> float:
@@ -110,8 +101,8 @@
     now: Callable[[], float]
     # Returns when the last load report of an entry arrived; None if none did.
     last_report_s: Callable[[str], float | None]
-    # Sends an update to the given entries.
-    send: Callable[[Collection[str], WatchUpdate], None]
+    # Sends a message to the given entries.
+    send: Callable[[Collection[str], WatchMessage], None]
     endpoints: EndpointTable
     # Whether the last load report of an entry says that it reaches the store.
     reaches_store: Callable[[str], bool] = lambda entry_id: True
@@ -122,6 +113,14 @@
     followers: list[str] = field(default_factory=list)
     # When each source last confirmed a prefix.
     confirmed_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    # Up to which revision each source last announced changes of a prefix that
+    # this entry lacked, and when.
+    lacking: dict[tuple[str, str], tuple[int, float]] = field(
+        default_factory=dict
+    )
+    # Revision of the last change of each prefix that this entry has sent to its
+    # followers, and when it did.
+    announced: dict[str, tuple[int, float]] = field(default_factory=dict)
     # The sources and the number of followers that were logged last.
     logged_roles: tuple[str, int] = ('', 0)
 
@@ -132,6 +131,11 @@
             for key, confirmed_s in self.confirmed_s.items()
             if key[0] in members
         }
+        self.lacking = {
+            key: announced
+            for key, announced in self.lacking.items()
+            if key[0] in members
+        }
         self.watchers = watchers_of(members)
         self.sources = []
         self.followers = []
@@ -194,13 +198,54 @@
             prefix,
             after,
             batch.revision,
-            limit_changes(batch.changes),
+            limit_changes(batch.changes, len(self.followers)),
             self.endpoints.lapse_grace_s(self.now()),
             self.now() - self.watched[prefix].answer_as_of_s,
         )
         self.send(self.followers, update)
+        if batch.changes:
+            last = batch.changes[-1].revision
+            self.announced[prefix] = (last, self.now())
         self.log_published(update, batch)
 
+    async def repeat_notices(self) -> None:
+        """Announce the last changes again to all followers."""
+        since_s = self.now() - NOTICE_S
+        revisions = {
+            prefix: revision
+            for prefix, (revision, sent_s) in self.announced.items()
+            if sent_s >= since_s
+        }
+        if revisions and self.followers:
+            self.send(self.followers, WatchNotice(self.own_id, revisions))
+
+    def on_notice(self, notice: WatchNotice) -> None:
+        """Fetch the changes that a watcher has read and this entry has not."""
+        for prefix, revision in notice.revisions.items():
+            watcher = self.watched.get(prefix)
+            seen = watcher.revision if watcher is not None else None
+            if watcher is not None and seen is not None and revision > seen:
+                watcher.note_missed(revision, notice.sender)
+
+    def held_update(self, prefix: str, after: int) -> WatchUpdate | None:
+        """Return the changes of a prefix after a revision, if all are held."""
+        watcher = self.watched.get(prefix)
+        if watcher is None or watcher.revision is None:
+            return None
+        changes = watcher.history.since(after)
+        if changes is None:
+            return None
+        now_s = self.now()
+        return WatchUpdate(
+            self.own_id,
+            prefix,
+            after,
+            watcher.revision,
+            changes,
+            self.endpoints.lapse_grace_s(now_s),
+            watcher.confirmation.age_s(now_s),
+        )
+
     def log_published(self, update: WatchUpdate, batch: WatchBatch) -> None:
         """Log an update whose datagrams together may overfill a link."""
         size = size_of(batch.changes)
@@ -221,15 +266,38 @@
         if watcher is None:
             return
         now_s = self.now()
+        if self.apply(watcher, update):
+            self.confirmed_s[update.sender, update.prefix] = now_s
+        else:
+            source = (update.sender, update.prefix)
+            self.lacking[source] = (update.revision, now_s)
+
+    def on_fetched(self, update: WatchUpdate) -> None:
+        """Apply what was asked for; the sender may hold it for long.
+
+        It is confirmed as of when it announced that it had read this.
+        """
+        watcher = self.watched.get(update.prefix)
+        if watcher is None or not self.apply(watcher, update):
+            return
+        source = (update.sender, update.prefix)
+        revision, announced_s = self.lacking.pop(source, (0, 0.0))
+        if 0 < revision <= update.revision:
+            self.confirmed_s[source] = announced_s
+
+    def apply(self, watcher: PrefixWatcher, update: WatchUpdate) -> bool:
+        """Apply an update; return whether the entry is up to date by it."""
+        now_s = self.now()
         self.endpoints.allow_lapses(update.lapse_grace_s, now_s)
-        if watcher.apply_update(
+        applied = watcher.apply_update(
             update.after_revision,
             update.changes,
             update.revision,
             update.sender,
-        ):
-            self.confirmed_s[update.sender, update.prefix] = now_s
+        )
+        if applied:
             watcher.confirmation.note(now_s - update.age_s, update.sender)
+        return applied
 
     def on_report(self, sender: str) -> None:
         """Leave a source at once if its report says that it lost the store."""
--- a/src/quetzaldyke/gateway/store_tunnel.py
+++ b/src/quetzaldyke/gateway/store_tunnel.py
@@ -1,5 +1,8 @@
 """Relays TCP connections of peers to the platform's store.
 
+Requests of peers for missed updates come on the same port, see
+`peer_updates.py`.
+
 Bytes pass unchanged, so the store's responses need no translation, and a call
 that is interrupted here looks to the peer like any other broken connection.
 """
@@ -11,9 +14,17 @@
 import anyio
 from anyio.abc import ByteStream, TaskGroup, TaskStatus
 
+from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.peer_updates import (
+    UPDATES_LINE,
+    HeldUpdate,
+    answer_peer,
+)
 
 CONNECT_TIMEOUT_S: Final = 0.4
+# From the opening of a connection until its first bytes.
+FIRST_BYTES_TIMEOUT_S: Final = 5.0
 # Peer connections that are relayed at the same time.
 MAX_TUNNELS: Final = 64
 
@@ -22,15 +33,24 @@
     host: str,
     port: int,
     store: tuple[str, int],
+    held: HeldUpdate,
     *,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Accept and relay connections of peers until cancelled."""
+    """Accept and relay connections of peers until cancelled.
+
+    Requests for missed updates are answered with what is `held`.
+    """
     limiter = anyio.CapacityLimiter(MAX_TUNNELS)
 
     async def handle(peer: ByteStream) -> None:
-        async with peer, limiter:
-            await relay_connection(peer, store)
+        async with peer:
+            first = await receive_first(peer)
+            if first.startswith(UPDATES_LINE):
+                await run_guarded(answer_peer, peer, first, held)
+            elif first:
+                async with limiter:
+                    await relay_connection(peer, first, store)
 
     listener = await anyio.create_tcp_listener(
         local_host=host,
@@ -40,10 +60,22 @@
     await listener.serve(handle)
 
 
-async def relay_connection(peer: ByteStream, store: tuple[str, int]) -> None:
+async def receive_first(peer: ByteStream) -> bytes:
+    """Return the first bytes of a peer; none if it closes or stays silent."""
+    with anyio.move_on_after(FIRST_BYTES_TIMEOUT_S):
+        try:
+            return await peer.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return b''
+    return b''
+
+
+async def relay_connection(
+    peer: ByteStream, first: bytes, store: tuple[str, int]
+) -> None:
     """Relay one connection until either side closes it.
 
-    A failure to connect to the store is logged, and the relay ends.
+    `first` are the bytes that were read already. A failure to connect to the store is logged, and the relay ends.
     """
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -52,10 +84,22 @@
         log_event('tunnel_failed', fault=repr(exc))
         return
     async with stream, anyio.create_task_group() as group:
+        await send_first(stream, first, group)
         group.start_soon(copy, peer, stream, group)
         await copy(stream, peer, group)
 
 
+async def send_first(
+    stream: ByteStream, first: bytes, group: TaskGroup
+) -> None:
+    """Send the first bytes to the store; cancel the relay if that fails."""
+    try:
+        await stream.send(first)
+    except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+        log_event('tunnel_broken')
+        group.cancel_scope.cancel()
+
+
 async def copy(
     source: ByteStream, target: ByteStream, group: TaskGroup
 ) -> None:
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -17,6 +17,7 @@
 import anyio
 from result import Err
 
+from quetzaldyke.gateway.change_history import ChangeHistory
 from quetzaldyke.gateway.guarded import call_guarded
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.backoff import BackoffOptions, backoff_s
@@ -121,6 +122,12 @@
     confirmation: Confirmation = field(default_factory=Confirmation)
     # Called before the first call after other entries have watched.
     on_resume: Callable[[], None] = lambda: None
+    # Called with an entry that has read changes that were missed, and up to
+    # which revision; without it the next step is a call to the store.
+    on_missed: Callable[[str, int], None] | None = None
+    # The highest revision that was found missing.
+    missed_revision: int = 0
+    history: ChangeHistory = field(default_factory=ChangeHistory)
     # Who brought the changes that are passed on: `OWN_CALL` or an entry's id.
     brought_by: str = ''
 
@@ -193,33 +200,36 @@
     ) -> bool:
         """Apply what another entry has read; return whether it is up to date.
 
-        If changes are missing, the next step is a call to the store. An entry
-        that has read less than this one was paused.
+        If changes are missing, the sender is asked for them. An entry that
+        has read less than this one was paused.
         """
         if self.revision is None or revision < self.revision:
             return False
         if changes is None or after > self.revision:
             if revision > self.revision:
-                self.note_missed(after, revision, sender)
+                self.note_missed(revision, sender)
                 return False
             changes = ()
         self.advance(changes, revision, sender)
         self.on_success()
         return True
 
-    def note_missed(self, after: int, revision: int, sender: str) -> None:
-        """Call the store at once; log the gap that an update showed first."""
-        if not self.behind.is_set():
+    def note_missed(self, revision: int, sender: str) -> None:
+        """Ask for changes that were missed, and log the first sign of them."""
+        if revision > self.missed_revision:
+            self.missed_revision = revision
             log_event(
                 'watch_missed',
                 prefix=self.prefix,
                 sender=sender,
                 seen=self.revision,
-                after=after,
                 revision=revision,
                 **self.confirmation.describe(self.now()),
             )
-        self.behind.set()
+        if self.on_missed is None:
+            self.behind.set()
+        else:
+            self.on_missed(sender, revision)
 
     def advance(
         self, changes: Sequence[WatchedChange], revision: int, source: str
@@ -230,6 +240,7 @@
         new = [change for change in changes if change.revision > seen]
         self.revision = max(seen, revision)
         if new:
+            self.history.add(new)
             call_guarded(self.on_changes, new, self.revision)
 
     async def load_snapshot(self) -> bool:
@@ -245,6 +256,7 @@
         self.brought_by = OWN_CALL
         revision = answer.ok_value.revision
         self.revision = revision
+        self.history.restart(revision)
         # Entries that lack any of the changes before it read them themselves.
         self.on_batch(revision, WatchBatch([], revision))
         call_guarded(self.on_snapshot, answer.ok_value)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -9,6 +9,7 @@
 import time
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
+from hashlib import sha256
 from pathlib import Path
 from subprocess import DEVNULL
 from typing import IO, Final
@@ -105,6 +106,9 @@
     store_proxies: dict[str, Proxy] = field(default_factory=dict)
     store_port: int = 0
     version: int = 0
+    # Hashes that each version of the configuration holds besides, to be as large
+    # as one of many organisations.
+    added_hashes: int = 0
     # Whether the engines' answers end with their connections.
     unframed: bool = False
     # Events after which each third of them is closed cleanly; 0 for never.
@@ -311,7 +315,13 @@
     async def write_configuration(self, timeout_ms: int) -> None:
         """Write the next version of the configuration."""
         self.version += 1
-        await self.put('op/config', configuration(self.version, timeout_ms))
+        document = configuration(self.version, timeout_ms)
+        if self.added_hashes:
+            document['padding'] = [
+                sha256(f'{self.version}-{number}'.encode()).hexdigest()
+                for number in range(self.added_hashes)
+            ]
+        await self.put('op/config', document)
 
     async def put(self, key: str, document: object) -> None:
         """Write a document to a key of the store, as the operator does."""
--- a/tests/sharing_fleet.py
+++ b/tests/sharing_fleet.py
@@ -10,13 +10,16 @@
 from gateway_kit import FakeStore, FakeTime
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.gossip_messages import encode
-from quetzaldyke.gateway.shared_watch import (
-    WatchSharing,
-    WatchUpdate,
-)
+from quetzaldyke.gateway.missed_updates import GapCloser
+from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.watch import (
     PrefixWatcher,
 )
+from quetzaldyke.gateway.watch_messages import (
+    WatchMessage,
+    WatchNotice,
+    WatchUpdate,
+)
 from quetzaldyke.parts.transactions import (
     Put,
     Transaction,
@@ -33,6 +36,13 @@
     watcher: PrefixWatcher
     reports: dict[str, float] = field(default_factory=dict)
     applied: list[int] = field(default_factory=list)
+    closer: GapCloser | None = None
+
+    async def close_gap(self) -> None:
+        """Ask the sender of an update for what was missed, if anything."""
+        if self.closer is not None and self.closer.gap is not None:
+            gap, self.closer.gap = self.closer.gap, None
+            await self.closer.close(gap)
 
     def must_call(self) -> bool:
         """Return whether the entry calls the store next."""
@@ -44,7 +54,7 @@
     """Entries that share a store, with the updates that are on their way."""
 
     entries: dict[str, SimulatedEntry] = field(default_factory=dict)
-    updates: list[tuple[str, WatchUpdate]] = field(default_factory=list)
+    updates: list[tuple[str, WatchMessage]] = field(default_factory=list)
     time: FakeTime = field(default_factory=FakeTime)
     store: FakeStore = field(default_factory=FakeStore)
     silent: set[str] = field(default_factory=set)
@@ -92,16 +102,26 @@
             lambda changes, _: applied.extend(one.revision for one in changes),
         )
         sharing.add(watcher)
-        return SimulatedEntry(sharing, watcher, reports, applied)
+        closer = GapCloser(watcher, self.fetch, sharing.on_fetched)
+        watcher.on_missed = closer.note
+        return SimulatedEntry(sharing, watcher, reports, applied, closer)
 
-    def send(self, peers: Collection[str], update: WatchUpdate) -> None:
-        """Put an update on its way, unless the sender is silent."""
-        if update.sender in self.silent:
+    def send(self, peers: Collection[str], message: WatchMessage) -> None:
+        """Put a message on its way, unless the sender is silent."""
+        if message.sender in self.silent:
             return
         held = len(peers)
         if self.link_bytes is not None:
-            held = self.link_bytes // len(encode(update))
-        self.updates.extend((peer, update) for peer in list(peers)[:held])
+            held = self.link_bytes // len(encode(message))
+        self.updates.extend((peer, message) for peer in list(peers)[:held])
+
+    async def fetch(
+        self, peer: str, prefix: str, after: int
+    ) -> WatchUpdate | None:
+        """Return what an entry holds, unless it is silent."""
+        if peer in self.silent:
+            return None
+        return self.entries[peer].sharing.held_update(prefix, after)
 
     async def write(self, value: bytes = b'x') -> None:
         """Write one key of the prefix."""
@@ -110,6 +130,7 @@
     async def step(self) -> None:
         """Deliver reports; entries that can't follow others call the store."""
         for name, entry in self.entries.items():
+            await entry.close_gap()
             for other in self.entries.values():
                 if name not in self.silent:
                     other.reports[name] = self.time.now_s
@@ -120,8 +141,11 @@
 
     def deliver(self, position: int) -> None:
         """Deliver one of the updates that are on their way."""
-        peer, update = self.updates.pop(position % len(self.updates))
-        self.entries[peer].sharing.on_update(update)
+        peer, message = self.updates.pop(position % len(self.updates))
+        if isinstance(message, WatchNotice):
+            self.entries[peer].sharing.on_notice(message)
+        else:
+            self.entries[peer].sharing.on_update(message)
 
     def deliver_all(self) -> None:
         """Deliver all updates in order."""
--- a/tests/test_configuration_floor.py
+++ b/tests/test_configuration_floor.py
@@ -14,7 +14,7 @@
 from gateway_kit import FakeStore, FakeTime
 from key_rig import encode_record
 from quetzaldyke.gateway.entry import Entry
-from quetzaldyke.gateway.entry_process import start_watchers
+from quetzaldyke.gateway.watch_start import start_watchers
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Snapshot, WatchBatch
 from quetzaldyke.platform import names
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -11,7 +11,6 @@
 from quetzaldyke.gateway import logs
 from quetzaldyke.gateway.gossip_messages import decode, encode
 from quetzaldyke.gateway.shared_watch import (
-    WatchUpdate,
     max_confirmation_age_s,
 )
 from quetzaldyke.gateway.watch import (
@@ -20,6 +19,7 @@
     OWN_CALL,
     PrefixWatcher,
 )
+from quetzaldyke.gateway.watch_messages import WatchUpdate
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
 from sharing_fleet import PREFIX, SimulatedFleet
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -35,8 +35,8 @@
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.logs import LineRateLimiter, LineWriter
 from quetzaldyke.gateway.model import Bounds, Configuration, Installation
-from quetzaldyke.gateway.shared_watch import WatchUpdate
 from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.gateway.watch_messages import WatchNotice, WatchUpdate
 from quetzaldyke.parts.crash_causes import Trait
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Snapshot, WatchBatch, WatchedChange
@@ -159,6 +159,11 @@
         CLEARED,
         st.lists(st.text(max_size=5), max_size=2).map(tuple),
     ),
+    st.builds(
+        WatchNotice,
+        st.text(max_size=5),
+        st.dictionaries(st.text(max_size=5), st.integers(0, 2**40), max_size=3),
+    ),
     st.builds(
         WatchUpdate,
         st.text(max_size=5),
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -15,12 +15,11 @@
 from quetzaldyke.gateway.job_records import MEMBER_PREFIX, Member
 from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.shared_watch import (
-    MAX_CHANGES_BYTES,
+    MAX_BURST_BYTES,
     MAX_POLL_DELAY_S,
     MAX_SILENCE_S,
     MIN_POLL_DELAY_S,
     SOURCES_PER_FOLLOWER,
-    WatchUpdate,
     limit_changes,
     max_confirmation_age_s,
     sources_of,
@@ -32,6 +31,7 @@
     WATCH_WAIT_S,
     PrefixWatcher,
 )
+from quetzaldyke.gateway.watch_messages import WatchUpdate
 from quetzaldyke.parts.kv import Record
 from quetzaldyke.parts.transactions import (
     Snapshot,
@@ -167,21 +167,25 @@
     assert max(shares.values()) <= 2 * even + 8
 
 
-def test_large_changes_are_left_to_the_store() -> None:
+def test_large_changes_are_left_to_the_receivers() -> None:
     """Guards against datagrams that the network can't carry."""
     small = WatchedChange('k', 1, b'x')
-    large = WatchedChange('k', 1, bytes(MAX_CHANGES_BYTES))
-    assert limit_changes([small]) == (small,)
-    assert limit_changes([small, large]) is None
+    large = WatchedChange('k', 1, bytes(MAX_BURST_BYTES))
+    assert limit_changes([small], 1) == (small,)
+    assert limit_changes([small, large], 1) is None
+    half = WatchedChange('k', 1, bytes(MAX_BURST_BYTES // 2))
+    assert limit_changes([half], 1) == (half,)
+    assert limit_changes([half], 2) is None
 
 
-def test_changes_that_were_not_sent_are_read_from_the_store() -> None:
+async def test_changes_that_no_one_sends_are_read_from_the_store() -> None:
     """Guards against confirming an update whose changes are missing."""
     fleet = SimulatedFleet.of_size(3)
     follower = fleet.follower()
     follower.watcher.revision = 4
     source = follower.sharing.sources[0]
     follower.sharing.on_update(WatchUpdate(source, PREFIX, 4, 6, None, 0.0))
+    await follower.close_gap()
     assert follower.watcher.behind.is_set()
     assert not follower.sharing.confirmed_s
     assert follower.watcher.revision == 4
@@ -226,6 +230,7 @@
     source.watcher.revision = None
     assert await source.watcher.poll()
     fleet.deliver_all()
+    await follower.close_gap()
     assert follower.must_call()
     assert follower.watcher.behind.is_set()
 
