Bound the age of the configuration that decides a request

What callers saw: a request was run by the old service of a route that had moved, or on one that had ended, though the new version had been acknowledged longer ago than the promise (config-apply-ms).

Cause: the time in which a version had to reach an entry was a sum, of the wait of the watch, its slack, a failed call or two and their backoff, each of them bounded, and nothing asked for the age of the copy by which a request was decided. Only denials did, and they counted it from the reading of an answer, also of a watch of 1 ms, which proves nothing: a store that is about to drop its history lets watches hear nothing for a second.

Change: the age counts from the time before which all changes are known. While the store does not answer, routes go on being served without a wait, and none is denied. The watch on the configuration waits 0.375 of the promise at most, less where the promise is short, so that a working watch keeps the age below that; it was half of the promise. The shared call of reads of jobs moves to a module that both use.

test_cut_watch_still_confirms_what_it_follows took a watch of 1 ms as a confirmation.

--- a/src/quetzaldyke/gateway/configuration_feed.py
+++ b/src/quetzaldyke/gateway/configuration_feed.py
@@ -11,17 +11,23 @@
 
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Configuration, Organisation
-from quetzaldyke.gateway.watch import WATCH_WAIT_S, age_ms
+from quetzaldyke.gateway.watch import (
+    DEAF_S,
+    WATCH_WAIT_S,
+    Confirmation,
+    age_ms,
+)
 from quetzaldyke.parts.transactions import Snapshot, WatchedChange
 from quetzaldyke.platform import names
 from quetzaldyke.platform.records import decode_configuration
 
-# Shares of the time in which a version has to be in force everywhere: how long
-# a watch waits, so that a working one confirms the version in time, and how old
-# a confirmation may be for a request to be denied. The rest allows for answers
-# and updates that were delayed on their way.
-WATCH_WAIT_SHARE: Final = 0.5
+# Shares of the time in which a version has to be in force everywhere: how old
+# it gets under a working watch, and how old it may be for a request to be
+# denied. The rest allows for answers and updates that were delayed on their
+# way.
+WATCHED_AGE_SHARE: Final = 0.75
 MAX_AGE_SHARE: Final = 0.875
+MIN_WATCH_WAIT_S: Final = 0.25
 
 
 @dataclass(slots=True)
@@ -33,7 +39,8 @@
     # From the acknowledgement of a version until it is in force everywhere.
     apply_s: float = 2.0
     configuration: Configuration | None = None
-    confirmed_s: float = 0.0
+    # As of when the configuration is known.
+    confirmation: Confirmation = field(default_factory=Confirmation)
     # Returns who brought what is applied: this entry's own call, or an entry.
     brought_by: Callable[[], str] = str
     # Set and replaced with each new version.
@@ -44,21 +51,23 @@
         """Return the active version; 0 before the first configuration."""
         return self.configuration.version if self.configuration else 0
 
-    def confirm(self) -> None:
-        """Record that the store has sent all changes up to now."""
-        self.confirmed_s = self.now()
-
     def age_s(self) -> float:
-        """Return the time since the configuration was last confirmed."""
-        return self.now() - self.confirmed_s
+        """Return for how long nothing is known of newer versions."""
+        return self.confirmation.age_s(self.now())
 
     def is_current(self) -> bool:
         """Return whether a request may be denied by this configuration."""
         return self.age_s() < MAX_AGE_SHARE * self.apply_s
 
     def watch_wait_s(self) -> float:
-        """Return how long a watch on the configuration may wait."""
-        return min(WATCH_WAIT_S, WATCH_WAIT_SHARE * self.apply_s)
+        """Return how long a watch on the configuration may wait.
+
+        An answer without changes is up to the wait or `DEAF_S` old, whichever
+        is longer, and the next one comes after another wait.
+        """
+        age_s = WATCHED_AGE_SHARE * self.apply_s
+        wait_s = max(MIN_WATCH_WAIT_S, min(age_s / 2, age_s - DEAF_S))
+        return min(WATCH_WAIT_S, wait_s)
 
     def weight_of(self, organisation: str) -> float:
         """Return the weight of an organisation, 1 if it is not configured."""
@@ -91,10 +100,11 @@
             if change.key == names.CONFIG_KEY and change.value is not None:
                 self.apply(change.value)
 
-    def apply(self, raw: bytes) -> None:
+    def apply(self, raw: bytes, brought_by: str = '') -> None:
         """Activate a configuration if it is newer than the active one.
 
-        An unreadable configuration is logged and ignored.
+        An unreadable configuration is logged and ignored. It is the watch that
+        brought it if nobody is named.
         """
         decoded = decode_configuration(raw)
         if isinstance(decoded, Err):
@@ -115,6 +125,6 @@
             version=configuration.version,
             routes=len(configuration.routes),
             bytes=len(raw),
-            brought_by=self.brought_by(),
-            confirmed_ms=age_ms(self.confirmed_s or None, self.now()),
+            brought_by=brought_by or self.brought_by(),
+            confirmed_ms=age_ms(self.confirmation.as_of_s, self.now()),
         )
--- a/src/quetzaldyke/gateway/ingress.py
+++ b/src/quetzaldyke/gateway/ingress.py
@@ -76,6 +76,10 @@
 ]
 
 
+async def no_refresh() -> None:
+    """Use the configuration in force."""
+
+
 @dataclass(slots=True)
 class Ingress:
     """ASGI application that serves the callers' requests."""
@@ -91,6 +95,8 @@
     keys: KeyCheck
     wait_until_loaded: LoadingWait = no_wait
     backlog_s: BacklogTime = no_backlog
+    # Reads the configuration if it is too old to decide a request.
+    refresh: Callable[[], Awaitable[None]] = no_refresh
     # Admits or refuses a request by the rate of its organisation.
     admit: RateLimiter = admit_all
     table: RouteTable | None = None
@@ -228,6 +234,7 @@
             return
         arrived_s = self.context.now() - self.backlog_s(request.backlog_s)
         await self.wait_until_loaded(request)
+        await self.refresh()
         admitted = await self.keys.admit(request, lambda: self.table)
         if isinstance(admitted, Err):
             await self.deny(caller, request, admitted.err_value)
@@ -246,7 +253,7 @@
             await self.reject(caller, STATUS_BAD_REQUEST)
             return
         online.version = self.version
-        online.configuration_age_s = self.keys.feed.age_s()
+        online.configuration_as_of_s = self.keys.feed.confirmation.as_of_s
         now_s = self.context.now()
         if not self.window.fits(route.name, online.deadline_s, now_s):
             retry_after_s = self.window.retry_after_s(now_s)
--- a/src/quetzaldyke/gateway/job_reads.py
+++ b/src/quetzaldyke/gateway/job_reads.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Final
 
 import anyio
@@ -22,6 +23,7 @@
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.parts.kv import KvError
+from quetzaldyke.gateway.shared_calls import Outcome, SharedCalls
 from quetzaldyke.platform.jobs import ItemResult, encode_results
 
 # Share of the settling time by which a table may be older than an answer. The
@@ -29,17 +31,6 @@
 MAX_AGE_SHARE: Final = 0.7
 MAX_PAGE_BYTES: Final = 900_000
 
-Refreshed = Result[None, KvError]
-
-
-@dataclass(slots=True)
-class SharedCall:
-    """A call to the store whose outcome several readers wait for."""
-
-    done: anyio.Event = field(default_factory=anyio.Event)
-    # Readers of a call that was cancelled try again.
-    outcome: Refreshed | None = None
-
 
 @dataclass(slots=True)
 class JobReads:
@@ -51,7 +42,7 @@
     now: Callable[[], float]
     # Whether the store answered recently.
     store_up: Callable[[], bool]
-    calls: dict[str, SharedCall] = field(default_factory=dict)
+    calls: SharedCalls = field(default_factory=SharedCalls)
 
     def is_current(self, job_id: str, not_before_s: float) -> bool:
         """Return whether all changes of a job before a time are known.
@@ -64,7 +55,7 @@
             return True
         return max(table.confirmation.as_of_s, view.read_s) >= not_before_s
 
-    async def refresh(self, job_id: str) -> Refreshed:
+    async def refresh(self, job_id: str) -> Outcome:
         """Read the state of a known job if it is too old to deny a result.
 
         Fails with `unavailable`, without a call, while the store is down, and
@@ -74,28 +65,20 @@
         while not self.is_current(job_id, not_before_s):
             if not self.store_up():
                 return Err(KvError('unavailable', 'the store is down'))
-            running = self.calls.get(job_id)
-            if running is None:
-                return await self.call(job_id)
-            await running.done.wait()
             # A call that was sent too early may have missed a change.
-            if isinstance(running.outcome, Err):
-                return running.outcome
+            outcome = await self.calls.run(job_id, partial(self.call, job_id))
+            if isinstance(outcome, Err):
+                return outcome
         return Ok(None)
 
-    async def call(self, job_id: str) -> Refreshed:
-        """Read the state of a job for all who wait for it."""
+    async def call(self, job_id: str) -> Outcome:
+        """Read the state of a job."""
         called_s = self.now()
-        call = self.calls[job_id] = SharedCall()
-        try:
-            call.outcome = await self.store.read_state(job_id)
-        finally:
-            del self.calls[job_id]
-            call.done.set()
+        outcome = await self.store.read_state(job_id)
         view = self.store.table.jobs.get(job_id)
-        if view is not None and isinstance(call.outcome, Ok):
+        if view is not None and isinstance(outcome, Ok):
             view.read_s = called_s
-        return call.outcome
+        return outcome
 
 
 def may_get_result(view: JobView, position: int) -> bool:
--- a/src/quetzaldyke/gateway/online_request.py
+++ b/src/quetzaldyke/gateway/online_request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -53,10 +55,10 @@
     organisation: Organisation | None = None
     # Ids of the parts of the prompt in order; requests share parts.
     prompt_parts: tuple[str, ...] = ()
-    # The configuration by which its route was found, and how long ago that was
+    # The configuration by which its route was found, and as of when that was
     # confirmed.
     version: int = 0
-    configuration_age_s: float = 0.0
+    configuration_as_of_s: float = -math.inf
     # Cached, because hashing covers the whole body.
     cached_traits: tuple[Trait, ...] = ()
 
--- a/src/quetzaldyke/gateway/request_outcome.py
+++ b/src/quetzaldyke/gateway/request_outcome.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from quetzaldyke.gateway.online_request import OnlineRequest, Progress
+from quetzaldyke.gateway.watch import age_ms
 from quetzaldyke.process.metrics import Metrics
 
 MS_IN_S: Final = 1000
@@ -53,7 +54,7 @@
         last_event=progress.splitter.last_id,
         parts=','.join(online.prompt_parts),
         config=online.version,
-        config_ms=int(online.configuration_age_s * MS_IN_S),
+        config_ms=age_ms(online.configuration_as_of_s, online.arrived_s),
     )
 
 
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -35,6 +35,9 @@
 # and after a failed call: its answer confirms that no change was missed, also
 # if the store ends each watch before its wait is over.
 CATCH_UP_WAIT_S: Final = 0.001
+# For this long a store that is about to drop history lets watches hear nothing.
+# Then it ends them.
+DEAF_S: Final = 1.0
 MS_IN_S: Final = 1000
 # Source of what this process has read from the store itself.
 OWN_CALL: Final = 'own_call'
@@ -109,8 +112,6 @@
     # All changes up to this revision were seen; None before the first snapshot.
     revision: int | None = None
     failures: int = 0
-    # Called when all changes up to now were seen.
-    on_success: Callable[[], None] = lambda: None
     # Called after each watch call, with the revision after which it read.
     on_batch: Callable[[int, WatchBatch], None] = lambda after, batch: None
     # Set when changes were missed, or other entries can't be relied on any more.
@@ -139,8 +140,6 @@
             wait_s = CATCH_UP_WAIT_S if catches_up else self.wait_s
             if await self.poll(wait_s):
                 self.failures = 0
-                if self.revision is not None:
-                    self.on_success()
                 await anyio.sleep(self.poll_delay_s())
                 continue
             self.failures += 1
@@ -182,10 +181,13 @@
                 return True
             return False
         batch = answer.ok_value
-        # A store that is about to drop history may let watches hear nothing
-        # for a moment: no change in a short wait proves nothing.
-        if batch.changes or wait_s > CATCH_UP_WAIT_S:
+        if batch.changes or wait_s >= DEAF_S:
             self.answer_as_of_s = called_s
+        elif wait_s > CATCH_UP_WAIT_S:
+            # The watch may have heard nothing since `DEAF_S` before its end; no
+            # change in a very short wait proves nothing at all.
+            as_of_s = min(called_s, self.now() - DEAF_S)
+            self.answer_as_of_s = max(self.answer_as_of_s, as_of_s)
         self.on_batch(after, batch)
         self.advance(batch.changes, batch.revision, OWN_CALL)
         self.confirmation.note(self.answer_as_of_s, OWN_CALL)
@@ -211,7 +213,6 @@
                 return False
             changes = ()
         self.advance(changes, revision, sender)
-        self.on_success()
         return True
 
     def note_missed(self, revision: int, sender: str) -> None:
--- a/src/quetzaldyke/gateway/watch_start.py
+++ b/src/quetzaldyke/gateway/watch_start.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from quetzaldyke.gateway.configuration_reads import ConfigurationReads
 from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.missed_updates import GapCloser
@@ -25,6 +26,8 @@
 # Changes of endpoints accumulate for this long. Many start at once, and what
 # must be known at once is in their answers.
 ENDPOINT_POLL_DELAY_S: Final = 0.1
+# Interval at which the age of the configuration is checked without requests.
+READ_INTERVAL_S: Final = 0.1
 # Share of the time in which a version has to be in force everywhere that a
 # peer has for an answer with missed changes; the store is called then.
 FETCH_SHARE: Final = 0.25
@@ -39,6 +42,7 @@
             entry.configurations.on_snapshot,
             entry.configurations.on_changes,
             wait_s=entry.configurations.watch_wait_s(),
+            confirmation=entry.configurations.confirmation,
         ),
         PrefixWatcher(
             entry.store,
@@ -56,7 +60,6 @@
             confirmation=entry.jobs.confirmation,
         ),
     ]
-    watchers[0].on_success = entry.configurations.confirm
     entry.configurations.brought_by = lambda: watchers[0].brought_by
     for watcher in watchers:
         entry.sharing.add(watcher)
@@ -65,12 +68,23 @@
         )
         watcher.on_missed = closer.note
         group.start_soon(closer.run)
+    bound_configuration_age(entry)
     group.start_soon(run_guarded, entry.load_crash_records)
     for first in watchers[:-1]:
         group.start_soon(first.run)
     group.start_soon(watch_fleet, entry, watchers[-1])
 
 
+def bound_configuration_age(entry: Entry) -> None:
+    """Let no request or item be decided by a configuration that is too old."""
+    reads = ConfigurationReads(
+        entry.configurations, entry.store, lambda: entry.health.up
+    )
+    entry.ingress.refresh = reads.refresh
+    # Items of jobs follow the configuration without a request.
+    entry.timers.subscribe('configuration', READ_INTERVAL_S, reads.refresh)
+
+
 async def watch_fleet(entry: Entry, watcher: PrefixWatcher) -> None:
     """Watch jobs and members, after what callers wait for was read."""
     with anyio.move_on_after(FIRST_READS_TIMEOUT_S):
--- a/tests/key_rig.py
+++ b/tests/key_rig.py
@@ -14,6 +14,7 @@
 from quetzaldyke.gateway.model import CallerLimits, Configuration, Organisation
 from quetzaldyke.gateway.received_request import ReceivedRequest
 from quetzaldyke.gateway.route_table import RouteTable
+from quetzaldyke.gateway.watch import OWN_CALL
 from quetzaldyke.parts.api_keys import KeyDirectory
 from quetzaldyke.process.metrics import Metrics
 
@@ -75,6 +76,11 @@
     )
 
 
+def confirm(feed: ConfigurationFeed) -> None:
+    """Tell an entry that the store has no newer version."""
+    feed.confirmation.note(feed.now(), OWN_CALL)
+
+
 @dataclass(slots=True)
 class KeyRig:
     """The key check of one entry, whose configuration tests change."""
@@ -98,7 +104,7 @@
     def write(self, version: int, tenants: object) -> None:
         """Receive a version from the store, which confirms it."""
         self.feed.apply(encode_record(version, tenants))
-        self.feed.confirm()
+        confirm(self.feed)
 
     async def admit(self, *keys: str, path: str = '/p/x') -> Admitted:
         """Admit a request with some keys."""
--- a/tests/test_cut_watches.py
+++ b/tests/test_cut_watches.py
@@ -149,19 +149,17 @@
         return Ok(WatchBatch([], 1))
 
 
-async def test_cut_watch_still_confirms_what_it_follows() -> None:
-    """Guards against a configuration that counts as old under cut watches."""
+async def test_cut_watch_still_brings_changes() -> None:
+    """Guards against changes that arrive only with the end of cut watches.
+
+    What the configuration is confirmed by is in `test_configuration_floor.py`.
+    """
     store = CuttingStore()
     watcher = PrefixWatcher(store, 'p/', lambda _: None, lambda *_: None)
-    confirmed = anyio.Event()
-
-    def note_success() -> None:
-        if len(store.waits_s) > 1:
-            confirmed.set()
-
-    watcher.on_success = note_success
     async with anyio.create_task_group() as group:
         group.start_soon(watcher.run)
-        await confirmed.wait()
+        with anyio.fail_after(5):
+            while len(store.waits_s) < 2:
+                await anyio.sleep(0.01)
         group.cancel_scope.cancel()
     assert store.waits_s[:2] == [watcher.wait_s, CATCH_UP_WAIT_S]
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -16,6 +16,7 @@
 
 from gateway_fleet import configuration
 from gateway_kit import FakeStore
+from key_rig import confirm
 from quetzaldyke.gateway.configuration_feed import (
     MAX_AGE_SHARE,
     ConfigurationFeed,
@@ -23,6 +24,7 @@
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
 from quetzaldyke.gateway.crashes import CrashReport, ReportedCrash
+from quetzaldyke.gateway.configuration_reads import READ_AGE_SHARE
 from quetzaldyke.gateway.gossip_messages import (
     GossipMessage,
     JobEnded,
@@ -35,7 +37,7 @@
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.logs import LineRateLimiter, LineWriter
 from quetzaldyke.gateway.model import Bounds, Configuration, Installation
-from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.gateway.watch import DEAF_S, PrefixWatcher
 from quetzaldyke.gateway.watch_messages import WatchNotice, WatchUpdate
 from quetzaldyke.parts.crash_causes import Trait
 from quetzaldyke.parts.kv import KvError, Record
@@ -311,7 +313,7 @@
     assert [one.version for one in applied] == [5, 6]
     assert feed.is_engine('lm')
     assert not feed.is_engine('app')
-    feed.confirm()
+    confirm(feed)
     now[0] = MAX_AGE_SHARE * feed.apply_s
     assert not feed.is_current()
 
@@ -324,9 +326,13 @@
     """
     now = [0.0]
     feed = ConfigurationFeed(lambda: now[0], lambda _: None, apply_s)
-    feed.confirm()
+    confirm(feed)
     now[0] = feed.watch_wait_s()
     assert feed.is_current()
+    if apply_s > DEAF_S:
+        # Before the next answer of a watch that hears nothing.
+        now[0] += max(DEAF_S, feed.watch_wait_s())
+        assert feed.age_s() < READ_AGE_SHARE * apply_s
     now[0] = 0.9 * apply_s
     assert not feed.is_current()
 
--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -13,6 +13,7 @@
 from key_rig import (
     KeyRig,
     bearer,
+    confirm,
     encode_record,
     make_configuration,
     make_request,
@@ -92,7 +93,7 @@
         assert await rig.admit('new') == TOO_OLD
         assert await rig.admit() == TOO_OLD
         assert owner_of(await rig.admit('old')) == 'depot'
-        rig.feed.confirm()
+        confirm(rig.feed)
         assert await rig.admit('new') == UNKNOWN
 
     run_virtual(scenario)
@@ -128,7 +129,7 @@
         assert owner_of(await rig.admit('old')) == 'depot'
         await anyio.sleep(0.1)
         assert await rig.admit('old') == Err(Denial('keys_unconfirmed'))
-        rig.feed.confirm()
+        confirm(rig.feed)
         assert owner_of(await rig.admit('old')) == 'depot'
         assert (
             KeyCheck.from_bounds(
@@ -248,12 +249,18 @@
         store.watch.return_value = Err(KvError('compacted'))
         rig = KeyRig()
         watcher = PrefixWatcher(
-            store, 'op/', rig.feed.on_snapshot, rig.feed.on_changes
+            store,
+            'op/',
+            rig.feed.on_snapshot,
+            rig.feed.on_changes,
+            now=rig.now,
+            confirmation=rig.feed.confirmation,
         )
-        watcher.on_success = mock.Mock(side_effect=rig.feed.confirm)
+        began_s = rig.now()
         with anyio.move_on_after(1.0):
             await watcher.run()
         assert store.list_prefix.await_count > 1
-        assert watcher.on_success.call_count == 1
+        assert rig.feed.confirmation.as_of_s == began_s
+        assert rig.feed.age_s() == pytest.approx(1.0)
 
     run_virtual(scenario)
--- a/tests/test_organisation_requests.py
+++ b/tests/test_organisation_requests.py
@@ -24,7 +24,7 @@
     make_endpoint,
     make_route,
 )
-from key_rig import KeyRig, make_configuration
+from key_rig import KeyRig, confirm, make_configuration
 from quetzaldyke.connection.http_server import (
     HttpOptions,
     HttpServer,
@@ -71,7 +71,7 @@
         """Return an entry with a configuration without organisations."""
         now = MonotonicTime(time.monotonic())
         keys = KeyRig(now=now.read)
-        keys.feed.confirm()
+        confirm(keys.feed)
         node = Node.of(FakeStore(), 'a')
         # All jobs of the fleet were listed, and there are none.
         node.table.apply_snapshot(Snapshot([], 1))
