Announce the last changes to the other watchers as well

A watcher follows nobody: while the store refused its calls, it stayed behind until its way through a peer was in use. The notices that repeat the last changes for a second now go to the other watchers too, who fetch what they lack. test_watcher_that_the_store_refuses_hears_of_the_others failed before.

--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -209,15 +209,20 @@
         self.log_published(update, batch)
 
     async def repeat_notices(self) -> None:
-        """Announce the last changes again to all followers."""
+        """Announce the last changes again to followers and other watchers.
+
+        A watcher follows nobody, and its own calls may be refused.
+        """
         since_s = self.now() - NOTICE_S
         revisions = {
             prefix: revision
             for prefix, (revision, sent_s) in self.announced.items()
             if sent_s >= since_s
         }
-        if revisions and self.followers:
-            self.send(self.followers, WatchNotice(self.own_id, revisions))
+        if revisions:
+            others = [one for one in self.watchers if one != self.own_id]
+            notice = WatchNotice(self.own_id, revisions)
+            self.send([*self.followers, *others], notice)
 
     def on_notice(self, notice: WatchNotice) -> None:
         """Fetch the changes that a watcher has read and this entry has not."""
--- a/tests/test_missed_updates.py
+++ b/tests/test_missed_updates.py
@@ -189,6 +189,25 @@
     assert not fleet.updates
 
 
+async def test_watcher_that_the_store_refuses_hears_of_the_others() -> None:
+    """Guards against a watcher that is behind while its peers are not.
+
+    It follows nobody, and its calls fail.
+    """
+    fleet = await SimulatedFleet.settled(4)
+    refused = fleet.entries[fleet.follower().sharing.sources[0]]
+    fleet.refused = {refused.sharing.own_id}
+    await fleet.write()
+    await fleet.step()
+    fleet.deliver_all()
+    assert not refused.applied
+    for other in fleet.entries.values():
+        await other.sharing.repeat_notices()
+    fleet.deliver_all()
+    await refused.close_gap()
+    assert refused.applied == [1]
+
+
 async def test_fetched_update_does_not_vouch_for_its_sender() -> None:
     """Guards against relying on a source that holds what it read long ago."""
     fleet = await SimulatedFleet.settled(4)
