Announce the last changes to entries that are no members

An entry whose registration lapsed is in nobody's member list: it has no sources, nobody sends it updates, and while the store refuses its calls it stays behind.

Watchers send their notices to all entries that they hear from and that are no members, for 3 s in place of 1 s, and an entry asks whoever sent a notice. test_entry_that_is_no_member_hears_of_changes failed before.

--- a/src/quetzaldyke/gateway/gossip.py
+++ b/src/quetzaldyke/gateway/gossip.py
@@ -143,10 +143,14 @@
         """Send a message to some peers; ignore unknown ones."""
         datagram = encode(message)
         for peer in peers:
-            address = self.peers.get(peer) or self.senders.get(peer)
+            address = self.address_of(peer)
             if address is not None:
                 self.send_to(address, datagram)
 
+    def address_of(self, peer: str) -> Address | None:
+        """Return the address of a peer or another sender; None if unknown."""
+        return self.peers.get(peer) or self.senders.get(peer)
+
     def send_to(self, address: Address, datagram: bytes) -> None:
         """Send a datagram; drop it if the socket is not open yet."""
         if self.transport is not None:
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -49,7 +49,7 @@
 # as a link of 30 Mbit/s holds about twice as much and loses what comes beyond.
 MAX_BURST_BYTES: Final = 32_768
 # For how long, and how often, the last changes are announced again.
-NOTICE_S: Final = 1.0
+NOTICE_S: Final = 3.0
 NOTICE_INTERVAL_S: Final = 0.3
 # Payload that one packet of a common link carries.
 PACKET_BYTES: Final = 1200
@@ -106,6 +106,8 @@
     endpoints: EndpointTable
     # Whether the last load report of an entry says that it reaches the store.
     reaches_store: Callable[[str], bool] = lambda entry_id: True
+    # Returns the entries that are heard and are no members.
+    strangers: Callable[[], Collection[str]] = tuple
     watched: dict[str, PrefixWatcher] = field(default_factory=dict)
     watchers: list[str] = field(default_factory=list)
     sources: list[str] = field(default_factory=list)
@@ -209,9 +211,10 @@
         self.log_published(update, batch)
 
     async def repeat_notices(self) -> None:
-        """Announce the last changes again to followers and other watchers.
+        """Announce the last changes again to followers and to who has none.
 
-        A watcher follows nobody, and its own calls may be refused.
+        Those are the other watchers, and entries that are no members: they
+        follow nobody, and their own calls may be refused.
         """
         since_s = self.now() - NOTICE_S
         revisions = {
@@ -220,9 +223,9 @@
             if sent_s >= since_s
         }
         if revisions:
-            others = [one for one in self.watchers if one != self.own_id]
+            receivers = {*self.followers, *self.watchers, *self.strangers()}
             notice = WatchNotice(self.own_id, revisions)
-            self.send([*self.followers, *others], notice)
+            self.send(receivers - {self.own_id}, notice)
 
     def on_notice(self, notice: WatchNotice) -> None:
         """Fetch the changes that a watcher has read and this entry has not."""
--- a/src/quetzaldyke/gateway/store_tunnel.py
+++ b/src/quetzaldyke/gateway/store_tunnel.py
@@ -75,7 +75,8 @@
 ) -> None:
     """Relay one connection until either side closes it.
 
-    `first` are the bytes that were read already. A failure to connect to the store is logged, and the relay ends.
+    `first` are the bytes that were read already. A failure to connect to the
+    store is logged, and the relay ends.
     """
     try:
         with anyio.fail_after(CONNECT_TIMEOUT_S):
--- a/src/quetzaldyke/gateway/watch_start.py
+++ b/src/quetzaldyke/gateway/watch_start.py
@@ -61,6 +61,7 @@
         ),
     ]
     entry.configurations.brought_by = lambda: watchers[0].brought_by
+    entry.sharing.strangers = lambda: entry.gossip.senders
     for watcher in watchers:
         entry.sharing.add(watcher)
         closer = GapCloser(
@@ -96,7 +97,7 @@
     entry: Entry, peer: str, prefix: str, after: int
 ) -> WatchUpdate | None:
     """Return what a peer has read of a prefix after a revision."""
-    address = entry.gossip.peers.get(peer)
+    address = entry.gossip.address_of(peer)
     if address is None:
         return None
     timeout_s = FETCH_SHARE * entry.installation.bounds.config_apply_s
--- a/tests/sharing_fleet.py
+++ b/tests/sharing_fleet.py
@@ -55,6 +55,7 @@
 
     entries: dict[str, SimulatedEntry] = field(default_factory=dict)
     updates: list[tuple[str, WatchMessage]] = field(default_factory=list)
+    members: list[str] = field(default_factory=list)
     time: FakeTime = field(default_factory=FakeTime)
     store: FakeStore = field(default_factory=FakeStore)
     silent: set[str] = field(default_factory=set)
@@ -72,9 +73,15 @@
         names = [f'e{number}' for number in range(size)]
         for name in names:
             fleet.entries[name] = fleet.make_entry(name)
-            fleet.entries[name].sharing.set_members(names)
+        fleet.set_members(names)
         return fleet
 
+    def set_members(self, members: list[str]) -> None:
+        """Let all entries read the same member list."""
+        self.members = members
+        for entry in self.entries.values():
+            entry.sharing.set_members(members)
+
     @classmethod
     async def settled(cls, size: int) -> SimulatedFleet:
         """Return a fleet whose followers have heard from their sources."""
@@ -101,6 +108,7 @@
             lambda snapshot: None,
             lambda changes, _: applied.extend(one.revision for one in changes),
         )
+        sharing.strangers = lambda: set(self.entries) - set(self.members)
         sharing.add(watcher)
         closer = GapCloser(watcher, self.fetch, sharing.on_fetched)
         watcher.on_missed = closer.note
--- a/tests/test_missed_updates.py
+++ b/tests/test_missed_updates.py
@@ -208,6 +208,27 @@
     assert refused.applied == [1]
 
 
+async def test_entry_that_is_no_member_hears_of_changes() -> None:
+    """Guards against an entry that is behind as long as the store refuses it.
+
+    Its registration has lapsed, so nobody follows or is followed by it.
+    """
+    fleet = await SimulatedFleet.settled(4)
+    refused = fleet.follower()
+    name = refused.sharing.own_id
+    fleet.set_members([one for one in fleet.members if one != name])
+    fleet.refused = {name}
+    await fleet.write()
+    await fleet.step()
+    fleet.deliver_all()
+    assert not refused.applied
+    for other in fleet.entries.values():
+        await other.sharing.repeat_notices()
+    fleet.deliver_all()
+    await refused.close_gap()
+    assert refused.applied == [1]
+
+
 async def test_fetched_update_does_not_vouch_for_its_sender() -> None:
     """Guards against relying on a source that holds what it read long ago."""
     fleet = await SimulatedFleet.settled(4)
