Spread the calls of rejected entries over the peers

What callers saw: entries that the store rejects while it serves others went on without it, though their peers reached it: their leases lapsed, and versions came to them with the store's return.

Cause: each rejected entry used the first peer that it had heard from, mostly the same one, and the connections of eleven entries use up its tunnels. A call beyond them waited for a tunnel until its timeout.

Change: an entry ranks peers by its own id and theirs, so that each peer gets its share, and a peer whose tunnels are in use closes a further connection at once, which sends the call to the next one.

test_call_beyond_the_tunnels_fails_at_once timed out before; test_rejected_entries_use_different_peers needs the id of the entry, which the path did not have.

--- a/src/quetzaldyke/gateway/entry.py
+++ b/src/quetzaldyke/gateway/entry.py
@@ -118,6 +118,7 @@
             lambda call, answered: entry.record_call(call, answered=answered),
             installation.store_limits,
         )
+        store.path.own_id = owner_id
         endpoint_table = EndpointTable()
         loads = LoadTable()
         dispatcher = Dispatcher(
--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -35,6 +35,7 @@
         'results_listed',
         'results_read',
         'watch_published',
+        'tunnels_used_up',
         'job_not_readable',
         'callers_timed_out',
         'requests_malformed',
--- a/src/quetzaldyke/gateway/store_path.py
+++ b/src/quetzaldyke/gateway/store_path.py
@@ -4,6 +4,9 @@
 them from it, while their peers still reach it. Calls then go through a peer
 that reports a working direct path, and return to this entry's direct path as
 soon as a probe on it succeeds.
+
+Load pattern: the store rejects many entries at once. Each entry prefers other
+peers, so that their calls don't all go through the same one.
 """
 
 from __future__ import annotations
@@ -13,6 +16,7 @@
 from typing import Final
 
 from quetzaldyke.gateway.store_health import StoreHealth
+from quetzaldyke.parts.rendezvous import score
 
 # No calls are sent through a peer whose last report is older.
 PEER_REPORT_TTL_S: Final = 1.0
@@ -33,6 +37,13 @@
     store_up_s: float
     reported_s: float
     paused_until_s: float = 0.0
+    # The usable peer with the highest preference is used.
+    preference: int = 0
+
+
+def preference_of(peer_path: PeerPath) -> int:
+    """Return the preference of a path."""
+    return peer_path.preference
 
 
 @dataclass(slots=True)
@@ -53,6 +64,8 @@
     """
 
     store: Address
+    # Decides which peers are preferred.
+    own_id: str = ''
     direct: StoreHealth = field(default_factory=StoreHealth)
     peers: dict[str, PeerPath] = field(default_factory=dict)
     # Called when the address in use changes.
@@ -70,7 +83,10 @@
         """Record a peer's report about its direct path."""
         known = self.peers.get(peer)
         if known is None:
-            self.peers[peer] = PeerPath(address, store_up_s, now_s)
+            preference = score(peer, self.own_id)
+            self.peers[peer] = PeerPath(
+                address, store_up_s, now_s, preference=preference
+            )
             return
         known.address = address
         known.store_up_s = store_up_s
@@ -94,15 +110,15 @@
         """Return the store's address, or a usable peer's while it is down."""
         if self.direct.up:
             return self.store
-        for peer_path in self.peers.values():
-            fresh = now_s - peer_path.reported_s <= PEER_REPORT_TTL_S
-            if (
-                peer_path.store_up_s
-                and fresh
-                and peer_path.paused_until_s <= now_s
-            ):
-                return peer_path.address
-        return self.store
+        usable = (
+            peer_path
+            for peer_path in self.peers.values()
+            if peer_path.store_up_s
+            and now_s - peer_path.reported_s <= PEER_REPORT_TTL_S
+            and peer_path.paused_until_s <= now_s
+        )
+        preferred = max(usable, key=preference_of, default=None)
+        return preferred.address if preferred is not None else self.store
 
     def peer_is_up(self, peer: str) -> bool:
         """Return whether a peer's last report says that it reaches the store.
--- a/src/quetzaldyke/gateway/store_tunnel.py
+++ b/src/quetzaldyke/gateway/store_tunnel.py
@@ -48,9 +48,12 @@
             first = await receive_first(peer)
             if first.startswith(UPDATES_LINE):
                 await run_guarded(answer_peer, peer, first, held)
-            elif first:
+            elif first and limiter.available_tokens:
                 async with limiter:
                     await relay_connection(peer, first, store)
+            elif first:
+                # The peer uses another one at once, and not after a timeout.
+                log_event('tunnels_used_up', tunnels=MAX_TUNNELS)
 
     listener = await anyio.create_tcp_listener(
         local_host=host,
--- a/tests/test_missed_updates.py
+++ b/tests/test_missed_updates.py
@@ -30,7 +30,7 @@
     NOTICE_S,
     max_confirmation_age_s,
 )
-from quetzaldyke.gateway.store_tunnel import serve_tunnels
+from quetzaldyke.gateway.store_tunnel import MAX_TUNNELS, serve_tunnels
 from quetzaldyke.gateway.watch_messages import (
     WatchNotice,
     WatchUpdate,
@@ -138,6 +138,28 @@
                 assert await peer.receive() == part
 
 
+async def test_call_beyond_the_tunnels_fails_at_once() -> None:
+    """Guards against calls that wait for a tunnel until their timeout."""
+    async with peer_port() as address, AsyncExitStack() as stack:
+        for _ in range(MAX_TUNNELS):
+            peer = await anyio.connect_tcp(*address)
+            await stack.enter_async_context(peer)
+            await peer.send(b'GET ')
+            assert await peer.receive() == b'GET '
+        late = await anyio.connect_tcp(*address)
+        async with late:
+            await late.send(b'GET ')
+            with pytest.raises(anyio.EndOfStream), anyio.fail_after(TIMEOUT_S):
+                await late.receive()
+        await peer.aclose()
+        again = await stack.enter_async_context(
+            await anyio.connect_tcp(*address)
+        )
+        await anyio.sleep(0.1)
+        await again.send(b'GET ')
+        assert await again.receive() == b'GET '
+
+
 def test_update_that_can_not_be_read_is_none() -> None:
     """Guards against answers of peers that end the process or fill memory."""
     update = held_update(PREFIX, 7)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -304,6 +304,24 @@
     assert path.choose(1.0) not in {first, ('s', 1)}
 
 
+def test_rejected_entries_use_different_peers() -> None:
+    """Guards against a peer whose tunnels are used up by the whole fleet.
+
+    The store rejects half of the entries, and the calls of all of them went
+    through the peer whose report each had heard first.
+    """
+    chosen = []
+    for number in range(300):
+        path = StorePath(('s', 1), f'e{number}')
+        for peer in range(10):
+            path.note_peer(f'p{peer}', ('p', peer), store_up_s=9.0, now_s=1.0)
+        for _ in range(2):
+            path.note(('s', 1), answered=False, now_s=1.0)
+        chosen.append(path.choose(1.0))
+        assert path.choose(1.5) == chosen[-1]
+    assert max(chosen.count(address) for address in chosen) <= 2 * 300 / 10
+
+
 MALFORMED_BODIES = (
     b'',
     b'null',
