Bound and guard the requests for missed updates

Found by a second reading of the fix: a peer that did not read its answer kept the handler and the answer's bytes for as long as it liked, and an unexpected error in a request would have ended the task group, and with it the process. An answer now has 5 s, and an error is logged and leads to a call to the store. watch_missed and watch_gap_closed count as routine lines, as they come with each large change of jobs too. test_failing_request_to_a_peer_leads_to_the_store ended with the error before.

--- a/src/quetzaldyke/gateway/logs.py
+++ b/src/quetzaldyke/gateway/logs.py
@@ -35,6 +35,8 @@
         'results_listed',
         'results_read',
         'watch_published',
+        'watch_missed',
+        'watch_gap_closed',
         'tunnels_used_up',
         'job_not_readable',
         'callers_timed_out',
--- a/src/quetzaldyke/gateway/missed_updates.py
+++ b/src/quetzaldyke/gateway/missed_updates.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.watch import PrefixWatcher
 from quetzaldyke.gateway.watch_messages import WatchUpdate
@@ -54,7 +55,7 @@
             self.noted = anyio.Event()
             gap, self.gap = self.gap, None
             if gap is not None:
-                await self.close(gap)
+                await run_guarded(self.close, gap)
 
     async def close(self, gap: Gap) -> None:
         """Ask the sender; leave what it does not have to the store."""
@@ -62,12 +63,17 @@
         if watcher.revision is None or watcher.revision >= gap.revision:
             return
         after = watcher.revision
-        update = await self.ask(gap.sender, watcher.prefix, after)
-        if update is not None:
-            self.on_fetched(update)
-        closed = watcher.revision is not None and (
-            watcher.revision >= gap.revision
-        )
+        try:
+            update = await self.ask(gap.sender, watcher.prefix, after)
+            if update is not None:
+                self.on_fetched(update)
+        finally:
+            self.conclude(gap, after)
+
+    def conclude(self, gap: Gap, after: int) -> None:
+        """Log whether a gap was closed; call the store if it was not."""
+        watcher = self.watcher
+        closed = (watcher.revision or 0) >= gap.revision
         log_event(
             'watch_gap_closed' if closed else 'watch_gap_open',
             prefix=watcher.prefix,
--- a/src/quetzaldyke/gateway/peer_updates.py
+++ b/src/quetzaldyke/gateway/peer_updates.py
@@ -13,6 +13,7 @@
 from typing import Final
 from urllib.parse import parse_qs, urlencode, urlsplit
 
+import anyio
 from anyio.abc import ByteStream
 
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError
@@ -32,6 +33,8 @@
 )
 # Fastest level: the values are mostly hashes and numbers.
 COMPRESSION_LEVEL: Final = 1
+# A peer that does not read its answer for longer has given up.
+ANSWER_TIMEOUT_S: Final = 5.0
 # Largest update that is decompressed, some times a value of the store.
 MAX_UPDATE_BYTES: Final = 8_388_608
 
@@ -50,7 +53,8 @@
     query = parse_qs(urlsplit(target).query, strict_parsing=True)
     revision = decode_revision(query.get('after', ['-1'])[0])
     update = held(query.get('prefix', [''])[0], revision)
-    await peer.send(NOT_HELD if update is None else encode_answer(update))
+    with anyio.move_on_after(ANSWER_TIMEOUT_S):
+        await peer.send(NOT_HELD if update is None else encode_answer(update))
 
 
 def encode_answer(update: WatchUpdate) -> bytes:
--- a/tests/test_missed_updates.py
+++ b/tests/test_missed_updates.py
@@ -264,6 +264,28 @@
     assert follower.sharing.confirmed_s == confirmed_s
 
 
+async def test_failing_request_to_a_peer_leads_to_the_store() -> None:
+    """Guards against an unexpected error that ends the process or the watch."""
+    fleet = await SimulatedFleet.settled(4)
+    follower = fleet.follower()
+    closer = follower.closer
+    assert closer is not None
+
+    async def fail(*_: object) -> WatchUpdate | None:
+        raise KeyError('unexpected')
+
+    closer.ask = fail
+    source = follower.sharing.sources[0]
+    follower.sharing.on_notice(WatchNotice(source, {PREFIX: 7}))
+    with anyio.move_on_after(TIMEOUT_S):
+        async with anyio.create_task_group() as group:
+            group.start_soon(closer.run)
+            await follower.watcher.behind.wait()
+            assert not closer.noted.is_set()
+            group.cancel_scope.cancel()
+    assert follower.must_call()
+
+
 async def test_source_whose_announcement_was_fetched_is_relied_on() -> None:
     """Guards against followers that leave sources while versions are large.
 
