Log a failed read of the configuration once

Found by reading the change again: each request that waited for a slow read of the configuration noted its failure and logged a line. And an update of a paused source, older than what the entry knew, was kept as an announcement of changes that it lacked; a later fetch could then confirm that source as of that moment.

--- a/src/quetzaldyke/gateway/configuration_reads.py
+++ b/src/quetzaldyke/gateway/configuration_reads.py
@@ -82,11 +82,17 @@
         return Ok(None)
 
     def note_failure(self, reason: str) -> None:
-        """Let requests go on without a read for a moment."""
-        self.retry_at_s = self.feed.now() + RETRY_S
+        """Let requests go on without a read for a moment.
+
+        All that wait for one read note its failure; the first one is logged.
+        """
+        now_s = self.feed.now()
+        if now_s < self.retry_at_s:
+            return
+        self.retry_at_s = now_s + RETRY_S
         log_event(
             'config_not_read',
             reason=reason,
             version=self.feed.version,
-            **self.feed.confirmation.describe(self.feed.now()),
+            **self.feed.confirmation.describe(now_s),
         )
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -274,10 +274,10 @@
         if watcher is None:
             return
         now_s = self.now()
+        source = (update.sender, update.prefix)
         if self.apply(watcher, update):
-            self.confirmed_s[update.sender, update.prefix] = now_s
-        else:
-            source = (update.sender, update.prefix)
+            self.confirmed_s[source] = now_s
+        elif update.revision > (watcher.revision or 0):
             self.lacking[source] = (update.revision, now_s)
 
     def on_fetched(self, update: WatchUpdate) -> None:
