Load what repairs watches after the first answers

Requests to peers and reads of an old configuration are started by watch_repair.py, which is imported once an entry knows what callers wait for, as it is with batch jobs. The messages of watches go back to gossip_messages.py, the history of changes to watch.py and the shared calls to job_reads.py, and the start of the watches to entry_process.py.

--- a/src/quetzaldyke/gateway/configuration_reads.py
+++ b/src/quetzaldyke/gateway/configuration_reads.py
@@ -20,8 +20,8 @@
 from result import Err, Ok, Result
 
 from quetzaldyke.gateway.configuration_feed import ConfigurationFeed
+from quetzaldyke.gateway.job_reads import SharedCalls
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.shared_calls import SharedCalls
 from quetzaldyke.gateway.watch import OWN_CALL, age_ms
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.parts.transactions import TransactionalStore
--- a/src/quetzaldyke/gateway/entry_process.py
+++ b/src/quetzaldyke/gateway/entry_process.py
@@ -16,12 +16,14 @@
 from quetzaldyke.gateway.entry import Entry
 from quetzaldyke.gateway.entry_wiring import WATCHDOG_INTERVAL_S
 from quetzaldyke.gateway.guarded import run_guarded
+from quetzaldyke.gateway.job_records import FLEET_PREFIX
 from quetzaldyke.gateway.logs import LineWriter, log_event
 from quetzaldyke.gateway.model import Installation
 from quetzaldyke.gateway.restart import StartPolicy
 from quetzaldyke.gateway.status_apps import metrics_app, readiness_app
 from quetzaldyke.gateway.store_tunnel import serve_tunnels
-from quetzaldyke.gateway.watch_start import start_watchers
+from quetzaldyke.gateway.watch import PrefixWatcher
+from quetzaldyke.platform import names
 
 MS_IN_S: Final = 1000
 # Time for the load balancer to stop sending requests here: it removes an
@@ -32,6 +34,14 @@
 KEEP_ALIVE_S: Final = 86_400
 # Interval at which a starting entry decides whether batch jobs begin.
 BATCH_CHECK_S: Final = 0.05
+# Longest wait for what callers need before the jobs and members are read. The
+# store usually answers within milliseconds.
+FIRST_READS_TIMEOUT_S: Final = 0.1
+# Longest wait for it before what repairs watches is imported.
+REPAIR_DELAY_S: Final = 1.0
+# Changes of endpoints accumulate for this long. Many start at once, and what
+# must be known at once is in their answers.
+ENDPOINT_POLL_DELAY_S: Final = 0.1
 # The shutdown ends this long before the SIGKILL at the end of the grace time.
 KILL_MARGIN_S: Final = 0.7
 # Before that, open requests get this long for their final response.
@@ -137,6 +147,61 @@
     stack.callback(entry.gossip.close)
 
 
+def start_watchers(entry: Entry, group: TaskGroup) -> None:
+    """Start the watches on the configuration, endpoints and jobs."""
+    watchers = [
+        PrefixWatcher(
+            entry.store,
+            names.OPERATOR_PREFIX,
+            entry.configurations.on_snapshot,
+            entry.configurations.on_changes,
+            wait_s=entry.configurations.watch_wait_s(),
+            confirmation=entry.configurations.confirmation,
+        ),
+        PrefixWatcher(
+            entry.store,
+            names.ENDPOINT_PREFIX,
+            entry.endpoints.on_snapshot,
+            entry.endpoints.on_changes,
+            poll_delay_s=lambda: ENDPOINT_POLL_DELAY_S,
+        ),
+        PrefixWatcher(
+            entry.store,
+            FLEET_PREFIX,
+            entry.on_fleet_snapshot,
+            entry.on_fleet_changes,
+            poll_delay_s=entry.sharing.poll_delay_s,
+            confirmation=entry.jobs.confirmation,
+        ),
+    ]
+    entry.configurations.brought_by = lambda: watchers[0].brought_by
+    for watcher in watchers:
+        entry.sharing.add(watcher)
+    group.start_soon(begin_repair, entry, group)
+    group.start_soon(run_guarded, entry.load_crash_records)
+    for first in watchers[:-1]:
+        group.start_soon(first.run)
+    group.start_soon(watch_fleet, entry, watchers[-1])
+
+
+async def begin_repair(entry: Entry, group: TaskGroup) -> None:
+    """Begin to make up for what watches miss, after what callers wait for.
+
+    The modules for that are imported only then.
+    """
+    with anyio.move_on_after(REPAIR_DELAY_S):
+        await entry.synced.wait()
+    module = importlib.import_module('quetzaldyke.gateway.watch_repair')
+    module.start_repair(entry, group)
+
+
+async def watch_fleet(entry: Entry, watcher: PrefixWatcher) -> None:
+    """Watch jobs and members, after what callers wait for was read."""
+    with anyio.move_on_after(FIRST_READS_TIMEOUT_S):
+        await entry.synced.wait()
+    await watcher.run()
+
+
 async def watch_signals(entry: Entry) -> None:
     """Start the graceful shutdown at SIGTERM or SIGINT.
 
--- a/src/quetzaldyke/gateway/job_reads.py
+++ b/src/quetzaldyke/gateway/job_reads.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Final
@@ -23,7 +23,6 @@
 from quetzaldyke.gateway.job_store import JobStore
 from quetzaldyke.gateway.job_table import JobView
 from quetzaldyke.parts.kv import KvError
-from quetzaldyke.gateway.shared_calls import Outcome, SharedCalls
 from quetzaldyke.platform.jobs import ItemResult, encode_results
 
 # Share of the settling time by which a table may be older than an answer. The
@@ -32,6 +31,44 @@
 MAX_PAGE_BYTES: Final = 900_000
 
 
+Outcome = Result[None, KvError]
+
+
+@dataclass(slots=True)
+class SharedCall:
+    """A call whose outcome several waiters need."""
+
+    done: anyio.Event = field(default_factory=anyio.Event)
+    # None if the call was cancelled.
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class SharedCalls:
+    """Calls by what they are about."""
+
+    running: dict[str, SharedCall] = field(default_factory=dict)
+
+    async def run(
+        self, key: str, step: Callable[[], Awaitable[Outcome]]
+    ) -> Outcome | None:
+        """Make a call, or wait for the one that runs; return its outcome.
+
+        None if that call was cancelled; who waited for it may try again.
+        """
+        running = self.running.get(key)
+        if running is not None:
+            await running.done.wait()
+            return running.outcome
+        call = self.running[key] = SharedCall()
+        try:
+            call.outcome = await step()
+        finally:
+            del self.running[key]
+            call.done.set()
+        return call.outcome
+
+
 @dataclass(slots=True)
 class JobReads:
     """Refreshes what this entry knows of a job before it denies a result."""
--- a/src/quetzaldyke/gateway/missed_updates.py
+++ b/src/quetzaldyke/gateway/missed_updates.py
@@ -13,10 +13,10 @@
 
 import anyio
 
+from quetzaldyke.gateway.gossip_messages import WatchUpdate
 from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.watch import PrefixWatcher
-from quetzaldyke.gateway.watch_messages import WatchUpdate
 
 # Returns the changes of a prefix after a revision that an entry holds, or None
 # if it does not answer in time or has dropped some.
--- a/src/quetzaldyke/gateway/peer_messages.py
+++ b/src/quetzaldyke/gateway/peer_messages.py
@@ -17,6 +17,8 @@
     JobEnded,
     LoadReport,
     PreemptBatch,
+    WatchNotice,
+    WatchUpdate,
 )
 from quetzaldyke.gateway.job_records import END_PREFIX
 from quetzaldyke.gateway.job_table import JobTable
@@ -27,7 +29,6 @@
 from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.speed_exchange import SpeedExchange, SpeedUpdate
 from quetzaldyke.gateway.store_path import StorePath
-from quetzaldyke.gateway.watch_messages import WatchNotice, WatchUpdate
 from quetzaldyke.parts.rate_shares import ShareHeartbeat
 
 if TYPE_CHECKING:
--- a/src/quetzaldyke/gateway/peer_updates.py
+++ b/src/quetzaldyke/gateway/peer_updates.py
@@ -17,16 +17,15 @@
 from anyio.abc import ByteStream
 
 from quetzaldyke.gateway.exchange import Exchange, ExchangeError
-from quetzaldyke.gateway.gossip_messages import decode
-from quetzaldyke.gateway.http_client import HttpClient, encode_request
-from quetzaldyke.gateway.watch_messages import (
+from quetzaldyke.gateway.gossip_messages import (
     WatchUpdate,
+    decode,
     decode_revision,
     encode_watch_message,
 )
+from quetzaldyke.gateway.http_client import HttpClient, encode_request
 
 UPDATES_PATH: Final = '/watch-updates'
-UPDATES_LINE: Final = b'GET /watch-updates?'
 STATUS_OK: Final = 200
 NOT_HELD: Final = (
     b'HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -24,15 +24,14 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from quetzaldyke.gateway.change_history import size_of
 from quetzaldyke.gateway.endpoints import EndpointTable
-from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.watch import PrefixWatcher, age_ms
-from quetzaldyke.gateway.watch_messages import (
+from quetzaldyke.gateway.gossip_messages import (
     WatchMessage,
     WatchNotice,
     WatchUpdate,
 )
+from quetzaldyke.gateway.logs import log_event
+from quetzaldyke.gateway.watch import PrefixWatcher, age_ms, size_of
 from quetzaldyke.parts.rendezvous import ranking
 from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
 
--- a/src/quetzaldyke/gateway/store_tunnel.py
+++ b/src/quetzaldyke/gateway/store_tunnel.py
@@ -9,19 +9,20 @@
 
 from __future__ import annotations
 
-from typing import Final
+import importlib
+from typing import TYPE_CHECKING, Final
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup, TaskStatus
 
 from quetzaldyke.gateway.guarded import run_guarded
 from quetzaldyke.gateway.logs import log_event
-from quetzaldyke.gateway.peer_updates import (
-    UPDATES_LINE,
-    HeldUpdate,
-    answer_peer,
-)
 
+if TYPE_CHECKING:
+    from quetzaldyke.gateway.peer_updates import HeldUpdate
+
+# Begin of a request that is answered here.
+UPDATES_LINE: Final = b'GET /watch-updates?'
 CONNECT_TIMEOUT_S: Final = 0.4
 # From the opening of a connection until its first bytes.
 FIRST_BYTES_TIMEOUT_S: Final = 5.0
@@ -47,7 +48,7 @@
         async with peer:
             first = await receive_first(peer)
             if first.startswith(UPDATES_LINE):
-                await run_guarded(answer_peer, peer, first, held)
+                await run_guarded(answer_updates, peer, first, held)
             elif first and limiter.available_tokens:
                 async with limiter:
                     await relay_connection(peer, first, store)
@@ -63,6 +64,14 @@
     await listener.serve(handle)
 
 
+async def answer_updates(
+    peer: ByteStream, request: bytes, held: HeldUpdate
+) -> None:
+    """Answer a request for missed updates; its module is imported then."""
+    module = importlib.import_module('quetzaldyke.gateway.peer_updates')
+    await module.answer_peer(peer, request, held)
+
+
 async def receive_first(peer: ByteStream) -> bytes:
     """Return the first bytes of a peer; none if it closes or stays silent."""
     with anyio.move_on_after(FIRST_BYTES_TIMEOUT_S):
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -10,14 +10,14 @@
 import math
 import random
 import time
-from collections.abc import Callable, Sequence
+from collections import deque
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
 import anyio
 from result import Err
 
-from quetzaldyke.gateway.change_history import ChangeHistory
 from quetzaldyke.gateway.guarded import call_guarded
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.parts.backoff import BackoffOptions, backoff_s
@@ -41,6 +41,9 @@
 MS_IN_S: Final = 1000
 # Source of what this process has read from the store itself.
 OWN_CALL: Final = 'own_call'
+# Bytes of the last changes that are kept for entries that missed some. The last
+# one is kept whatever its size.
+MAX_HISTORY_BYTES: Final = 131_072
 RETRY: Final = BackoffOptions(base_s=0.1, cap_s=0.5)
 
 OnSnapshot = Callable[[Snapshot], None]
@@ -93,6 +96,53 @@
         }
 
 
+def size_of(changes: Collection[WatchedChange]) -> int:
+    """Return the bytes of the keys and values of changes."""
+    return sum(len(change.key) + len(change.value or b'') for change in changes)
+
+
+@dataclass(slots=True)
+class ChangeHistory:
+    """All changes after a revision, in order.
+
+    >>> history = ChangeHistory()
+    >>> history.restart(4)
+    >>> history.add([WatchedChange('a', 5, b'1'), WatchedChange('a', 7, b'2')])
+    >>> [change.revision for change in history.since(4)]
+    [5, 7]
+    >>> history.since(7), history.since(3)
+    ((), None)
+    """
+
+    # The changes up to this revision were dropped.
+    dropped: int = 0
+    changes: deque[WatchedChange] = field(default_factory=deque)
+    size: int = 0
+
+    def restart(self, revision: int) -> None:
+        """Drop all changes; those after a revision will follow."""
+        self.dropped = revision
+        self.changes.clear()
+        self.size = 0
+
+    def add(self, changes: Collection[WatchedChange]) -> None:
+        """Add the changes that follow the last ones."""
+        self.changes.extend(changes)
+        self.size += size_of(changes)
+        while self.size > MAX_HISTORY_BYTES and len(self.changes) > 1:
+            oldest = self.changes.popleft()
+            self.size -= size_of([oldest])
+            self.dropped = oldest.revision
+
+    def since(self, revision: int) -> tuple[WatchedChange, ...] | None:
+        """Return the changes after a revision; None if some were dropped."""
+        if revision < self.dropped:
+            return None
+        return tuple(
+            change for change in self.changes if change.revision > revision
+        )
+
+
 @dataclass(slots=True)
 class PrefixWatcher:
     """Watches one key prefix and passes its changes to callbacks.
--- a/tests/sharing_fleet.py
+++ b/tests/sharing_fleet.py
@@ -9,17 +9,17 @@
 
 from gateway_kit import FakeStore, FakeTime
 from quetzaldyke.gateway.endpoints import EndpointTable
-from quetzaldyke.gateway.gossip_messages import encode
+from quetzaldyke.gateway.gossip_messages import (
+    WatchMessage,
+    WatchNotice,
+    WatchUpdate,
+    encode,
+)
 from quetzaldyke.gateway.missed_updates import GapCloser
 from quetzaldyke.gateway.shared_watch import WatchSharing
 from quetzaldyke.gateway.watch import (
     PrefixWatcher,
 )
-from quetzaldyke.gateway.watch_messages import (
-    WatchMessage,
-    WatchNotice,
-    WatchUpdate,
-)
 from quetzaldyke.parts.transactions import (
     Put,
     Transaction,
--- a/tests/test_configuration_floor.py
+++ b/tests/test_configuration_floor.py
@@ -15,7 +15,8 @@
 from key_rig import encode_record
 from quetzaldyke.gateway.configuration_reads import RETRY_S
 from quetzaldyke.gateway.entry import Entry
-from quetzaldyke.gateway.watch_start import start_watchers
+from quetzaldyke.gateway.entry_process import start_watchers
+from quetzaldyke.gateway.watch_repair import start_repair
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Snapshot, WatchBatch
 from quetzaldyke.platform import names
@@ -61,6 +62,7 @@
     entry = make_entry(tmp_path / 'log')
     entry.configurations.now = time.read
     start_watchers(entry, mock.Mock(spec=TaskGroup))
+    start_repair(entry, mock.Mock(spec=TaskGroup))
     watcher = entry.sharing.watched[names.OPERATOR_PREFIX]
     watcher.now = time.read
     watcher.revision = 1
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -9,7 +9,7 @@
 
 from gateway_kit import FakeStore, FakeTime
 from quetzaldyke.gateway import logs
-from quetzaldyke.gateway.gossip_messages import decode, encode
+from quetzaldyke.gateway.gossip_messages import WatchUpdate, decode, encode
 from quetzaldyke.gateway.shared_watch import (
     max_confirmation_age_s,
 )
@@ -19,7 +19,6 @@
     OWN_CALL,
     PrefixWatcher,
 )
-from quetzaldyke.gateway.watch_messages import WatchUpdate
 from quetzaldyke.parts.kv import KvError
 from quetzaldyke.parts.transactions import WatchBatch, WatchedChange
 from sharing_fleet import PREFIX, SimulatedFleet
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -21,15 +21,17 @@
     MAX_AGE_SHARE,
     ConfigurationFeed,
 )
+from quetzaldyke.gateway.configuration_reads import READ_AGE_SHARE
+from quetzaldyke.gateway.crashes import CrashReport, ReportedCrash
 from quetzaldyke.gateway.endpoint_feed import EndpointFeed
 from quetzaldyke.gateway.endpoints import EndpointTable
-from quetzaldyke.gateway.crashes import CrashReport, ReportedCrash
-from quetzaldyke.gateway.configuration_reads import READ_AGE_SHARE
 from quetzaldyke.gateway.gossip_messages import (
     GossipMessage,
     JobEnded,
     LoadReport,
     PreemptBatch,
+    WatchNotice,
+    WatchUpdate,
     decode,
     encode,
 )
@@ -38,7 +40,6 @@
 from quetzaldyke.gateway.logs import LineRateLimiter, LineWriter
 from quetzaldyke.gateway.model import Bounds, Configuration, Installation
 from quetzaldyke.gateway.watch import DEAF_S, PrefixWatcher
-from quetzaldyke.gateway.watch_messages import WatchNotice, WatchUpdate
 from quetzaldyke.parts.crash_causes import Trait
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Snapshot, WatchBatch, WatchedChange
--- a/tests/test_gateway_sharing.py
+++ b/tests/test_gateway_sharing.py
@@ -12,6 +12,7 @@
 
 from gateway_kit import FakeStore
 from quetzaldyke.gateway.endpoints import LAPSE_GRACE_S
+from quetzaldyke.gateway.gossip_messages import WatchUpdate
 from quetzaldyke.gateway.job_records import MEMBER_PREFIX, Member
 from quetzaldyke.gateway.job_table import JobTable
 from quetzaldyke.gateway.shared_watch import (
@@ -31,7 +32,6 @@
     WATCH_WAIT_S,
     PrefixWatcher,
 )
-from quetzaldyke.gateway.watch_messages import WatchUpdate
 from quetzaldyke.parts.kv import Record
 from quetzaldyke.parts.transactions import (
     Snapshot,
--- a/tests/test_missed_updates.py
+++ b/tests/test_missed_updates.py
@@ -14,9 +14,10 @@
 from anyio.abc import SocketStream
 
 from gateway_fleet import GatewayFleet
-from quetzaldyke.gateway.change_history import (
-    MAX_HISTORY_BYTES,
-    ChangeHistory,
+from quetzaldyke.gateway.gossip_messages import (
+    WatchNotice,
+    WatchUpdate,
+    encode_watch_message,
 )
 from quetzaldyke.gateway.http_client import HttpClient
 from quetzaldyke.gateway.peer_updates import (
@@ -31,10 +32,9 @@
     max_confirmation_age_s,
 )
 from quetzaldyke.gateway.store_tunnel import MAX_TUNNELS, serve_tunnels
-from quetzaldyke.gateway.watch_messages import (
-    WatchNotice,
-    WatchUpdate,
-    encode_watch_message,
+from quetzaldyke.gateway.watch import (
+    MAX_HISTORY_BYTES,
+    ChangeHistory,
 )
 from quetzaldyke.parts.transactions import WatchedChange
 from sharing_fleet import PREFIX, SimulatedFleet
