Read the whole request of a peer before it is answered

Cause: the first bytes that a connection brought were taken for the whole head of the request. Packets end anywhere, most likely so on busy links.

--- a/src/quetzaldyke/gateway/store_tunnel.py
+++ b/src/quetzaldyke/gateway/store_tunnel.py
@@ -23,6 +23,8 @@
 
 # Begin of a request that is answered here.
 UPDATES_LINE: Final = b'GET /watch-updates?'
+HEAD_END: Final = b'\r\n\r\n'
+MAX_REQUEST_BYTES: Final = 2048
 CONNECT_TIMEOUT_S: Final = 0.4
 # From the opening of a connection until its first bytes.
 FIRST_BYTES_TIMEOUT_S: Final = 5.0
@@ -73,13 +75,31 @@
 
 
 async def receive_first(peer: ByteStream) -> bytes:
-    """Return the first bytes of a peer; none if it closes or stays silent."""
-    with anyio.move_on_after(FIRST_BYTES_TIMEOUT_S):
+    """Return the first bytes of a peer; none if it closes or stays silent.
+
+    They show what the peer asks for, and hold a whole request for updates.
+    """
+    received = b''
+    with anyio.move_on_after(FIRST_BYTES_TIMEOUT_S) as scope:
         try:
-            return await peer.receive()
+            while needs_more(received):
+                received += await peer.receive()
         except (anyio.EndOfStream, anyio.BrokenResourceError):
             return b''
-    return b''
+    return b'' if scope.cancelled_caught else received
+
+
+def needs_more(received: bytes) -> bool:
+    """Return whether it is open what a peer asks for.
+
+    >>> needs_more(b'GET /w'), needs_more(b'GET /quetz')
+    (True, False)
+    >>> needs_more(UPDATES_LINE), needs_more(UPDATES_LINE + HEAD_END)
+    (True, False)
+    """
+    if received.startswith(UPDATES_LINE):
+        return HEAD_END not in received and len(received) < MAX_REQUEST_BYTES
+    return UPDATES_LINE.startswith(received)
 
 
 async def relay_connection(
