--- a/src/quetzaldyke/gateway/configuration_feed.py
+++ b/src/quetzaldyke/gateway/configuration_feed.py
@@ -12,7 +12,7 @@
 from quetzaldyke.gateway.logs import log_event
 from quetzaldyke.gateway.model import Configuration, Organisation
 from quetzaldyke.gateway.watch import (
-    DEAF_S,
+    HISTORY_DROP_S,
     WATCH_WAIT_S,
     Confirmation,
     age_ms,
@@ -62,11 +62,11 @@
     def watch_wait_s(self) -> float:
         """Return how long a watch on the configuration may wait.
 
-        An answer without changes is up to the wait or `DEAF_S` old, whichever
+        An answer without changes is up to the wait or `HISTORY_DROP_S` old, whichever
         is longer, and the next one comes after another wait.
         """
         age_s = WATCHED_AGE_SHARE * self.apply_s
-        wait_s = max(MIN_WATCH_WAIT_S, min(age_s / 2, age_s - DEAF_S))
+        wait_s = max(MIN_WATCH_WAIT_S, min(age_s / 2, age_s - HISTORY_DROP_S))
         return min(WATCH_WAIT_S, wait_s)
 
     def weight_of(self, organisation: str) -> float:
--- a/src/quetzaldyke/gateway/shared_watch.py
+++ b/src/quetzaldyke/gateway/shared_watch.py
@@ -106,7 +106,7 @@
     # Whether the last load report of an entry says that it reaches the store.
     reaches_store: Callable[[str], bool] = lambda entry_id: True
     # Returns the entries that are heard and are no members.
-    strangers: Callable[[], Collection[str]] = tuple
+    non_members: Callable[[], Collection[str]] = tuple
     watched: dict[str, PrefixWatcher] = field(default_factory=dict)
     watchers: list[str] = field(default_factory=list)
     sources: list[str] = field(default_factory=list)
@@ -116,7 +116,7 @@
     confirmed_s: dict[tuple[str, str], float] = field(default_factory=dict)
     # Up to which revision each source last announced changes of a prefix that
     # this entry lacked, and when.
-    lacking: dict[tuple[str, str], tuple[int, float]] = field(
+    unfetched: dict[tuple[str, str], tuple[int, float]] = field(
         default_factory=dict
     )
     # Revision of the last change of each prefix that this entry has sent to its
@@ -132,9 +132,9 @@
             for key, confirmed_s in self.confirmed_s.items()
             if key[0] in members
         }
-        self.lacking = {
+        self.unfetched = {
             key: announced
-            for key, announced in self.lacking.items()
+            for key, announced in self.unfetched.items()
             if key[0] in members
         }
         self.watchers = watchers_of(members)
@@ -222,7 +222,7 @@
             if sent_s >= since_s
         }
         if revisions:
-            receivers = {*self.followers, *self.watchers, *self.strangers()}
+            receivers = {*self.followers, *self.watchers, *self.non_members()}
             notice = WatchNotice(self.own_id, revisions)
             self.send(receivers - {self.own_id}, notice)
 
@@ -277,7 +277,7 @@
         if self.apply(watcher, update):
             self.confirmed_s[source] = now_s
         elif update.revision > (watcher.revision or 0):
-            self.lacking[source] = (update.revision, now_s)
+            self.unfetched[source] = (update.revision, now_s)
 
     def on_fetched(self, update: WatchUpdate) -> None:
         """Apply what was asked for; the sender may hold it for long.
@@ -288,7 +288,7 @@
         if watcher is None or not self.apply(watcher, update):
             return
         source = (update.sender, update.prefix)
-        revision, announced_s = self.lacking.pop(source, (0, 0.0))
+        revision, announced_s = self.unfetched.pop(source, (0, 0.0))
         if 0 < revision <= update.revision:
             self.confirmed_s[source] = announced_s
 
--- a/src/quetzaldyke/gateway/watch.py
+++ b/src/quetzaldyke/gateway/watch.py
@@ -37,7 +37,7 @@
 CATCH_UP_WAIT_S: Final = 0.001
 # For this long a store that is about to drop history lets watches hear nothing.
 # Then it ends them.
-DEAF_S: Final = 1.0
+HISTORY_DROP_S: Final = 1.0
 MS_IN_S: Final = 1000
 # Source of what this process has read from the store itself.
 OWN_CALL: Final = 'own_call'
@@ -231,12 +231,12 @@
                 return True
             return False
         batch = answer.ok_value
-        if batch.changes or wait_s >= DEAF_S:
+        if batch.changes or wait_s >= HISTORY_DROP_S:
             self.answer_as_of_s = called_s
         elif wait_s > CATCH_UP_WAIT_S:
-            # The watch may have heard nothing since `DEAF_S` before its end; no
+            # The watch may have heard nothing since `HISTORY_DROP_S` before its end; no
             # change in a very short wait proves nothing at all.
-            as_of_s = min(called_s, self.now() - DEAF_S)
+            as_of_s = min(called_s, self.now() - HISTORY_DROP_S)
             self.answer_as_of_s = max(self.answer_as_of_s, as_of_s)
         self.on_batch(after, batch)
         self.advance(batch.changes, batch.revision, OWN_CALL)
--- a/src/quetzaldyke/gateway/watch_repair.py
+++ b/src/quetzaldyke/gateway/watch_repair.py
@@ -29,7 +29,7 @@
 
 def start_repair(entry: Entry, group: TaskGroup) -> None:
     """Ask peers for changes that were missed; read an old configuration."""
-    entry.sharing.strangers = lambda: entry.gossip.senders
+    entry.sharing.non_members = lambda: entry.gossip.senders
     # Idle connections of the other client may lead through a peer to the store.
     ask = partial(ask_for_update, entry, HttpClient())
     for watcher in entry.sharing.watched.values():
--- a/tests/sharing_fleet.py
+++ b/tests/sharing_fleet.py
@@ -108,7 +108,7 @@
             lambda snapshot: None,
             lambda changes, _: applied.extend(one.revision for one in changes),
         )
-        sharing.strangers = lambda: set(self.entries) - set(self.members)
+        sharing.non_members = lambda: set(self.entries) - set(self.members)
         sharing.add(watcher)
         closer = GapCloser(watcher, self.fetch, sharing.on_fetched)
         watcher.on_missed = closer.note
--- a/tests/test_gateway_process_parts.py
+++ b/tests/test_gateway_process_parts.py
@@ -39,7 +39,7 @@
 from quetzaldyke.gateway.loads import RequestCounts
 from quetzaldyke.gateway.logs import LineRateLimiter, LineWriter
 from quetzaldyke.gateway.model import Bounds, Configuration, Installation
-from quetzaldyke.gateway.watch import DEAF_S, PrefixWatcher
+from quetzaldyke.gateway.watch import HISTORY_DROP_S, PrefixWatcher
 from quetzaldyke.parts.crash_causes import Trait
 from quetzaldyke.parts.kv import KvError, Record
 from quetzaldyke.parts.transactions import Snapshot, WatchBatch, WatchedChange
@@ -330,9 +330,9 @@
     confirm(feed)
     now[0] = feed.watch_wait_s()
     assert feed.is_current()
-    if apply_s > DEAF_S:
+    if apply_s > HISTORY_DROP_S:
         # Before the next answer of a watch that hears nothing.
-        now[0] += max(DEAF_S, feed.watch_wait_s())
+        now[0] += max(HISTORY_DROP_S, feed.watch_wait_s())
         assert feed.age_s() < READ_AGE_SHARE * apply_s
     now[0] = 0.9 * apply_s
     assert not feed.is_current()
